--- /dev/null
+++ b/emulator/fault_proxy.cc
@@ -0,0 +1,219 @@
+#include "fault_proxy.h"
+
+#include <array>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/lexical_cast/try_lexical_convert.hpp>
+#include <deque>
+#include <set>
+
+#include "dandelionscale/runtime/event.h"
+
+namespace dandelionscale::emulator {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+constexpr Duration kStallCheck = std::chrono::milliseconds(10);
+// Least retransmission timeout of RFC 6298 as common systems set it.
+constexpr Duration kRetransmission = std::chrono::milliseconds(200);
+
+auto Redirect(error_code& error) {
+  return asio::redirect_error(asio::use_awaitable, error);
+}
+
+template <typename T>
+T ParseOr(std::string_view text, T fallback) {
+  T number{};
+  return boost::conversion::try_lexical_convert(text, number) ? number
+                                                              : fallback;
+}
+
+}  // namespace
+
+struct FaultProxy::Link : std::enable_shared_from_this<FaultProxy::Link> {
+  /// \brief Both sockets of one connection.
+  struct Pair {
+    explicit Pair(const asio::any_io_executor& executor)
+        : client(executor), server(executor) {}
+    tcp::socket client;
+    tcp::socket server;
+    void Close() {
+      error_code ignored;
+      this->client.close(ignored);
+      this->server.close(ignored);
+    }
+  };
+  /// \brief Bytes under way in one direction, each with its arrival time.
+  struct Piece {
+    std::string bytes;
+    TimePoint due;
+  };
+  struct Pipe {
+    explicit Pipe(const asio::any_io_executor& executor) : changed(executor) {}
+    std::deque<Piece> pieces;
+    Event changed;
+    bool ended = false;
+  };
+
+  Link(asio::any_io_executor executor, Endpoint target,
+       std::shared_ptr<std::mt19937_64> random)
+      : executor(executor),
+        acceptor(executor),
+        target(target),
+        random(std::move(random)) {}
+
+  asio::any_io_executor executor;
+  tcp::acceptor acceptor;
+  Endpoint target;
+  std::shared_ptr<std::mt19937_64> random;
+  LinkFaults faults;
+  std::set<std::shared_ptr<Pair>> pairs;
+
+  Duration PieceDelay() {
+    std::uniform_real_distribution<double> uniform(0, 1);
+    Duration delay = this->faults.delay;
+    const double jitter = uniform(*this->random);
+    delay += std::chrono::duration_cast<Duration>(this->faults.jitter * jitter);
+    if (uniform(*this->random) < this->faults.loss) delay += kRetransmission;
+    return delay;
+  }
+
+  Awaitable<void> Accept() {
+    auto self = this->shared_from_this();
+    while (true) {
+      error_code error;
+      auto pair = std::make_shared<Pair>(this->executor);
+      co_await this->acceptor.async_accept(pair->client, Redirect(error));
+      if (error) co_return;
+      if (this->faults.refuse) continue;
+      asio::co_spawn(this->executor, this->Connect(pair), asio::detached);
+    }
+  }
+
+  Awaitable<void> Connect(std::shared_ptr<Pair> pair) {
+    auto self = this->shared_from_this();
+    error_code error;
+    co_await pair->server.async_connect(this->target, Redirect(error));
+    if (error || this->faults.refuse) {
+      pair->Close();
+      co_return;
+    }
+    pair->client.set_option(tcp::no_delay(true), error);
+    pair->server.set_option(tcp::no_delay(true), error);
+    this->pairs.insert(pair);
+    for (bool up : {true, false}) {
+      auto pipe = std::make_shared<Pipe>(this->executor);
+      asio::co_spawn(this->executor, this->Read(pair, pipe, up),
+                     asio::detached);
+      asio::co_spawn(this->executor, this->Write(pair, pipe, up),
+                     asio::detached);
+    }
+  }
+
+  Awaitable<void> Read(std::shared_ptr<Pair> pair, std::shared_ptr<Pipe> pipe,
+                       bool up) {
+    auto self = this->shared_from_this();
+    tcp::socket& from = up ? pair->client : pair->server;
+    std::array<char, 16 * 1024> buffer;
+    TimePoint last_due;
+    while (true) {
+      error_code error;
+      auto size =
+          co_await from.async_read_some(asio::buffer(buffer), Redirect(error));
+      if (error) break;
+      // Pieces of a connection stay in order.
+      last_due = std::max(last_due, RuntimeClock::now() + this->PieceDelay());
+      pipe->pieces.push_back({std::string(buffer.data(), size), last_due});
+      pipe->changed.NotifyAll();
+    }
+    pipe->ended = true;
+    pipe->changed.NotifyAll();
+  }
+
+  Awaitable<void> Write(std::shared_ptr<Pair> pair, std::shared_ptr<Pipe> pipe,
+                        bool up) {
+    auto self = this->shared_from_this();
+    tcp::socket& to = up ? pair->server : pair->client;
+    while (true) {
+      if (up ? this->faults.stall_up : this->faults.stall_down) {
+        co_await SleepFor(kStallCheck);
+        continue;
+      }
+      if (pipe->pieces.empty()) {
+        if (pipe->ended) break;
+        co_await pipe->changed.Wait();
+        continue;
+      }
+      const Duration wait = pipe->pieces.front().due - RuntimeClock::now();
+      if (wait > Duration::zero()) {
+        co_await SleepFor(wait);
+        continue;
+      }
+      const std::string bytes = std::move(pipe->pieces.front().bytes);
+      pipe->pieces.pop_front();
+      error_code error;
+      co_await asio::async_write(to, asio::buffer(bytes), Redirect(error));
+      if (error) break;
+    }
+    pair->Close();
+    this->pairs.erase(pair);
+  }
+};
+
+FaultProxy::FaultProxy(asio::any_io_executor executor, std::uint64_t seed)
+    : executor(std::move(executor)),
+      random(std::make_shared<std::mt19937_64>(seed)) {}
+
+FaultProxy::~FaultProxy() = default;
+
+Result<void> FaultProxy::AddLink(const Endpoint& listen,
+                                 const Endpoint& target) {
+  auto link = std::make_shared<Link>(this->executor, target, this->random);
+  try {
+    link->acceptor.open(listen.protocol());
+    link->acceptor.set_option(asio::socket_base::reuse_address(true));
+    link->acceptor.bind(listen);
+    link->acceptor.listen();
+  } catch (const boost::system::system_error& error) {
+    return Fault{FaultKind::kConnectFailed, error.what()};
+  }
+  asio::co_spawn(this->executor, link->Accept(), asio::detached);
+  this->links.push_back(std::move(link));
+  return {};
+}
+
+Awaitable<void> FaultProxy::HandleControl(HttpExchange& exchange) {
+  const std::string& target = exchange.Request().target;
+  HttpResponse response;
+  const auto number =
+      ParseOr<std::size_t>(QueryParameter(target, "link"), this->links.size());
+  if (PathOf(target) != "/fake/link" || number >= this->links.size()) {
+    response.status = 404;
+    co_await exchange.Respond(std::move(response));
+    co_return;
+  }
+  Link& link = *this->links[number];
+  LinkFaults faults;
+  faults.refuse = QueryParameter(target, "refuse") == "1";
+  faults.stall_up = QueryParameter(target, "stall_up") == "1";
+  faults.stall_down = QueryParameter(target, "stall_down") == "1";
+  faults.delay = std::chrono::microseconds(
+      ParseOr<int>(QueryParameter(target, "delay_us"), 0));
+  faults.jitter = std::chrono::microseconds(
+      ParseOr<int>(QueryParameter(target, "jitter_us"), 0));
+  faults.loss = ParseOr<double>(QueryParameter(target, "loss"), 0);
+  link.faults = faults;
+  if (faults.refuse) {
+    for (const auto& pair : link.pairs) pair->Close();
+  }
+  co_await exchange.Respond(std::move(response));
+}
+
+}  // namespace dandelionscale::emulator
--- /dev/null
+++ b/include/dandelionscale/core.h
@@ -0,0 +1,26 @@
+/// \file
+/// \brief Decision core: all routing policy, without I/O.
+///
+/// Every class here is a state machine over explicit time and typed events; it
+/// opens no socket, starts no thread and reads no clock. Hundreds can run in
+/// one process under a paused clock.
+#ifndef DANDELIONSCALE_CORE_H_
+#define DANDELIONSCALE_CORE_H_
+
+#include "dandelionscale/core/baseline_policy.h"  // IWYU pragma: export
+#include "dandelionscale/core/claim.h"            // IWYU pragma: export
+#include "dandelionscale/core/configuration.h"    // IWYU pragma: export
+#include "dandelionscale/core/digest_tree.h"      // IWYU pragma: export
+#include "dandelionscale/core/drain_tracker.h"    // IWYU pragma: export
+#include "dandelionscale/core/fair_queue.h"       // IWYU pragma: export
+#include "dandelionscale/core/fleet_view.h"       // IWYU pragma: export
+#include "dandelionscale/core/hash.h"             // IWYU pragma: export
+#include "dandelionscale/core/lease.h"            // IWYU pragma: export
+#include "dandelionscale/core/load_bound.h"       // IWYU pragma: export
+#include "dandelionscale/core/owner_core.h"       // IWYU pragma: export
+#include "dandelionscale/core/reasons.h"          // IWYU pragma: export
+#include "dandelionscale/core/request_plan.h"     // IWYU pragma: export
+#include "dandelionscale/core/retry_budget.h"     // IWYU pragma: export
+#include "dandelionscale/core/session_memory.h"   // IWYU pragma: export
+
+#endif  // DANDELIONSCALE_CORE_H_
--- /dev/null
+++ b/include/dandelionscale/core/fair_queue.h
@@ -0,0 +1,46 @@
+#ifndef DANDELIONSCALE_CORE_FAIR_QUEUE_H_
+#define DANDELIONSCALE_CORE_FAIR_QUEUE_H_
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <unordered_map>
+
+namespace dandelionscale {
+
+/// \brief Order in which requests that wait for a slot are served.
+///
+/// Start-time fair queueing (Goyal, Vin, Cheng 1996) within each priority: a
+/// workspace's requests get virtual start times one over its weight apart, so
+/// that under contention workspaces are served in proportion to their weights.
+class FairQueue {
+ public:
+  using Ticket = std::uint64_t;
+
+  /// \brief Adds a request. \returns its ticket.
+  Ticket Add(std::uint64_t workspace_hash, std::uint32_t weight,
+             std::uint32_t priority);
+  /// \brief Removes a request that was served or has given up.
+  void Remove(Ticket ticket);
+  /// \returns true if the request is the next to be served.
+  bool IsFirst(Ticket ticket) const;
+  std::size_t Size() const { return this->order.size(); }
+
+ private:
+  struct Position {
+    std::uint32_t priority = 0;
+    double start = 0;
+    Ticket ticket = 0;
+    auto operator<=>(const Position&) const = default;
+  };
+
+  Ticket next_ticket = 1;
+  double virtual_time = 0;
+  std::set<Position> order;
+  std::map<Ticket, Position> positions;
+  std::unordered_map<std::uint64_t, double> last_finish;
+};
+
+}  // namespace dandelionscale
+
+#endif  // DANDELIONSCALE_CORE_FAIR_QUEUE_H_
--- /dev/null
+++ b/include/dandelionscale/platform/platform_client.h
@@ -0,0 +1,54 @@
+#ifndef DANDELIONSCALE_PLATFORM_PLATFORM_CLIENT_H_
+#define DANDELIONSCALE_PLATFORM_PLATFORM_CLIENT_H_
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "dandelionscale/core/drain_tracker.h"
+#include "dandelionscale/platform/table.h"
+#include "dandelionscale/runtime/fault.h"
+#include "dandelionscale/runtime/runtime_clock.h"
+#include "dandelionscale/transport/address.h"
+#include "dandelionscale/transport/byte_counters.h"
+
+namespace dandelionscale {
+
+/// \brief Part of the platform's lagging list of hosts.
+struct HostList {
+  std::uint64_t revision = 0;
+  std::vector<HostEntry> hosts;
+};
+
+/// \brief Client of the platform's table and host list (docs/platform.md).
+///
+/// Faults tell whether a write can have happened: after `kConnectFailed` and
+/// `kNotSent` it has not; after any other it may have.
+class PlatformClient {
+ public:
+  PlatformClient(boost::asio::any_io_executor executor, Endpoint endpoint,
+                 ByteCounters* counters);
+  ~PlatformClient();
+
+  /// \brief Applies operations in one request; each has its own condition.
+  Awaitable<Result<std::vector<TableResult>>> Batch(
+      std::vector<TableOperation> operations, Duration timeout);
+
+  /// \brief Applies one operation, in a batch with others that wait.
+  ///
+  /// Group commit: while one batch is under way the next one collects.
+  Awaitable<Result<TableResult>> Submit(TableOperation operation,
+                                        Duration timeout);
+
+  /// \returns the entries of the host list that changed after `since`.
+  Awaitable<Result<HostList>> Hosts(std::uint64_t since, Duration timeout);
+
+  struct State;
+
+ private:
+  std::shared_ptr<State> state;
+};
+
+}  // namespace dandelionscale
+
+#endif  // DANDELIONSCALE_PLATFORM_PLATFORM_CLIENT_H_
--- /dev/null
+++ b/include/dandelionscale/platform/table.h
@@ -0,0 +1,77 @@
+#ifndef DANDELIONSCALE_PLATFORM_TABLE_H_
+#define DANDELIONSCALE_PLATFORM_TABLE_H_
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace dandelionscale {
+
+/// \brief One row of the platform's table. Revisions rise with every write.
+struct TableRow {
+  std::string key;
+  std::string value;
+  std::uint64_t revision = 0;
+};
+
+/// \brief Writes a row only if the key has none.
+struct TableInsert {
+  std::string key;
+  std::string value;
+};
+/// \brief Writes a row whatever was there.
+struct TablePut {
+  std::string key;
+  std::string value;
+};
+/// \brief Writes a row only if its revision is still `expected_revision`;
+/// 0 stands for "no row".
+struct TableCompareAndSet {
+  std::string key;
+  std::uint64_t expected_revision = 0;
+  std::string value;
+};
+/// \brief Deletes a row only if its revision is still `expected_revision`.
+struct TableDelete {
+  std::string key;
+  std::uint64_t expected_revision = 0;
+};
+struct TableGet {
+  std::string key;
+};
+/// \brief Reads rows under `prefix` written after `since_revision`.
+struct TableScan {
+  std::string prefix;
+  std::uint64_t since_revision = 0;
+};
+using TableOperation = std::variant<TableInsert, TablePut, TableCompareAndSet,
+                                    TableDelete, TableGet, TableScan>;
+
+enum class TableStatus {
+  kOk,
+  kExists,    ///< `TableInsert` found a row; it is in `rows`.
+  kConflict,  ///< The revision differs; the row, if any, is in `rows`.
+  kMissing,   ///< No row.
+};
+
+/// \brief Answer to one operation.
+struct TableResult {
+  TableStatus status = TableStatus::kOk;
+  std::uint64_t revision = 0;
+  std::vector<TableRow> rows;
+};
+
+/// \returns the body of a batch request.
+std::string SerializeOperations(const std::vector<TableOperation>& operations);
+/// \returns false if `text` is not a batch request.
+bool ParseOperations(std::string_view text,
+                     std::vector<TableOperation>& operations);
+/// \returns the body of a batch answer.
+std::string SerializeResults(const std::vector<TableResult>& results);
+/// \returns false if `text` is not a batch answer.
+bool ParseResults(std::string_view text, std::vector<TableResult>& results);
+
+}  // namespace dandelionscale
+
+#endif  // DANDELIONSCALE_PLATFORM_TABLE_H_
--- /dev/null
+++ b/include/dandelionscale/runtime/event.h
@@ -0,0 +1,28 @@
+#ifndef DANDELIONSCALE_RUNTIME_EVENT_H_
+#define DANDELIONSCALE_RUNTIME_EVENT_H_
+
+#include "dandelionscale/runtime/runtime_clock.h"
+
+namespace dandelionscale {
+
+/// \brief Wakes coroutines of one event loop; callers re-check their condition.
+class Event {
+ public:
+  explicit Event(const boost::asio::any_io_executor& executor);
+
+  /// \brief Waits until `NotifyAll()` or until `timeout` has passed.
+  /// \returns true if notified, false on timeout.
+  Awaitable<bool> WaitFor(Duration timeout);
+  /// \brief Waits until `NotifyAll()`.
+  Awaitable<void> Wait();
+  /// \brief Wakes all current waiters.
+  void NotifyAll();
+
+ private:
+  Timer timer;
+  std::uint64_t generation = 0;
+};
+
+}  // namespace dandelionscale
+
+#endif  // DANDELIONSCALE_RUNTIME_EVENT_H_
--- /dev/null
+++ b/include/dandelionscale/runtime/kernel.h
@@ -0,0 +1,60 @@
+#ifndef DANDELIONSCALE_RUNTIME_KERNEL_H_
+#define DANDELIONSCALE_RUNTIME_KERNEL_H_
+
+#include <any>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "dandelionscale/runtime/runtime_clock.h"
+
+namespace dandelionscale {
+
+/// \brief Life cycle of a service; absent steps do nothing.
+struct ServiceHooks {
+  std::function<Awaitable<void>()> start;
+  /// \brief Stops taking new work and waits for work in flight.
+  std::function<Awaitable<void>()> drain;
+  std::function<void()> stop;
+};
+
+/// \brief Registry of services that find each other by name.
+///
+/// Services start in the order of registration and drain and stop in reverse.
+class Kernel {
+ public:
+  template <typename T>
+  void Register(std::string name, std::shared_ptr<T> service,
+                ServiceHooks hooks = {}) {
+    this->entries.push_back({name, std::move(hooks)});
+    this->services.insert_or_assign(std::move(name), std::any(service));
+  }
+
+  /// \returns the service, or null if the name or the type does not match.
+  template <typename T>
+  std::shared_ptr<T> Find(std::string_view name) const {
+    auto found = this->services.find(name);
+    if (found == this->services.end()) return nullptr;
+    const auto* service = std::any_cast<std::shared_ptr<T>>(&found->second);
+    return service == nullptr ? nullptr : *service;
+  }
+
+  Awaitable<void> Start();
+  Awaitable<void> Drain();
+  void Stop();
+
+ private:
+  struct Entry {
+    std::string name;
+    ServiceHooks hooks;
+  };
+  std::vector<Entry> entries;
+  std::map<std::string, std::any, std::less<>> services;
+};
+
+}  // namespace dandelionscale
+
+#endif  // DANDELIONSCALE_RUNTIME_KERNEL_H_
--- /dev/null
+++ b/include/dandelionscale/runtime/metrics.h
@@ -0,0 +1,39 @@
+#ifndef DANDELIONSCALE_RUNTIME_METRICS_H_
+#define DANDELIONSCALE_RUNTIME_METRICS_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace dandelionscale {
+
+/// \brief Counters, gauges and summaries of one process.
+///
+/// Names may carry Prometheus labels: `requests_total{outcome="completed"}`.
+class Metrics {
+ public:
+  Metrics();
+  ~Metrics();
+
+  void Add(std::string_view counter, std::uint64_t amount = 1);
+  void Set(std::string_view gauge, double value);
+  /// \brief Adds a sample to a summary (quantiles 0.5, 0.95, 0.99).
+  void Observe(std::string_view summary, double sample);
+
+  /// \returns the value of a counter, 0 if unknown.
+  std::uint64_t Counter(std::string_view counter) const;
+  /// \returns everything in the Prometheus text format.
+  std::string ToPrometheus() const;
+
+ private:
+  struct Summary;
+  std::map<std::string, std::uint64_t, std::less<>> counters;
+  std::map<std::string, double, std::less<>> gauges;
+  std::map<std::string, std::unique_ptr<Summary>, std::less<>> summaries;
+};
+
+}  // namespace dandelionscale
+
+#endif  // DANDELIONSCALE_RUNTIME_METRICS_H_
--- /dev/null
+++ b/include/dandelionscale/transport/peer_connection.h
@@ -0,0 +1,101 @@
+#ifndef DANDELIONSCALE_TRANSPORT_PEER_CONNECTION_H_
+#define DANDELIONSCALE_TRANSPORT_PEER_CONNECTION_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "dandelionscale/runtime/fault.h"
+#include "dandelionscale/runtime/runtime_clock.h"
+#include "dandelionscale/transport/address.h"
+#include "dandelionscale/transport/byte_counters.h"
+
+namespace dandelionscale {
+
+/// \file
+/// HTTP/2 streams between routers, over nghttp2. A stream carries one request
+/// message and any number of reply messages; each message is preceded by its
+/// length in four bytes, most significant first.
+
+/// \brief Largest message accepted from a peer, in bytes.
+inline constexpr std::size_t kPeerMessageBytes = 8 * 1024 * 1024;
+
+/// \brief Client side of one stream.
+class PeerStream {
+ public:
+  virtual ~PeerStream() = default;
+
+  /// \brief Waits for the next reply message.
+  /// \returns the message; empty when the server ended the stream. Fault
+  ///          `kNotSent` means that the peer never processed the request.
+  virtual Awaitable<Result<std::string>> Read(Duration timeout) = 0;
+  /// \brief Resets the stream.
+  virtual void Cancel() = 0;
+};
+
+/// \brief Server side of one stream.
+class PeerCall {
+ public:
+  virtual ~PeerCall() = default;
+
+  std::string_view Path() const { return this->path; }
+  std::string_view Message() const { return this->message; }
+
+  /// \brief Sends one reply message, waiting while the stream is congested.
+  /// \returns false if the client reset the stream or the connection broke.
+  virtual Awaitable<bool> Send(std::string_view message) = 0;
+  /// \brief Calls `on_gone` once if the client resets the stream.
+  virtual void WatchDisconnect(std::function<void()> on_gone) = 0;
+
+ protected:
+  std::string path;
+  std::string message;
+};
+
+using PeerHandler = std::function<Awaitable<void>(PeerCall&)>;
+
+/// \brief Keeps one connection to a peer and opens streams on it.
+class PeerClient {
+ public:
+  PeerClient(boost::asio::any_io_executor executor, Endpoint endpoint,
+             ByteCounters* counters);
+  ~PeerClient();
+
+  /// \brief Opens a stream and sends `message`; connects first if needed.
+  /// \returns fault `kConnectFailed` if nothing was sent.
+  Awaitable<Result<std::shared_ptr<PeerStream>>> Open(std::string path,
+                                                      std::string message,
+                                                      Duration connect_timeout);
+
+  /// \brief Opens a stream, reads one reply message and ends.
+  Awaitable<Result<std::string>> Call(std::string path, std::string message,
+                                      Duration timeout);
+
+  /// \brief Closes the connection.
+  void Close();
+
+  struct State;
+
+ private:
+  std::shared_ptr<State> state;
+};
+
+/// \brief Accepts connections of peers.
+class PeerServer {
+ public:
+  PeerServer(boost::asio::any_io_executor executor, PeerHandler handler);
+  ~PeerServer();
+
+  Result<Endpoint> Listen(const Endpoint& endpoint);
+  void StopAccepting();
+
+  struct State;
+
+ private:
+  std::shared_ptr<State> state;
+};
+
+}  // namespace dandelionscale
+
+#endif  // DANDELIONSCALE_TRANSPORT_PEER_CONNECTION_H_
--- /dev/null
+++ b/src/router/admin_service.h
@@ -0,0 +1,55 @@
+#ifndef DANDELIONSCALE_SRC_ROUTER_ADMIN_SERVICE_H_
+#define DANDELIONSCALE_SRC_ROUTER_ADMIN_SERVICE_H_
+
+#include <memory>
+#include <string_view>
+
+#include "dandelionscale/platform.h"
+#include "dandelionscale/runtime/kernel.h"
+#include "dandelionscale/runtime/metrics.h"
+#include "dandelionscale/runtime/trace.h"
+#include "dandelionscale/transport/http_server.h"
+#include "router/configuration_service.h"
+#include "router/engine_prober.h"
+#include "router/entry_service.h"
+#include "router/membership_service.h"
+#include "router/peer_directory.h"
+
+namespace dandelionscale::internal {
+
+/// \brief Operators' side of a router: health, metrics, configuration, status.
+class AdminService {
+ public:
+  static constexpr std::string_view kName = "admin";
+
+  /// \param platform_bytes counted by the platform client.
+  AdminService(const Kernel& kernel, const RouterOptions& options,
+               const ByteCounters* platform_bytes);
+
+  Awaitable<void> Handle(HttpExchange& exchange);
+
+ private:
+  bool IsReady() const;
+  bool IsAuthorized(const HttpRequest& request) const;
+  HttpResponse Route(const HttpRequest& request);
+  HttpResponse Status() const;
+  HttpResponse Explain(std::string_view request_id) const;
+  HttpResponse MetricsText();
+  Awaitable<HttpResponse> PutConfiguration(const HttpRequest& request);
+
+  RouterOptions options;
+  const ByteCounters* platform_bytes;
+  std::shared_ptr<FleetState> fleet;
+  std::shared_ptr<PeerDirectory> peers;
+  std::shared_ptr<ConfigurationService> configuration;
+  std::shared_ptr<MembershipService> membership;
+  std::shared_ptr<EntryService> entry;
+  std::shared_ptr<OwnerService> owner;
+  std::shared_ptr<EngineProber> prober;
+  std::shared_ptr<Metrics> metrics;
+  std::shared_ptr<TraceStore> traces;
+};
+
+}  // namespace dandelionscale::internal
+
+#endif  // DANDELIONSCALE_SRC_ROUTER_ADMIN_SERVICE_H_
--- /dev/null
+++ b/src/router/answer_writer.cc
@@ -0,0 +1,131 @@
+#include "router/answer_writer.h"
+
+#include <fmt/format.h>
+
+#include <boost/json.hpp>
+
+#include "dandelionscale/transport/sse.h"
+
+namespace dandelionscale::internal {
+namespace {
+
+namespace json = boost::json;
+
+double Seconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+}  // namespace
+
+AnswerWriter::AnswerWriter(HttpExchange& exchange, AnswerForm form,
+                           std::string request_id, Metrics& metrics,
+                           TimePoint started)
+    : exchange(exchange),
+      form(form),
+      request_id(std::move(request_id)),
+      metrics(metrics),
+      last_token_at(started) {}
+
+Awaitable<bool> AnswerWriter::OnHead(const wire::Head& head) {
+  this->engine = head.engine();
+  this->placement =
+      ToString(static_cast<PlacementReason>(head.placement_reason()));
+  this->status = head.status();
+  this->content_type = head.content_type();
+  if (this->form != AnswerForm::kEvents || this->started) co_return true;
+  co_return co_await this->StartEvents();
+}
+
+Awaitable<bool> AnswerWriter::StartEvents() {
+  this->started = true;
+  HttpHeaders headers{{"Content-Type", "text/event-stream"},
+                      {"Cache-Control", "no-store"},
+                      {"X-Request-Id", this->request_id},
+                      {"X-Engine", this->engine},
+                      {"X-Placement", this->placement}};
+  const bool written =
+      co_await this->exchange.StartStream(200, std::move(headers));
+  this->client_gone = !written;
+  co_return written;
+}
+
+Awaitable<bool> AnswerWriter::WriteEvent(std::string text) {
+  const bool written = co_await this->exchange.Write(text);
+  this->client_gone = !written;
+  co_return written;
+}
+
+std::string AnswerWriter::EventId() const {
+  return fmt::format("{}/{}/{}", this->engine, this->request_id, this->offset);
+}
+
+void AnswerWriter::NoteToken() {
+  const TimePoint now = RuntimeClock::now();
+  const double seconds = Seconds(now - this->last_token_at);
+  this->last_token_at = now;
+  this->metrics.Observe(this->first_token_seen
+                            ? "dandelion_between_tokens_seconds"
+                            : "dandelion_first_token_seconds",
+                        seconds);
+  this->first_token_seen = true;
+}
+
+Awaitable<bool> AnswerWriter::OnChunk(const wire::Chunk& chunk) {
+  if (chunk.request_id() != this->request_id) co_return false;
+  if (chunk.offset() != this->offset) co_return false;
+  this->offset += chunk.data().size();
+  this->NoteToken();
+  if (this->form != AnswerForm::kEvents) {
+    this->body += chunk.data();
+    co_return true;
+  }
+  json::object data{
+      {"id", this->request_id},
+      {"object", "chat.completion.chunk"},
+      {"choices",
+       json::array{json::object{
+           {"index", 0}, {"delta", json::object{{"content", chunk.data()}}}}}}};
+  SseEvent event{this->EventId(), "", json::serialize(data)};
+  std::string text = FormatSse(event);
+  co_return co_await this->WriteEvent(std::move(text));
+}
+
+Awaitable<bool> AnswerWriter::OnEnd(const wire::End& end) {
+  if (end.length() != this->offset) co_return false;
+  if (this->form == AnswerForm::kEvents) {
+    SseEvent event{this->EventId(), "", "[DONE]"};
+    const bool written = co_await this->WriteEvent(FormatSse(event));
+    if (written) co_await this->exchange.Finish();
+    co_return true;
+  }
+  if (this->form == AnswerForm::kVerbatim) co_return true;
+  json::object document{
+      {"id", this->request_id},
+      {"object", "chat.completion"},
+      {"choices", json::array{json::object{
+                      {"index", 0},
+                      {"message", json::object{{"role", "assistant"},
+                                               {"content", this->body}}},
+                      {"finish_reason", "stop"}}}}};
+  HttpResponse response;
+  response.headers = {{"Content-Type", "application/json"},
+                      {"X-Request-Id", this->request_id},
+                      {"X-Engine", this->engine},
+                      {"X-Placement", this->placement}};
+  response.body = json::serialize(document);
+  this->client_gone = !co_await this->exchange.Respond(std::move(response));
+  co_return true;
+}
+
+Awaitable<void> AnswerWriter::Fail(const Problem& problem) {
+  if (!this->started) {
+    co_await this->exchange.Respond(ProblemResponse(problem));
+    co_return;
+  }
+  // The stream is not ended as whole: an error event, then the connection.
+  SseEvent event{"", "error", ProblemBody(problem)};
+  co_await this->WriteEvent(FormatSse(event));
+  this->exchange.Abort();
+}
+
+}  // namespace dandelionscale::internal
--- /dev/null
+++ b/src/router/configuration_service.cc
@@ -0,0 +1,241 @@
+#include "router/configuration_service.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/json.hpp>
+
+#include "dandelionscale/runtime/logger.h"
+#include "dandelionscale/runtime/trace.h"
+#include "peer.pb.h"
+#include "router/control_messages.h"
+
+namespace dandelionscale::internal {
+namespace {
+
+namespace json = boost::json;
+
+constexpr Duration kTableTimeout = std::chrono::milliseconds(1500);
+constexpr Duration kDecideTimeout = std::chrono::seconds(8);
+constexpr Duration kRetryDelay = std::chrono::milliseconds(200);
+constexpr Duration kPushTimeout = std::chrono::seconds(2);
+constexpr std::size_t kTokensKept = 16;
+constexpr std::size_t kTokenBytes = 8;
+
+/// \brief Counts acknowledgements of a push.
+struct PushProgress {
+  explicit PushProgress(const boost::asio::any_io_executor& executor)
+      : changed(executor) {}
+  Event changed;
+  std::size_t pending = 0;
+  std::size_t acknowledged = 0;
+};
+
+}  // namespace
+
+ConfigurationService::ConfigurationService(
+    boost::asio::any_io_executor executor, const Kernel& kernel,
+    const RouterOptions& options)
+    : executor(std::move(executor)),
+      options(options),
+      fleet(kernel.Find<FleetState>(FleetState::kName)),
+      peers(kernel.Find<PeerDirectory>(PeerDirectory::kName)),
+      platform(kernel.Find<PlatformClient>("platform")) {}
+
+bool ConfigurationService::ParseStored(const TableRow& row, Stored& stored) {
+  try {
+    json::value value = json::parse(row.value);
+    stored.version = value.at("version").to_number<std::uint64_t>();
+    stored.document = json::value_to<std::string>(value.at("document"));
+    stored.tokens =
+        json::value_to<std::vector<std::string>>(value.at("tokens"));
+    return true;
+  } catch (const std::exception&) {
+    Logger::Error("configuration_row_malformed", {{"key", row.key}});
+    return false;
+  }
+}
+
+void ConfigurationService::OnTableRow(const TableRow& row) {
+  Stored stored;
+  if (!ParseStored(row, stored)) return;
+  this->fleet->AdoptConfiguration(stored.version, stored.document);
+}
+
+void ConfigurationService::OnPush(std::uint64_t version,
+                                  const std::string& document,
+                                  const std::string& sender) {
+  if (version <= this->fleet->Config().version) return;
+  if (!this->fleet->AdoptConfiguration(version, document)) return;
+  boost::asio::co_spawn(
+      this->executor,
+      [self = this->shared_from_this(), sender]() -> Awaitable<void> {
+        co_await self->Push(sender);
+      },
+      boost::asio::detached);
+}
+
+void ConfigurationService::OnPeerVersion(std::string peer,
+                                         std::uint64_t version) {
+  if (version <= this->fleet->Config().version || this->fetching) return;
+  this->fetching = true;
+  boost::asio::co_spawn(
+      this->executor,
+      [self = this->shared_from_this(), peer]() -> Awaitable<void> {
+        co_await self->Fetch(peer);
+        self->fetching = false;
+      },
+      boost::asio::detached);
+}
+
+bool ConfigurationService::AdoptReply(const std::string& bytes) {
+  wire::ControlReply reply;
+  if (!reply.ParseFromString(bytes) || reply.configuration_version() == 0) {
+    return false;
+  }
+  if (this->fleet->Members().members.empty()) {
+    this->fleet->SetMembership(MembersFromWire(reply));
+    this->peers->SetMembership(this->fleet->Members());
+  }
+  return this->fleet->AdoptConfiguration(reply.configuration_version(),
+                                         reply.document());
+}
+
+Awaitable<void> ConfigurationService::Fetch(std::string peer) {
+  auto client = this->peers->ForControl(peer);
+  if (client == nullptr) co_return;
+  wire::ControlRequest request;
+  request.mutable_configuration_fetch();
+  auto reply = co_await client->Call(std::string(kControlPath),
+                                     request.SerializeAsString(), kPushTimeout);
+  if (reply.has_value()) this->AdoptReply(reply.value());
+}
+
+Awaitable<void> ConfigurationService::FetchFromSeeds() {
+  for (const Endpoint& seed : this->options.seed_peers) {
+    PeerClient client(this->executor, seed, this->peers->ControlCounters());
+    wire::ControlRequest request;
+    request.mutable_configuration_fetch();
+    auto reply = co_await client.Call(
+        std::string(kControlPath), request.SerializeAsString(), kPushTimeout);
+    if (reply.has_value() && this->AdoptReply(reply.value())) {
+      Logger::Info("configuration_from_seed",
+                   {{"seed", seed.address().to_string()}});
+    }
+  }
+}
+
+Awaitable<std::size_t> ConfigurationService::Push(std::string skip) {
+  wire::ControlRequest request;
+  auto* push = request.mutable_configuration_push();
+  const std::uint64_t version = this->fleet->Config().version;
+  push->set_version(version);
+  push->set_document(this->fleet->Document());
+  push->set_sender(this->options.name);
+  const std::string bytes = request.SerializeAsString();
+  std::vector<std::string> targets = this->fleet->Tree().Children();
+  if (!this->fleet->Tree().Parent().empty()) {
+    targets.push_back(this->fleet->Tree().Parent());
+  }
+  auto progress = std::make_shared<PushProgress>(this->executor);
+  for (const std::string& target : targets) {
+    if (target == skip) continue;
+    auto client = this->peers->ForControl(target);
+    if (client == nullptr) continue;
+    ++progress->pending;
+    boost::asio::co_spawn(
+        this->executor,
+        [client, bytes, progress]() -> Awaitable<void> {
+          auto reply = co_await client->Call(std::string(kControlPath), bytes,
+                                             kPushTimeout);
+          --progress->pending;
+          if (reply.has_value()) ++progress->acknowledged;
+          progress->changed.NotifyAll();
+        },
+        boost::asio::detached);
+  }
+  const TimePoint deadline = RuntimeClock::now() + kPushTimeout;
+  while (progress->pending > 0 && RuntimeClock::now() < deadline) {
+    co_await progress->changed.WaitFor(deadline - RuntimeClock::now());
+  }
+  co_return progress->acknowledged;
+}
+
+Awaitable<Result<ConfigurationAnswer>> ConfigurationService::TryWrite(
+    std::string document, std::uint64_t expected, std::string token) {
+  TableOperation get = TableGet{std::string(kTableKey)};
+  auto read = co_await this->platform->Submit(std::move(get), kTableTimeout);
+  if (read.has_error()) co_return read.error();
+  Stored stored;
+  std::uint64_t revision = 0;
+  if (!read.value().rows.empty()) {
+    if (!ParseStored(read.value().rows.front(), stored)) {
+      co_return Fault{FaultKind::kMalformedMessage, "configuration row"};
+    }
+    revision = read.value().rows.front().revision;
+  }
+  const bool written = std::find(stored.tokens.begin(), stored.tokens.end(),
+                                 token) != stored.tokens.end();
+  if (written) {
+    co_return ConfigurationAnswer(ConfigurationAccepted{expected + 1, 0, 0});
+  }
+  if (stored.version != expected) {
+    co_return ConfigurationAnswer(ConfigurationConflict{stored.version});
+  }
+  stored.tokens.push_back(token);
+  if (stored.tokens.size() > kTokensKept) {
+    stored.tokens.erase(stored.tokens.begin());
+  }
+  json::object row{{"version", expected + 1},
+                   {"document", document},
+                   {"tokens", json::value_from(stored.tokens)}};
+  TableOperation swap = TableCompareAndSet{std::string(kTableKey), revision,
+                                           json::serialize(row)};
+  auto write = co_await this->platform->Submit(std::move(swap), kTableTimeout);
+  if (write.has_error()) co_return write.error();
+  if (write.value().status == TableStatus::kOk) {
+    co_return ConfigurationAnswer(ConfigurationAccepted{expected + 1, 0, 0});
+  }
+  // Lost the race, or an earlier try of ours has won it: read again.
+  co_return Fault{FaultKind::kUnexpectedStatus, "revision changed"};
+}
+
+Awaitable<ConfigurationAnswer> ConfigurationService::Propose(
+    std::string document, std::uint64_t expected_version) {
+  ConfigurationMalformed malformed;
+  const bool well_formed = boost::leaf::try_handle_all(
+      [&]() -> boost::leaf::result<bool> {
+        BOOST_LEAF_CHECK(ParseConfiguration(document, expected_version + 1));
+        return true;
+      },
+      [&](const ConfigurationFaults& found) {
+        malformed.faults = found.faults;
+        return false;
+      },
+      [] { return false; });
+  if (!well_formed) co_return malformed;
+
+  const std::string token = RandomHex(kTokenBytes);
+  const TimePoint deadline = RuntimeClock::now() + kDecideTimeout;
+  bool maybe_written = false;
+  while (RuntimeClock::now() < deadline) {
+    auto tried = co_await this->TryWrite(document, expected_version, token);
+    if (tried.has_error()) {
+      const FaultKind kind = tried.error().kind;
+      maybe_written |= kind != FaultKind::kConnectFailed &&
+                       kind != FaultKind::kNotSent &&
+                       kind != FaultKind::kUnexpectedStatus;
+      co_await SleepFor(kRetryDelay);
+      continue;
+    }
+    auto* accepted = std::get_if<ConfigurationAccepted>(&tried.value());
+    if (accepted == nullptr) co_return tried.value();
+    this->fleet->AdoptConfiguration(accepted->version, document);
+    accepted->members = this->fleet->Members().members.size();
+    accepted->acknowledged = 1 + co_await this->Push("");
+    co_return *accepted;
+  }
+  co_return ConfigurationUndecided{!maybe_written};
+}
+
+}  // namespace dandelionscale::internal
--- /dev/null
+++ b/src/router/control_messages.h
@@ -0,0 +1,26 @@
+#ifndef DANDELIONSCALE_SRC_ROUTER_CONTROL_MESSAGES_H_
+#define DANDELIONSCALE_SRC_ROUTER_CONTROL_MESSAGES_H_
+
+#include <string_view>
+
+#include "dandelionscale/core/digest_tree.h"
+#include "dandelionscale/core/fleet_view.h"
+#include "peer.pb.h"
+
+namespace dandelionscale::internal {
+
+/// \brief Paths of streams between routers.
+inline constexpr std::string_view kServePath = "/serve";
+inline constexpr std::string_view kControlPath = "/control";
+
+/// \returns the members listed in a reply.
+Membership MembersFromWire(const wire::ControlReply& reply);
+void MembersToWire(const Membership& membership, wire::ControlReply& reply);
+
+using WireLoads = google::protobuf::RepeatedPtrField<wire::ServiceLoad>;
+ServiceLoads LoadsFromWire(const WireLoads& loads);
+void LoadsToWire(const ServiceLoads& loads, WireLoads& wire_loads);
+
+}  // namespace dandelionscale::internal
+
+#endif  // DANDELIONSCALE_SRC_ROUTER_CONTROL_MESSAGES_H_
--- /dev/null
+++ b/src/router/engine_stream.cc
@@ -0,0 +1,60 @@
+#include "router/engine_stream.h"
+
+#include <boost/json.hpp>
+
+namespace dandelionscale::internal {
+
+namespace json = boost::json;
+
+EngineStream::EngineStream(std::shared_ptr<HttpStream> http,
+                           std::string request_id, std::uint64_t offset)
+    : http(std::move(http)),
+      request_id(std::move(request_id)),
+      offset(offset) {}
+
+Result<AnswerEvent> EngineStream::Check(const SseEvent& event) {
+  try {
+    json::value data = json::parse(event.data);
+    if (data.at("request_id").as_string() != this->request_id) {
+      return Fault{FaultKind::kMalformedMessage, "answer to another request"};
+    }
+    if (event.event == "end") {
+      auto length = data.at("length").to_number<std::uint64_t>();
+      if (length != this->offset) {
+        return Fault{FaultKind::kMalformedMessage, "answer is not whole"};
+      }
+      return AnswerEvent(AnswerEnd{length});
+    }
+    AnswerChunk chunk;
+    chunk.offset = data.at("offset").to_number<std::uint64_t>();
+    chunk.content = json::value_to<std::string>(data.at("content"));
+    if (chunk.offset != this->offset) {
+      return Fault{FaultKind::kMalformedMessage, "answer is not in order"};
+    }
+    this->offset += chunk.content.size();
+    return AnswerEvent(std::move(chunk));
+  } catch (const std::exception&) {
+    return Fault{FaultKind::kMalformedMessage, "event can't be read"};
+  }
+}
+
+Awaitable<Result<AnswerEvent>> EngineStream::Next(Duration timeout) {
+  const TimePoint deadline = RuntimeClock::now() + timeout;
+  while (true) {
+    auto event = this->reader.Next();
+    if (event.has_error()) co_return event.error();
+    if (event.value()) co_return this->Check(*event.value());
+    const Duration left = deadline - RuntimeClock::now();
+    if (left <= Duration::zero()) {
+      co_return Fault{FaultKind::kTimeout, "engine is silent"};
+    }
+    auto piece = co_await this->http->Read(left);
+    if (piece.has_error()) co_return piece.error();
+    if (piece.value().empty()) {
+      co_return Fault{FaultKind::kConnectionLost, "answer ended early"};
+    }
+    this->reader.Append(piece.value());
+  }
+}
+
+}  // namespace dandelionscale::internal
--- /dev/null
+++ b/src/router/entry_service.h
@@ -0,0 +1,67 @@
+#ifndef DANDELIONSCALE_SRC_ROUTER_ENTRY_SERVICE_H_
+#define DANDELIONSCALE_SRC_ROUTER_ENTRY_SERVICE_H_
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "dandelionscale/runtime/event.h"
+#include "dandelionscale/runtime/kernel.h"
+#include "dandelionscale/runtime/metrics.h"
+#include "dandelionscale/transport/http_server.h"
+#include "router/claim_service.h"
+#include "router/fleet_state.h"
+#include "router/request_runner.h"
+
+namespace dandelionscale::internal {
+
+/// \brief Client side of a router: checks requests, runs them, answers.
+class EntryService {
+ public:
+  static constexpr std::string_view kName = "entry";
+
+  EntryService(boost::asio::any_io_executor executor, const Kernel& kernel,
+               const RouterOptions& options);
+
+  /// \brief Serves one client request.
+  Awaitable<void> Handle(HttpExchange& exchange);
+  /// \brief Waits until no request is in flight.
+  Awaitable<void> WaitUntilIdle();
+  std::size_t InFlight() const { return this->in_flight; }
+
+ private:
+  Awaitable<void> HandleChat(HttpExchange& exchange, ClientRequest& request);
+  Awaitable<void> HandlePlain(HttpExchange& exchange, ClientRequest& request);
+  Awaitable<CallResult> RunPlain(HttpExchange& exchange, ClientRequest& request,
+                                 std::shared_ptr<CancelToken> cancel);
+  Awaitable<CallResult> LookUpStatus(HttpExchange& exchange,
+                                     const ClientRequest& request);
+  /// \returns what is wrong with the request, nothing if all is well.
+  std::optional<Problem> ReadCommon(const HttpExchange& exchange,
+                                    ClientRequest& request);
+  std::optional<Problem> ReadChat(const HttpExchange& exchange,
+                                  ClientRequest& request, AnswerForm& form);
+  std::optional<Problem> ReadPlain(const HttpExchange& exchange,
+                                   ClientRequest& request);
+  std::optional<Problem> CheckService(const ClientRequest& request,
+                                      ServiceKind kind) const;
+  Problem MakeProblem(const ClientRequest& request,
+                      const CallResult& result) const;
+  void Record(const ClientRequest& request, const CallResult& result,
+              std::int64_t started_unix_ns);
+
+  boost::asio::any_io_executor executor;
+  RouterOptions options;
+  std::shared_ptr<FleetState> fleet;
+  std::shared_ptr<RequestRunner> runner;
+  std::shared_ptr<ClaimService> claims;
+  std::shared_ptr<Metrics> metrics;
+  std::shared_ptr<TraceStore> traces;
+  Event idle;
+  std::size_t in_flight = 0;
+};
+
+}  // namespace dandelionscale::internal
+
+#endif  // DANDELIONSCALE_SRC_ROUTER_ENTRY_SERVICE_H_
--- /dev/null
+++ b/src/router/request_runner.cc
@@ -0,0 +1,271 @@
+#include "router/request_runner.h"
+
+#include "dandelionscale/runtime/logger.h"
+#include "router/control_messages.h"
+
+namespace dandelionscale::internal {
+namespace {
+
+constexpr Duration kConnectTimeout = std::chrono::milliseconds(300);
+
+}  // namespace
+
+/// \brief State of one request across its attempts.
+struct RequestRunner::Run_ {
+  const ClientRequest& request;
+  AnswerWriter& writer;
+  std::shared_ptr<CancelToken> cancel;
+  std::shared_ptr<const FleetView> view;
+  RequestPlan plan;
+  std::string engine = {};
+  bool resume = false;
+  /// How the attempt under way has ended, once a frame has told.
+  std::optional<AttemptEnd> end = {};
+};
+
+RequestRunner::RequestRunner(boost::asio::any_io_executor executor,
+                             const Kernel& kernel, const RouterOptions& options)
+    : executor(std::move(executor)),
+      options(options),
+      fleet(kernel.Find<FleetState>(FleetState::kName)),
+      peers(kernel.Find<PeerDirectory>(PeerDirectory::kName)),
+      owner(kernel.Find<OwnerService>(OwnerService::kName)),
+      random(HashText(options.name)) {}
+
+wire::ServeRequest RequestRunner::MakeMessage(const Run_& run) const {
+  const ClientRequest& request = run.request;
+  wire::ServeRequest message;
+  message.set_request_id(request.request_id);
+  message.set_workspace(request.workspace);
+  message.set_session_key(request.session_key);
+  message.set_service(request.service);
+  message.set_method(request.method);
+  message.set_target(request.target);
+  message.set_content_type(request.content_type);
+  message.set_idempotency_key(request.idempotency_key);
+  message.set_priority(request.priority);
+  message.set_idempotent(request.idempotent);
+  message.set_traceparent(request.trace.ToHeader());
+  const Duration left = request.deadline - RuntimeClock::now();
+  message.set_timeout_ms(static_cast<std::uint32_t>(
+      std::max<std::int64_t>(1, ToMilliseconds(left))));
+  message.set_engine(run.engine);
+  message.set_resume(run.resume);
+  if (run.resume) {
+    message.set_resume_offset(run.writer.Offset());
+  } else {
+    message.set_body(request.body);
+  }
+  for (EngineIndex index : run.plan.Excluded()) {
+    message.add_excluded_engines(run.view->Engine(index).name);
+  }
+  return message;
+}
+
+Awaitable<bool> RequestRunner::OnFrame(Run_& run,
+                                       const wire::ServeFrame& frame) {
+  switch (frame.kind_case()) {
+    case wire::ServeFrame::kRedirect: {
+      auto engine = run.view->FindEngine(frame.redirect().engine());
+      if (engine) {
+        run.end = AttemptRedirected{*engine};
+      } else {
+        run.end = AttemptRefused{RefusalReason::kNoLiveEngine,
+                                 RequestOutcome::kNotRun,
+                                 std::nullopt,
+                                 {}};
+      }
+      co_return false;
+    }
+    case wire::ServeFrame::kRefusal: {
+      const wire::Refusal& refusal = frame.refusal();
+      run.end =
+          AttemptRefused{static_cast<RefusalReason>(refusal.reason()),
+                         static_cast<RequestOutcome>(refusal.outcome()),
+                         run.view->FindEngine(refusal.engine()),
+                         std::chrono::milliseconds(refusal.retry_after_ms())};
+      co_return false;
+    }
+    case wire::ServeFrame::kHead: {
+      if (auto engine = run.view->FindEngine(frame.head().engine())) {
+        run.plan.OnProgress(*engine, run.writer.Offset());
+      }
+      co_return co_await run.writer.OnHead(frame.head());
+    }
+    case wire::ServeFrame::kChunk:
+      co_return co_await run.writer.OnChunk(frame.chunk());
+    case wire::ServeFrame::kEnd:
+      if (co_await run.writer.OnEnd(frame.end())) run.end = AttemptWhole{};
+      co_return false;
+    case wire::ServeFrame::KIND_NOT_SET:
+      co_return false;
+  }
+  co_return false;
+}
+
+Awaitable<RequestRunner::AttemptEnd> RequestRunner::AttemptHere(
+    Run_& run, wire::ServeRequest message, bool local_share) {
+  auto sink = [this, &run](const wire::ServeFrame& frame) -> Awaitable<bool> {
+    return this->OnFrame(run, frame);
+  };
+  FrameSink frame_sink = sink;
+  co_await this->owner->Serve(message, std::move(frame_sink), run.cancel,
+                              local_share);
+  if (run.cancel->IsCancelled() || run.writer.IsClientGone()) {
+    co_return AttemptClientGone{};
+  }
+  if (run.end) co_return *run.end;
+  co_return AttemptOwnerLost{true};
+}
+
+Awaitable<RequestRunner::AttemptEnd> RequestRunner::AttemptAtPeer(
+    Run_& run, std::string owner, wire::ServeRequest message) {
+  auto client = this->peers->ForRequests(owner);
+  if (client == nullptr) co_return AttemptOwnerLost{false};
+  auto opened = co_await client->Open(
+      std::string(kServePath), message.SerializeAsString(), kConnectTimeout);
+  if (opened.has_error()) co_return AttemptOwnerLost{false};
+  std::shared_ptr<PeerStream> stream = opened.value();
+  run.cancel->SetAction([stream] { stream->Cancel(); });
+  AttemptEnd lost = AttemptOwnerLost{true};
+  while (true) {
+    auto bytes =
+        co_await stream->Read(run.request.deadline - RuntimeClock::now());
+    if (run.cancel->IsCancelled()) {
+      lost = AttemptClientGone{};
+      break;
+    }
+    if (bytes.has_error() && bytes.error().kind == FaultKind::kNotSent) {
+      lost = AttemptOwnerLost{false};
+    }
+    if (bytes.has_error() || bytes.value().empty()) break;
+    wire::ServeFrame frame;
+    if (!frame.ParseFromString(bytes.value())) break;
+    if (!co_await this->OnFrame(run, frame)) {
+      if (run.writer.IsClientGone()) lost = AttemptClientGone{};
+      if (run.end) lost = *run.end;
+      break;
+    }
+  }
+  run.cancel->SetAction(nullptr);
+  stream->Cancel();
+  co_return lost;
+}
+
+Awaitable<RequestRunner::AttemptEnd> RequestRunner::Attempt(
+    Run_& run, const PlanStep& step) {
+  run.end.reset();
+  const auto* ask = std::get_if<AskOwner>(&step);
+  run.engine.clear();
+  run.resume = false;
+  if (ask != nullptr && ask->engine) {
+    run.engine = run.view->Engine(*ask->engine).name;
+    run.resume = ask->resume;
+  }
+  wire::ServeRequest message = this->MakeMessage(run);
+  if (ask == nullptr) {
+    co_return co_await this->AttemptHere(run, std::move(message), true);
+  }
+  if (ask->owner == this->options.name) {
+    co_return co_await this->AttemptHere(run, std::move(message), false);
+  }
+  co_return co_await this->AttemptAtPeer(run, ask->owner, std::move(message));
+}
+
+CallResult RequestRunner::Finish(const Run_& run,
+                                 RequestOutcome outcome) const {
+  CallResult result;
+  result.outcome = outcome;
+  result.status = run.writer.Status();
+  result.content_type = run.writer.ContentType();
+  result.body = run.writer.Body();
+  result.engine = run.writer.Engine();
+  return result;
+}
+
+Awaitable<CallResult> RequestRunner::Run(const ClientRequest& request,
+                                         AnswerWriter& writer,
+                                         std::shared_ptr<CancelToken> cancel) {
+  auto view = this->fleet->View();
+  auto service = view->FindService(request.service);
+  CallResult refused;
+  refused.reason = RefusalReason::kUnknownService;
+  if (!service) co_return refused;
+  RequestPlan::Options plan_options;
+  plan_options.router = this->options.name;
+  plan_options.service = *service;
+  plan_options.session_key = request.session_key;
+  plan_options.idempotent = request.idempotent;
+  plan_options.deadline = request.deadline;
+  Run_ run{request, writer, std::move(cancel), view,
+           RequestPlan(plan_options, view, &this->fleet->Retries())};
+  if (!request.resume_engine.empty()) {
+    auto engine = view->FindEngine(request.resume_engine);
+    refused.reason = RefusalReason::kNoLiveEngine;
+    refused.outcome = RequestOutcome::kUnknown;
+    if (!engine) co_return refused;
+    run.plan.OnProgress(*engine, request.resume_offset);
+  }
+  if (!std::holds_alternative<OwnerAdmissionPolicy>(this->options.placement) &&
+      request.resume_engine.empty()) {
+    co_return co_await this->RunBaseline(run);
+  }
+  while (true) {
+    const PlanStep step = run.plan.Next(RuntimeClock::now());
+    if (const auto* give_up = std::get_if<GiveUp>(&step)) {
+      CallResult result = this->Finish(run, give_up->outcome);
+      result.reason = give_up->reason;
+      result.retry_after = give_up->retry_after;
+      co_return result;
+    }
+    const AttemptEnd end = co_await this->Attempt(run, step);
+    if (std::holds_alternative<AttemptWhole>(end)) {
+      this->fleet->Retries().OnSuccess();
+      co_return this->Finish(run, RequestOutcome::kCompleted);
+    }
+    if (std::holds_alternative<AttemptClientGone>(end)) {
+      CallResult result = this->Finish(run, RequestOutcome::kUnknown);
+      result.client_gone = true;
+      co_return result;
+    }
+    const TimePoint now = RuntimeClock::now();
+    if (const auto* redirected = std::get_if<AttemptRedirected>(&end)) {
+      run.plan.OnAttempt(*redirected, now);
+    } else if (const auto* refusal = std::get_if<AttemptRefused>(&end)) {
+      run.plan.OnAttempt(*refusal, now);
+    } else if (const auto* lost = std::get_if<AttemptOwnerLost>(&end)) {
+      run.plan.OnAttempt(*lost, now);
+    }
+  }
+}
+
+Awaitable<CallResult> RequestRunner::RunBaseline(Run_& run) {
+  OwnerCore& core = this->fleet->Owner();
+  PlaceRequest place;
+  place.service = *run.view->FindService(run.request.service);
+  place.session_key = run.request.session_key;
+  auto engine =
+      ChooseByBaseline(this->options.placement, core, place, this->random);
+  CallResult result;
+  result.reason = RefusalReason::kNoLiveEngine;
+  result.retry_after = std::chrono::seconds(1);
+  if (!engine) co_return result;
+  run.engine = run.view->Engine(*engine).name;
+  wire::ServeRequest message = this->MakeMessage(run);
+  const AttemptEnd end =
+      co_await this->AttemptHere(run, std::move(message), true);
+  if (std::holds_alternative<AttemptWhole>(end)) {
+    co_return this->Finish(run, RequestOutcome::kCompleted);
+  }
+  if (const auto* refusal = std::get_if<AttemptRefused>(&end)) {
+    result.reason = refusal->reason;
+    result.outcome = refusal->outcome;
+    co_return result;
+  }
+  result = this->Finish(run, RequestOutcome::kUnknown);
+  result.client_gone = std::holds_alternative<AttemptClientGone>(end);
+  result.reason = RefusalReason::kEngineBroke;
+  co_return result;
+}
+
+}  // namespace dandelionscale::internal
--- /dev/null
+++ b/src/router/router.cc
@@ -0,0 +1,199 @@
+#include "dandelionscale/router/router.h"
+
+#include "dandelionscale/runtime/logger.h"
+#include "dandelionscale/transport/http_server.h"
+#include "dandelionscale/transport/peer_connection.h"
+#include "router/admin_service.h"
+#include "router/control_messages.h"
+#include "router/digest_service.h"
+
+namespace dandelionscale {
+
+using namespace internal;  // NOLINT: the wiring of the internal services
+
+namespace {
+
+constexpr std::size_t kTracedRequests = 4096;
+constexpr std::size_t kConfigurationBytes = 8 * 1024 * 1024;
+// Draining goes on until the last stream ends; this only paces the checks.
+constexpr Duration kDrainCheckInterval = std::chrono::milliseconds(50);
+
+HttpResponse BadRequestResponse(const Fault& fault) {
+  Problem problem;
+  problem.reason = RefusalReason::kMalformedRequest;
+  problem.detail = ToString(fault.kind);
+  HttpResponse response = ProblemResponse(problem);
+  if (fault.kind == FaultKind::kMessageTooLarge) response.status = 413;
+  return response;
+}
+
+}  // namespace
+
+struct Router::Impl {
+  Impl(boost::asio::any_io_executor executor, RouterOptions options)
+      : executor(executor), options(std::move(options)) {}
+
+  boost::asio::any_io_executor executor;
+  RouterOptions options;
+  ByteCounters platform_bytes;
+  Kernel kernel;
+  std::unique_ptr<HttpServer> clients;
+  std::unique_ptr<HttpServer> admin;
+  std::unique_ptr<PeerServer> peers;
+
+  void RegisterServices();
+  Result<void> Listen();
+  Awaitable<void> HandlePeer(PeerCall& call);
+  Awaitable<void> ServePeer(PeerCall& call);
+};
+
+void Router::Impl::RegisterServices() {
+  auto& kernel = this->kernel;
+  auto& options = this->options;
+  auto executor = this->executor;
+  kernel.Register("metrics", std::make_shared<Metrics>());
+  kernel.Register("traces", std::make_shared<TraceStore>(kTracedRequests));
+  kernel.Register("platform", std::make_shared<PlatformClient>(
+                                  executor, options.platform_address,
+                                  &this->platform_bytes));
+  kernel.Register(std::string(FleetState::kName),
+                  std::make_shared<FleetState>(executor, options));
+  kernel.Register(std::string(PeerDirectory::kName),
+                  std::make_shared<PeerDirectory>(executor));
+  kernel.Register(
+      std::string(ConfigurationService::kName),
+      std::make_shared<ConfigurationService>(executor, kernel, options));
+  auto membership =
+      std::make_shared<MembershipService>(executor, kernel, options);
+  kernel.Register(std::string(MembershipService::kName), membership,
+                  {.start = [membership] { return membership->Start(); },
+                   .drain = [membership] { return membership->Leave(); },
+                   .stop = [membership] { membership->Stop(); }});
+  auto digests = std::make_shared<DigestService>(executor, kernel, options);
+  kernel.Register(std::string(DigestService::kName), digests,
+                  {.start = [digests]() -> Awaitable<void> {
+                     digests->Start();
+                     co_return;
+                   },
+                   .drain = {},
+                   .stop = [digests] { digests->Stop(); }});
+  auto prober = std::make_shared<EngineProber>(executor, kernel, options);
+  kernel.Register(std::string(EngineProber::kName), prober,
+                  {.start = [prober]() -> Awaitable<void> {
+                     prober->Start();
+                     co_return;
+                   },
+                   .drain = {},
+                   .stop = [prober] { prober->Stop(); }});
+  kernel.Register(std::string(OwnerService::kName),
+                  std::make_shared<OwnerService>(executor, kernel, options));
+  kernel.Register(std::string(RequestRunner::kName),
+                  std::make_shared<RequestRunner>(executor, kernel, options));
+  kernel.Register(std::string(ClaimService::kName),
+                  std::make_shared<ClaimService>(executor, kernel));
+  kernel.Register(std::string(EntryService::kName),
+                  std::make_shared<EntryService>(executor, kernel, options));
+  kernel.Register(
+      std::string(AdminService::kName),
+      std::make_shared<AdminService>(kernel, options, &this->platform_bytes));
+}
+
+Awaitable<void> Router::Impl::HandlePeer(PeerCall& call) {
+  if (call.Path() == kControlPath) {
+    co_await this->kernel.Find<DigestService>(DigestService::kName)
+        ->Handle(call);
+  } else if (call.Path() == kServePath) {
+    co_await this->ServePeer(call);
+  } else {
+    Logger::Warning("peer_path_unknown", {{"path", call.Path()}});
+  }
+}
+
+Awaitable<void> Router::Impl::ServePeer(PeerCall& call) {
+  wire::ServeRequest request;
+  if (!request.ParseFromArray(call.Message().data(),
+                              static_cast<int>(call.Message().size()))) {
+    Logger::Warning("serve_message_malformed");
+    co_return;
+  }
+  auto cancel = std::make_shared<CancelToken>();
+  call.WatchDisconnect([cancel] { cancel->Cancel(); });
+  FrameSink sink = [&call](const wire::ServeFrame& frame) -> Awaitable<bool> {
+    const std::string bytes = frame.SerializeAsString();
+    co_return co_await call.Send(bytes);
+  };
+  auto owner = this->kernel.Find<OwnerService>(OwnerService::kName);
+  co_await owner->Serve(request, std::move(sink), cancel, false);
+}
+
+Result<void> Router::Impl::Listen() {
+  auto entry = this->kernel.Find<EntryService>(EntryService::kName);
+  auto admin = this->kernel.Find<AdminService>(AdminService::kName);
+  HttpServerLimits client_limits;
+  client_limits.body_bytes = this->options.body_bytes;
+  client_limits.connections = this->options.client_connections;
+  client_limits.request_timeout = this->options.client_read_timeout;
+  this->clients = std::make_unique<HttpServer>(
+      this->executor, client_limits,
+      [entry](HttpExchange& exchange) { return entry->Handle(exchange); },
+      BadRequestResponse);
+  HttpServerLimits admin_limits;
+  admin_limits.body_bytes = kConfigurationBytes;
+  this->admin = std::make_unique<HttpServer>(
+      this->executor, admin_limits,
+      [admin](HttpExchange& exchange) { return admin->Handle(exchange); },
+      BadRequestResponse);
+  this->peers = std::make_unique<PeerServer>(
+      this->executor,
+      [this](PeerCall& call) { return this->HandlePeer(call); });
+  auto bound = this->peers->Listen(this->options.peer_address);
+  if (bound.has_error()) return bound.error();
+  bound = this->admin->Listen(this->options.admin_address);
+  if (bound.has_error()) return bound.error();
+  bound = this->clients->Listen(this->options.client_address);
+  if (bound.has_error()) return bound.error();
+  return {};
+}
+
+Router::Router(boost::asio::any_io_executor executor, RouterOptions options)
+    : impl(std::make_shared<Impl>(std::move(executor), std::move(options))) {
+  this->impl->RegisterServices();
+}
+
+Router::~Router() = default;
+
+Awaitable<Result<void>> Router::Start() {
+  auto impl = this->impl;
+  Result<void> listening = impl->Listen();
+  if (listening.has_error()) co_return listening.error();
+  co_await impl->kernel.Start();
+  Logger::Info("router_started", {{"router", impl->options.name}});
+  co_return Result<void>();
+}
+
+Awaitable<void> Router::Shutdown() {
+  auto impl = this->impl;
+  auto fleet = impl->kernel.Find<FleetState>(FleetState::kName);
+  auto entry = impl->kernel.Find<EntryService>(EntryService::kName);
+  auto owner = impl->kernel.Find<OwnerService>(OwnerService::kName);
+  auto membership =
+      impl->kernel.Find<MembershipService>(MembershipService::kName);
+  auto digests = impl->kernel.Find<DigestService>(DigestService::kName);
+  Logger::Info("draining_started");
+  fleet->draining = true;
+  const TimePoint started = RuntimeClock::now();
+  co_await membership->AnnounceDraining();
+  co_await digests->HandOver();
+  const Duration spent = RuntimeClock::now() - started;
+  if (spent < impl->options.shutdown_grace) {
+    co_await SleepFor(impl->options.shutdown_grace - spent);
+  }
+  impl->clients->StopAccepting();
+  co_await entry->WaitUntilIdle();
+  while (owner->InFlight() > 0) co_await SleepFor(kDrainCheckInterval);
+  co_await impl->kernel.Drain();
+  impl->kernel.Stop();
+  Logger::Info("draining_finished");
+}
+
+}  // namespace dandelionscale
--- /dev/null
+++ b/src/router/router_settings.cc
@@ -0,0 +1,104 @@
+#include <sstream>
+
+#include "dandelionscale/router/router.h"
+
+namespace dandelionscale {
+namespace {
+
+constexpr std::int64_t kHighestMilliseconds = 3'600'000;
+
+Duration Milliseconds(const Settings& settings, std::string_view name) {
+  return std::chrono::milliseconds(settings.Integer(name));
+}
+
+std::vector<Endpoint> ParseEndpoints(const std::string& list) {
+  std::vector<Endpoint> endpoints;
+  std::istringstream stream(list);
+  std::string item;
+  while (std::getline(stream, item, ',')) {
+    auto endpoint = ParseEndpoint(item);
+    if (endpoint.has_value()) endpoints.push_back(endpoint.value());
+  }
+  return endpoints;
+}
+
+}  // namespace
+
+std::vector<SettingSpec> RouterSettingSpecs() {
+  const IntegerRange milliseconds{1, kHighestMilliseconds};
+  return {
+      {"name", "", "unique name of this router", TextRange{true}},
+      {"availability-zone", "", "availability zone of this host",
+       TextRange{true}},
+      {"client-address", "127.0.0.1:8080", "listener for clients",
+       AddressRange{true}},
+      {"peer-address", "127.0.0.1:8081",
+       "listener for other routers, as they reach it", AddressRange{true}},
+      {"admin-address", "127.0.0.1:8082", "listener for operators",
+       AddressRange{true}},
+      {"platform-address", "", "the platform's table and host list",
+       AddressRange{true}},
+      {"seed-peers", "",
+       "IP:PORT of routers, comma-separated, asked when the platform is down "
+       "at the start",
+       TextRange{}},
+      {"admin-token", "", "bearer token of operators", TextRange{true}},
+      {"placement", "owner", "placement policy; all but owner are baselines",
+       ChoiceRange{
+           {"owner", "random", "least-reported", "rendezvous", "bounded"}}},
+      {"lease-ms", "6000", "length of this router's lease", milliseconds},
+      {"poll-ms", "1000", "interval of reads from the platform", milliseconds},
+      {"probe-ms", "1000", "interval of load reports from engines",
+       milliseconds},
+      {"digest-ms", "400", "interval of load digests between routers",
+       milliseconds},
+      {"request-timeout-ms", "120000", "default time limit of a request",
+       milliseconds},
+      {"slot-wait-ms", "1000", "longest wait for a slot at an engine",
+       milliseconds},
+      {"client-read-timeout-ms", "10000",
+       "time in which a client must send its request", milliseconds},
+      {"shutdown-grace-ms", "3000",
+       "time in which the balancer still sends after SIGTERM", milliseconds},
+      {"session-capacity", "400000", "sessions remembered",
+       IntegerRange{1, 100'000'000}},
+      {"body-bytes", "1048576", "largest request body",
+       IntegerRange{1, 64 * 1024 * 1024}},
+      {"client-connections", "4096", "most connections of clients",
+       IntegerRange{1, 1'000'000}},
+      {"log-level", "info", "lowest level of logs",
+       ChoiceRange{{"debug", "info", "warning", "error"}}},
+  };
+}
+
+RouterOptions MakeRouterOptions(const Settings& settings) {
+  RouterOptions options;
+  options.name = settings.Text("name");
+  options.availability_zone = settings.Text("availability-zone");
+  options.client_address =
+      ParseEndpoint(settings.Text("client-address")).value();
+  options.peer_address = ParseEndpoint(settings.Text("peer-address")).value();
+  options.admin_address = ParseEndpoint(settings.Text("admin-address")).value();
+  options.platform_address =
+      ParseEndpoint(settings.Text("platform-address")).value();
+  options.seed_peers = ParseEndpoints(settings.Text("seed-peers"));
+  options.admin_token = settings.Text("admin-token");
+  options.placement = *ParsePlacementPolicy(settings.Text("placement"));
+  options.lease_length = Milliseconds(settings, "lease-ms");
+  options.poll_interval = Milliseconds(settings, "poll-ms");
+  options.probe_interval = Milliseconds(settings, "probe-ms");
+  options.digest_interval = Milliseconds(settings, "digest-ms");
+  options.request_timeout = Milliseconds(settings, "request-timeout-ms");
+  options.slot_wait = Milliseconds(settings, "slot-wait-ms");
+  options.client_read_timeout =
+      Milliseconds(settings, "client-read-timeout-ms");
+  options.shutdown_grace = Milliseconds(settings, "shutdown-grace-ms");
+  options.session_capacity =
+      static_cast<std::size_t>(settings.Integer("session-capacity"));
+  options.body_bytes = static_cast<std::size_t>(settings.Integer("body-bytes"));
+  options.client_connections =
+      static_cast<std::size_t>(settings.Integer("client-connections"));
+  return options;
+}
+
+}  // namespace dandelionscale
--- /dev/null
+++ b/src/runtime/json.cc
@@ -0,0 +1,2 @@
+// Builds Boost.JSON once for the whole program.
+#include <boost/json/src.hpp>
--- /dev/null
+++ b/src/runtime/kernel.cc
@@ -0,0 +1,29 @@
+#include "dandelionscale/runtime/kernel.h"
+
+#include <ranges>
+
+#include "dandelionscale/runtime/logger.h"
+
+namespace dandelionscale {
+
+Awaitable<void> Kernel::Start() {
+  for (Entry& entry : this->entries) {
+    if (entry.hooks.start) co_await entry.hooks.start();
+    Logger::Debug("service_started", {{"service", entry.name}});
+  }
+}
+
+Awaitable<void> Kernel::Drain() {
+  for (Entry& entry : std::views::reverse(this->entries)) {
+    if (entry.hooks.drain) co_await entry.hooks.drain();
+    Logger::Debug("service_drained", {{"service", entry.name}});
+  }
+}
+
+void Kernel::Stop() {
+  for (Entry& entry : std::views::reverse(this->entries)) {
+    if (entry.hooks.stop) entry.hooks.stop();
+  }
+}
+
+}  // namespace dandelionscale
--- /dev/null
+++ b/src/runtime/runtime_clock.cc
@@ -0,0 +1,77 @@
+#include "dandelionscale/runtime/runtime_clock.h"
+
+#include <algorithm>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <optional>
+
+namespace dandelionscale {
+namespace {
+
+constexpr Duration kPausedPollInterval = std::chrono::milliseconds(1);
+
+struct ClockState {
+  Duration offset{0};
+  std::optional<TimePoint> paused_at;
+};
+
+ClockState& State() {
+  static ClockState state;
+  return state;
+}
+
+TimePoint SteadyNow() {
+  auto since_start = std::chrono::steady_clock::now().time_since_epoch();
+  return TimePoint(std::chrono::duration_cast<Duration>(since_start));
+}
+
+}  // namespace
+
+TimePoint RuntimeClock::now() noexcept {
+  const ClockState& state = State();
+  if (state.paused_at) return *state.paused_at;
+  return SteadyNow() + state.offset;
+}
+
+void RuntimeClock::Pause() { State().paused_at = now(); }
+
+void RuntimeClock::Resume() {
+  ClockState& state = State();
+  if (!state.paused_at) return;
+  state.offset = *state.paused_at - SteadyNow();
+  state.paused_at.reset();
+}
+
+void RuntimeClock::Advance(duration step) {
+  ClockState& state = State();
+  if (state.paused_at) {
+    *state.paused_at += step;
+  } else {
+    state.offset += step;
+  }
+}
+
+bool RuntimeClock::IsPaused() noexcept { return State().paused_at.has_value(); }
+
+Duration RuntimeWaitTraits::to_wait_duration(const Duration& remaining) {
+  if (!RuntimeClock::IsPaused()) return remaining;
+  return std::min(remaining, kPausedPollInterval);
+}
+
+Duration RuntimeWaitTraits::to_wait_duration(const TimePoint& expiry) {
+  return to_wait_duration(expiry - RuntimeClock::now());
+}
+
+Awaitable<void> SleepFor(Duration duration) {
+  auto executor = co_await boost::asio::this_coro::executor;
+  Timer timer(executor);
+  timer.expires_after(duration);
+  co_await timer.async_wait(boost::asio::use_awaitable);
+}
+
+std::int64_t ToMilliseconds(Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
+      .count();
+}
+
+}  // namespace dandelionscale
--- /dev/null
+++ b/src/transport/address.cc
@@ -0,0 +1,26 @@
+#include "dandelionscale/transport/address.h"
+
+#include <boost/asio/ip/address.hpp>
+#include <charconv>
+#include <string>
+
+namespace dandelionscale {
+
+Result<Endpoint> ParseEndpoint(std::string_view text) {
+  Fault malformed{FaultKind::kMalformedMessage, std::string(text)};
+  auto colon = text.rfind(':');
+  if (colon == std::string_view::npos) return malformed;
+  boost::system::error_code error;
+  auto address =
+      boost::asio::ip::make_address(std::string(text.substr(0, colon)), error);
+  if (error) return malformed;
+  std::string_view digits = text.substr(colon + 1);
+  std::uint16_t port = 0;
+  auto parsed =
+      std::from_chars(digits.data(), digits.data() + digits.size(), port);
+  if (parsed.ec != std::errc() || parsed.ptr != digits.data() + digits.size())
+    return malformed;
+  return Endpoint(address, port);
+}
+
+}  // namespace dandelionscale
--- /dev/null
+++ b/src/transport/http_client.cc
@@ -0,0 +1,258 @@
+#include "dandelionscale/transport/http_client.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <deque>
+#include <map>
+
+namespace dandelionscale {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+namespace {
+
+constexpr Duration kIdleLifetime = std::chrono::seconds(5);
+constexpr std::size_t kIdlePerEndpoint = 64;
+constexpr std::size_t kReadBufferBytes = 256 * 1024;
+constexpr std::uint64_t kBodyLimitBytes = 16 * 1024 * 1024;
+constexpr std::size_t kPieceBytes = 16 * 1024;
+
+auto Redirect(error_code& error) {
+  return asio::redirect_error(asio::use_awaitable, error);
+}
+
+Fault ToFault(const error_code& error) {
+  if (error == beast::error::timeout) {
+    return {FaultKind::kTimeout, error.message()};
+  }
+  return {FaultKind::kConnectionLost, error.message()};
+}
+
+struct Connection {
+  explicit Connection(const asio::any_io_executor& executor)
+      : stream(executor), buffer(kReadBufferBytes) {}
+  beast::tcp_stream stream;
+  beast::flat_buffer buffer;
+  TimePoint idle_since;
+};
+
+}  // namespace
+
+struct HttpClient::State {
+  State(asio::any_io_executor executor, ByteCounters* counters)
+      : executor(executor), counters(counters) {}
+
+  asio::any_io_executor executor;
+  ByteCounters* counters;
+  std::map<Endpoint, std::deque<std::unique_ptr<Connection>>> idle;
+
+  std::unique_ptr<Connection> TakeIdle(const Endpoint& endpoint) {
+    auto found = this->idle.find(endpoint);
+    if (found == this->idle.end()) return nullptr;
+    auto& kept = found->second;
+    const TimePoint oldest = RuntimeClock::now() - kIdleLifetime;
+    while (!kept.empty() && kept.front()->idle_since < oldest) {
+      kept.pop_front();
+    }
+    if (kept.empty()) return nullptr;
+    auto connection = std::move(kept.back());
+    kept.pop_back();
+    return connection;
+  }
+
+  void Keep(const Endpoint& endpoint, std::unique_ptr<Connection> connection) {
+    connection->idle_since = RuntimeClock::now();
+    auto& kept = this->idle[endpoint];
+    kept.push_back(std::move(connection));
+    if (kept.size() > kIdlePerEndpoint) kept.pop_front();
+  }
+
+  void CountSent(std::size_t bytes) {
+    if (this->counters != nullptr) this->counters->sent += bytes;
+  }
+  void CountReceived(std::size_t bytes) {
+    if (this->counters != nullptr) this->counters->received += bytes;
+  }
+};
+
+namespace {
+
+class BeastStream : public HttpStream {
+ public:
+  BeastStream(std::shared_ptr<HttpClient::State> state, Endpoint endpoint,
+              std::unique_ptr<Connection> connection)
+      : state(std::move(state)),
+        endpoint(endpoint),
+        connection(std::move(connection)) {
+    this->parser.body_limit(kBodyLimitBytes);
+  }
+
+  ~BeastStream() override { this->Release(); }
+
+  Awaitable<Result<void>> ReadHeader() {
+    error_code error;
+    auto size = co_await http::async_read_header(this->connection->stream,
+                                                 this->connection->buffer,
+                                                 this->parser, Redirect(error));
+    this->state->CountReceived(size);
+    if (error) co_return ToFault(error);
+    const auto& message = this->parser.get();
+    this->status = message.result_int();
+    for (const auto& field : message) {
+      this->headers.Add(
+          std::string_view(field.name_string().data(),
+                           field.name_string().size()),
+          std::string_view(field.value().data(), field.value().size()));
+    }
+    co_return Result<void>();
+  }
+
+  Awaitable<Result<std::string>> Read(Duration timeout) override {
+    if (this->parser.is_done() || this->connection == nullptr) {
+      co_return std::string();
+    }
+    this->connection->stream.expires_after(timeout);
+    co_return co_await this->ReadPiece();
+  }
+
+  // Reads the next piece under the deadline already set on the stream.
+  Awaitable<Result<std::string>> ReadPiece() {
+    while (!this->parser.is_done()) {
+      if (this->connection == nullptr) {
+        co_return Fault{FaultKind::kCancelled, "stream cancelled"};
+      }
+      std::string piece(kPieceBytes, '\0');
+      auto& body = this->parser.get().body();
+      body.data = piece.data();
+      body.size = piece.size();
+      body.more = true;
+      error_code error;
+      auto size = co_await http::async_read_some(this->connection->stream,
+                                                 this->connection->buffer,
+                                                 this->parser, Redirect(error));
+      this->state->CountReceived(size);
+      if (error == http::error::need_buffer) error = {};
+      if (error) co_return ToFault(error);
+      piece.resize(piece.size() - body.size);
+      if (!piece.empty()) co_return piece;
+    }
+    co_return std::string();
+  }
+
+  bool IsDone() const { return this->parser.is_done(); }
+
+  void Cancel() override {
+    if (this->connection != nullptr) this->connection->stream.close();
+  }
+
+ private:
+  void Release() {
+    if (this->connection == nullptr) return;
+    bool whole = this->parser.is_done() && this->parser.get().keep_alive() &&
+                 this->connection->buffer.size() == 0 &&
+                 this->connection->stream.socket().is_open();
+    if (!whole) return;
+    this->connection->stream.expires_never();
+    this->state->Keep(this->endpoint, std::move(this->connection));
+  }
+
+  std::shared_ptr<HttpClient::State> state;
+  Endpoint endpoint;
+  std::unique_ptr<Connection> connection;
+  http::response_parser<http::buffer_body> parser;
+};
+
+http::request<http::string_body> ToMessage(const Endpoint& endpoint,
+                                           HttpRequest request) {
+  http::request<http::string_body> message;
+  message.version(11);
+  message.method_string(request.method);
+  message.target(request.target);
+  message.set(http::field::host, endpoint.address().to_string());
+  for (const HttpHeader& field : request.headers.Fields()) {
+    message.set(field.name, field.value);
+  }
+  message.body() = std::move(request.body);
+  message.prepare_payload();
+  return message;
+}
+
+// Connects if needed, sends the request and reads the response header.
+Awaitable<Result<std::shared_ptr<BeastStream>>> OpenStream(
+    std::shared_ptr<HttpClient::State> state, Endpoint endpoint,
+    HttpRequest request, ConnectionUse use, Duration timeout) {
+  const TimePoint deadline = RuntimeClock::now() + timeout;
+  http::request<http::string_body> message =
+      ToMessage(endpoint, std::move(request));
+  while (true) {
+    std::unique_ptr<Connection> connection;
+    if (use == ConnectionUse::kReuse) connection = state->TakeIdle(endpoint);
+    const bool reused = connection != nullptr;
+    error_code error;
+    if (!reused) {
+      connection = std::make_unique<Connection>(state->executor);
+      connection->stream.expires_after(deadline - RuntimeClock::now());
+      co_await connection->stream.async_connect(endpoint, Redirect(error));
+      if (error) {
+        co_return Fault{FaultKind::kConnectFailed, error.message()};
+      }
+      connection->stream.socket().set_option(asio::ip::tcp::no_delay(true),
+                                             error);
+    }
+    connection->stream.expires_after(deadline - RuntimeClock::now());
+    auto size = co_await http::async_write(connection->stream, message,
+                                           Redirect(error));
+    state->CountSent(size);
+    if (error && reused) continue;  // the server closed the idle connection
+    if (error) co_return ToFault(error);
+    auto stream =
+        std::make_shared<BeastStream>(state, endpoint, std::move(connection));
+    Result<void> header = co_await stream->ReadHeader();
+    if (header.has_value()) co_return stream;
+    if (reused && header.error().kind == FaultKind::kConnectionLost) continue;
+    co_return header.error();
+  }
+}
+
+}  // namespace
+
+HttpClient::HttpClient(asio::any_io_executor executor, ByteCounters* counters)
+    : state(std::make_shared<State>(executor, counters)) {}
+
+HttpClient::~HttpClient() = default;
+
+Awaitable<Result<HttpResponse>> HttpClient::Fetch(Endpoint endpoint,
+                                                  HttpRequest request,
+                                                  ConnectionUse use,
+                                                  Duration timeout) {
+  const TimePoint deadline = RuntimeClock::now() + timeout;
+  auto opened = co_await OpenStream(this->state, endpoint, std::move(request),
+                                    use, timeout);
+  if (opened.has_error()) co_return opened.error();
+  std::shared_ptr<BeastStream> stream = opened.value();
+  HttpResponse response;
+  response.status = stream->Status();
+  response.headers = stream->Headers();
+  while (!stream->IsDone()) {
+    auto piece = co_await stream->Read(deadline - RuntimeClock::now());
+    if (piece.has_error()) co_return piece.error();
+    response.body += piece.value();
+  }
+  co_return response;
+}
+
+Awaitable<Result<std::shared_ptr<HttpStream>>> HttpClient::Open(
+    Endpoint endpoint, HttpRequest request, ConnectionUse use,
+    Duration timeout) {
+  auto opened = co_await OpenStream(this->state, endpoint, std::move(request),
+                                    use, timeout);
+  if (opened.has_error()) co_return opened.error();
+  co_return std::shared_ptr<HttpStream>(opened.value());
+}
+
+}  // namespace dandelionscale
--- /dev/null
+++ b/src/transport/http_server.cc
@@ -0,0 +1,317 @@
+#include "dandelionscale/transport/http_server.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <unordered_set>
+
+#include "dandelionscale/runtime/logger.h"
+
+namespace dandelionscale {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+namespace {
+
+// Beast closes the connection when this much is read beyond one request.
+constexpr std::size_t kReadBufferBytes = 64 * 1024;
+
+auto Redirect(error_code& error) {
+  return asio::redirect_error(asio::use_awaitable, error);
+}
+
+Fault ToFault(const error_code& error) {
+  if (error == http::error::header_limit || error == http::error::body_limit ||
+      error == http::error::buffer_overflow) {
+    return {FaultKind::kMessageTooLarge, error.message()};
+  }
+  if (error == beast::error::timeout) {
+    return {FaultKind::kTimeout, error.message()};
+  }
+  if (error.category() ==
+          http::make_error_code(http::error::bad_method).category() &&
+      error != http::error::end_of_stream &&
+      error != http::error::partial_message) {
+    return {FaultKind::kMalformedMessage, error.message()};
+  }
+  return {FaultKind::kConnectionLost, error.message()};
+}
+
+HttpResponse DefaultBadRequest(const Fault& fault) {
+  HttpResponse response;
+  response.status = fault.kind == FaultKind::kMessageTooLarge ? 413 : 400;
+  response.body = std::string(ToString(fault.kind)) + "\n";
+  return response;
+}
+
+// Flags that outlive an exchange whose disconnect watch is still pending.
+struct DisconnectWatch {
+  bool active = false;
+  std::function<void()> on_gone;
+};
+
+}  // namespace
+
+struct HttpServer::State : std::enable_shared_from_this<HttpServer::State> {
+  State(asio::any_io_executor executor, HttpServerLimits limits,
+        HttpHandler handler,
+        std::function<HttpResponse(const Fault&)> on_bad_request)
+      : executor(executor),
+        limits(limits),
+        handler(std::move(handler)),
+        on_bad_request(std::move(on_bad_request)),
+        acceptor(executor) {}
+
+  asio::any_io_executor executor;
+  HttpServerLimits limits;
+  HttpHandler handler;
+  std::function<HttpResponse(const Fault&)> on_bad_request;
+  asio::ip::tcp::acceptor acceptor;
+  std::size_t connections = 0;
+  bool stopping = false;
+
+  Awaitable<void> Accept();
+  Awaitable<void> Serve(asio::ip::tcp::socket socket);
+};
+
+namespace {
+
+class BeastExchange : public HttpExchange {
+ public:
+  BeastExchange(beast::tcp_stream& stream, HttpRequest request,
+                Duration write_timeout)
+      : stream(stream), write_timeout(write_timeout) {
+    this->request = std::move(request);
+  }
+  ~BeastExchange() override { this->watch->active = false; }
+
+  Awaitable<bool> Respond(HttpResponse response) override {
+    this->answered = true;
+    http::response<http::string_body> message;
+    this->FillHeader(message, response.status, response.headers);
+    message.body() = std::move(response.body);
+    message.prepare_payload();
+    error_code error;
+    this->stream.expires_after(this->write_timeout);
+    co_await http::async_write(this->stream, message, Redirect(error));
+    this->broken = this->broken || error.failed();
+    co_return !this->broken;
+  }
+
+  Awaitable<bool> StartStream(unsigned status, HttpHeaders headers) override {
+    this->answered = true;
+    this->streaming = true;
+    http::response<http::empty_body> message;
+    this->FillHeader(message, status, headers);
+    message.chunked(true);
+    http::response_serializer<http::empty_body> serializer(message);
+    error_code error;
+    this->stream.expires_after(this->write_timeout);
+    co_await http::async_write_header(this->stream, serializer,
+                                      Redirect(error));
+    this->broken = this->broken || error.failed();
+    co_return !this->broken;
+  }
+
+  Awaitable<bool> Write(std::string_view data) override {
+    if (this->broken) co_return false;
+    if (data.empty()) co_return true;
+    error_code error;
+    this->stream.expires_after(this->write_timeout);
+    auto chunk = http::make_chunk(asio::buffer(data.data(), data.size()));
+    co_await asio::async_write(this->stream, chunk, Redirect(error));
+    this->broken = this->broken || error.failed();
+    co_return !this->broken;
+  }
+
+  Awaitable<void> Finish() override {
+    if (this->broken) co_return;
+    error_code error;
+    this->stream.expires_after(this->write_timeout);
+    auto last = http::make_chunk_last();
+    co_await asio::async_write(this->stream, last, Redirect(error));
+    this->finished = true;
+    this->broken = error.failed();
+  }
+
+  void Abort() override {
+    this->broken = true;
+    this->stream.close();
+  }
+
+  void WatchDisconnect(std::function<void()> on_gone) override {
+    this->watch->active = true;
+    this->watch->on_gone = std::move(on_gone);
+    // The watch stays pending after the exchange; the next read on the
+    // connection is not disturbed, because only readiness is awaited.
+    this->stream.socket().async_wait(
+        asio::socket_base::wait_read,
+        [watch = this->watch, &stream = this->stream](error_code error) {
+          if (!watch->active) return;
+          error_code ignored;
+          char byte = 0;
+          auto size = error ? 0
+                            : stream.socket().receive(
+                                  asio::buffer(&byte, 1),
+                                  asio::socket_base::message_peek, ignored);
+          if (!error && !ignored && size > 0) return;  // pipelined request
+          watch->active = false;
+          watch->on_gone();
+        });
+  }
+
+  bool IsReusable() const {
+    return this->answered && !this->broken &&
+           (!this->streaming || this->finished);
+  }
+  bool keep_alive = true;
+  bool answered = false;
+
+ private:
+  template <typename Message>
+  void FillHeader(Message& message, unsigned status,
+                  const HttpHeaders& headers) {
+    message.version(11);
+    message.result(status);
+    message.keep_alive(this->keep_alive);
+    for (const HttpHeader& field : headers.Fields()) {
+      message.set(field.name, field.value);
+    }
+  }
+
+  beast::tcp_stream& stream;
+  Duration write_timeout;
+  bool broken = false;
+  bool streaming = false;
+  bool finished = false;
+  std::shared_ptr<DisconnectWatch> watch = std::make_shared<DisconnectWatch>();
+};
+
+HttpRequest ToRequest(http::request<http::string_body>& message) {
+  HttpRequest request;
+  request.method = std::string(message.method_string());
+  request.target = std::string(message.target());
+  for (const auto& field : message) {
+    request.headers.Add(
+        std::string_view(field.name_string().data(),
+                         field.name_string().size()),
+        std::string_view(field.value().data(), field.value().size()));
+  }
+  request.body = std::move(message.body());
+  return request;
+}
+
+}  // namespace
+
+Awaitable<void> HttpServer::State::Accept() {
+  auto self = this->shared_from_this();
+  while (!this->stopping) {
+    error_code error;
+    asio::ip::tcp::socket socket =
+        co_await this->acceptor.async_accept(Redirect(error));
+    if (this->stopping) break;
+    if (error || this->connections >= this->limits.connections) {
+      Logger::Warning(
+          "connection_refused",
+          {{"connections", static_cast<std::int64_t>(this->connections)}});
+      if (error) co_await SleepFor(std::chrono::milliseconds(10));
+      continue;
+    }
+    socket.set_option(asio::ip::tcp::no_delay(true), error);
+    asio::co_spawn(this->executor, this->Serve(std::move(socket)),
+                   asio::detached);
+  }
+}
+
+Awaitable<void> HttpServer::State::Serve(asio::ip::tcp::socket socket) {
+  auto self = this->shared_from_this();
+  ++this->connections;
+  beast::tcp_stream stream(std::move(socket));
+  beast::flat_buffer buffer(kReadBufferBytes + this->limits.header_bytes +
+                            this->limits.body_bytes);
+  bool keep = true;
+  while (keep) {
+    http::request_parser<http::string_body> parser;
+    parser.header_limit(static_cast<std::uint32_t>(this->limits.header_bytes));
+    parser.body_limit(this->limits.body_bytes);
+    error_code error;
+    if (buffer.size() == 0) {
+      stream.expires_after(this->limits.idle_timeout);
+      auto space = buffer.prepare(4096);
+      auto size = co_await stream.async_read_some(space, Redirect(error));
+      if (error) break;
+      buffer.commit(size);
+    }
+    stream.expires_after(this->limits.request_timeout);
+    co_await http::async_read(stream, buffer, parser, Redirect(error));
+    if (error) {
+      Fault fault = ToFault(error);
+      if (fault.kind == FaultKind::kConnectionLost) break;
+      auto make =
+          this->on_bad_request ? this->on_bad_request : DefaultBadRequest;
+      HttpResponse response = make(fault);
+      if (fault.kind == FaultKind::kTimeout) {
+        // A timeout closes Beast's stream, so no answer can be written.
+        break;
+      }
+      HttpRequest none;
+      BeastExchange exchange(stream, std::move(none),
+                             this->limits.write_timeout);
+      exchange.keep_alive = false;
+      co_await exchange.Respond(std::move(response));
+      break;
+    }
+    http::request<http::string_body> message = parser.release();
+    bool keep_alive = message.keep_alive() && !this->stopping;
+    BeastExchange exchange(stream, ToRequest(message),
+                           this->limits.write_timeout);
+    exchange.keep_alive = keep_alive;
+    stream.expires_never();
+    co_await this->handler(exchange);
+    keep = keep_alive && exchange.IsReusable() && !this->stopping;
+  }
+  error_code ignored;
+  stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+  --this->connections;
+}
+
+HttpServer::HttpServer(asio::any_io_executor executor, HttpServerLimits limits,
+                       HttpHandler handler,
+                       std::function<HttpResponse(const Fault&)> on_bad_request)
+    : state(std::make_shared<State>(executor, limits, std::move(handler),
+                                    std::move(on_bad_request))) {}
+
+HttpServer::~HttpServer() { this->StopAccepting(); }
+
+Result<Endpoint> HttpServer::Listen(const Endpoint& endpoint) {
+  try {
+    auto& acceptor = this->state->acceptor;
+    acceptor.open(endpoint.protocol());
+    acceptor.set_option(asio::socket_base::reuse_address(true));
+    acceptor.bind(endpoint);
+    acceptor.listen();
+    asio::co_spawn(this->state->executor, this->state->Accept(),
+                   asio::detached);
+    return acceptor.local_endpoint();
+  } catch (const boost::system::system_error& error) {
+    return Fault{FaultKind::kConnectFailed, error.what()};
+  }
+}
+
+void HttpServer::StopAccepting() {
+  this->state->stopping = true;
+  error_code ignored;
+  this->state->acceptor.close(ignored);
+}
+
+std::size_t HttpServer::Connections() const { return this->state->connections; }
+
+}  // namespace dandelionscale
