--- a/include/dandelionscale/core/request_plan.h
+++ b/include/dandelionscale/core/request_plan.h
@@ -79,6 +79,7 @@
   std::uint32_t Attempts() const { return this->attempts; }
 
  private:
+  PlanStep NextStep(TimePoint now);
   PlanStep StepTowardsOwner() const;
   void ApplyUnknown(RefusalReason reason, TimePoint now);
 
@@ -92,6 +93,8 @@
   std::optional<EngineIndex> begun;
   std::optional<GiveUp> final_step;
   std::string asked_owner;
+  /// Some attempt may have run, so that "not run" must not be told any more.
+  bool may_have_run = false;
   RefusalReason last_reason = RefusalReason::kNoLiveEngine;
 };
 
--- a/src/core/request_plan.cc
+++ b/src/core/request_plan.cc
@@ -15,12 +15,19 @@
     : options(std::move(options)), view(std::move(view)), budget(budget) {}
 
 PlanStep RequestPlan::Next(TimePoint now) {
+  PlanStep step = this->NextStep(now);
+  auto* give_up = std::get_if<GiveUp>(&step);
+  if (give_up != nullptr && this->may_have_run) {
+    give_up->outcome = RequestOutcome::kUnknown;
+  }
+  return step;
+}
+
+PlanStep RequestPlan::NextStep(TimePoint now) {
   if (this->final_step) return *this->final_step;
   if (now >= this->options.deadline) {
-    return GiveUp{
-        RefusalReason::kDeadlineExceeded,
-        this->begun ? RequestOutcome::kUnknown : RequestOutcome::kNotRun,
-        kRetryAfter};
+    return GiveUp{RefusalReason::kDeadlineExceeded, RequestOutcome::kNotRun,
+                  kRetryAfter};
   }
   if (this->attempts >= this->options.max_attempts) {
     return GiveUp{this->last_reason, RequestOutcome::kNotRun, kRetryAfter};
@@ -65,9 +72,11 @@
 
 void RequestPlan::OnProgress(EngineIndex engine, std::uint64_t) {
   this->begun = engine;
+  this->may_have_run = true;
 }
 
 void RequestPlan::ApplyUnknown(RefusalReason reason, TimePoint now) {
+  this->may_have_run = true;
   if (this->begun) {
     if (!this->budget->TryTake()) {
       this->final_step = GiveUp{RefusalReason::kRetryBudgetSpent,
--- a/src/router/claim_service.cc
+++ b/src/router/claim_service.cc
@@ -190,7 +190,9 @@
       CallResult result;
       result.outcome = refuse->outcome;
       result.reason = refuse->reason;
-      result.retry_after = kRetryAfter;
+      if (refuse->reason != RefusalReason::kIdempotencyKeyConflict) {
+        result.retry_after = kRetryAfter;
+      }
       co_return result;
     }
     effect = machine.Handle(event);
--- a/src/router/configuration_service.cc
+++ b/src/router/configuration_service.cc
@@ -62,17 +62,12 @@
   this->fleet->AdoptConfiguration(stored.version, stored.document);
 }
 
-void ConfigurationService::OnPush(std::uint64_t version,
-                                  const std::string& document,
-                                  const std::string& sender) {
-  if (version <= this->fleet->Config().version) return;
-  if (!this->fleet->AdoptConfiguration(version, document)) return;
-  boost::asio::co_spawn(
-      this->executor,
-      [self = this->shared_from_this(), sender]() -> Awaitable<void> {
-        co_await self->Push(sender);
-      },
-      boost::asio::detached);
+Awaitable<std::size_t> ConfigurationService::OnPush(std::uint64_t version,
+                                                    std::string document,
+                                                    std::string sender) {
+  if (!this->fleet->AdoptConfiguration(version, document)) co_return 0;
+  const std::size_t further = co_await this->Push(sender);
+  co_return 1 + further;
 }
 
 void ConfigurationService::OnPeerVersion(std::string peer,
@@ -149,7 +144,10 @@
           auto reply = co_await client->Call(std::string(kControlPath), bytes,
                                              kPushTimeout);
           --progress->pending;
-          if (reply.has_value()) ++progress->acknowledged;
+          wire::ControlReply read;
+          if (reply.has_value() && read.ParseFromString(reply.value())) {
+            progress->acknowledged += read.acknowledged();
+          }
           progress->changed.NotifyAll();
         },
         boost::asio::detached);
--- a/src/router/configuration_service.h
+++ b/src/router/configuration_service.h
@@ -54,9 +54,11 @@
 
   /// \brief Takes the table's row.
   void OnTableRow(const TableRow& row);
-  /// \brief Takes a push; hands it on if it is news.
-  void OnPush(std::uint64_t version, const std::string& document,
-              const std::string& sender);
+  /// \brief Takes a push and hands it on away from `sender`.
+  /// \returns routers in that direction, this one included, that are known to
+  /// have it in force.
+  Awaitable<std::size_t> OnPush(std::uint64_t version, std::string document,
+                                std::string sender);
   /// \brief A peer was heard to have `version`; fetches it if newer.
   void OnPeerVersion(std::string peer, std::uint64_t version);
   /// \brief Gets configuration and members from seed peers, for a start while
--- a/src/router/digest_service.cc
+++ b/src/router/digest_service.cc
@@ -129,8 +129,9 @@
     }
     case wire::ControlRequest::kConfigurationPush: {
       const wire::ConfigurationPush& push = request.configuration_push();
-      this->configuration->OnPush(push.version(), push.document(),
-                                  push.sender());
+      const std::size_t acknowledged = co_await this->configuration->OnPush(
+          push.version(), push.document(), push.sender());
+      reply.set_acknowledged(static_cast<std::uint32_t>(acknowledged));
       break;
     }
     case wire::ControlRequest::kConfigurationFetch:
--- /dev/null
+++ b/tests/bad_input_test.cc
@@ -0,0 +1,154 @@
+// Bad input gets a typed error, and nothing else is disturbed.
+#include <boost/asio/connect.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/json.hpp>
+#include <catch2/catch.hpp>
+#include <string>
+#include <thread>
+
+#include "tests/support/process_fleet.h"
+
+namespace dandelionscale::tests {
+namespace {
+
+namespace asio = boost::asio;
+
+/// \brief Sends raw bytes and returns all that comes back.
+std::string SendRaw(std::uint16_t port, std::string_view bytes) {
+  asio::io_context loop;
+  asio::ip::tcp::socket socket(loop);
+  socket.connect({asio::ip::address_v4::loopback(), port});
+  boost::system::error_code ignored;
+  asio::write(socket, asio::buffer(bytes.data(), bytes.size()), ignored);
+  std::string answer;
+  asio::read(socket, asio::dynamic_buffer(answer), ignored);
+  return answer;
+}
+
+std::string Title(const HttpResponse& response) {
+  return boost::json::value_to<std::string>(
+      boost::json::parse(response.body).at("title"));
+}
+
+HttpRequest ChatRequest(std::string workspace, std::string body) {
+  HttpRequest request;
+  request.method = "POST";
+  request.target = "/v1/chat/completions";
+  request.headers.Add("X-Workspace", workspace);
+  request.body = std::move(body);
+  return request;
+}
+
+TEST_CASE("bad input is answered with a typed error") {
+  ProcessFleet fleet({.base = 22400,
+                      .routers = 2,
+                      .router_arguments = {"--client-read-timeout-ms", "500",
+                                           "--body-bytes", "65536"}});
+  const std::uint16_t client = fleet.ClientPort(1);
+  auto title = [&](HttpRequest request) {
+    return Title(fleet.Call(client, std::move(request)));
+  };
+  const std::string good =
+      R"({"model":"advice","messages":[{"role":"user","content":"x"}]})";
+
+  SECTION("requests") {
+    CHECK(title(ChatRequest("guild", "{")) == "malformed_request");
+    CHECK(title(ChatRequest("guild", R"({"model":"advice"})")) ==
+          "malformed_request");
+    CHECK(title(ChatRequest("nobody", good)) == "unknown_workspace");
+    CHECK(title(ChatRequest("guild", R"({"model":"none","messages":[]})")) ==
+          "unknown_service");
+    // A plain service is not a model.
+    CHECK(title(ChatRequest("guild", R"({"model":"booking","messages":[]})")) ==
+          "unknown_service");
+    HttpRequest request = ChatRequest("guild", good);
+    request.headers.Add("X-Request-Timeout-Ms", "soon");
+    CHECK(title(request) == "malformed_request");
+    request = ChatRequest("guild", good);
+    request.headers.Add("Last-Event-ID", "nonsense");
+    CHECK(title(request) == "malformed_request");
+    request = ChatRequest("guild", good);
+    request.target = "/v1/services/none/x";
+    CHECK(title(request) == "unknown_service");
+    request.target = "/other";
+    CHECK(title(request) == "unknown_service");
+    request = ChatRequest("buyers", "{}");
+    request.target = "/v1/services/booking/x";
+    request.headers.Add("Idempotency-Key", "a b");
+    CHECK(title(request) == "malformed_request");
+  }
+  SECTION("HTTP") {
+    CHECK(SendRaw(client, "NOT HTTP\r\n\r\n").find("400") != std::string::npos);
+    const std::string long_header =
+        "GET / HTTP/1.1\r\nX: " + std::string(40'000, 'x') + "\r\n\r\n";
+    CHECK(SendRaw(client, long_header).find(" 413 ") != std::string::npos);
+    CHECK(SendRaw(client, "POST / HTTP/1.1\r\nContent-Length: 99999999\r\n\r\n")
+              .find(" 413 ") != std::string::npos);
+  }
+  SECTION("a client that sends a byte now and then is disconnected") {
+    asio::io_context loop;
+    asio::ip::tcp::socket socket(loop);
+    socket.connect({asio::ip::address_v4::loopback(), client});
+    boost::system::error_code error;
+    Eventually([&] {
+      asio::write(socket, asio::buffer("P", 1), error);
+      return error.failed();
+    });
+  }
+  SECTION("operators") {
+    HttpRequest request;
+    request.method = "GET";
+    request.target = "/v1/config";
+    CHECK(fleet.Call(fleet.AdminPort(1), request).status == 401);
+    request.headers.Add("Authorization", "Bearer wrong");
+    CHECK(fleet.Call(fleet.AdminPort(1), request).status == 401);
+    CHECK(fleet.Get(fleet.AdminPort(1), "/v1/nothing").status == 404);
+  }
+  SECTION("a peer that does not speak HTTP/2") {
+    SendRaw(fleet.Port(11), std::string(300, 'x'));
+  }
+  // Whatever came before, a chat is served.
+  CHECK(fleet.Chat(1, "s", "hello").status == 200);
+  CHECK(fleet.Chat(2, "s", "hello").status == 200);
+}
+
+TEST_CASE("a client that leaves has its request cancelled at the engine") {
+  ProcessFleet fleet(
+      {.base = 22400,
+       .routers = 2,
+       .engines = 2,
+       .engine_arguments = {"--token-ms", "50", "--answer-tokens", "100000"}});
+  auto running = [&] {
+    const HttpResponse stats = fleet.Get(fleet.Port(3), "/fake/stats");
+    std::int64_t total = 0;
+    auto document = boost::json::parse(stats.body);
+    for (const auto& engine : document.at("engines").as_array()) {
+      total += engine.at("running").as_int64();
+    }
+    return total;
+  };
+  for (int router : {1, 2}) {
+    asio::io_context loop;
+    asio::ip::tcp::socket socket(loop);
+    socket.connect(
+        {asio::ip::address_v4::loopback(), fleet.ClientPort(router)});
+    const std::string body =
+        R"({"model":"advice","stream":true,"messages":[]})";
+    const std::string request =
+        "POST /v1/chat/completions HTTP/1.1\r\nX-Workspace: guild\r\n"
+        "Content-Length: " +
+        std::to_string(body.size()) + "\r\n\r\n" + body;
+    asio::write(socket, asio::buffer(request));
+    Eventually([&] { return running() == 1; });
+    socket.close();
+    Eventually([&] { return running() == 0; });
+    Eventually(
+        [&] { return fleet.StatusNumber(router, "requests_in_flight") == 0; });
+  }
+}
+
+}  // namespace
+}  // namespace dandelionscale::tests
--- /dev/null
+++ b/tests/drain_and_shutdown_test.cc
@@ -0,0 +1,119 @@
+// Draining engines get nothing new; routers that end cut nothing off.
+#include <signal.h>
+
+#include <atomic>
+#include <boost/json.hpp>
+#include <catch2/catch.hpp>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "tests/support/process_fleet.h"
+
+namespace dandelionscale::tests {
+namespace {
+
+std::int64_t Started(const ProcessFleet& fleet, std::size_t engine) {
+  const HttpResponse stats = fleet.Get(fleet.Port(3), "/fake/stats");
+  return boost::json::parse(stats.body)
+      .at("engines")
+      .at(engine)
+      .at("started")
+      .as_int64();
+}
+
+void ChatMany(const ProcessFleet& fleet, int chats) {
+  for (int i = 0; i < chats; ++i) {
+    const HttpResponse answer =
+        fleet.Chat(1 + i % 3, "s" + std::to_string(i), "hello");
+    CHECK(answer.status == 200);
+  }
+}
+
+bool AllRoutersSayDraining(const ProcessFleet& fleet, std::size_t engine,
+                           bool draining) {
+  for (int n = 1; n <= 3; ++n) {
+    const HttpResponse status = fleet.Get(fleet.AdminPort(n), "/v1/status");
+    if (boost::json::parse(status.body)
+            .at("engines")
+            .at(engine)
+            .at("draining")
+            .as_bool() != draining) {
+      return false;
+    }
+  }
+  return true;
+}
+
+TEST_CASE("an engine that drains by rule gets nothing new") {
+  ProcessFleet fleet({.base = 23200, .engines = 3});
+  ChatMany(fleet, 12);
+  CHECK(fleet.Ctl({"drain", "advice-2"}).exit_code == 0);
+  Eventually([&] { return AllRoutersSayDraining(fleet, 1, true); });
+  const std::int64_t before = Started(fleet, 1);
+  fleet.Get(fleet.Port(2), "/fake/mode?down=1");
+  ChatMany(fleet, 12);
+  CHECK(Started(fleet, 1) == before);
+  fleet.Get(fleet.Port(2), "/fake/mode?down=0");
+  Eventually([&] { return fleet.Ctl({"undrain", "advice-2"}).exit_code == 0; });
+  Eventually([&] { return AllRoutersSayDraining(fleet, 1, false); });
+}
+
+TEST_CASE("an engine that the host list says leaves gets nothing new") {
+  ProcessFleet fleet({.base = 23200, .engines = 3});
+  const std::string hosts = "/fake/hosts?name=advice-1&incarnation=";
+  fleet.Get(fleet.Port(2), hosts + "1&state=leaving");
+  Eventually([&] { return AllRoutersSayDraining(fleet, 0, true); });
+  const std::int64_t before = Started(fleet, 0);
+  // The list flickers; the same incarnation stays out.
+  fleet.Get(fleet.Port(2), hosts + "1&state=live");
+  std::this_thread::sleep_for(std::chrono::milliseconds(1000));
+  ChatMany(fleet, 12);
+  CHECK(Started(fleet, 0) == before);
+  fleet.Get(fleet.Port(2), hosts + "2&state=live");
+  Eventually([&] { return AllRoutersSayDraining(fleet, 0, false); });
+  fleet.Get(fleet.Port(2), hosts + "2&state=leaving");
+  Eventually([&] { return AllRoutersSayDraining(fleet, 0, true); });
+}
+
+TEST_CASE("routers that are ended in turn under load cut nothing off") {
+  ProcessFleet fleet({.base = 23200,
+                      .engine_arguments = {"--token-ms", "30"},
+                      .router_arguments = {"--shutdown-grace-ms", "1000"}});
+  std::atomic<bool> stop = false;
+  std::atomic<int> served = 0;
+  std::atomic<int> failed = 0;
+  std::atomic<int> balanced_away = 0;  // routers taken out by the balancer
+  std::vector<std::thread> clients;
+  for (int c = 0; c < 6; ++c) {
+    clients.emplace_back([&, c] {
+      for (int i = 0; !stop; ++i) {
+        int router = 1 + (c + i) % 3;
+        if (router == balanced_away) router = 1 + router % 3;
+        const HttpResponse answer =
+            fleet.Chat(router, "s" + std::to_string(c), "hello");
+        answer.status == 200 ? ++served : ++failed;
+      }
+    });
+  }
+  for (int n = 1; n <= 3; ++n) {
+    const std::string name = "router-" + std::to_string(n);
+    const int before = served;
+    Eventually([&] { return served > before + 12; });
+    fleet.Signal(name, SIGTERM);
+    // The balancer still sends for a moment, then takes the router out.
+    std::this_thread::sleep_for(std::chrono::milliseconds(600));
+    balanced_away = n;
+    CHECK(fleet.WaitForExit(name) == 0);
+    fleet.StartRouter(n);
+    fleet.WaitUntilReady(n, 3);
+    balanced_away = 0;
+  }
+  stop = true;
+  for (std::thread& client : clients) client.join();
+  CHECK(failed == 0);
+  CHECK(served > 0);
+}
+
+}  // namespace
+}  // namespace dandelionscale::tests
--- /dev/null
+++ b/tests/request_plan_test.cc
@@ -0,0 +1,151 @@
+// Attempts of one request: retries, redirects, and what the client is told.
+#include "dandelionscale/core/request_plan.h"
+
+#include <rapidcheck.h>
+
+#include <catch2/catch.hpp>
+
+namespace dandelionscale {
+namespace {
+
+std::shared_ptr<const FleetView> MakeView(int routers) {
+  Configuration configuration;
+  configuration.services.push_back({"advice", ServiceKind::kChat, 1.25, false});
+  for (int i = 0; i < 6; ++i) {
+    configuration.engines.push_back(
+        {"engine-" + std::to_string(i), "advice", "north", "127.0.0.1:1", 64});
+  }
+  Membership membership;
+  for (int i = 0; i < routers; ++i) {
+    membership.members.push_back(
+        {"router-" + std::to_string(i), "north", "127.0.0.1:2", 1, false});
+  }
+  return std::make_shared<FleetView>(configuration, membership,
+                                     std::set<std::string>{});
+}
+
+class PlanFixture {
+ public:
+  explicit PlanFixture(bool idempotent, int routers = 3, double budget = 10)
+      : budget(0, budget),
+        plan(MakeOptions(idempotent), MakeView(routers), &this->budget) {}
+
+  static RequestPlan::Options MakeOptions(bool idempotent) {
+    RequestPlan::Options options;
+    options.router = "router-0";
+    options.session_key = 5;
+    options.idempotent = idempotent;
+    options.deadline = TimePoint(std::chrono::seconds(10));
+    return options;
+  }
+
+  PlanStep Next() { return this->plan.Next(this->now); }
+  void End(const AttemptResult& result) {
+    this->plan.OnAttempt(result, this->now);
+  }
+
+  TimePoint now{std::chrono::seconds(1)};
+  RetryBudget budget;
+  RequestPlan plan;
+};
+
+TEST_CASE("a lost owner is not asked again, and at last the share is used") {
+  PlanFixture fixture(true);
+  std::set<std::string> asked;
+  for (int i = 0; i < 3; ++i) {
+    const auto ask = std::get<AskOwner>(fixture.Next());
+    CHECK(asked.insert(ask.owner).second);
+    fixture.End(AttemptOwnerLost{false});
+  }
+  CHECK(std::holds_alternative<ServeWithinLocalShare>(fixture.Next()));
+}
+
+TEST_CASE("a request that may have run is not sent again") {
+  PlanFixture fixture(false);
+  fixture.Next();
+  fixture.End(AttemptOwnerLost{true});
+  const auto give_up = std::get<GiveUp>(fixture.Next());
+  CHECK(give_up.outcome == RequestOutcome::kUnknown);
+}
+
+TEST_CASE("a redirect leads to the owner of the named engine") {
+  PlanFixture fixture(true);
+  fixture.Next();
+  fixture.End(AttemptRedirected{3});
+  const auto ask = std::get<AskOwner>(fixture.Next());
+  CHECK(ask.engine == EngineIndex{3});
+}
+
+TEST_CASE("an answer that has begun is only ever resumed at its engine") {
+  PlanFixture fixture(true);
+  fixture.Next();
+  fixture.plan.OnProgress(2, 10);
+  fixture.End(AttemptOwnerLost{true});
+  const auto ask = std::get<AskOwner>(fixture.Next());
+  CHECK(ask.resume);
+  CHECK(ask.engine == EngineIndex{2});
+  fixture.End(AttemptRefused{RefusalReason::kEngineUnreachable,
+                             RequestOutcome::kNotRun,
+                             EngineIndex{2},
+                             {}});
+  CHECK(std::get<GiveUp>(fixture.Next()).outcome == RequestOutcome::kUnknown);
+}
+
+TEST_CASE("retries that may run twice stop when the budget is spent") {
+  PlanFixture fixture(true, 3, 1);
+  fixture.Next();
+  fixture.End(AttemptOwnerLost{true});
+  CHECK(std::holds_alternative<AskOwner>(fixture.Next()));
+  fixture.End(AttemptOwnerLost{true});
+  const auto give_up = std::get<GiveUp>(fixture.Next());
+  CHECK(give_up.reason == RefusalReason::kRetryBudgetSpent);
+  CHECK(give_up.retry_after > Duration::zero());
+}
+
+TEST_CASE("not run is told only if no attempt may have run") {
+  const bool held = rc::check([] {
+    PlanFixture fixture(*rc::gen::arbitrary<bool>());
+    bool may_have_run = false;
+    for (int i = 0; i < 50; ++i) {
+      fixture.now += std::chrono::milliseconds(*rc::gen::inRange(0, 2000));
+      const PlanStep step = fixture.Next();
+      if (const auto* give_up = std::get_if<GiveUp>(&step)) {
+        if (may_have_run) {
+          RC_ASSERT(give_up->outcome == RequestOutcome::kUnknown);
+        }
+        return;
+      }
+      const auto engine = static_cast<EngineIndex>(*rc::gen::inRange(0, 6));
+      switch (*rc::gen::inRange(0, 5)) {
+        case 0:
+          fixture.End(AttemptRedirected{engine});
+          break;
+        case 1:
+          fixture.End(AttemptRefused{RefusalReason::kAtLoadBound,
+                                     RequestOutcome::kNotRun,
+                                     engine,
+                                     {}});
+          break;
+        case 2:
+          may_have_run = true;
+          fixture.End(AttemptRefused{RefusalReason::kEngineBroke,
+                                     RequestOutcome::kUnknown,
+                                     engine,
+                                     {}});
+          break;
+        case 3:
+          fixture.End(AttemptOwnerLost{false});
+          break;
+        case 4:
+          may_have_run = true;
+          fixture.End(AttemptOwnerLost{true});
+          break;
+      }
+    }
+    RC_FAIL("the plan did not end");
+  });
+  CHECK(held);
+}
+
+}  // namespace
+}  // namespace dandelionscale
--- /dev/null
+++ b/tests/runtime_test.cc
@@ -0,0 +1,140 @@
+// Clock, events, kernel, settings, traces and metrics.
+#include "dandelionscale/runtime.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+#include <fstream>
+#include <iterator>
+#include <memory>
+
+#include "dandelionscale/router/router.h"
+
+namespace dandelionscale {
+namespace {
+
+namespace asio = boost::asio;
+
+TEST_CASE("timers follow a paused clock") {
+  RuntimeClock::Pause();
+  asio::io_context loop(1);
+  bool woken = false;
+  asio::co_spawn(
+      loop,
+      [&]() -> Awaitable<void> {
+        co_await SleepFor(std::chrono::hours(1));
+        woken = true;
+      },
+      asio::detached);
+  for (int i = 0; i < 5; ++i) loop.run_one_for(std::chrono::milliseconds(2));
+  CHECK_FALSE(woken);
+  RuntimeClock::Advance(std::chrono::hours(1));
+  loop.run();
+  CHECK(woken);
+  RuntimeClock::Resume();
+}
+
+TEST_CASE("an event wakes all waiters, and waits end in time") {
+  RuntimeClock::Pause();
+  asio::io_context loop(1);
+  Event event(loop.get_executor());
+  int notified = 0;
+  int timed_out = 0;
+  auto wait = [&](Duration timeout) -> Awaitable<void> {
+    const bool in_time = co_await event.WaitFor(timeout);
+    in_time ? ++notified : ++timed_out;
+  };
+  asio::co_spawn(loop, wait(std::chrono::seconds(1)), asio::detached);
+  asio::co_spawn(loop, wait(std::chrono::seconds(5)), asio::detached);
+  loop.run_for(std::chrono::milliseconds(5));
+  RuntimeClock::Advance(std::chrono::seconds(2));
+  loop.run_for(std::chrono::milliseconds(20));
+  CHECK(timed_out == 1);
+  event.NotifyAll();
+  loop.run();
+  CHECK(notified == 1);
+  RuntimeClock::Resume();
+}
+
+TEST_CASE("services find each other by name and type") {
+  Kernel kernel;
+  kernel.Register("number", std::make_shared<int>(7));
+  REQUIRE(kernel.Find<int>("number") != nullptr);
+  CHECK(*kernel.Find<int>("number") == 7);
+  CHECK(kernel.Find<double>("number") == nullptr);
+  CHECK(kernel.Find<int>("other") == nullptr);
+}
+
+std::vector<std::string> SettingFaultNames(
+    const std::vector<std::string>& arguments) {
+  std::vector<std::string> names;
+  boost::leaf::try_handle_all(
+      [&]() -> boost::leaf::result<void> {
+        BOOST_LEAF_CHECK(Settings::Parse(RouterSettingSpecs(), arguments, ""));
+        return {};
+      },
+      [&](const SettingFaults& found) {
+        for (const auto& fault : found.faults) names.push_back(fault.name);
+      },
+      [] {});
+  return names;
+}
+
+TEST_CASE("all wrong settings are told together") {
+  const auto names =
+      SettingFaultNames({"--name", "r", "--availability-zone", "z",
+                         "--platform-address", "nowhere", "--lease-ms", "0",
+                         "--placement", "best", "--admin-token", "t"});
+  CHECK(names ==
+        std::vector<std::string>{"platform-address", "placement", "lease-ms"});
+  CHECK(SettingFaultNames({"--no-such-flag", "1"}) ==
+        std::vector<std::string>{"command line"});
+}
+
+TEST_CASE("the settings reference in the docs matches the program") {
+  const std::string path =
+      std::string(DANDELION_GOLDEN) + "/../../docs/settings.md";
+  if (std::getenv("UPDATE_GOLDEN") != nullptr) {
+    std::ofstream(path)
+        << "# Settings of dandelion-router\n\nKept equal to the program by "
+           "tests/runtime_test.cc.\n\n"
+        << SettingsReference(RouterSettingSpecs());
+  }
+  std::ifstream file(path);
+  const std::string text(std::istreambuf_iterator<char>(file), {});
+  const std::string reference = SettingsReference(RouterSettingSpecs());
+  CHECK(text.find(reference) != std::string::npos);
+}
+
+TEST_CASE("trace context is read and written as W3C headers") {
+  const std::string header =
+      "00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01";
+  auto context = TraceContext::Parse(header);
+  REQUIRE(context.has_value());
+  CHECK(context->ToHeader() == header);
+  CHECK(context->Child().trace_id == context->trace_id);
+  CHECK(context->Child().span_id != context->span_id);
+  CHECK_FALSE(TraceContext::Parse("00-xyz").has_value());
+  CHECK_FALSE(TraceContext::Parse(
+                  "00-00000000000000000000000000000000-00f067aa0ba902b7-01")
+                  .has_value());
+}
+
+TEST_CASE("metrics are printed in the Prometheus text format") {
+  Metrics metrics;
+  metrics.Add("requests_total{outcome=\"completed\"}", 2);
+  metrics.Set("sessions", 3);
+  for (int i = 0; i < 100; ++i) metrics.Observe("latency_seconds", 0.5);
+  const std::string text = metrics.ToPrometheus();
+  CHECK(text.find("# TYPE requests_total counter\n"
+                  "requests_total{outcome=\"completed\"} 2\n") !=
+        std::string::npos);
+  CHECK(text.find("sessions 3\n") != std::string::npos);
+  CHECK(text.find("latency_seconds{quantile=\"0.95\"} 0.5\n") !=
+        std::string::npos);
+  CHECK(text.find("latency_seconds_count 100\n") != std::string::npos);
+}
+
+}  // namespace
+}  // namespace dandelionscale
--- /dev/null
+++ b/tests/transport_test.cc
@@ -0,0 +1,185 @@
+// Server-sent events, and streams between routers against broken peers.
+#include "dandelionscale/transport.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+#include "transport/http2_session.h"
+
+namespace dandelionscale {
+namespace {
+
+namespace asio = boost::asio;
+
+const Endpoint kAnyPort(asio::ip::address_v4::loopback(), 0);
+
+TEST_CASE("events are read across any split of the bytes") {
+  const std::string text =
+      FormatSse({"1", "", "first"}) + FormatSse({"", "end", "a\nb"});
+  const std::string wire =
+      "id: 1\ndata: first\n\nevent: end\ndata: a\n"
+      "data: b\n\n";
+  for (std::size_t cut = 0; cut <= wire.size(); ++cut) {
+    SseReader reader;
+    std::vector<SseEvent> events;
+    for (const std::string& part : {wire.substr(0, cut), wire.substr(cut)}) {
+      reader.Append(part);
+      while (auto event = reader.Next().value()) events.push_back(*event);
+    }
+    REQUIRE(events.size() == 2);
+    CHECK(events[0].id == "1");
+    CHECK(events[1].event == "end");
+    CHECK(events[1].data == "a\nb");
+  }
+}
+
+TEST_CASE("an event over the size limit is a typed fault") {
+  SseReader reader(16);
+  reader.Append("data: 0123456789012345");
+  CHECK(reader.Next().error().kind == FaultKind::kMessageTooLarge);
+}
+
+TEST_CASE("messages are split by their lengths") {
+  internal::MessageSplitter splitter;
+  splitter.Append(internal::FrameMessage("one") +
+                  internal::FrameMessage("two"));
+  std::string message;
+  REQUIRE(splitter.Next(message));
+  CHECK(message == "one");
+  REQUIRE(splitter.Next(message));
+  CHECK(message == "two");
+  CHECK_FALSE(splitter.Next(message));
+  splitter.Append("\xff\xff\xff\xff");
+  CHECK(splitter.IsTooLarge());
+}
+
+TEST_CASE("a peer call is answered, and an ended stream reads as empty") {
+  asio::io_context loop(1);
+  PeerServer server(loop.get_executor(), [](PeerCall& call) -> Awaitable<void> {
+    const std::string reply = "re:" + std::string(call.Message());
+    co_await call.Send(reply);
+    co_await call.Send(reply);
+  });
+  const Endpoint endpoint = server.Listen(kAnyPort).value();
+  ByteCounters counters;
+  PeerClient client(loop.get_executor(), endpoint, &counters);
+  std::vector<std::string> replies;
+  asio::co_spawn(
+      loop,
+      [&]() -> Awaitable<void> {
+        auto stream =
+            co_await client.Open("/x", "hello", std::chrono::seconds(5));
+        while (true) {
+          auto reply = co_await stream.value()->Read(std::chrono::seconds(5));
+          replies.push_back(reply.value());
+          if (reply.value().empty()) break;
+        }
+        loop.stop();
+      },
+      asio::detached);
+  loop.run();
+  CHECK(replies == std::vector<std::string>{"re:hello", "re:hello", ""});
+  CHECK(counters.sent > 0);
+  CHECK(counters.received > 0);
+}
+
+TEST_CASE(
+    "a peer that can't be reached is a fault that says nothing was sent") {
+  asio::io_context loop(1);
+  PeerClient client(loop.get_executor(),
+                    Endpoint(asio::ip::address_v4::loopback(), 1), nullptr);
+  FaultKind kind = FaultKind::kTimeout;
+  asio::co_spawn(
+      loop,
+      [&]() -> Awaitable<void> {
+        auto opened =
+            co_await client.Open("/x", "hello", std::chrono::seconds(5));
+        kind = opened.error().kind;
+      },
+      asio::detached);
+  loop.run();
+  CHECK(kind == FaultKind::kConnectFailed);
+}
+
+TEST_CASE("bytes that are not HTTP/2 end only their own connection") {
+  asio::io_context loop(1);
+  PeerServer server(loop.get_executor(), [](PeerCall& call) -> Awaitable<void> {
+    const std::string reply(call.Message());
+    co_await call.Send(reply);
+  });
+  const Endpoint endpoint = server.Listen(kAnyPort).value();
+  bool closed = false;
+  std::string reply;
+  asio::co_spawn(
+      loop,
+      [&]() -> Awaitable<void> {
+        asio::ip::tcp::socket stranger(loop);
+        co_await stranger.async_connect(endpoint, asio::use_awaitable);
+        const std::string garbage(200, 'x');
+        co_await asio::async_write(stranger, asio::buffer(garbage),
+                                   asio::use_awaitable);
+        std::string rest;
+        try {
+          co_await asio::async_read(stranger, asio::dynamic_buffer(rest),
+                                    asio::use_awaitable);
+        } catch (const boost::system::system_error&) {
+          closed = true;
+        }
+        PeerClient client(loop.get_executor(), endpoint, nullptr);
+        auto answer =
+            co_await client.Call("/x", "still", std::chrono::seconds(5));
+        reply = answer.value();
+        loop.stop();
+      },
+      asio::detached);
+  loop.run();
+  CHECK(closed);
+  CHECK(reply == "still");
+}
+
+TEST_CASE("a connection is reused only after its answer was read to the end") {
+  asio::io_context loop(1);
+  HttpServer server(loop.get_executor(), HttpServerLimits{},
+                    [](HttpExchange& exchange) -> Awaitable<void> {
+                      HttpResponse response;
+                      response.body = exchange.Request().target;
+                      co_await exchange.Respond(std::move(response));
+                    });
+  const Endpoint endpoint = server.Listen(kAnyPort).value();
+  HttpClient client(loop.get_executor(), nullptr);
+  std::vector<std::string> bodies;
+  asio::co_spawn(
+      loop,
+      [&]() -> Awaitable<void> {
+        HttpRequest request;
+        request.method = "GET";
+        request.target = "/unread";
+        {
+          auto unread =
+              co_await client.Open(endpoint, request, ConnectionUse::kReuse,
+                                   std::chrono::seconds(5));
+          CHECK(unread.value()->Status() == 200);
+        }
+        for (const char* target : {"/a", "/b"}) {
+          request.target = target;
+          auto response =
+              co_await client.Fetch(endpoint, request, ConnectionUse::kReuse,
+                                    std::chrono::seconds(5));
+          bodies.push_back(response.value().body);
+        }
+        loop.stop();
+      },
+      asio::detached);
+  loop.run();
+  CHECK(bodies == std::vector<std::string>{"/a", "/b"});
+}
+
+}  // namespace
+}  // namespace dandelionscale
--- /dev/null
+++ b/tests/whole_answer_test.cc
@@ -0,0 +1,197 @@
+// Each client gets the whole answer to its own request.
+#include <signal.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/json.hpp>
+#include <catch2/catch.hpp>
+#include <string>
+
+#include "dandelionscale/transport/sse.h"
+#include "load/chat_client.h"
+#include "tests/support/process_fleet.h"
+
+namespace dandelionscale::tests {
+namespace {
+
+namespace asio = boost::asio;
+
+load::ChatTurn MakeTurn(std::string session) {
+  load::ChatTurn turn;
+  turn.workspace = "guild";
+  turn.session = std::move(session);
+  turn.service = "advice";
+  turn.messages.push_back({"user", "hello"});
+  return turn;
+}
+
+Endpoint Router(const ProcessFleet& fleet, int number) {
+  return {asio::ip::address_v4::loopback(), fleet.ClientPort(number)};
+}
+
+load::ChatAnswer Send(const ProcessFleet& fleet, int router,
+                      load::ChatTurn turn) {
+  asio::io_context loop(1);
+  load::ChatClient client(loop.get_executor());
+  load::ChatAnswer answer;
+  asio::co_spawn(
+      loop,
+      [&]() -> Awaitable<void> {
+        answer = co_await client.Send(Router(fleet, router), turn);
+      },
+      asio::detached);
+  loop.run();
+  return answer;
+}
+
+load::ChatAnswer Resume(const ProcessFleet& fleet, int router,
+                        load::ChatTurn turn, load::ChatAnswer broken) {
+  asio::io_context loop(1);
+  load::ChatClient client(loop.get_executor());
+  load::ChatAnswer answer;
+  asio::co_spawn(
+      loop,
+      [&]() -> Awaitable<void> {
+        answer = co_await client.Resume(Router(fleet, router), turn, broken);
+      },
+      asio::detached);
+  loop.run();
+  return answer;
+}
+
+/// \returns the engine's own answer to a request, asked from its start.
+std::string EnginesAnswer(const ProcessFleet& fleet,
+                          const load::ChatAnswer& answer) {
+  const int number =
+      std::stoi(answer.engine.substr(answer.engine.find('-') + 1));
+  HttpRequest request;
+  request.method = "GET";
+  request.target = "/v1/streams/" + answer.request_id + "?offset=0";
+  request.headers.Add("X-Workspace", "guild");
+  const HttpResponse response =
+      fleet.Call(fleet.Port(99 + number), std::move(request));
+  SseReader reader;
+  reader.Append(response.body);
+  std::string content;
+  while (auto event = reader.Next().value()) {
+    if (event->event == "end") break;
+    content += boost::json::value_to<std::string>(
+        boost::json::parse(event->data).at("content"));
+  }
+  return content;
+}
+
+TEST_CASE("a stream cut at any byte of an event is resumed and whole") {
+  ProcessFleet fleet({.base = 23600,
+                      .engines = 1,
+                      .engine_arguments = {"--answer-tokens", "6"}});
+  // An event is about 95 bytes long; every cut within it is tried.
+  for (int cut = 0; cut <= 100; ++cut) {
+    fleet.Get(fleet.Port(3),
+              "/fake/engine/0/cut?after_bytes=" + std::to_string(cut));
+    const load::ChatAnswer answer = Send(fleet, 1 + cut % 3, MakeTurn("s"));
+    INFO("cut after " << cut << ": " << answer.reason);
+    REQUIRE(answer.whole);
+    CHECK(answer.content == EnginesAnswer(fleet, answer));
+  }
+  CHECK(fleet.Number(fleet.Port(3), "/fake/stats", "requests_started_twice") ==
+        0);
+}
+
+TEST_CASE("an answer broken by its router's death is resumed at another") {
+  ProcessFleet fleet(
+      {.base = 23600,
+       .engine_arguments = {"--token-ms", "100", "--answer-tokens", "20"}});
+  asio::io_context loop(1);
+  load::ChatClient client(loop.get_executor());
+  load::ChatAnswer broken;
+  asio::co_spawn(
+      loop,
+      [&]() -> Awaitable<void> {
+        broken = co_await client.Send(Router(fleet, 1), MakeTurn("s"));
+      },
+      asio::detached);
+  loop.run_for(std::chrono::milliseconds(700));
+  fleet.Signal("router-1", SIGKILL);
+  loop.run();
+  CHECK_FALSE(broken.whole);
+  REQUIRE_FALSE(broken.last_event_id.empty());
+  const load::ChatAnswer whole = Resume(fleet, 2, MakeTurn("s"), broken);
+  CHECK(whole.whole);
+  CHECK(whole.content == EnginesAnswer(fleet, whole));
+}
+
+TEST_CASE("the death of the owner in the middle is not seen by the client") {
+  ProcessFleet fleet(
+      {.base = 23600,
+       .engine_arguments = {"--token-ms", "100", "--answer-tokens", "20"}});
+  // A session whose engine belongs to another router than the entry.
+  int entry = 0;
+  std::string owner;
+  load::ChatTurn turn = MakeTurn("first");
+  const load::ChatAnswer probe = Send(fleet, 1, turn);
+  const HttpResponse status = fleet.Get(fleet.AdminPort(1), "/v1/status");
+  for (const auto& engine :
+       boost::json::parse(status.body).at("engines").as_array()) {
+    if (engine.at("name").as_string() != probe.engine) continue;
+    owner = boost::json::value_to<std::string>(engine.at("owner"));
+  }
+  for (int n = 1; n <= 3; ++n) {
+    if ("router-" + std::to_string(n) != owner) entry = n;
+  }
+  asio::io_context loop(1);
+  load::ChatClient client(loop.get_executor());
+  load::ChatAnswer answer;
+  asio::co_spawn(
+      loop,
+      [&]() -> Awaitable<void> {
+        answer = co_await client.Send(Router(fleet, entry), turn);
+      },
+      asio::detached);
+  loop.run_for(std::chrono::milliseconds(700));
+  fleet.Signal(owner, SIGKILL);
+  loop.run();
+  INFO(answer.reason);
+  CHECK(answer.whole);
+  CHECK(answer.content == EnginesAnswer(fleet, answer));
+}
+
+TEST_CASE("an engine that dies in the middle leaves no short answer as whole") {
+  ProcessFleet fleet(
+      {.base = 23600,
+       .engines = 1,
+       .engine_arguments = {"--token-ms", "100", "--answer-tokens", "50"}});
+  asio::io_context loop(1);
+  load::ChatClient client(loop.get_executor());
+  load::ChatAnswer answer;
+  asio::co_spawn(
+      loop,
+      [&]() -> Awaitable<void> {
+        answer = co_await client.Send(Router(fleet, 2), MakeTurn("s"));
+      },
+      asio::detached);
+  loop.run_for(std::chrono::milliseconds(700));
+  fleet.Get(fleet.Port(3), "/fake/engine/0/down");
+  loop.run();
+  CHECK_FALSE(answer.whole);
+  CHECK(answer.outcome == "unknown");
+}
+
+TEST_CASE("another workspace can't read an answer by its event id") {
+  ProcessFleet fleet({.base = 23600, .engines = 2});
+  const load::ChatAnswer own = Send(fleet, 1, MakeTurn("s"));
+  REQUIRE(own.whole);
+  load::ChatTurn stranger = MakeTurn("s");
+  stranger.workspace = "buyers";
+  load::ChatAnswer from_start = own;
+  from_start.content.clear();
+  from_start.whole = false;
+  from_start.last_event_id = own.engine + "/" + own.request_id + "/0";
+  const load::ChatAnswer read = Resume(fleet, 2, stranger, from_start);
+  CHECK_FALSE(read.whole);
+  CHECK(read.content.empty());
+}
+
+}  // namespace
+}  // namespace dandelionscale::tests
