Walk owners by rank when engines are at their bound, and send digests at once

Cause: 131 of 918 turns were refused at_load_bound though engines had room. The home owner redirected to engines that were full and the plan came back to it until its attempts were spent; a rising mean was seen only after the next digest. Ruled out: the cap itself (no engine was above it in that run). Ledger: its code divided by the engines live now, its stated rule takes the highest mean of the window; a test holds it to the rule.

--- a/emulator/load_ledger.cc
+++ b/emulator/load_ledger.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "dandelionscale/runtime/logger.h"
+
 namespace dandelionscale::emulator {
 
 LoadLedger::LoadLedger(std::size_t engines, double factor, Duration window)
@@ -29,15 +31,20 @@
   this->worst_skew = std::max(this->worst_skew, skew);
 }
 
-std::uint32_t LoadLedger::HighestTotal(TimePoint now) {
+double LoadLedger::Mean() const {
+  if (this->live_count == 0) return 0;
+  return static_cast<double>(this->total) / this->live_count;
+}
+
+double LoadLedger::HighestMean(TimePoint now) {
   // The last sample before the window is still in force at its beginning.
   while (this->samples.size() > 1 &&
          this->samples[1].at <= now - this->window) {
     this->samples.pop_front();
   }
-  std::uint32_t highest = this->total;
+  double highest = this->Mean();
   for (const Sample& sample : this->samples) {
-    highest = std::max(highest, sample.total);
+    highest = std::max(highest, sample.mean);
   }
   return highest;
 }
@@ -46,13 +53,18 @@
   this->Advance(now);
   ++this->running[engine];
   ++this->total;
-  this->samples.push_back({now, this->total});
-  if (this->live_count == 0) return;
-  const double mean =
-      static_cast<double>(this->HighestTotal(now)) / this->live_count;
-  const auto bound = static_cast<std::uint32_t>(std::ceil(this->factor * mean));
+  this->samples.push_back({now, this->Mean()});
+  const auto bound = static_cast<std::uint32_t>(
+      std::ceil(this->factor * this->HighestMean(now)));
   if (this->running[engine] <= bound) return;
   ++this->violations;
+  Logger::Warning("bound_violated",
+                  {{"engine", static_cast<std::int64_t>(engine)},
+                   {"load", static_cast<std::int64_t>(this->running[engine])},
+                   {"bound", static_cast<std::int64_t>(bound)},
+                   {"highest_mean", this->HighestMean(now)},
+                   {"mean", this->Mean()},
+                   {"live", static_cast<std::int64_t>(this->live_count)}});
   this->worst_excess =
       std::max(this->worst_excess, this->running[engine] - bound);
 }
@@ -62,7 +74,7 @@
   if (this->running[engine] == 0) return;
   --this->running[engine];
   --this->total;
-  this->samples.push_back({now, this->total});
+  this->samples.push_back({now, this->Mean()});
 }
 
 void LoadLedger::SetLive(std::size_t engine, bool live, TimePoint now) {
@@ -70,6 +82,7 @@
   if (this->live[engine] == live) return;
   this->live[engine] = live;
   live ? ++this->live_count : --this->live_count;
+  this->samples.push_back({now, this->Mean()});
 }
 
 double LoadLedger::TimeWeightedSkew() const {
--- a/emulator/load_ledger.h
+++ b/emulator/load_ledger.h
@@ -36,11 +36,12 @@
  private:
   struct Sample {
     TimePoint at;
-    std::uint32_t total = 0;
+    double mean = 0;
   };
 
   void Advance(TimePoint now);
-  std::uint32_t HighestTotal(TimePoint now);
+  double Mean() const;
+  double HighestMean(TimePoint now);
 
   double factor;
   Duration window;
--- a/include/dandelionscale/core/owner_core.h
+++ b/include/dandelionscale/core/owner_core.h
@@ -79,6 +79,10 @@
 
   PlaceDecision Place(const PlaceRequest& request);
 
+  /// \brief Serves a request for a named engine, or one sent to this owner
+  /// because others are full: any owned engine with room will do.
+  PlaceDecision PlaceDirected(const PlaceRequest& request);
+
   /// \brief Admits without an owner, within this router's local share.
   PlaceDecision PlaceLocalShare(const PlaceRequest& request);
 
--- a/include/dandelionscale/core/request_plan.h
+++ b/include/dandelionscale/core/request_plan.h
@@ -21,6 +21,8 @@
   std::string owner;
   std::optional<EngineIndex> engine;
   bool resume = false;
+  /// The owner may let the request wait for a slot.
+  bool may_wait = false;
 };
 /// \brief No owner can be reached: admit within the local share.
 struct ServeWithinLocalShare {};
@@ -63,7 +65,9 @@
     std::uint64_t session_key = 0;
     bool idempotent = true;
     TimePoint deadline;
-    std::uint32_t max_attempts = 6;
+    /// Owners found at their bound before the request waits at its home.
+    std::size_t full_owners_until_wait = 6;
+    std::uint32_t max_attempts = 16;
   };
 
   RequestPlan(Options options, std::shared_ptr<const FleetView> view,
@@ -78,9 +82,15 @@
   const std::vector<EngineIndex>& Excluded() const { return this->excluded; }
   std::uint32_t Attempts() const { return this->attempts; }
 
+  /// \brief The owner that remembers the session; empty if none was asked.
+  const std::string& Home() const { return this->home; }
+  /// \brief The engine to which the home owner sent the request, if any.
+  std::optional<EngineIndex> HomeChoice() const { return this->home_choice; }
+
  private:
   PlanStep NextStep(TimePoint now);
-  PlanStep StepTowardsOwner() const;
+  PlanStep StepTowardsOwner();
+  PlanStep StepAmongOwners();
   void ApplyUnknown(RefusalReason reason, TimePoint now);
 
   Options options;
@@ -89,7 +99,11 @@
   std::uint32_t attempts = 0;
   std::vector<EngineIndex> excluded;
   std::set<std::string, std::less<>> lost_owners;
+  std::set<std::string, std::less<>> full_owners;
   std::optional<EngineIndex> directed;
+  std::string home;
+  std::optional<EngineIndex> home_choice;
+  bool waited = false;
   std::optional<EngineIndex> begun;
   std::optional<GiveUp> final_step;
   std::string asked_owner;
--- /dev/null
+++ b/load/experiment.h
@@ -0,0 +1,75 @@
+#ifndef DANDELIONSCALE_LOAD_EXPERIMENT_H_
+#define DANDELIONSCALE_LOAD_EXPERIMENT_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/json.hpp>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "dandelionscale/runtime/settings.h"
+#include "load/chat_client.h"
+#include "load/workload.h"
+
+namespace dandelionscale::load {
+
+/// \brief Drives a running fleet with chats, bookings and engine churn, and
+/// collects what clients, fakes and routers saw.
+class Experiment {
+ public:
+  Experiment(boost::asio::io_context& loop, const Settings& settings);
+
+  /// \brief Runs the workload to its end.
+  Awaitable<void> Run();
+  /// \returns the summary as one JSON object.
+  boost::json::object Summary() const;
+  /// \returns number of violated promises.
+  std::uint64_t Violations() const;
+
+ private:
+  /// \brief Control bytes of all routers at one moment.
+  struct ControlBytes {
+    std::map<std::string, double> by_kind;
+  };
+
+  Awaitable<void> HoldChats();
+  Awaitable<void> MakeBookings();
+  Awaitable<void> RestartEngines();
+  Awaitable<void> Progress();
+  Awaitable<std::optional<boost::json::object>> Stats(std::string setting);
+  Awaitable<ControlBytes> ReadControlBytes();
+  Awaitable<void> Control(Endpoint endpoint, std::string target);
+  void Note(const ChatAnswer& answer);
+  double Quantile(std::vector<double> samples, double probability) const;
+  bool IsOver() const { return RuntimeClock::now() >= this->end; }
+
+  boost::asio::io_context& loop;
+  const Settings& settings;
+  std::vector<Endpoint> routers;
+  std::vector<Endpoint> admins;
+  ChatClient client;
+  Workload workload;
+  TimePoint end;
+  std::size_t running = 0;
+  std::uint64_t turns = 0;
+  std::uint64_t whole = 0;
+  std::uint64_t bookings = 0;
+  std::uint64_t bookings_completed = 0;
+  std::uint64_t bookings_not_run = 0;
+  std::uint64_t bookings_unknown = 0;
+  std::map<std::string, std::uint64_t> refusals;
+  std::map<std::string, std::uint64_t> placements;
+  std::vector<double> first_token_ms;
+  std::vector<double> between_tokens_ms;
+  ControlBytes control_before;
+  ControlBytes control_after;
+  double control_seconds = 0;
+  std::optional<boost::json::object> engine_stats;
+  std::optional<boost::json::object> service_stats;
+  std::optional<boost::json::object> platform_stats;
+};
+
+}  // namespace dandelionscale::load
+
+#endif  // DANDELIONSCALE_LOAD_EXPERIMENT_H_
--- /dev/null
+++ b/load/workload.h
@@ -0,0 +1,55 @@
+#ifndef DANDELIONSCALE_LOAD_WORKLOAD_H_
+#define DANDELIONSCALE_LOAD_WORKLOAD_H_
+
+#include <random>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "load/chat_client.h"
+
+namespace dandelionscale::load {
+
+/// \brief A workspace and its share of the chats.
+struct WorkspaceShare {
+  std::string name;
+  double share = 1;
+};
+
+/// \returns shares written as `NAME:SHARE,...`; exits with 2 if malformed.
+std::vector<WorkspaceShare> ParseShares(const std::string& text);
+
+/// \brief Seeded source of chats.
+class Workload {
+ public:
+  struct Options {
+    std::vector<WorkspaceShare> workspaces;
+    std::string service;
+    std::size_t prompt_words = 0;
+    std::size_t answer_tokens = 0;
+    Duration mean_pause{};
+    std::uint64_t seed = 1;
+  };
+
+  explicit Workload(Options options);
+
+  /// \returns the first turn of a new chat.
+  ChatTurn NewChat();
+  /// \brief Adds an answer and the next question to a chat.
+  void Continue(ChatTurn& turn, const std::string& answer);
+  /// \returns a pause between turns, exponentially distributed.
+  Duration Pause();
+  /// \returns a number below `count`.
+  std::size_t Pick(std::size_t count);
+
+ private:
+  std::string Words(std::size_t count);
+
+  Options options;
+  std::mt19937_64 random;
+  std::uint64_t chats = 0;
+};
+
+}  // namespace dandelionscale::load
+
+#endif  // DANDELIONSCALE_LOAD_WORKLOAD_H_
--- a/src/core/owner_core.cc
+++ b/src/core/owner_core.cc
@@ -170,22 +170,26 @@
   return best;
 }
 
-PlaceDecision OwnerCore::Place(const PlaceRequest& request) {
-  if (request.engine) {
-    const EngineIndex engine = *request.engine;
-    if (request.resume) {
-      return this->Admit(engine, request, PlacementReason::kResumed);
-    }
-    if (!this->Owns(engine)) return PlaceRefuse{RefusalReason::kNotOwner};
-    if (!this->IsCandidate(engine, {})) {
-      return PlaceRefuse{RefusalReason::kEngineUnreachable};
-    }
-    auto decision =
-        this->TryEngine(engine, request, PlacementReason::kDirected);
+PlaceDecision OwnerCore::PlaceDirected(const PlaceRequest& request) {
+  const EngineIndex engine = *request.engine;
+  if (request.resume) {
+    return this->Admit(engine, request, PlacementReason::kResumed);
+  }
+  if (!this->Owns(engine)) return PlaceRefuse{RefusalReason::kNotOwner};
+  auto decision = this->TryEngine(engine, request, PlacementReason::kDirected);
+  if (decision) return *decision;
+  if (auto least = this->LeastLoadedOwned(request)) {
+    decision = this->TryEngine(*least, request, PlacementReason::kSpilled);
     if (decision) return *decision;
-    return PlaceRefuse{RefusalReason::kAtLoadBound};
   }
+  if (!this->IsCandidate(engine, {})) {
+    return PlaceRefuse{RefusalReason::kEngineUnreachable};
+  }
+  return PlaceRefuse{RefusalReason::kAtLoadBound};
+}
 
+PlaceDecision OwnerCore::Place(const PlaceRequest& request) {
+  if (request.engine) return this->PlaceDirected(request);
   if (const WarmEngines* warm = this->sessions.Find(request.session_key)) {
     const WarmEngines copy = *warm;
     for (std::uint64_t hash : copy.All()) {
@@ -205,12 +209,6 @@
     auto decision = this->TryEngine(*least, request, PlacementReason::kSpilled);
     if (decision) return *decision;
   }
-  for (EngineIndex index :
-       this->view->RankByHash(request.service, request.session_key)) {
-    if (this->Owns(index)) continue;
-    auto decision = this->TryEngine(index, request, PlacementReason::kSpilled);
-    if (decision) return *decision;
-  }
   if (!first) return PlaceRefuse{RefusalReason::kNoLiveEngine};
   return PlaceWait{RefusalReason::kAtLoadBound};
 }
--- a/src/core/request_plan.cc
+++ b/src/core/request_plan.cc
@@ -40,34 +40,52 @@
   return step;
 }
 
-PlanStep RequestPlan::StepTowardsOwner() const {
-  auto owner_of = [&](EngineIndex index) -> const std::string& {
-    return this->view->Engine(index).owner;
-  };
-  auto is_lost = [&](const std::string& owner) {
-    return owner.empty() || this->lost_owners.contains(owner);
-  };
+PlanStep RequestPlan::StepTowardsOwner() {
   if (this->begun) {
     // The engine holds the answer; any router can fetch the rest.
-    const std::string& owner = owner_of(*this->begun);
-    return AskOwner{is_lost(owner) ? this->options.router : owner, this->begun,
-                    true};
+    const std::string& owner = this->view->Engine(*this->begun).owner;
+    const bool lost = owner.empty() || this->lost_owners.contains(owner);
+    return AskOwner{lost ? this->options.router : owner, this->begun, true,
+                    false};
   }
-  if (this->directed && !is_lost(owner_of(*this->directed))) {
-    return AskOwner{owner_of(*this->directed), this->directed, false};
+  if (this->directed) {
+    const std::string& owner = this->view->Engine(*this->directed).owner;
+    if (!owner.empty() && !this->lost_owners.contains(owner)) {
+      return AskOwner{owner, this->directed, false, false};
+    }
   }
-  auto ranked =
+  return this->StepAmongOwners();
+}
+
+PlanStep RequestPlan::StepAmongOwners() {
+  const std::vector<EngineIndex> ranked =
       this->view->RankByHash(this->options.service, this->options.session_key);
   if (ranked.empty()) {
     return GiveUp{RefusalReason::kNoLiveEngine, RequestOutcome::kNotRun,
                   kRetryAfter};
   }
+  bool any_reachable = false;
+  const bool asked_enough =
+      this->full_owners.size() >= this->options.full_owners_until_wait;
   for (EngineIndex index : ranked) {
-    if (!is_lost(owner_of(index))) {
-      return AskOwner{owner_of(index), std::nullopt, false};
+    const std::string& owner = this->view->Engine(index).owner;
+    if (owner.empty() || this->lost_owners.contains(owner)) continue;
+    any_reachable = true;
+    if (asked_enough || this->full_owners.contains(owner)) continue;
+    if (this->home.empty()) {
+      this->home = owner;
+      return AskOwner{owner, std::nullopt, false, false};
     }
+    if (owner == this->home) return AskOwner{owner, std::nullopt, false, false};
+    return AskOwner{owner, index, false, false};
   }
-  return ServeWithinLocalShare{};
+  if (!any_reachable) return ServeWithinLocalShare{};
+  if (this->waited || this->lost_owners.contains(this->home)) {
+    return GiveUp{this->last_reason, RequestOutcome::kNotRun, kRetryAfter};
+  }
+  // Every owner asked is at its bound: wait for a slot at home.
+  this->waited = true;
+  return AskOwner{this->home, std::nullopt, false, true};
 }
 
 void RequestPlan::OnProgress(EngineIndex engine, std::uint64_t) {
@@ -101,6 +119,9 @@
 
     void operator()(const AttemptRedirected& redirected) const {
       this->plan.directed = redirected.engine;
+      if (this->plan.asked_owner == this->plan.home) {
+        this->plan.home_choice = redirected.engine;
+      }
     }
     void operator()(const AttemptRefused& refused) const {
       this->plan.last_reason = refused.reason;
@@ -115,12 +136,11 @@
             GiveUp{refused.reason, RequestOutcome::kUnknown, kRetryAfter};
         return;
       }
-      const bool final = refused.reason == RefusalReason::kNoLiveEngine ||
-                         refused.reason == RefusalReason::kAtLoadBound ||
-                         refused.reason == RefusalReason::kWorkspaceShare;
-      // An owner that chose freely has asked all its engines; only a refusal of
-      // one named engine leaves others to try.
-      if (final && !refused.engine) {
+      if (refused.reason == RefusalReason::kAtLoadBound) {
+        // An owner refuses only when all its engines are at their bound.
+        this->plan.full_owners.insert(this->plan.asked_owner);
+      }
+      if (refused.reason == RefusalReason::kNoLiveEngine && !refused.engine) {
         this->plan.final_step =
             GiveUp{refused.reason, RequestOutcome::kNotRun, kRetryAfter};
       }
--- a/src/router/digest_service.cc
+++ b/src/router/digest_service.cc
@@ -13,6 +13,8 @@
 namespace {
 
 constexpr Duration kDigestTimeout = std::chrono::milliseconds(1000);
+// Interval while requests find no room, so that a rising mean is seen soon.
+constexpr Duration kLeastInterval = std::chrono::milliseconds(100);
 constexpr Duration kHandoverTimeout = std::chrono::seconds(2);
 // Handed over by one draining router: about 130 KB in all.
 constexpr std::size_t kHandoverSessions = 4096;
@@ -50,8 +52,12 @@
 
 Awaitable<void> DigestService::Loop() {
   while (!this->stopping) {
-    co_await SleepFor(this->options.digest_interval);
     co_await this->Exchange();
+    const Duration least =
+        std::min(kLeastInterval, this->options.digest_interval);
+    co_await SleepFor(least);
+    co_await this->fleet->LoadPressure().WaitFor(this->options.digest_interval -
+                                                 least);
   }
 }
 
@@ -138,6 +144,15 @@
       reply.set_document(this->fleet->Document());
       MembersToWire(this->fleet->Members(), reply);
       break;
+    case wire::ControlRequest::kSessionPlaced: {
+      const wire::SessionPlaced& placed = request.session_placed();
+      SessionMemory& sessions = this->fleet->Owner().Sessions();
+      if (placed.refused_engine_hash() != 0) {
+        sessions.Forget(placed.session_key(), placed.refused_engine_hash());
+      }
+      sessions.Remember(placed.session_key(), placed.engine_hash());
+      break;
+    }
     case wire::ControlRequest::kHandover:
       for (const auto& entry : request.handover().entries()) {
         WarmEngines engines;
--- a/src/router/fleet_state.cc
+++ b/src/router/fleet_state.cc
@@ -17,7 +17,8 @@
       owner({options.name, options.session_capacity}),
       tree(options.name),
       retries(kRetryRatio, kRetryBurst),
-      slots_changed(executor) {}
+      slots_changed(executor),
+      load_pressure(executor) {}
 
 bool FleetState::AdoptConfiguration(std::uint64_t version,
                                     std::string_view document) {
--- a/src/router/fleet_state.h
+++ b/src/router/fleet_state.h
@@ -40,6 +40,9 @@
   RetryBudget& Retries() { return this->retries; }
   /// \brief Wakes requests that wait for a slot.
   Event& SlotsChanged() { return this->slots_changed; }
+  /// \brief A request found all engines here at their bound: the mean may be
+  /// out of date.
+  Event& LoadPressure() { return this->load_pressure; }
 
   bool draining = false;  ///< This router is shutting down.
 
@@ -56,6 +59,7 @@
   FairQueue waiting;
   RetryBudget retries;
   Event slots_changed;
+  Event load_pressure;
 };
 
 }  // namespace dandelionscale::internal
--- a/src/router/owner_service.cc
+++ b/src/router/owner_service.cc
@@ -80,6 +80,8 @@
     PlaceDecision decision = this->Decide(job, local_share);
     if (!std::holds_alternative<PlaceWait>(decision)) co_return decision;
   }
+  this->fleet->LoadPressure().NotifyAll();
+  if (!job.request.may_wait() && !local_share) co_return PlaceWait{};
   const TimePoint wait_until =
       std::min(job.deadline, RuntimeClock::now() + this->options.slot_wait);
   const FairQueue::Ticket ticket =
@@ -89,6 +91,7 @@
     if (waiting.IsFirst(ticket)) {
       decision = this->Decide(job, local_share);
       if (!std::holds_alternative<PlaceWait>(decision)) break;
+      this->fleet->LoadPressure().NotifyAll();
     }
     co_await this->fleet->SlotsChanged().WaitFor(wait_until -
                                                  RuntimeClock::now());
--- a/src/router/request_runner.cc
+++ b/src/router/request_runner.cc
@@ -1,5 +1,8 @@
 #include "router/request_runner.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
 #include "dandelionscale/runtime/logger.h"
 #include "router/control_messages.h"
 
@@ -19,6 +22,7 @@
   RequestPlan plan;
   std::string engine = {};
   bool resume = false;
+  bool may_wait = false;
   /// How the attempt under way has ended, once a frame has told.
   std::optional<AttemptEnd> end = {};
 };
@@ -51,6 +55,7 @@
       std::max<std::int64_t>(1, ToMilliseconds(left))));
   message.set_engine(run.engine);
   message.set_resume(run.resume);
+  message.set_may_wait(run.may_wait);
   if (run.resume) {
     message.set_resume_offset(run.writer.Offset());
   } else {
@@ -158,6 +163,7 @@
   const auto* ask = std::get_if<AskOwner>(&step);
   run.engine.clear();
   run.resume = false;
+  run.may_wait = ask != nullptr && ask->may_wait;
   if (ask != nullptr && ask->engine) {
     run.engine = run.view->Engine(*ask->engine).name;
     run.resume = ask->resume;
@@ -221,6 +227,7 @@
     const AttemptEnd end = co_await this->Attempt(run, step);
     if (std::holds_alternative<AttemptWhole>(end)) {
       this->fleet->Retries().OnSuccess();
+      this->TellHome(run);
       co_return this->Finish(run, RequestOutcome::kCompleted);
     }
     if (std::holds_alternative<AttemptClientGone>(end)) {
@@ -239,6 +246,39 @@
   }
 }
 
+void RequestRunner::TellHome(const Run_& run) {
+  const std::string& home = run.plan.Home();
+  const auto engine = run.view->FindEngine(run.writer.Engine());
+  if (home.empty() || !engine) return;
+  const FleetEngine& served = run.view->Engine(*engine);
+  const auto choice = run.plan.HomeChoice();
+  // The home owner knows of its own engines and of what it chose.
+  if (served.owner == home && !choice) return;
+  if (choice == engine) return;
+  const std::uint64_t refused = choice ? run.view->Engine(*choice).hash : 0;
+  if (home == this->options.name) {
+    SessionMemory& sessions = this->fleet->Owner().Sessions();
+    if (refused != 0) sessions.Forget(run.request.session_key, refused);
+    sessions.Remember(run.request.session_key, served.hash);
+    return;
+  }
+  auto client = this->peers->ForControl(home);
+  if (client == nullptr) return;
+  wire::ControlRequest message;
+  auto* placed = message.mutable_session_placed();
+  placed->set_session_key(run.request.session_key);
+  placed->set_engine_hash(served.hash);
+  placed->set_refused_engine_hash(refused);
+  boost::asio::co_spawn(
+      this->executor,
+      [client, bytes = message.SerializeAsString()]() -> Awaitable<void> {
+        // Only a hint: a loss costs one cache miss.
+        co_await client->Call(std::string(kControlPath), bytes,
+                              kConnectTimeout);
+      },
+      boost::asio::detached);
+}
+
 Awaitable<CallResult> RequestRunner::RunBaseline(Run_& run) {
   OwnerCore& core = this->fleet->Owner();
   PlaceRequest place;
--- a/src/router/request_runner.h
+++ b/src/router/request_runner.h
@@ -69,6 +69,9 @@
                                       wire::ServeRequest message);
   Awaitable<bool> OnFrame(Run_& run, const wire::ServeFrame& frame);
   Awaitable<CallResult> RunBaseline(Run_& run);
+  /// \brief Tells the session's home owner where it was served, if it can't
+  /// know.
+  void TellHome(const Run_& run);
   CallResult Finish(const Run_& run, RequestOutcome outcome) const;
 
   boost::asio::any_io_executor executor;
--- a/tests/load_bound_test.cc
+++ b/tests/load_bound_test.cc
@@ -9,6 +9,7 @@
 #include "dandelionscale/core/baseline_policy.h"
 #include "dandelionscale/core/hash.h"
 #include "dandelionscale/core/owner_core.h"
+#include "load_ledger.h"
 
 namespace dandelionscale {
 namespace {
@@ -48,6 +49,25 @@
   CHECK(LoadCap(1.25, {0, 0}) == 1);
 }
 
+TEST_CASE("the emulator's ledger judges a start by the mean of its window") {
+  using std::chrono::seconds;
+  const TimePoint start = RuntimeClock::now();
+  emulator::LoadLedger ledger(2, 1.25, seconds(2));
+  for (int i = 0; i < 4; ++i) ledger.OnStart(0, start);
+  // Loads of 2, 3 and 4 on one engine of two, under caps of 2, 2 and 3.
+  CHECK(ledger.BoundViolations() == 2);
+  for (int i = 0; i < 4; ++i) ledger.OnFinish(0, start + seconds(1));
+  ledger.SetLive(1, false, start + seconds(1));
+  ledger.OnStart(0, start + seconds(1));
+  ledger.SetLive(1, true, start + seconds(2));
+  // The mean was 2 within the window, whatever engines are live now.
+  ledger.OnStart(0, start + seconds(2));
+  CHECK(ledger.BoundViolations() == 2);
+  // Nothing but the request of that moment is left of it later.
+  ledger.OnStart(0, start + seconds(9));
+  CHECK(ledger.BoundViolations() == 3);
+}
+
 TEST_CASE("a sole owner keeps every engine within the bound at every instant") {
   const bool held = rc::check([] {
     const int engines = *rc::gen::inRange(1, 30);
--- a/tests/whole_answer_test.cc
+++ b/tests/whole_answer_test.cc
@@ -132,8 +132,8 @@
   load::ChatTurn turn = MakeTurn("first");
   const load::ChatAnswer probe = Send(fleet, 1, turn);
   const HttpResponse status = fleet.Get(fleet.AdminPort(1), "/v1/status");
-  for (const auto& engine :
-       boost::json::parse(status.body).at("engines").as_array()) {
+  const boost::json::value document = boost::json::parse(status.body);
+  for (const auto& engine : document.at("engines").as_array()) {
     if (engine.at("name").as_string() != probe.engine) continue;
     owner = boost::json::value_to<std::string>(engine.at("owner"));
   }
