--- a/emulator/engine_fleet.cc
+++ b/emulator/engine_fleet.cc
@@ -10,6 +10,7 @@
 
 #include "dandelionscale/core/hash.h"
 #include "dandelionscale/transport/sse.h"
+#include "json_response.h"
 
 namespace dandelionscale::emulator {
 
@@ -41,14 +42,6 @@
   return std::string(kWords[pick]);
 }
 
-HttpResponse JsonText(unsigned status, std::string body) {
-  HttpResponse response;
-  response.status = status;
-  response.headers.Add("Content-Type", "application/json");
-  response.body = std::move(body);
-  return response;
-}
-
 }  // namespace
 
 /// \brief One request that an engine runs.
--- a/emulator/fault_proxy.cc
+++ b/emulator/fault_proxy.cc
@@ -3,7 +3,6 @@
 #include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/lexical_cast/try_lexical_convert.hpp>
@@ -11,12 +10,14 @@
 #include <set>
 
 #include "dandelionscale/runtime/event.h"
+#include "transport/socket_helpers.h"
 
 namespace dandelionscale::emulator {
 
 namespace asio = boost::asio;
 using asio::ip::tcp;
 using boost::system::error_code;
+using internal::Redirect;
 
 namespace {
 
@@ -24,10 +25,6 @@
 // Least retransmission timeout of RFC 6298 as common systems set it.
 constexpr Duration kRetransmission = std::chrono::milliseconds(200);
 
-auto Redirect(error_code& error) {
-  return asio::redirect_error(asio::use_awaitable, error);
-}
-
 template <typename T>
 T ParseOr(std::string_view text, T fallback) {
   T number{};
@@ -176,14 +173,8 @@
 Result<void> FaultProxy::AddLink(const Endpoint& listen,
                                  const Endpoint& target) {
   auto link = std::make_shared<Link>(this->executor, target, this->random);
-  try {
-    link->acceptor.open(listen.protocol());
-    link->acceptor.set_option(asio::socket_base::reuse_address(true));
-    link->acceptor.bind(listen);
-    link->acceptor.listen();
-  } catch (const boost::system::system_error& error) {
-    return Fault{FaultKind::kConnectFailed, error.what()};
-  }
+  auto bound = internal::OpenAcceptor(link->acceptor, listen);
+  if (bound.has_error()) return bound.error();
   asio::co_spawn(this->executor, link->Accept(), asio::detached);
   this->links.push_back(std::move(link));
   return {};
--- a/emulator/plain_service.cc
+++ b/emulator/plain_service.cc
@@ -5,20 +5,14 @@
 #include <boost/json.hpp>
 #include <charconv>
 
+#include "json_response.h"
+
 namespace dandelionscale::emulator {
 
 namespace json = boost::json;
 
 namespace {
 
-HttpResponse JsonText(unsigned status, std::string body) {
-  HttpResponse response;
-  response.status = status;
-  response.headers.Add("Content-Type", "application/json");
-  response.body = std::move(body);
-  return response;
-}
-
 int ParseInt(std::string_view text) {
   int number = 0;
   std::from_chars(text.data(), text.data() + text.size(), number);
--- a/emulator/platform_service.cc
+++ b/emulator/platform_service.cc
@@ -5,6 +5,8 @@
 #include <boost/json.hpp>
 #include <charconv>
 
+#include "json_response.h"
+
 namespace dandelionscale::emulator {
 
 namespace json = boost::json;
@@ -13,14 +15,6 @@
 
 constexpr std::string_view kObjectsPrefix = "/v1/objects/";
 
-HttpResponse JsonText(unsigned status, std::string body) {
-  HttpResponse response;
-  response.status = status;
-  response.headers.Add("Content-Type", "application/json");
-  response.body = std::move(body);
-  return response;
-}
-
 std::uint64_t ParseNumber(std::string_view text) {
   std::uint64_t number = 0;
   std::from_chars(text.data(), text.data() + text.size(), number);
--- a/include/dandelionscale/core/fair_queue.h
+++ b/include/dandelionscale/core/fair_queue.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <set>
+#include <tuple>
 #include <unordered_map>
 
 namespace dandelionscale {
@@ -31,7 +32,11 @@
     std::uint32_t priority = 0;
     double start = 0;
     Ticket ticket = 0;
-    auto operator<=>(const Position&) const = default;
+
+    bool operator<(const Position& other) const {
+      return std::tie(this->priority, this->start, this->ticket) <
+             std::tie(other.priority, other.start, other.ticket);
+    }
   };
 
   Ticket next_ticket = 1;
--- a/include/dandelionscale/core/fleet_view.h
+++ b/include/dandelionscale/core/fleet_view.h
@@ -34,6 +34,8 @@
   std::vector<Member> members;
 
   const Member* Find(std::string_view name) const;
+  /// \returns names ordered by their hashes, the same on every router.
+  std::vector<std::string> NamesByHash() const;
 };
 
 /// \brief One engine with what routing needs of it.
--- a/include/dandelionscale/transport/peer_connection.h
+++ b/include/dandelionscale/transport/peer_connection.h
@@ -84,7 +84,10 @@
 /// \brief Accepts connections of peers.
 class PeerServer {
  public:
-  PeerServer(boost::asio::any_io_executor executor, PeerHandler handler);
+  /// \param counted_path path whose connections are counted.
+  /// \param counters where their bytes are counted; may be null.
+  PeerServer(boost::asio::any_io_executor executor, PeerHandler handler,
+             std::string counted_path = {}, ByteCounters* counters = nullptr);
   ~PeerServer();
 
   Result<Endpoint> Listen(const Endpoint& endpoint);
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -10,5 +10,6 @@
 # One compiler front end per core; each file on its own.
 git ls-files '*.cc' | grep -v '^src/wire/generated/' | grep -v '^docs/' |
   xargs -P "$(nproc)" -n 1 clang-tidy-14 -p build/lint --quiet \
-    --extra-arg=-Wno-unknown-warning-option
+    --extra-arg=-Wno-unknown-warning-option \
+    --extra-arg=-Wno-gnu-statement-expression
 echo "format and lint: clean"
--- a/src/core/digest_tree.cc
+++ b/src/core/digest_tree.cc
@@ -2,8 +2,6 @@
 
 #include <algorithm>
 
-#include "dandelionscale/core/hash.h"
-
 namespace dandelionscale {
 namespace {
 
@@ -24,27 +22,16 @@
 }  // namespace
 
 void DigestTree::SetMembership(const Membership& membership) {
-  struct Ordered {
-    std::uint64_t hash;
-    std::string name;
-  };
-  std::vector<Ordered> order;
-  for (const Member& member : membership.members) {
-    order.push_back({HashText(member.name), member.name});
-  }
-  std::sort(order.begin(), order.end(),
-            [](const Ordered& a, const Ordered& b) { return a.hash < b.hash; });
+  const std::vector<std::string> order = membership.NamesByHash();
   this->parent.clear();
   this->children.clear();
-  auto self = std::find_if(order.begin(), order.end(), [&](const Ordered& o) {
-    return o.name == this->router;
-  });
+  auto self = std::find(order.begin(), order.end(), this->router);
   if (self == order.end()) return;
   const auto position = static_cast<std::size_t>(self - order.begin());
-  if (position > 0) this->parent = order[(position - 1) / kFanOut].name;
+  if (position > 0) this->parent = order[(position - 1) / kFanOut];
   for (std::size_t i = 1; i <= kFanOut; ++i) {
     std::size_t child = position * kFanOut + i;
-    if (child < order.size()) this->children.push_back(order[child].name);
+    if (child < order.size()) this->children.push_back(order[child]);
   }
   std::erase_if(this->heard, [&](const auto& entry) {
     return std::find(this->children.begin(), this->children.end(),
--- a/src/core/fleet_view.cc
+++ b/src/core/fleet_view.cc
@@ -49,6 +49,16 @@
   return found == this->members.end() ? nullptr : &*found;
 }
 
+std::vector<std::string> Membership::NamesByHash() const {
+  std::vector<std::string> names;
+  for (const Member& member : this->members) names.push_back(member.name);
+  std::sort(names.begin(), names.end(),
+            [](const std::string& a, const std::string& b) {
+              return HashText(a) < HashText(b);
+            });
+  return names;
+}
+
 FleetView::FleetView(const Configuration& configuration,
                      const Membership& membership,
                      const std::set<std::string>& leaving_hosts) {
--- a/src/core/lease.cc
+++ b/src/core/lease.cc
@@ -2,29 +2,16 @@
 
 #include <algorithm>
 
-#include "dandelionscale/core/hash.h"
-
 namespace dandelionscale {
 
 void LeaseWatch::SetMembership(const Membership& membership) {
-  struct Ordered {
-    std::uint64_t hash;
-    std::string name;
-  };
-  std::vector<Ordered> order;
-  for (const Member& member : membership.members) {
-    order.push_back({HashText(member.name), member.name});
-  }
-  std::sort(order.begin(), order.end(),
-            [](const Ordered& a, const Ordered& b) { return a.hash < b.hash; });
+  const std::vector<std::string> order = membership.NamesByHash();
   this->watched.clear();
-  auto self = std::find_if(order.begin(), order.end(), [&](const Ordered& o) {
-    return o.name == this->router;
-  });
+  auto self = std::find(order.begin(), order.end(), this->router);
   if (self == order.end()) return;
   const auto position = static_cast<std::size_t>(self - order.begin());
   for (std::size_t i = 1; i <= kWatched && i < order.size(); ++i) {
-    this->watched.push_back(order[(position + i) % order.size()].name);
+    this->watched.push_back(order[(position + i) % order.size()]);
   }
   std::erase_if(this->seen, [&](const auto& entry) {
     return std::find(this->watched.begin(), this->watched.end(), entry.first) ==
--- a/src/router/request_runner.cc
+++ b/src/router/request_runner.cc
@@ -14,7 +14,7 @@
 }  // namespace
 
 /// \brief State of one request across its attempts.
-struct RequestRunner::Run_ {
+struct RequestRunner::RunState {
   const ClientRequest& request;
   AnswerWriter& writer;
   std::shared_ptr<CancelToken> cancel;
@@ -36,7 +36,7 @@
       owner(kernel.Find<OwnerService>(OwnerService::kName)),
       random(HashText(options.name)) {}
 
-wire::ServeRequest RequestRunner::MakeMessage(const Run_& run) const {
+wire::ServeRequest RequestRunner::MakeMessage(const RunState& run) const {
   const ClientRequest& request = run.request;
   wire::ServeRequest message;
   message.set_request_id(request.request_id);
@@ -67,7 +67,7 @@
   return message;
 }
 
-Awaitable<bool> RequestRunner::OnFrame(Run_& run,
+Awaitable<bool> RequestRunner::OnFrame(RunState& run,
                                        const wire::ServeFrame& frame) {
   switch (frame.kind_case()) {
     case wire::ServeFrame::kRedirect: {
@@ -109,7 +109,7 @@
 }
 
 Awaitable<RequestRunner::AttemptEnd> RequestRunner::AttemptHere(
-    Run_& run, wire::ServeRequest message, bool local_share) {
+    RunState& run, wire::ServeRequest message, bool local_share) {
   auto sink = [this, &run](const wire::ServeFrame& frame) -> Awaitable<bool> {
     return this->OnFrame(run, frame);
   };
@@ -124,7 +124,7 @@
 }
 
 Awaitable<RequestRunner::AttemptEnd> RequestRunner::AttemptAtPeer(
-    Run_& run, std::string owner, wire::ServeRequest message) {
+    RunState& run, std::string owner, wire::ServeRequest message) {
   auto client = this->peers->ForRequests(owner);
   if (client == nullptr) co_return AttemptOwnerLost{false};
   auto opened = co_await client->Open(
@@ -158,7 +158,7 @@
 }
 
 Awaitable<RequestRunner::AttemptEnd> RequestRunner::Attempt(
-    Run_& run, const PlanStep& step) {
+    RunState& run, const PlanStep& step) {
   run.end.reset();
   const auto* ask = std::get_if<AskOwner>(&step);
   run.engine.clear();
@@ -178,7 +178,7 @@
   co_return co_await this->AttemptAtPeer(run, ask->owner, std::move(message));
 }
 
-CallResult RequestRunner::Finish(const Run_& run,
+CallResult RequestRunner::Finish(const RunState& run,
                                  RequestOutcome outcome) const {
   CallResult result;
   result.outcome = outcome;
@@ -203,8 +203,8 @@
   plan_options.session_key = request.session_key;
   plan_options.idempotent = request.idempotent;
   plan_options.deadline = request.deadline;
-  Run_ run{request, writer, std::move(cancel), view,
-           RequestPlan(plan_options, view, &this->fleet->Retries())};
+  RunState run{request, writer, std::move(cancel), view,
+               RequestPlan(plan_options, view, &this->fleet->Retries())};
   if (!request.resume_engine.empty()) {
     auto engine = view->FindEngine(request.resume_engine);
     refused.reason = RefusalReason::kNoLiveEngine;
@@ -246,7 +246,7 @@
   }
 }
 
-void RequestRunner::TellHome(const Run_& run) {
+void RequestRunner::TellHome(const RunState& run) {
   const std::string& home = run.plan.Home();
   const auto engine = run.view->FindEngine(run.writer.Engine());
   if (home.empty() || !engine) return;
@@ -279,7 +279,7 @@
       boost::asio::detached);
 }
 
-Awaitable<CallResult> RequestRunner::RunBaseline(Run_& run) {
+Awaitable<CallResult> RequestRunner::RunBaseline(RunState& run) {
   OwnerCore& core = this->fleet->Owner();
   PlaceRequest place;
   place.service = *run.view->FindService(run.request.service);
--- a/src/router/request_runner.h
+++ b/src/router/request_runner.h
@@ -53,7 +53,7 @@
                             std::shared_ptr<CancelToken> cancel);
 
  private:
-  struct Run_;
+  struct RunState;
   /// \brief An attempt ended with a whole answer, or nobody waits for one.
   struct AttemptWhole {};
   struct AttemptClientGone {};
@@ -61,18 +61,18 @@
       std::variant<AttemptWhole, AttemptClientGone, AttemptRedirected,
                    AttemptRefused, AttemptOwnerLost>;
 
-  wire::ServeRequest MakeMessage(const Run_& run) const;
-  Awaitable<AttemptEnd> Attempt(Run_& run, const PlanStep& step);
-  Awaitable<AttemptEnd> AttemptHere(Run_& run, wire::ServeRequest message,
+  wire::ServeRequest MakeMessage(const RunState& run) const;
+  Awaitable<AttemptEnd> Attempt(RunState& run, const PlanStep& step);
+  Awaitable<AttemptEnd> AttemptHere(RunState& run, wire::ServeRequest message,
                                     bool local_share);
-  Awaitable<AttemptEnd> AttemptAtPeer(Run_& run, std::string owner,
+  Awaitable<AttemptEnd> AttemptAtPeer(RunState& run, std::string owner,
                                       wire::ServeRequest message);
-  Awaitable<bool> OnFrame(Run_& run, const wire::ServeFrame& frame);
-  Awaitable<CallResult> RunBaseline(Run_& run);
+  Awaitable<bool> OnFrame(RunState& run, const wire::ServeFrame& frame);
+  Awaitable<CallResult> RunBaseline(RunState& run);
   /// \brief Tells the session's home owner where it was served, if it can't
   /// know.
-  void TellHome(const Run_& run);
-  CallResult Finish(const Run_& run, RequestOutcome outcome) const;
+  void TellHome(const RunState& run);
+  CallResult Finish(const RunState& run, RequestOutcome outcome) const;
 
   boost::asio::any_io_executor executor;
   RouterOptions options;
--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -9,7 +9,23 @@
 
 namespace dandelionscale {
 
-using namespace internal;  // NOLINT: the wiring of the internal services
+using internal::AdminService;
+using internal::CancelToken;
+using internal::ClaimService;
+using internal::ConfigurationService;
+using internal::DigestService;
+using internal::EngineProber;
+using internal::EntryService;
+using internal::FleetState;
+using internal::FrameSink;
+using internal::kControlPath;
+using internal::kServePath;
+using internal::MembershipService;
+using internal::OwnerService;
+using internal::PeerDirectory;
+using internal::Problem;
+using internal::ProblemResponse;
+using internal::RequestRunner;
 
 namespace {
 
@@ -144,8 +160,10 @@
       [admin](HttpExchange& exchange) { return admin->Handle(exchange); },
       BadRequestResponse);
   this->peers = std::make_unique<PeerServer>(
-      this->executor,
-      [this](PeerCall& call) { return this->HandlePeer(call); });
+      this->executor, [this](PeerCall& call) { return this->HandlePeer(call); },
+      std::string(kControlPath),
+      this->kernel.Find<PeerDirectory>(PeerDirectory::kName)
+          ->ControlCounters());
   auto bound = this->peers->Listen(this->options.peer_address);
   if (bound.has_error()) return bound.error();
   bound = this->admin->Listen(this->options.admin_address);
--- a/src/runtime/kernel.cc
+++ b/src/runtime/kernel.cc
@@ -1,7 +1,5 @@
 #include "dandelionscale/runtime/kernel.h"
 
-#include <ranges>
-
 #include "dandelionscale/runtime/logger.h"
 
 namespace dandelionscale {
@@ -14,15 +12,17 @@
 }
 
 Awaitable<void> Kernel::Drain() {
-  for (Entry& entry : std::views::reverse(this->entries)) {
-    if (entry.hooks.drain) co_await entry.hooks.drain();
-    Logger::Debug("service_drained", {{"service", entry.name}});
+  for (auto entry = this->entries.rbegin(); entry != this->entries.rend();
+       ++entry) {
+    if (entry->hooks.drain) co_await entry->hooks.drain();
+    Logger::Debug("service_drained", {{"service", entry->name}});
   }
 }
 
 void Kernel::Stop() {
-  for (Entry& entry : std::views::reverse(this->entries)) {
-    if (entry.hooks.stop) entry.hooks.stop();
+  for (auto entry = this->entries.rbegin(); entry != this->entries.rend();
+       ++entry) {
+    if (entry->hooks.stop) entry->hooks.stop();
   }
 }
 
--- a/src/runtime/metrics.cc
+++ b/src/runtime/metrics.cc
@@ -2,6 +2,11 @@
 
 #include <fmt/format.h>
 
+// Boost.Accumulators uses string streams without including them.
+// clang-format off
+#include <sstream>
+// clang-format on
+
 #include <array>
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/count.hpp>
--- a/src/runtime/settings.cc
+++ b/src/runtime/settings.cc
@@ -8,6 +8,7 @@
 #include <boost/program_options.hpp>
 #include <cctype>
 #include <cstdlib>
+#include <sstream>
 
 namespace dandelionscale {
 namespace {
--- a/src/transport/http2_session.cc
+++ b/src/transport/http2_session.cc
@@ -3,11 +3,12 @@
 #include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <cstring>
 
+#include "transport/socket_helpers.h"
+
 namespace dandelionscale::internal {
 
 namespace asio = boost::asio;
@@ -24,10 +25,6 @@
 constexpr Duration kPingInterval = std::chrono::milliseconds(500);
 constexpr Duration kPeerSilenceLimit = std::chrono::milliseconds(2000);
 
-auto Redirect(error_code& error) {
-  return asio::redirect_error(asio::use_awaitable, error);
-}
-
 std::uint32_t ReadLength(std::string_view bytes) {
   std::uint32_t length = 0;
   for (std::size_t i = 0; i < kLengthBytes; ++i) {
@@ -169,7 +166,9 @@
 
 Http2Session::Http2Session(asio::ip::tcp::socket socket, Side side,
                            ByteCounters* counters)
-    : socket(std::move(socket)), side(side), counters(counters) {
+    : socket(std::move(socket)),
+      side(side),
+      counters(counters == nullptr ? &this->not_yet_counted : counters) {
   nghttp2_session_callbacks* callbacks = nullptr;
   nghttp2_session_callbacks_new(&callbacks);
   nghttp2_session_callbacks_set_on_begin_headers_callback(
@@ -217,6 +216,13 @@
   this->Flush();
 }
 
+void Http2Session::CountInto(ByteCounters* counters) {
+  if (counters == nullptr || this->counters == counters) return;
+  counters->sent += this->counters->sent;
+  counters->received += this->counters->received;
+  this->counters = counters;
+}
+
 void Http2Session::Close() {
   error_code ignored;
   this->socket.close(ignored);
@@ -307,7 +313,7 @@
     error_code error;
     co_await asio::async_write(this->socket, asio::buffer(batch),
                                Redirect(error));
-    if (this->counters != nullptr) this->counters->sent += batch.size();
+    this->counters->sent += batch.size();
     if (error) this->Fail();
   }
   this->writing = false;
@@ -321,7 +327,7 @@
     std::size_t size = co_await this->socket.async_read_some(
         asio::buffer(buffer), Redirect(error));
     if (error) break;
-    if (this->counters != nullptr) this->counters->received += size;
+    this->counters->received += size;
     this->last_received = RuntimeClock::now();
     ssize_t used = nghttp2_session_mem_recv(this->session, buffer.data(), size);
     if (used < 0) break;
--- a/src/transport/http2_session.h
+++ b/src/transport/http2_session.h
@@ -69,6 +69,8 @@
   void Start();
   void Close();
   bool IsOpen() const { return this->open; }
+  /// \brief Counts the bytes of this connection, earlier ones too.
+  void CountInto(ByteCounters* counters);
 
   /// \brief Opens a client stream whose body is `stream->outgoing`.
   /// \returns false if the connection takes no more streams.
@@ -94,6 +96,7 @@
   boost::asio::ip::tcp::socket socket;
   Side side;
   ByteCounters* counters;
+  ByteCounters not_yet_counted;
   nghttp2_session* session = nullptr;
   bool open = false;
   bool writing = false;
--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -1,18 +1,20 @@
 #include "dandelionscale/transport/http_client.h"
 
-#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <deque>
 #include <map>
 
+#include "transport/socket_helpers.h"
+
 namespace dandelionscale {
 
 namespace asio = boost::asio;
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 using boost::system::error_code;
+using internal::Redirect;
 
 namespace {
 
@@ -22,10 +24,6 @@
 constexpr std::uint64_t kBodyLimitBytes = 16 * 1024 * 1024;
 constexpr std::size_t kPieceBytes = 16 * 1024;
 
-auto Redirect(error_code& error) {
-  return asio::redirect_error(asio::use_awaitable, error);
-}
-
 Fault ToFault(const error_code& error) {
   if (error == beast::error::timeout) {
     return {FaultKind::kTimeout, error.message()};
--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -3,7 +3,6 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
@@ -11,6 +10,7 @@
 #include <unordered_set>
 
 #include "dandelionscale/runtime/logger.h"
+#include "transport/socket_helpers.h"
 
 namespace dandelionscale {
 
@@ -18,16 +18,13 @@
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 using boost::system::error_code;
+using internal::Redirect;
 
 namespace {
 
 // Beast closes the connection when this much is read beyond one request.
 constexpr std::size_t kReadBufferBytes = 64 * 1024;
 
-auto Redirect(error_code& error) {
-  return asio::redirect_error(asio::use_awaitable, error);
-}
-
 Fault ToFault(const error_code& error) {
   if (error == http::error::header_limit || error == http::error::body_limit ||
       error == http::error::buffer_overflow) {
@@ -292,18 +289,12 @@
 HttpServer::~HttpServer() { this->StopAccepting(); }
 
 Result<Endpoint> HttpServer::Listen(const Endpoint& endpoint) {
-  try {
-    auto& acceptor = this->state->acceptor;
-    acceptor.open(endpoint.protocol());
-    acceptor.set_option(asio::socket_base::reuse_address(true));
-    acceptor.bind(endpoint);
-    acceptor.listen();
+  auto bound = internal::OpenAcceptor(this->state->acceptor, endpoint);
+  if (bound.has_value()) {
     asio::co_spawn(this->state->executor, this->state->Accept(),
                    asio::detached);
-    return acceptor.local_endpoint();
-  } catch (const boost::system::system_error& error) {
-    return Fault{FaultKind::kConnectFailed, error.what()};
   }
+  return bound;
 }
 
 void HttpServer::StopAccepting() {
--- a/src/transport/peer_connection.cc
+++ b/src/transport/peer_connection.cc
@@ -2,13 +2,13 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <deque>
 #include <vector>
 
 #include "dandelionscale/runtime/event.h"
 #include "transport/http2_session.h"
+#include "transport/socket_helpers.h"
 
 namespace dandelionscale {
 
@@ -17,6 +17,7 @@
 using internal::FrameMessage;
 using internal::Http2Session;
 using internal::Http2Stream;
+using internal::Redirect;
 
 namespace {
 
@@ -24,10 +25,6 @@
 // A failed connect fails further calls at once for this long.
 constexpr Duration kReconnectDelay = std::chrono::milliseconds(100);
 
-auto Redirect(error_code& error) {
-  return asio::redirect_error(asio::use_awaitable, error);
-}
-
 /// \brief Client side of a stream: messages queue up until they are read.
 class ClientStream : public Http2Stream {
  public:
@@ -191,11 +188,18 @@
 }
 
 struct PeerServer::State : std::enable_shared_from_this<PeerServer::State> {
-  State(asio::any_io_executor executor, PeerHandler handler)
-      : executor(executor), handler(std::move(handler)), acceptor(executor) {}
+  State(asio::any_io_executor executor, PeerHandler handler,
+        std::string counted_path, ByteCounters* counters)
+      : executor(executor),
+        handler(std::move(handler)),
+        counted_path(std::move(counted_path)),
+        counters(counters),
+        acceptor(executor) {}
 
   asio::any_io_executor executor;
   PeerHandler handler;
+  std::string counted_path;
+  ByteCounters* counters;
   asio::ip::tcp::acceptor acceptor;
   bool stopping = false;
   std::vector<std::weak_ptr<Http2Session>> sessions;
@@ -225,6 +229,9 @@
       return;
     }
     this->PeerCall::path = this->Http2Stream::path;
+    if (this->PeerCall::path == this->state->counted_path) {
+      session->CountInto(this->state->counters);
+    }
     asio::co_spawn(this->state->executor, Run(this->shared_from_this()),
                    asio::detached);
   }
@@ -294,8 +301,10 @@
   }
 }
 
-PeerServer::PeerServer(asio::any_io_executor executor, PeerHandler handler)
-    : state(std::make_shared<State>(executor, std::move(handler))) {}
+PeerServer::PeerServer(asio::any_io_executor executor, PeerHandler handler,
+                       std::string counted_path, ByteCounters* counters)
+    : state(std::make_shared<State>(executor, std::move(handler),
+                                    std::move(counted_path), counters)) {}
 
 PeerServer::~PeerServer() {
   this->StopAccepting();
@@ -305,18 +314,12 @@
 }
 
 Result<Endpoint> PeerServer::Listen(const Endpoint& endpoint) {
-  try {
-    auto& acceptor = this->state->acceptor;
-    acceptor.open(endpoint.protocol());
-    acceptor.set_option(asio::socket_base::reuse_address(true));
-    acceptor.bind(endpoint);
-    acceptor.listen();
+  auto bound = internal::OpenAcceptor(this->state->acceptor, endpoint);
+  if (bound.has_value()) {
     asio::co_spawn(this->state->executor, this->state->Accept(),
                    asio::detached);
-    return acceptor.local_endpoint();
-  } catch (const boost::system::system_error& error) {
-    return Fault{FaultKind::kConnectFailed, error.what()};
   }
+  return bound;
 }
 
 void PeerServer::StopAccepting() {
--- /dev/null
+++ b/src/transport/socket_helpers.h
@@ -0,0 +1,25 @@
+#ifndef DANDELIONSCALE_SRC_TRANSPORT_SOCKET_HELPERS_H_
+#define DANDELIONSCALE_SRC_TRANSPORT_SOCKET_HELPERS_H_
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "dandelionscale/runtime/fault.h"
+#include "dandelionscale/transport/address.h"
+
+namespace dandelionscale::internal {
+
+/// \returns a completion token for coroutines that stores the error in `error`
+/// instead of throwing it.
+inline auto Redirect(boost::system::error_code& error) {
+  return boost::asio::redirect_error(boost::asio::use_awaitable, error);
+}
+
+/// \brief Binds `acceptor` and starts to listen. \returns the bound endpoint.
+Result<Endpoint> OpenAcceptor(boost::asio::ip::tcp::acceptor& acceptor,
+                              const Endpoint& endpoint);
+
+}  // namespace dandelionscale::internal
+
+#endif  // DANDELIONSCALE_SRC_TRANSPORT_SOCKET_HELPERS_H_
--- a/tests/transport_test.cc
+++ b/tests/transport_test.cc
@@ -18,7 +18,8 @@
 
 namespace asio = boost::asio;
 
-const Endpoint kAnyPort(asio::ip::address_v4::loopback(), 0);
+/// \returns a loopback endpoint with a port of the system's choice.
+Endpoint AnyPort() { return {asio::ip::address_v4::loopback(), 0}; }
 
 TEST_CASE("events are read across any split of the bytes") {
   const std::string text =
@@ -62,12 +63,16 @@
 
 TEST_CASE("a peer call is answered, and an ended stream reads as empty") {
   asio::io_context loop(1);
-  PeerServer server(loop.get_executor(), [](PeerCall& call) -> Awaitable<void> {
-    const std::string reply = "re:" + std::string(call.Message());
-    co_await call.Send(reply);
-    co_await call.Send(reply);
-  });
-  const Endpoint endpoint = server.Listen(kAnyPort).value();
+  ByteCounters served;
+  PeerServer server(
+      loop.get_executor(),
+      [](PeerCall& call) -> Awaitable<void> {
+        const std::string reply = "re:" + std::string(call.Message());
+        co_await call.Send(reply);
+        co_await call.Send(reply);
+      },
+      "/x", &served);
+  const Endpoint endpoint = server.Listen(AnyPort()).value();
   ByteCounters counters;
   PeerClient client(loop.get_executor(), endpoint, &counters);
   std::vector<std::string> replies;
@@ -88,6 +93,9 @@
   CHECK(replies == std::vector<std::string>{"re:hello", "re:hello", ""});
   CHECK(counters.sent > 0);
   CHECK(counters.received > 0);
+  // Both sides count the same connection.
+  CHECK(served.received <= counters.sent);
+  CHECK(served.received > 0);
 }
 
 TEST_CASE(
@@ -114,7 +122,7 @@
     const std::string reply(call.Message());
     co_await call.Send(reply);
   });
-  const Endpoint endpoint = server.Listen(kAnyPort).value();
+  const Endpoint endpoint = server.Listen(AnyPort()).value();
   bool closed = false;
   std::string reply;
   asio::co_spawn(
@@ -152,7 +160,7 @@
                       response.body = exchange.Request().target;
                       co_await exchange.Respond(std::move(response));
                     });
-  const Endpoint endpoint = server.Listen(kAnyPort).value();
+  const Endpoint endpoint = server.Listen(AnyPort()).value();
   HttpClient client(loop.get_executor(), nullptr);
   std::vector<std::string> bodies;
   asio::co_spawn(
--- a/workloads/cooperative.sh
+++ b/workloads/cooperative.sh
@@ -1,6 +1,7 @@
 # The Asociación Pantuflas de Lana Andina today.
 export ZONES=cusco-a,puno-b,arequipa-c
 export ROUTERS=${ROUTERS:-7} ENGINES=${ENGINES:-20} PLAIN_ENGINES=3
+export EXTRA_WORKSPACES=${EXTRA_WORKSPACES:-0}
 export CHAT_SERVICE=pattern PLAIN_SERVICE=ledger
 export WORKSPACES=puno:7,cusco:5,market:4,w4:1,w5:1,w6:1,w7:1,w8:1,w9:1,w10:1
 ENGINE_SETTINGS="--prefill-us 60 --token-ms 20 --cache-tokens 12000"
