Make the tests of broken answers wait for tokens, not for time

Cause: they killed a process 700 ms after the request, which a slow machine may not have begun by then; and the shutdown test left clients 400 ms between the balancer's change and the closed listener. Now the kill follows the third token, and routers keep their default grace of 3 s. The capacity page counts a leaf and an inner router of the digest tree apart.

--- a/load/chat_client.cc
+++ b/load/chat_client.cc
@@ -24,16 +24,16 @@
   }
 }
 
-/// \brief Adds one event to the answer. \returns true at the end.
-bool ApplyEvent(const SseEvent& event, TimePoint now, TimePoint& last_token,
+/// \brief Adds one event to the answer.
+void ApplyEvent(const SseEvent& event, TimePoint now, TimePoint& last_token,
                 ChatAnswer& answer) {
   if (event.event == "error") {
     ReadProblem(event.data, answer);
-    return true;
+    return;
   }
   if (event.data == "[DONE]") {
     answer.whole = true;
-    return true;
+    return;
   }
   const json::value data = json::parse(event.data);
   const json::value& delta = data.at("choices").at(0).at("delta");
@@ -45,7 +45,6 @@
   last_token = now;
   answer.content += json::value_to<std::string>(delta.at("content"));
   answer.last_event_id = event.id;
-  return false;
 }
 
 }  // namespace
@@ -73,7 +72,7 @@
 Awaitable<ChatAnswer> ChatClient::Send(Endpoint router, ChatTurn turn) {
   HttpRequest request = MakeChatRequest(turn);
   ChatAnswer answer;
-  co_return co_await this->Exchange(router, std::move(request), turn.timeout,
+  co_return co_await this->Exchange(router, std::move(request), std::move(turn),
                                     std::move(answer));
 }
 
@@ -83,17 +82,16 @@
   request.headers.Add("Last-Event-ID", broken.last_event_id);
   broken.reason.clear();
   broken.outcome.clear();
-  co_return co_await this->Exchange(router, std::move(request), turn.timeout,
+  co_return co_await this->Exchange(router, std::move(request), std::move(turn),
                                     std::move(broken));
 }
 
 Awaitable<ChatAnswer> ChatClient::Exchange(Endpoint router, HttpRequest request,
-                                           Duration timeout,
-                                           ChatAnswer answer) {
+                                           ChatTurn turn, ChatAnswer answer) {
   const TimePoint started = RuntimeClock::now();
-  const TimePoint deadline = started + timeout;
+  const TimePoint deadline = started + turn.timeout;
   auto opened = co_await this->http.Open(router, std::move(request),
-                                         ConnectionUse::kReuse, timeout);
+                                         ConnectionUse::kReuse, turn.timeout);
   if (opened.has_error()) {
     answer.reason = ToString(opened.error().kind);
     answer.outcome = "connection";
@@ -121,6 +119,7 @@
       auto event = reader.Next();
       if (event.has_error() || !event.value()) break;
       ApplyEvent(*event.value(), RuntimeClock::now(), last_token, answer);
+      if (turn.on_token) turn.on_token();
     }
   }
   if (!events) ReadProblem(body, answer);
--- a/load/chat_client.h
+++ b/load/chat_client.h
@@ -2,6 +2,7 @@
 #define DANDELIONSCALE_LOAD_CHAT_CLIENT_H_
 
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -25,6 +26,8 @@
   std::vector<ChatMessage> messages;
   std::size_t answer_tokens = 16;
   Duration timeout = std::chrono::seconds(30);
+  /// Called after each token that arrives; may be empty.
+  std::function<void()> on_token;
 };
 
 /// \brief What a client saw of one turn.
@@ -56,7 +59,7 @@
 
  private:
   Awaitable<ChatAnswer> Exchange(Endpoint router, HttpRequest request,
-                                 Duration timeout, ChatAnswer answer);
+                                 ChatTurn turn, ChatAnswer answer);
 
   HttpClient http;
 };
--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -17,24 +17,25 @@
 END {
   routers = 410; engines = 600; requests = 5500; sessions = 2700000
   workspaces = 2500; changes = 320; services = 7; fan_out = 4; document = 140000
-  # A digest grows by 2 x 20 bytes for each further service, both ways.
+  # A service adds 13 encoded bytes to a digest and to its reply (proto/peer.proto).
   link = peers["routers", 64] / (2 * 63 / 64)
-  link_services = link + (services - 2) * 20 * 2 * 2.5
+  link_services = link + (services - 2) * 13 * 2 * 2.5
   peers_mean = 2 * link_services
   peers_inner = (fan_out + 1) * link_services
   probe = (probes["engines", 240] - probes["engines", 20]) / ((240 - 20) / 8)
   probes_target = probe * engines / routers
   polls = platform["routers", 64]
-  config = changes * document / 86400 * (fan_out + 1)
+  config = changes * document / 86400
   memory_target = memory["routers", 64] + (memory["workspaces", 2500] - memory["workspaces", 10]) + sessions / routers * session_bytes / 1048576 + (memory["engines", 240] - memory["engines", 20]) / 220 * engines + (memory["routers", 64] - memory["routers", 8]) / 56 * (routers - 64)
   printf "| per router | mechanism | measured | at the target | allowed |\n|---|---|---|---|---|\n"
   printf "| load digests, leaf | `DigestTree`, one link up | %.0f B/s a link | %.0f B/s | |\n", link, link_services
   printf "| load digests, inner | `DigestTree`, four down, one up | | %.0f B/s | |\n", peers_inner
   printf "| leases, members, configuration, host list | `MembershipService`, one batch a poll | %.0f B/s at 64 routers | %.0f B/s | |\n", polls, polls
   printf "| engine reports | `EngineProber`, owned engines only | %.0f B/s an engine | %.0f B/s | |\n", probe, probes_target
-  printf "| configuration pushes | `ConfigurationService::Push`, %d changes a day of %d KB | | %.0f B/s mean | |\n", changes, document / 1000, config
+  printf "| configuration pushes, leaf | `ConfigurationService::Push`, %d changes a day of %d KB, received once | | %.0f B/s mean | |\n", changes, document / 1000, config
+  printf "| configuration pushes, inner | the same, and sent to four | | %.0f B/s mean | |\n", config * (fan_out + 1)
   printf "| **control in all, leaf** | | | **%.0f B/s** | 4,096 B/s |\n", link_services + polls + probes_target + config
-  printf "| **control in all, inner** | | | **%.0f B/s** | 4,096 B/s |\n", peers_inner + polls + probes_target + config
+  printf "| **control in all, inner** | | | **%.0f B/s** | 4,096 B/s |\n", peers_inner + polls + probes_target + config * (fan_out + 1)
   printf "| sessions | `SessionMemory` | %.1f B a session | %.0f sessions, %.2f MB | |\n", session_bytes, sessions / routers, sessions / routers * session_bytes / 1048576
   printf "| **memory** | all of it | %.1f MB at 64 routers | **%.1f MB** | 64 MB |\n", memory["routers", 64], memory_target
   printf "| routing decisions | `OwnerCore::Place` | %d ns | %.4f%% of a core | |\n", decision_ns, requests / routers * 2 * decision_ns / 1e7
--- a/tests/drain_and_shutdown_test.cc
+++ b/tests/drain_and_shutdown_test.cc
@@ -77,9 +77,7 @@
 }
 
 TEST_CASE("routers that are ended in turn under load cut nothing off") {
-  ProcessFleet fleet({.base = 23200,
-                      .engine_arguments = {"--token-ms", "30"},
-                      .router_arguments = {"--shutdown-grace-ms", "1000"}});
+  ProcessFleet fleet({.base = 23200, .engine_arguments = {"--token-ms", "30"}});
   std::atomic<bool> stop = false;
   std::atomic<int> served = 0;
   std::atomic<int> failed = 0;
--- a/tests/whole_answer_test.cc
+++ b/tests/whole_answer_test.cc
@@ -60,6 +60,26 @@
   return answer;
 }
 
+/// \brief Starts a turn and runs the loop until a few tokens have arrived.
+void SendUntilBegun(asio::io_context& loop, load::ChatClient& client,
+                    Endpoint router, load::ChatTurn turn,
+                    load::ChatAnswer& answer) {
+  constexpr int kTokens = 3;
+  int tokens = 0;
+  // The counter is not used any more once the tokens have arrived.
+  turn.on_token = [&tokens, begun = false]() mutable {
+    if (begun) return;
+    begun = ++tokens == kTokens;
+  };
+  asio::co_spawn(
+      loop,
+      [&client, &answer, router, turn]() -> Awaitable<void> {
+        answer = co_await client.Send(router, turn);
+      },
+      asio::detached);
+  while (tokens < kTokens) loop.run_one();
+}
+
 /// \returns the engine's own answer to a request, asked from its start.
 std::string EnginesAnswer(const ProcessFleet& fleet,
                           const load::ChatAnswer& answer) {
@@ -106,13 +126,7 @@
   asio::io_context loop(1);
   load::ChatClient client(loop.get_executor());
   load::ChatAnswer broken;
-  asio::co_spawn(
-      loop,
-      [&]() -> Awaitable<void> {
-        broken = co_await client.Send(Router(fleet, 1), MakeTurn("s"));
-      },
-      asio::detached);
-  loop.run_for(std::chrono::milliseconds(700));
+  SendUntilBegun(loop, client, Router(fleet, 1), MakeTurn("s"), broken);
   fleet.Signal("router-1", SIGKILL);
   loop.run();
   CHECK_FALSE(broken.whole);
@@ -143,13 +157,7 @@
   asio::io_context loop(1);
   load::ChatClient client(loop.get_executor());
   load::ChatAnswer answer;
-  asio::co_spawn(
-      loop,
-      [&]() -> Awaitable<void> {
-        answer = co_await client.Send(Router(fleet, entry), turn);
-      },
-      asio::detached);
-  loop.run_for(std::chrono::milliseconds(700));
+  SendUntilBegun(loop, client, Router(fleet, entry), turn, answer);
   fleet.Signal(owner, SIGKILL);
   loop.run();
   INFO(answer.reason);
@@ -165,13 +173,7 @@
   asio::io_context loop(1);
   load::ChatClient client(loop.get_executor());
   load::ChatAnswer answer;
-  asio::co_spawn(
-      loop,
-      [&]() -> Awaitable<void> {
-        answer = co_await client.Send(Router(fleet, 2), MakeTurn("s"));
-      },
-      asio::detached);
-  loop.run_for(std::chrono::milliseconds(700));
+  SendUntilBegun(loop, client, Router(fleet, 2), MakeTurn("s"), answer);
   fleet.Get(fleet.Port(3), "/fake/engine/0/down");
   loop.run();
   CHECK_FALSE(answer.whole);
