--- a/include/dandelionscale/runtime/settings.h
+++ b/include/dandelionscale/runtime/settings.h
@@ -29,8 +29,10 @@
 struct AddressRange {
   bool required = false;
 };
-using SettingRange =
-    std::variant<TextRange, IntegerRange, RealRange, ChoiceRange, AddressRange>;
+/// \brief Addresses separated by commas; may be empty.
+struct AddressListRange {};
+using SettingRange = std::variant<TextRange, IntegerRange, RealRange,
+                                  ChoiceRange, AddressRange, AddressListRange>;
 
 /// \brief Declares one setting: flag `--name`, variable `DANDELION_NAME`.
 struct SettingSpec {
--- a/src/router/router_settings.cc
+++ b/src/router/router_settings.cc
@@ -41,7 +41,7 @@
       {"seed-peers", "",
        "IP:PORT of routers, comma-separated, asked when the platform is down "
        "at the start",
-       TextRange{}},
+       AddressListRange{}},
       {"admin-token", "", "bearer token of operators", TextRange{true}},
       {"placement", "owner", "placement policy; all but owner are baselines",
        ChoiceRange{
--- a/src/runtime/settings.cc
+++ b/src/runtime/settings.cc
@@ -43,6 +43,9 @@
     std::string operator()(const AddressRange& r) const {
       return r.required ? "IP:PORT, required" : "IP:PORT or empty";
     }
+    std::string operator()(const AddressListRange&) const {
+      return "IP:PORT, comma-separated, or empty";
+    }
   };
   return std::visit(Visitor{}, range);
 }
@@ -84,6 +87,14 @@
       if (this->value.empty()) return !r.required;
       return IsAddress(this->value);
     }
+    bool operator()(const AddressListRange&) const {
+      std::istringstream list(this->value);
+      std::string item;
+      while (std::getline(list, item, ',')) {
+        if (!IsAddress(item)) return false;
+      }
+      return true;
+    }
   };
   return std::visit(Visitor{value}, range);
 }
--- a/tests/runtime_test.cc
+++ b/tests/runtime_test.cc
@@ -82,12 +82,12 @@
 }
 
 TEST_CASE("all wrong settings are told together") {
-  const auto names =
-      SettingFaultNames({"--name", "r", "--availability-zone", "z",
-                         "--platform-address", "nowhere", "--lease-ms", "0",
-                         "--placement", "best", "--admin-token", "t"});
-  CHECK(names ==
-        std::vector<std::string>{"platform-address", "placement", "lease-ms"});
+  const auto names = SettingFaultNames(
+      {"--name", "r", "--availability-zone", "z", "--platform-address",
+       "nowhere", "--seed-peers", "127.0.0.1:1,here", "--lease-ms", "0",
+       "--placement", "best", "--admin-token", "t"});
+  CHECK(names == std::vector<std::string>{"platform-address", "seed-peers",
+                                          "placement", "lease-ms"});
   CHECK(SettingFaultNames({"--no-such-flag", "1"}) ==
         std::vector<std::string>{"command line"});
 }
