Compute the capacity page from a generated configuration's size

Cause: the page took a configuration of 600 engines and 2,500 workspaces to be 140 KB without a run. Ruled out: the slopes, which are from docs/slopes.md. Before: 140,000 bytes, an inner router 6,419 B/s of control, a leaf 2,083. After: 114,356 bytes, as scripts/make_configuration.sh prints it; inner 5944 B/s, leaf 1988 B/s. Conclusion: an inner router is still over 4,096 B/s.

--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -1,6 +1,8 @@
 #!/usr/bin/env bash
 # Computes a router's control cost at the target from docs/slopes.md and the
 # benchmark's figures in docs/bench.jsonl; prints Markdown for docs/CAPACITY.md.
+# The configuration's bytes: ENGINES=600 EXTRA_WORKSPACES=2490 (workloads/guild.sh)
+# scripts/make_configuration.sh | wc -c.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 session_bytes=$(sed -n 's/.*bytes_per_session":\([0-9.]*\).*/\1/p' docs/bench.jsonl)
@@ -16,7 +18,7 @@
 }
 END {
   routers = 410; engines = 600; requests = 5500; sessions = 2700000
-  workspaces = 2500; changes = 320; services = 7; fan_out = 4; document = 140000
+  workspaces = 2500; changes = 320; services = 7; fan_out = 4; document = 114356
   # A service adds 13 encoded bytes to a digest and to its reply (proto/peer.proto).
   link = peers["routers", 64] / (2 * 63 / 64)
   link_services = link + (services - 2) * 13 * 2 * 2.5
