Hand a pushed configuration on only if it is news

Cause: with acknowledgements counted through the tree, OnPush handed on versions that were in force already; while routers' views of the tree differ, a push could circle without end. Found by reading the change; no run has shown it. Ruled out: equal views, where the tree has no circle. Conclusion: a router that has the version answers for itself alone, so that a repeated push may count fewer routers than have it in force.

--- a/src/router/configuration_service.cc
+++ b/src/router/configuration_service.cc
@@ -65,6 +65,9 @@
 Awaitable<std::size_t> ConfigurationService::OnPush(std::uint64_t version,
                                                     std::string document,
                                                     std::string sender) {
+  // Only news is handed on, so that a push ends even while views of the tree
+  // differ.
+  if (version <= this->fleet->Config().version) co_return 1;
   if (!this->fleet->AdoptConfiguration(version, document)) co_return 0;
   const std::size_t further = co_await this->Push(sender);
   co_return 1 + further;
