--- /dev/null
+++ b/include/dandelionscale/core/fleet_load.h
@@ -0,0 +1,55 @@
+#ifndef DANDELIONSCALE_CORE_FLEET_LOAD_H_
+#define DANDELIONSCALE_CORE_FLEET_LOAD_H_
+
+#include <cstdint>
+#include <map>
+#include <span>
+#include <string>
+#include <unordered_map>
+
+#include "dandelionscale/runtime/runtime_clock.h"
+
+namespace dandelionscale {
+
+/// \brief Requests that one router has under way at one engine.
+struct EngineLoad {
+  std::uint64_t engine_key = 0;
+  std::uint32_t in_flight = 0;
+};
+
+/// \brief What the other routers say they have under way, and how old it is.
+class FleetLoad {
+ public:
+  /// \brief Replaces what `router` said before.
+  /// \param sequence rises with each report of one incarnation of the router.
+  void OnReport(TimePoint now, const std::string& router,
+                std::uint64_t incarnation, std::uint64_t sequence,
+                std::span<const EngineLoad> loads);
+  /// \brief Drops reports that are too old to plan by.
+  void Expire(TimePoint now);
+
+  /// \returns requests of the other routers at the engine.
+  std::uint32_t At(std::uint64_t engine_key) const;
+  /// \returns the number of routers with a current report.
+  std::size_t Routers() const { return this->reports.size(); }
+  /// \returns the age of the oldest report in use.
+  Duration OldestAge(TimePoint now) const;
+
+ private:
+  struct Report {
+    std::uint64_t incarnation = 0;
+    std::uint64_t sequence = 0;
+    TimePoint received_at{};
+    std::vector<EngineLoad> loads;
+  };
+
+  void Add(const Report& report);
+  void Subtract(const Report& report);
+
+  std::map<std::string, Report, std::less<>> reports;
+  std::unordered_map<std::uint64_t, std::uint32_t> totals;
+};
+
+}  // namespace dandelionscale
+
+#endif  // DANDELIONSCALE_CORE_FLEET_LOAD_H_
--- a/include/dandelionscale/runtime/logger.h
+++ b/include/dandelionscale/runtime/logger.h
@@ -17,13 +17,17 @@
   std::variant<std::string_view, std::int64_t, double, bool> value;
 };
 
-/// \brief Writes JSON lines to standard error.
+class LogSink;
+
+/// \brief Writes JSON lines to standard error, or to a sink.
 ///
 /// Each line holds `time` (UTC), `level`, `event` and the given fields.
 class Logger {
  public:
   /// \brief Sets the lowest level that is written and the name of the process.
   static void Configure(LogLevel lowest, std::string process);
+  /// \brief Writes to `sink` from now on; null stands for standard error.
+  static void UseSink(LogSink* sink);
   /// \brief Writes one line if `level` is high enough.
   static void Write(LogLevel level, std::string_view event,
                     std::initializer_list<LogField> fields);
--- /dev/null
+++ b/src/core/attempt_policy.cc
@@ -0,0 +1,64 @@
+#include "dandelionscale/core/attempt_policy.h"
+
+namespace dandelionscale {
+namespace {
+
+// With less time than this another engine could not answer any more.
+constexpr Duration kLeastTimeToSend = std::chrono::milliseconds(30);
+
+}  // namespace
+
+std::string_view ToString(AttemptFailure failure) {
+  switch (failure) {
+    case AttemptFailure::kNotConnected:
+      return "not_connected";
+    case AttemptFailure::kRefused:
+      return "refused";
+    case AttemptFailure::kWrongEngine:
+      return "wrong_engine";
+    case AttemptFailure::kEngineError:
+      return "engine_error";
+    case AttemptFailure::kNoAnswer:
+      return "no_answer";
+    case AttemptFailure::kStreamBroken:
+      return "stream_broken";
+    case AttemptFailure::kBadAnswer:
+      return "bad_answer";
+  }
+  return "no_answer";
+}
+
+bool IsProvablyNotRun(AttemptFailure failure) {
+  return failure == AttemptFailure::kNotConnected ||
+         failure == AttemptFailure::kRefused ||
+         failure == AttemptFailure::kWrongEngine;
+}
+
+AttemptDecision DecideAfterFailure(const Route& route,
+                                   const AttemptHistory& history) {
+  if (history.time_left < kLeastTimeToSend) return DecideFinal(history);
+  // A send that reached nobody is no attempt.
+  if (history.failure == AttemptFailure::kNotConnected &&
+      history.sends < route.max_attempts) {
+    return SendAgain{history.sends > 0};
+  }
+  if (history.sends >= route.max_attempts) return DecideFinal(history);
+  if (history.any_may_have_run && !route.IsRepeatable()) {
+    return DecideFinal(history);
+  }
+  if (history.events_delivered && !history.can_resume) {
+    return DecideFinal(history);
+  }
+  return SendAgain{true};
+}
+
+AttemptDecision DecideFinal(const AttemptHistory& history) {
+  if (history.events_delivered) return BreakStream{};
+  if (history.failure == AttemptFailure::kEngineError) {
+    return PassEngineAnswer{};
+  }
+  if (!history.any_may_have_run) return RefuseNotRun{};
+  return AnswerFailed{};
+}
+
+}  // namespace dandelionscale
--- /dev/null
+++ b/src/core/fleet_load.cc
@@ -0,0 +1,65 @@
+#include "dandelionscale/core/fleet_load.h"
+
+#include <algorithm>
+
+namespace dandelionscale {
+namespace {
+
+// A router that has been silent for so long is not counted any more.
+constexpr Duration kReportLifetime = std::chrono::milliseconds(1200);
+
+}  // namespace
+
+void FleetLoad::OnReport(TimePoint now, const std::string& router,
+                         std::uint64_t incarnation, std::uint64_t sequence,
+                         std::span<const EngineLoad> loads) {
+  Report& report = this->reports[router];
+  const bool older =
+      incarnation < report.incarnation ||
+      (incarnation == report.incarnation && sequence <= report.sequence);
+  if (older && report.received_at != TimePoint{}) return;
+  this->Subtract(report);
+  report = {incarnation, sequence, now, {loads.begin(), loads.end()}};
+  this->Add(report);
+}
+
+void FleetLoad::Expire(TimePoint now) {
+  for (auto entry = this->reports.begin(); entry != this->reports.end();) {
+    if (now - entry->second.received_at > kReportLifetime) {
+      this->Subtract(entry->second);
+      entry = this->reports.erase(entry);
+    } else {
+      ++entry;
+    }
+  }
+}
+
+std::uint32_t FleetLoad::At(std::uint64_t engine_key) const {
+  auto found = this->totals.find(engine_key);
+  return found == this->totals.end() ? 0 : found->second;
+}
+
+Duration FleetLoad::OldestAge(TimePoint now) const {
+  Duration oldest{0};
+  for (const auto& [router, report] : this->reports) {
+    oldest = std::max(oldest, now - report.received_at);
+  }
+  return oldest;
+}
+
+void FleetLoad::Add(const Report& report) {
+  for (const EngineLoad& load : report.loads) {
+    this->totals[load.engine_key] += load.in_flight;
+  }
+}
+
+void FleetLoad::Subtract(const Report& report) {
+  for (const EngineLoad& load : report.loads) {
+    auto found = this->totals.find(load.engine_key);
+    if (found == this->totals.end()) continue;
+    found->second -= std::min(found->second, load.in_flight);
+    if (found->second == 0) this->totals.erase(found);
+  }
+}
+
+}  // namespace dandelionscale
--- /dev/null
+++ b/src/core/prefix_index.cc
@@ -0,0 +1,101 @@
+#include "dandelionscale/core/prefix_index.h"
+
+#include <algorithm>
+
+#include "dandelionscale/core/hash.h"
+
+namespace dandelionscale {
+namespace {
+
+// Engines reuse what they hold least recently; unused prefixes are gone by
+// then.
+constexpr Duration kHolderLifetime = std::chrono::seconds(60);
+constexpr std::size_t kMostHolders = 8;
+
+}  // namespace
+
+std::vector<PrefixLink> MakePrefixLinks(std::string_view model,
+                                        std::span<const PromptPart> parts) {
+  std::vector<PrefixLink> links;
+  if (parts.empty()) return links;
+  links.reserve(parts.size());
+  std::uint64_t key = HashText(model);
+  std::uint32_t tokens = 0;
+  for (const PromptPart& part : parts.first(parts.size() - 1)) {
+    key = RendezvousWeight(HashText(part.id), key);
+    tokens += part.tokens;
+    links.push_back({key, tokens});
+  }
+  return links;
+}
+
+void PrefixIndex::OnPlaced(TimePoint now, std::uint64_t prefix_key,
+                           std::uint64_t engine_key) {
+  auto [found, added] = this->entries.try_emplace(prefix_key);
+  if (added) {
+    this->order.push_back(prefix_key);
+    this->Trim();
+    found = this->entries.find(prefix_key);
+    if (found == this->entries.end()) return;
+  }
+  Entry& entry = found->second;
+  entry.used_at = now;
+  for (Holder& holder : entry.holders) {
+    if (holder.engine_key != engine_key) continue;
+    holder.used_at = now;
+    return;
+  }
+  if (entry.holders.size() >= kMostHolders) {
+    auto oldest = std::min_element(
+        entry.holders.begin(), entry.holders.end(),
+        [](const Holder& a, const Holder& b) { return a.used_at < b.used_at; });
+    *oldest = {engine_key, now};
+    return;
+  }
+  entry.holders.push_back({engine_key, now});
+}
+
+void PrefixIndex::Forget(std::uint64_t engine_key) {
+  for (auto& [key, entry] : this->entries) {
+    std::erase_if(entry.holders, [engine_key](const Holder& holder) {
+      return holder.engine_key == engine_key;
+    });
+  }
+}
+
+std::uint32_t PrefixIndex::HeldTokens(TimePoint now,
+                                      std::span<const PrefixLink> links,
+                                      std::uint64_t engine_key) const {
+  for (std::size_t n = links.size(); n > 0; --n) {
+    auto found = this->entries.find(links[n - 1].key);
+    if (found == this->entries.end()) continue;
+    for (const Holder& holder : found->second.holders) {
+      if (holder.engine_key == engine_key &&
+          now - holder.used_at < kHolderLifetime) {
+        return links[n - 1].tokens;
+      }
+    }
+  }
+  return 0;
+}
+
+void PrefixIndex::Trim() {
+  std::size_t checks = this->order.size();
+  while (this->entries.size() > this->capacity && checks-- > 0) {
+    const std::uint64_t key = this->order.front();
+    this->order.pop_front();
+    auto found = this->entries.find(key);
+    if (found == this->entries.end()) continue;
+    // Second chance: a prefix used after its successor was added stays.
+    auto next = this->order.empty() ? this->entries.end()
+                                    : this->entries.find(this->order.front());
+    if (next != this->entries.end() &&
+        found->second.used_at > next->second.used_at) {
+      this->order.push_back(key);
+      continue;
+    }
+    this->entries.erase(found);
+  }
+}
+
+}  // namespace dandelionscale
--- /dev/null
+++ b/src/dispatch/belief_watcher.cc
@@ -0,0 +1,177 @@
+#include "dispatch/belief_watcher.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include "dandelionscale/runtime/logger.h"
+
+namespace dandelionscale::internal {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr Duration kReadTimeout = std::chrono::milliseconds(1200);
+// How long one watch call waits. A watch can fall silent without closing; the
+// first router whose call ends tells the others.
+constexpr Duration kWatchWait = std::chrono::milliseconds(2500);
+// Part of the wait by which routers differ.
+constexpr double kWatchSpread = 0.4;
+// Pause after a failed call; grows up to the longest.
+constexpr Duration kShortestPause = std::chrono::milliseconds(100);
+constexpr Duration kLongestPause = std::chrono::milliseconds(800);
+// A router's row is written again until this has worked; rows are read anew
+// this often to find peers that came while digests were lost.
+constexpr Duration kRouterReadInterval = std::chrono::seconds(20);
+
+std::string_view NameOf(StoreTable table) {
+  return table == StoreTable::kConfiguration ? "configuration" : "engines";
+}
+
+Duration Spread(Duration duration, double random) {
+  const double factor = 1.0 - kWatchSpread * random;
+  return Duration(static_cast<Duration::rep>(
+      static_cast<double>(duration.count()) * factor));
+}
+
+}  // namespace
+
+void BeliefWatcher::Start() {
+  asio::co_spawn(this->state.executor,
+                 this->WatchTable(StoreTable::kConfiguration), asio::detached);
+  asio::co_spawn(this->state.executor, this->WatchTable(StoreTable::kEngines),
+                 asio::detached);
+  asio::co_spawn(this->state.executor, this->JoinRouters(), asio::detached);
+}
+
+Awaitable<void> BeliefWatcher::WatchTable(StoreTable table) {
+  bool know_table = false;
+  std::uint64_t version = 0;
+  Duration pause = kShortestPause;
+  while (true) {
+    Result<StoreRows> rows = StoreRows();
+    if (know_table) {
+      const Duration wait = Spread(kWatchWait, this->state.Random());
+      rows = co_await this->store->Watch(table, version, wait);
+    } else {
+      rows = co_await this->store->Read(table, kReadTimeout);
+    }
+    if (rows.has_error()) {
+      const Fault& fault = rows.error();
+      if (fault.kind == FaultKind::kUnexpectedStatus) {
+        Logger::Info("store_history_gone", {{"table", NameOf(table)}});
+        know_table = false;
+        continue;
+      }
+      this->state.OnStoreFailed(NameOf(table), fault);
+      const Duration spread = Spread(pause, this->state.Random());
+      co_await SleepFor(spread);
+      pause = std::min(pause * 2, kLongestPause);
+      continue;
+    }
+    pause = kShortestPause;
+    this->state.OnStoreAnswered(NameOf(table));
+    this->state.metrics.Add("store_calls_total");
+    if (rows->version < version) continue;
+    if (table == StoreTable::kConfiguration) {
+      this->OnConfigurationRows(*rows);
+    } else {
+      this->OnEngineRows(*rows, !know_table);
+    }
+    version = rows->version;
+    know_table = true;
+  }
+}
+
+Awaitable<void> BeliefWatcher::JoinRouters() {
+  const Endpoint& own = this->state.options.peer_address;
+  const std::string address =
+      fmt::format("{}:{}", own.address().to_string(), own.port());
+  bool written = false;
+  while (true) {
+    auto rows = co_await this->store->Read(StoreTable::kRouters, kReadTimeout);
+    bool listed = false;
+    if (rows.has_value()) {
+      for (const StoreRow& row : rows->rows) {
+        if (row.key == this->state.options.name) {
+          listed = row.value == address;
+        } else {
+          this->state.peers.insert(row.value);
+        }
+      }
+    }
+    if (rows.has_value() && !listed) {
+      auto result = co_await this->store->WriteRouter(this->state.options.name,
+                                                      address, kReadTimeout);
+      listed = result.has_value();
+    }
+    if (listed && !written) {
+      written = true;
+      Logger::Info(
+          "router_listed",
+          {{"address", address},
+           {"peers", static_cast<std::int64_t>(this->state.peers.size())}});
+    }
+    const Duration pause = listed ? kRouterReadInterval : kLongestPause;
+    const Duration spread = Spread(pause, this->state.Random());
+    co_await SleepFor(spread);
+  }
+}
+
+void BeliefWatcher::OnConfigurationRows(const StoreRows& rows) {
+  for (const StoreRow& row : rows.rows) {
+    if (row.key != kConfigurationRow || row.removed) continue;
+    this->state.ApplyConfiguration(row.value, "store");
+  }
+}
+
+void BeliefWatcher::OnEngineRows(const StoreRows& rows, bool is_whole_table) {
+  const TimePoint now = RuntimeClock::now();
+  std::vector<EngineUpdate> updates;
+  std::vector<EngineRecord> records;
+  for (const StoreRow& row : rows.rows) {
+    this->state.engines_changed =
+        std::max(this->state.engines_changed, row.version);
+    EngineUpdate update;
+    if (!this->DecodeEngineRow(row, update)) continue;
+    if (!update.removed) records.push_back(update.record);
+    updates.push_back(std::move(update));
+  }
+  this->state.engines_known = true;
+  const std::vector<EngineChange> changes =
+      is_whole_table
+          ? this->state.engines.OnSnapshot(now, rows.version, records)
+          : this->state.engines.OnUpdates(now, rows.version, updates);
+  this->state.OnEngineChanges(changes, "store");
+}
+
+bool BeliefWatcher::DecodeEngineRow(const StoreRow& row, EngineUpdate& update) {
+  update.id = row.key;
+  update.removed = row.removed;
+  if (row.removed) return true;
+  auto log_once = [&](std::string_view what) {
+    if (!this->malformed.insert(row.key).second) return;
+    Logger::Warning("engine_entry_malformed",
+                    {{"engine", row.key}, {"what", what}});
+  };
+  return boost::leaf::try_handle_all(
+      [&]() -> boost::leaf::result<bool> {
+        BOOST_LEAF_AUTO(record,
+                        this->state.dialect->DecodeEngine(row.key, row.value));
+        update.record = std::move(record);
+        return true;
+      },
+      [&](const DecodeFault& fault) {
+        log_once(fault.what);
+        return false;
+      },
+      [&] {
+        log_once("unknown");
+        return false;
+      });
+}
+
+}  // namespace dandelionscale::internal
--- /dev/null
+++ b/src/dispatch/client_connection.cc
@@ -0,0 +1,286 @@
+#include "dispatch/client_connection.h"
+
+#include <fmt/format.h>
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include "dandelionscale/runtime/logger.h"
+#include "dandelionscale/transport/http_fields.h"
+#include "dispatch/http_text.h"
+#include "dispatch/request_dispatch.h"
+#include "dispatch/socket_options.h"
+#include "transport/socket_helpers.h"
+
+namespace dandelionscale::internal {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+namespace {
+
+constexpr unsigned kBadRequest = 400;
+constexpr unsigned kRequestTimeout = 408;
+constexpr unsigned kBodyTooLarge = 413;
+constexpr unsigned kHeadTooLarge = 431;
+constexpr unsigned kUnavailable = 503;
+// Time for a client to take one write.
+constexpr Duration kWriteTimeout = std::chrono::seconds(10);
+// Time for the body to arrive, beyond the time for the head.
+constexpr Duration kBodyTimeout = std::chrono::seconds(10);
+// Share of the memory limit that request bodies may hold.
+constexpr std::size_t kBodyMemoryDivisor = 3;
+constexpr std::size_t kReadBytes = 4096;
+
+bool IsTooLarge(const error_code& error) {
+  return error == http::error::body_limit ||
+         error == http::error::buffer_overflow;
+}
+
+bool IsMalformed(const error_code& error) {
+  return error.category() ==
+             http::make_error_code(http::error::bad_method).category() &&
+         error != http::error::end_of_stream &&
+         error != http::error::partial_message;
+}
+
+// A body whose end two parties could see differently is not accepted.
+bool HasDoubtfulFraming(const HttpHeaders& headers) {
+  int lengths = 0;
+  int encodings = 0;
+  bool chunked = false;
+  for (const HttpHeader& field : headers.Fields()) {
+    if (EqualsIgnoringCase(field.name, "Content-Length")) ++lengths;
+    if (EqualsIgnoringCase(field.name, "Transfer-Encoding")) {
+      ++encodings;
+      chunked = EqualsIgnoringCase(field.value, "chunked");
+    }
+  }
+  if (lengths > 1 || encodings > 1) return true;
+  if (encodings == 1 && (lengths == 1 || !chunked)) return true;
+  return false;
+}
+
+// A request names its host exactly once.
+bool HasOneHost(const HttpHeaders& headers) {
+  int hosts = 0;
+  for (const HttpHeader& field : headers.Fields()) {
+    if (EqualsIgnoringCase(field.name, "Host")) ++hosts;
+  }
+  return hosts == 1;
+}
+
+}  // namespace
+
+ClientConnection::ClientConnection(DispatchState& state, EnginePool& pool,
+                                   asio::ip::tcp::socket socket)
+    : state(state), pool(pool), socket(std::move(socket)) {
+  SetPeerSocketOptions(this->socket);
+}
+
+Awaitable<void> ClientConnection::Serve() {
+  auto self = this->shared_from_this();
+  this->guard = std::make_unique<Watchdog::Guard>(this->state.watchdog,
+                                                  [this] { this->Break(); });
+  while (!this->broken && this->keep_alive) {
+    HttpRequest request;
+    const ReadOutcome outcome = co_await this->ReadRequest(request);
+    if (outcome == ReadOutcome::kClosed) break;
+    if (outcome == ReadOutcome::kRejected) {
+      this->keep_alive = false;
+      break;
+    }
+    this->guard->Clear();
+    this->is_head = request.method == "HEAD";
+    auto dispatch = std::make_shared<RequestDispatch>(
+        this->state, this->pool, *this, std::move(request));
+    co_await dispatch->Run();
+    this->gone_callback.reset();
+    this->state.body_bytes -= this->held_bytes;
+    this->held_bytes = 0;
+    this->busy = false;
+  }
+  this->state.body_bytes -= this->held_bytes;
+  this->guard.reset();
+  error_code ignored;
+  this->socket.shutdown(asio::socket_base::shutdown_send, ignored);
+  this->socket.close(ignored);
+}
+
+Awaitable<ClientConnection::ReadOutcome> ClientConnection::ReadRequest(
+    HttpRequest& request) {
+  const ClientLimits limits =
+      this->state.table ? this->state.table->limits : ClientLimits();
+  error_code error;
+  if (this->buffer.size() == 0) {
+    this->guard->Set(RuntimeClock::now() + limits.idle_timeout);
+    const std::size_t size = co_await this->socket.async_read_some(
+        this->buffer.prepare(kReadBytes), Redirect(error));
+    if (error) co_return ReadOutcome::kClosed;
+    this->buffer.commit(size);
+  }
+  this->busy = true;
+  this->guard->Set(RuntimeClock::now() + limits.header_timeout);
+  http::request_parser<http::string_body> parser;
+  parser.header_limit(static_cast<std::uint32_t>(limits.header_bytes));
+  parser.body_limit(limits.body_bytes);
+  co_await http::async_read_header(this->socket, this->buffer, parser,
+                                   Redirect(error));
+  if (error) {
+    if (error == http::error::header_limit) {
+      co_await this->Reject(kHeadTooLarge);
+    } else if (IsTooLarge(error)) {
+      co_await this->Reject(kBodyTooLarge);
+    } else if (IsMalformed(error)) {
+      co_await this->Reject(kBadRequest);
+    }
+    co_return ReadOutcome::kRejected;
+  }
+  request.headers = CopyHeaders(parser.get());
+  if (HasDoubtfulFraming(request.headers) || !HasOneHost(request.headers)) {
+    co_await this->Reject(kBadRequest);
+    co_return ReadOutcome::kRejected;
+  }
+  const auto length = parser.content_length();
+  this->held_bytes = length ? *length : (parser.chunked() ? kReadBytes : 0);
+  this->state.body_bytes += this->held_bytes;
+  if (this->state.body_bytes >
+      this->state.options.memory_bytes / kBodyMemoryDivisor) {
+    co_await this->Reject(kUnavailable);
+    co_return ReadOutcome::kRejected;
+  }
+  if (EqualsIgnoringCase(request.headers.Find("Expect"), "100-continue")) {
+    co_await this->Write("HTTP/1.1 100 Continue\r\n\r\n");
+  }
+  this->guard->Set(RuntimeClock::now() + limits.header_timeout + kBodyTimeout);
+  if (!parser.is_done()) {
+    co_await http::async_read(this->socket, this->buffer, parser,
+                              Redirect(error));
+  }
+  if (error) {
+    if (IsTooLarge(error)) {
+      co_await this->Reject(kBodyTooLarge);
+    } else if (IsMalformed(error)) {
+      co_await this->Reject(kBadRequest);
+    }
+    co_return ReadOutcome::kRejected;
+  }
+  auto& message = parser.get();
+  request.method = std::string(message.method_string());
+  request.target = std::string(message.target());
+  request.body = std::move(message.body());
+  this->keep_alive = message.keep_alive();
+  co_return ReadOutcome::kRequest;
+}
+
+Awaitable<void> ClientConnection::Reject(unsigned status) {
+  this->state.metrics.Add(
+      fmt::format("client_requests_rejected_total{{status=\"{}\"}}", status));
+  Logger::Info("client_request_rejected",
+               {{"status", static_cast<std::int64_t>(status)}});
+  this->keep_alive = false;
+  HttpHeaders headers;
+  if (status == kUnavailable || status == kRequestTimeout) {
+    headers.Add("Retry-After", "0.5");
+  }
+  co_await this->SendWhole(status, std::move(headers), "");
+}
+
+void ClientConnection::CloseIfIdle() {
+  if (!this->busy) this->Break();
+}
+
+Awaitable<void> ClientConnection::SendWhole(unsigned status,
+                                            HttpHeaders headers,
+                                            std::string_view body) {
+  constexpr unsigned kNoContent = 204;
+  constexpr unsigned kNotModified = 304;
+  this->keep_alive = this->MayKeepAlive();
+  const bool bodiless = status == kNoContent || status == kNotModified;
+  const std::string framing =
+      bodiless || this->is_head
+          ? std::string()
+          : fmt::format("Content-Length: {}", body.size());
+  std::string text = FormatResponseHead(
+      status, headers, framing, this->keep_alive,
+      this->state.table ? this->state.table->limits.idle_timeout
+                        : ClientLimits().idle_timeout);
+  if (!bodiless && !this->is_head) text += body;
+  co_await this->Write(text);
+}
+
+Awaitable<bool> ClientConnection::StartStream(unsigned status,
+                                              const HttpHeaders& headers,
+                                              std::string_view data) {
+  this->keep_alive = this->MayKeepAlive();
+  std::string text = FormatResponseHead(
+      status, headers, "Transfer-Encoding: chunked", this->keep_alive,
+      this->state.table ? this->state.table->limits.idle_timeout
+                        : ClientLimits().idle_timeout);
+  if (!data.empty()) text += FormatChunk(data);
+  co_return co_await this->Write(text);
+}
+
+Awaitable<bool> ClientConnection::SendPiece(std::string_view data) {
+  const std::string chunk = FormatChunk(data);
+  co_return co_await this->Write(chunk);
+}
+
+Awaitable<void> ClientConnection::EndStream() {
+  co_await this->Write(kLastChunk);
+}
+
+void ClientConnection::Break() {
+  this->broken = true;
+  error_code ignored;
+  this->socket.close(ignored);
+}
+
+void ClientConnection::WatchGone(std::function<void()> on_gone) {
+  auto callback = std::make_shared<std::function<void()>>(std::move(on_gone));
+  this->gone_callback = callback;
+  // Only readiness is awaited, so that the next request is not disturbed.
+  this->socket.async_wait(
+      asio::socket_base::wait_read,
+      [self = this->shared_from_this(),
+       watched = std::weak_ptr(callback)](error_code error) {
+        auto alive = watched.lock();
+        if (!alive) return;
+        char byte = 0;
+        error_code peek_error;
+        if (!error) {
+          self->socket.receive(asio::buffer(&byte, 1),
+                               asio::socket_base::message_peek, peek_error);
+        }
+        // Bytes are the next request, sent before this one is answered.
+        if (!error && !peek_error) return;
+        if (peek_error == asio::error::would_block) return;
+        self->Break();
+        (*alive)();
+      });
+}
+
+Awaitable<bool> ClientConnection::Write(std::string_view data) {
+  if (this->broken) co_return false;
+  error_code error;
+  const std::size_t written =
+      this->socket.write_some(asio::buffer(data), error);
+  if (error == asio::error::would_block) error = {};
+  if (!error && written < data.size()) {
+    this->guard->Set(RuntimeClock::now() + kWriteTimeout);
+    co_await asio::async_write(this->socket, asio::buffer(data) + written,
+                               Redirect(error));
+    this->guard->Clear();
+  }
+  if (error) this->broken = true;
+  co_return !this->broken;
+}
+
+bool ClientConnection::MayKeepAlive() const {
+  return this->keep_alive && !this->state.draining;
+}
+
+}  // namespace dandelionscale::internal
--- /dev/null
+++ b/src/dispatch/dispatch_state.cc
@@ -0,0 +1,118 @@
+#include "dispatch/dispatch_state.h"
+
+#include "dandelionscale/core/hash.h"
+#include "dandelionscale/runtime/logger.h"
+#include "dispatch/request_dispatch.h"
+
+namespace dandelionscale::internal {
+namespace {
+
+// Prompt prefixes remembered; about 100 bytes each.
+constexpr std::size_t kPrefixCapacity = 20'000;
+// Routers assumed while none but this one is known.
+constexpr std::size_t kAssumedRouters = 8;
+
+}  // namespace
+
+DispatchState::DispatchState(boost::asio::any_io_executor executor,
+                             DispatchOptions options,
+                             std::shared_ptr<const Dialect> dialect)
+    : executor(executor),
+      options(std::move(options)),
+      dialect(std::move(dialect)),
+      prefixes(kPrefixCapacity),
+      random(HashText(this->options.name) ^
+             static_cast<std::uint64_t>(
+                 RuntimeClock::now().time_since_epoch().count())) {}
+
+bool DispatchState::ApplyConfiguration(std::string_view text,
+                                       std::string_view source) {
+  return boost::leaf::try_handle_all(
+      [&]() -> boost::leaf::result<bool> {
+        BOOST_LEAF_AUTO(decoded, this->dialect->DecodeRoutingTable(text));
+        if (this->table && decoded.version <= this->table->version) {
+          return false;
+        }
+        Logger::Info(
+            "configuration_in_force",
+            {{"version", static_cast<std::int64_t>(decoded.version)},
+             {"before", static_cast<std::int64_t>(
+                            this->table ? this->table->version : 0)},
+             {"source", source},
+             {"routes", static_cast<std::int64_t>(decoded.routes.size())}});
+        this->table = std::make_shared<const RoutingTable>(std::move(decoded));
+        this->table_text = text;
+        this->metrics.Set("configuration_version",
+                          static_cast<double>(this->table->version));
+        for (RequestDispatch* request : this->requests) {
+          request->OnTableChanged(*this->table);
+        }
+        return true;
+      },
+      [&](const DecodeFault& fault) {
+        Logger::Error("configuration_malformed",
+                      {{"source", source}, {"what", fault.what}});
+        return false;
+      },
+      [&] {
+        Logger::Error("configuration_malformed", {{"source", source}});
+        return false;
+      });
+}
+
+void DispatchState::OnEngineChanges(const std::vector<EngineChange>& changes,
+                                    std::string_view source) {
+  for (const EngineChange& change : changes) {
+    Logger::Info(
+        "engine_belief",
+        {{"engine", change.id},
+         {"service", change.service},
+         {"change", ToString(change.kind)},
+         {"source", source},
+         {"version", static_cast<std::int64_t>(this->engines.Version())}});
+    this->metrics.Add("engine_changes_total");
+  }
+}
+
+void DispatchState::OnStoreAnswered(std::string_view table) {
+  this->engines.OnStoreRegained(RuntimeClock::now());
+  if (!this->store_lost) return;
+  this->store_lost = false;
+  Logger::Info("store_regained", {{"table", table}});
+}
+
+void DispatchState::OnStoreFailed(std::string_view table, const Fault& fault) {
+  this->metrics.Add("store_failures_total");
+  this->engines.OnStoreLost();
+  if (this->store_lost) return;
+  this->store_lost = true;
+  Logger::Warning("store_lost", {{"table", table},
+                                 {"fault", ToString(fault.kind)},
+                                 {"detail", fault.detail}});
+}
+
+ServiceState& DispatchState::Service(std::string_view name) {
+  auto found = this->services.find(name);
+  if (found == this->services.end()) {
+    found =
+        this->services
+            .emplace(std::string(name),
+                     std::make_unique<ServiceState>(this->options.retry_budget))
+            .first;
+  }
+  return *found->second;
+}
+
+std::size_t DispatchState::Routers() const {
+  return this->peers.empty() ? kAssumedRouters : this->peers.size() + 1;
+}
+
+bool DispatchState::IsReady() const {
+  return this->table != nullptr && this->engines_known && !this->draining;
+}
+
+double DispatchState::Random() {
+  return std::uniform_real_distribution<double>(0, 1)(this->random);
+}
+
+}  // namespace dandelionscale::internal
--- /dev/null
+++ b/src/dispatch/dispatch_state.h
@@ -0,0 +1,87 @@
+/// \file
+/// \brief What the services of one router share.
+#ifndef DANDELIONSCALE_SRC_DISPATCH_DISPATCH_STATE_H_
+#define DANDELIONSCALE_SRC_DISPATCH_DISPATCH_STATE_H_
+
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "dandelionscale/core/admission_queue.h"
+#include "dandelionscale/core/engine_directory.h"
+#include "dandelionscale/core/fleet_load.h"
+#include "dandelionscale/core/fleet_retry_budget.h"
+#include "dandelionscale/core/prefix_index.h"
+#include "dandelionscale/core/routing_table.h"
+#include "dandelionscale/dispatch/dispatch_router.h"
+#include "dandelionscale/runtime/metrics.h"
+#include "dispatch/watchdog.h"
+
+namespace dandelionscale::internal {
+
+class RequestDispatch;
+
+/// \brief What is kept for one service.
+struct ServiceState {
+  explicit ServiceState(RetryBudgetTerms terms) : budget(terms) {}
+  AdmissionQueue queue;
+  FleetRetryBudget budget;
+};
+
+/// \brief Beliefs, counters and requests under way of one router.
+class DispatchState {
+ public:
+  DispatchState(boost::asio::any_io_executor executor, DispatchOptions options,
+                std::shared_ptr<const Dialect> dialect);
+
+  /// \brief Puts a configuration in force if it is newer than the present one.
+  /// \param source where it came from, for the log.
+  /// \returns false if the text is malformed or not newer.
+  bool ApplyConfiguration(std::string_view text, std::string_view source);
+  /// \brief Logs changes of belief and forgets what is gone with the engines.
+  void OnEngineChanges(const std::vector<EngineChange>& changes,
+                       std::string_view source);
+  /// \brief The store answered, or failed to.
+  void OnStoreAnswered(std::string_view table);
+  void OnStoreFailed(std::string_view table, const Fault& fault);
+
+  ServiceState& Service(std::string_view name);
+  /// \returns the number of routers that may exist, this one included.
+  std::size_t Routers() const;
+  /// \returns true if clients should be sent here.
+  bool IsReady() const;
+  /// \returns a random number from 0 to 1.
+  double Random();
+
+  boost::asio::any_io_executor executor;
+  DispatchOptions options;
+  std::shared_ptr<const Dialect> dialect;
+  Metrics metrics;
+  Watchdog watchdog;
+
+  std::shared_ptr<const RoutingTable> table;  ///< Null until one is known.
+  std::string table_text;                     ///< As the store holds it.
+  EngineDirectory engines;
+  std::uint64_t engines_changed = 0;  ///< Version of the newest engine entry.
+  bool engines_known = false;
+  FleetLoad fleet_load;
+  PrefixIndex prefixes;
+  std::vector<PrefixPlacement> recent_placements;  ///< For the next digest.
+  std::set<std::string> peers;  ///< Addresses of other routers, IP:PORT.
+
+  std::set<RequestDispatch*> requests;  ///< Under way.
+  std::size_t body_bytes = 0;           ///< Held of all request bodies.
+  bool draining = false;
+  bool store_lost = false;
+
+ private:
+  std::map<std::string, std::unique_ptr<ServiceState>, std::less<>> services;
+  std::mt19937_64 random;
+};
+
+}  // namespace dandelionscale::internal
+
+#endif  // DANDELIONSCALE_SRC_DISPATCH_DISPATCH_STATE_H_
--- /dev/null
+++ b/src/dispatch/engine_exchange.cc
@@ -0,0 +1,173 @@
+#include "dispatch/engine_exchange.h"
+
+#include <fmt/format.h>
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/read.hpp>
+
+#include "dandelionscale/runtime/logger.h"
+#include "dandelionscale/transport/http_fields.h"
+#include "dispatch/http_text.h"
+#include "transport/socket_helpers.h"
+
+namespace dandelionscale::internal {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+namespace {
+
+constexpr std::uint32_t kHeaderLimitBytes = 64 * 1024;
+constexpr std::size_t kPieceBytes = 16 * 1024;
+// Late answers that are passed over before a connection is given up.
+constexpr int kMostForeignAnswers = 3;
+
+// Reads `timeout=N` of a Keep-Alive field.
+Duration StatedLifetime(std::string_view keep_alive) {
+  constexpr std::string_view kTimeout = "timeout=";
+  for (std::string_view item : SplitList(keep_alive)) {
+    if (!item.starts_with(kTimeout)) continue;
+    return std::chrono::seconds(
+        std::atoi(std::string(item.substr(kTimeout.size())).c_str()));
+  }
+  return {};
+}
+
+}  // namespace
+
+Awaitable<std::optional<AttemptFailure>> EngineExchange::Open(
+    const HttpRequest& request, const HttpHeaders& headers,
+    std::string_view request_id, ReuseCare care) {
+  auto acquired = co_await this->pool.Acquire(this->engine, care);
+  if (acquired.has_error()) co_return AttemptFailure::kNotConnected;
+  this->connection = acquired.value();
+  // The engine may have begun to drain while the connection was opened.
+  if (this->cancelled || this->engine->draining || this->engine->gone) {
+    co_return AttemptFailure::kNotConnected;
+  }
+  if (!co_await this->Send(request, headers)) co_return this->LostFailure();
+  co_return co_await this->ReadHead(request.method, request_id);
+}
+
+Awaitable<bool> EngineExchange::Send(const HttpRequest& request,
+                                     const HttpHeaders& headers) {
+  auto text = std::make_shared<std::string>(FormatRequest(request, headers));
+  error_code error;
+  const std::size_t written =
+      this->connection->socket.write_some(asio::buffer(*text), error);
+  this->sent = written > 0;
+  if (error && error != asio::error::would_block) co_return false;
+  if (written == text->size()) co_return true;
+  // The engine may answer before it has read everything: the rest is written
+  // while the answer is awaited.
+  this->sent = true;
+  *this->write_done = false;
+  auto rest = asio::buffer(*text) + written;
+  asio::async_write(this->connection->socket, rest,
+                    [text, keep = this->connection, done = this->write_done](
+                        error_code failed, std::size_t) { *done = !failed; });
+  co_return true;
+}
+
+Awaitable<std::optional<AttemptFailure>> EngineExchange::ReadHead(
+    std::string_view method, std::string_view request_id) {
+  for (int n = 0; n <= kMostForeignAnswers; ++n) {
+    if (!co_await this->ReadOneHead(method)) co_return this->LostFailure();
+    this->DecodeHead();
+    const std::string& echoed = this->answer.request_id;
+    const bool is_success = this->answer.status < 300;
+    if (echoed.empty() && is_success) co_return AttemptFailure::kBadAnswer;
+    if (echoed.empty() || echoed == request_id) {
+      const bool bad =
+          is_success && (!this->answer.sealed || this->answer.is_encoded);
+      if (bad) co_return AttemptFailure::kBadAnswer;
+      co_return std::nullopt;
+    }
+    Logger::Warning("foreign_answer", {{"request", request_id},
+                                       {"engine", this->engine->record.id},
+                                       {"answers", echoed}});
+    this->foreign_answers = true;
+    while (!this->parser->is_done()) {
+      auto piece = co_await this->ReadPiece();
+      if (piece.has_error()) co_return this->LostFailure();
+    }
+  }
+  co_return AttemptFailure::kBadAnswer;
+}
+
+Awaitable<bool> EngineExchange::ReadOneHead(std::string_view method) {
+  constexpr int kFirstFinalStatus = 200;
+  while (true) {
+    this->parser = std::make_unique<Parser>();
+    this->parser->header_limit(kHeaderLimitBytes);
+    this->parser->body_limit(boost::none);
+    if (method == "HEAD") this->parser->skip(true);
+    error_code error;
+    co_await http::async_read_header(this->connection->socket,
+                                     this->connection->buffer, *this->parser,
+                                     Redirect(error));
+    if (error || this->cancelled) co_return false;
+    if (this->parser->get().result_int() >= kFirstFinalStatus) co_return true;
+  }
+}
+
+void EngineExchange::DecodeHead() {
+  const auto& message = this->parser->get();
+  const HttpHeaders headers = CopyHeaders(message);
+  this->answer =
+      this->state.dialect->DecodeAnswer(message.result_int(), headers);
+  this->stated_lifetime = StatedLifetime(headers.Find("Keep-Alive"));
+  this->event_stream =
+      headers.Find("Content-Type").starts_with("text/event-stream");
+}
+
+Awaitable<Result<std::string>> EngineExchange::ReadPiece() {
+  while (!this->parser->is_done()) {
+    if (this->cancelled) co_return Fault{FaultKind::kCancelled, "cancelled"};
+    std::string piece(kPieceBytes, '\0');
+    auto& body = this->parser->get().body();
+    body.data = piece.data();
+    body.size = piece.size();
+    body.more = true;
+    error_code error;
+    co_await http::async_read_some(this->connection->socket,
+                                   this->connection->buffer, *this->parser,
+                                   Redirect(error));
+    if (error == http::error::need_buffer) error = {};
+    piece.resize(piece.size() - body.size);
+    // Bytes that came before the connection broke still count.
+    if (!piece.empty()) co_return piece;
+    if (error) co_return Fault{FaultKind::kConnectionLost, error.message()};
+  }
+  co_return std::string();
+}
+
+void EngineExchange::Cancel() {
+  this->cancelled = true;
+  if (this->connection == nullptr) return;
+  error_code ignored;
+  this->connection->socket.close(ignored);
+}
+
+AttemptFailure EngineExchange::LostFailure() const {
+  return this->sent ? AttemptFailure::kNoAnswer : AttemptFailure::kNotConnected;
+}
+
+void EngineExchange::Release() {
+  if (this->connection == nullptr || this->cancelled) return;
+  const bool whole = this->parser != nullptr && this->parser->is_done() &&
+                     this->parser->get().keep_alive() && *this->write_done &&
+                     this->connection->buffer.size() == 0 &&
+                     !this->foreign_answers &&
+                     this->connection->socket.is_open();
+  if (whole) {
+    this->pool.Keep(*this->engine, std::move(this->connection),
+                    this->stated_lifetime);
+    return;
+  }
+  error_code ignored;
+  this->connection->socket.close(ignored);
+}
+
+}  // namespace dandelionscale::internal
--- /dev/null
+++ b/src/dispatch/event_splitter.cc
@@ -0,0 +1,85 @@
+#include "dispatch/event_splitter.h"
+
+#include <charconv>
+#include <utility>
+
+namespace dandelionscale::internal {
+namespace {
+
+// End of the first event in `text`, behind its empty line; 0 if not whole.
+std::size_t EventEnd(std::string_view text) {
+  const auto plain = text.find("\n\n");
+  const auto windows = text.find("\r\n\r\n");
+  if (plain == std::string_view::npos && windows == std::string_view::npos) {
+    return 0;
+  }
+  if (windows < plain) return windows + 4;
+  return plain + 2;
+}
+
+// Value of the event's `id` field; empty if it has none.
+std::string_view IdOf(std::string_view event) {
+  constexpr std::string_view kField = "id:";
+  while (!event.empty()) {
+    const auto end = event.find('\n');
+    std::string_view line = event.substr(0, end);
+    event.remove_prefix(end == std::string_view::npos ? event.size() : end + 1);
+    if (!line.starts_with(kField)) continue;
+    line.remove_prefix(kField.size());
+    if (line.starts_with(' ')) line.remove_prefix(1);
+    if (line.ends_with('\r')) line.remove_suffix(1);
+    return line;
+  }
+  return {};
+}
+
+std::optional<std::uint64_t> Number(std::string_view text) {
+  std::uint64_t value = 0;
+  const auto [end, error] =
+      std::from_chars(text.data(), text.data() + text.size(), value);
+  if (error != std::errc{} || end != text.data() + text.size()) return {};
+  return value;
+}
+
+}  // namespace
+
+std::string EventSplitter::Take(std::string_view bytes) {
+  this->pending += bytes;
+  std::string whole;
+  std::size_t position = 0;
+  while (true) {
+    const std::string_view rest =
+        std::string_view(this->pending).substr(position);
+    const std::size_t size = EventEnd(rest);
+    if (size == 0) break;
+    const std::string_view event = rest.substr(0, size);
+    std::string id;
+    if (!this->IsDuplicate(event, id)) {
+      whole += event;
+      ++this->events;
+      if (!id.empty()) this->last_id = std::move(id);
+    }
+    position += size;
+  }
+  this->pending.erase(0, position);
+  return whole;
+}
+
+std::string EventSplitter::TakeRest() {
+  return std::exchange(this->pending, std::string());
+}
+
+void EventSplitter::OnResumed() {
+  this->pending.clear();
+  this->resumed = true;
+}
+
+bool EventSplitter::IsDuplicate(std::string_view event, std::string& id) const {
+  id = IdOf(event);
+  if (!this->resumed || this->last_id.empty()) return false;
+  const auto number = Number(id);
+  const auto last = Number(this->last_id);
+  return number && last && *number <= *last;
+}
+
+}  // namespace dandelionscale::internal
--- /dev/null
+++ b/src/dispatch/peer_exchange.h
@@ -0,0 +1,59 @@
+/// \file
+/// \brief What routers tell each other: load, placements, newer beliefs.
+#ifndef DANDELIONSCALE_SRC_DISPATCH_PEER_EXCHANGE_H_
+#define DANDELIONSCALE_SRC_DISPATCH_PEER_EXCHANGE_H_
+
+#include <array>
+#include <boost/asio/ip/udp.hpp>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "dandelionscale/transport/http_client.h"
+#include "dandelionscale/transport/http_server.h"
+#include "dispatch/dispatch_state.h"
+
+namespace dandelionscale::wire {
+class RouterDigest;
+class BeliefSnapshot;
+}  // namespace dandelionscale::wire
+
+namespace dandelionscale::internal {
+
+/// \brief Sends digests as datagrams; lets routers that lag fetch a snapshot.
+class PeerExchange {
+ public:
+  explicit PeerExchange(DispatchState& state);
+
+  /// \brief Opens the sockets and starts to exchange.
+  Result<void> Start();
+  /// \brief Sends one digest now, for example before the router ends.
+  void SendDigest();
+
+ private:
+  Awaitable<void> SendDigests();
+  Awaitable<void> ReceiveDigests();
+  void OnDigest(const wire::RouterDigest& digest, const std::string& sender);
+  void FetchIfBehind(const wire::RouterDigest& digest,
+                     const std::string& sender);
+  Awaitable<void> FetchSnapshot(std::string peer);
+  void ApplySnapshot(const wire::BeliefSnapshot& snapshot,
+                     const std::string& peer);
+  Awaitable<void> ServeSnapshot(HttpExchange& exchange);
+
+  DispatchState& state;
+  boost::asio::ip::udp::socket socket;
+  std::array<char, 64 * 1024> datagram{};
+  HttpServer server;
+  HttpClient client;
+  std::uint64_t incarnation;
+  std::uint64_t sequence = 0;
+  std::size_t next_peer = 0;  ///< Of the rotation when there are many.
+  bool fetching = false;
+  std::map<std::string, TimePoint> heard_at;  ///< Peers, for the log.
+  TimePoint behind_since = TimePoint::max();
+};
+
+}  // namespace dandelionscale::internal
+
+#endif  // DANDELIONSCALE_SRC_DISPATCH_PEER_EXCHANGE_H_
--- a/src/runtime/logger.cc
+++ b/src/runtime/logger.cc
@@ -8,12 +8,15 @@
 #include <cstdio>
 #include <ctime>
 
+#include "dandelionscale/runtime/log_sink.h"
+
 namespace dandelionscale {
 namespace {
 
 struct LoggerState {
   LogLevel lowest = LogLevel::kInfo;
   std::string process;
+  LogSink* sink = nullptr;
 };
 
 LoggerState& State() {
@@ -52,6 +55,8 @@
   State().process = std::move(process);
 }
 
+void Logger::UseSink(LogSink* sink) { State().sink = sink; }
+
 void Logger::Write(LogLevel level, std::string_view event,
                    std::initializer_list<LogField> fields) {
   const LoggerState& state = State();
@@ -65,7 +70,12 @@
     std::visit([&](const auto& value) { line[field.name] = value; },
                field.value);
   }
-  fmt::print(stderr, "{}\n", boost::json::serialize(line));
+  const std::string text = boost::json::serialize(line);
+  if (state.sink != nullptr) {
+    state.sink->Write(text, level >= LogLevel::kWarning);
+  } else {
+    fmt::print(stderr, "{}\n", text);
+  }
 }
 
 void Logger::Debug(std::string_view event,
--- /dev/null
+++ b/src/transport/http_fields.cc
@@ -0,0 +1,59 @@
+#include "dandelionscale/transport/http_fields.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/beast/core/string.hpp>
+
+namespace dandelionscale {
+namespace {
+
+constexpr std::array<std::string_view, 10> kHopByHop = {"Connection",
+                                                        "Keep-Alive",
+                                                        "Proxy-Connection",
+                                                        "Proxy-Authenticate",
+                                                        "TE",
+                                                        "Trailer",
+                                                        "Transfer-Encoding",
+                                                        "Upgrade",
+                                                        "Content-Length",
+                                                        "Expect"};
+
+}  // namespace
+
+bool EqualsIgnoringCase(std::string_view left, std::string_view right) {
+  return boost::beast::iequals({left.data(), left.size()},
+                               {right.data(), right.size()});
+}
+
+std::vector<std::string_view> SplitList(std::string_view text) {
+  std::vector<std::string_view> items;
+  while (!text.empty()) {
+    const auto comma = text.find(',');
+    std::string_view item = text.substr(0, comma);
+    text.remove_prefix(comma == std::string_view::npos ? text.size()
+                                                       : comma + 1);
+    const auto first = item.find_first_not_of(" \t");
+    if (first == std::string_view::npos) continue;
+    const auto last = item.find_last_not_of(" \t");
+    items.push_back(item.substr(first, last - first + 1));
+  }
+  return items;
+}
+
+ConnectionOptions::ConnectionOptions(const HttpHeaders& headers) {
+  for (const HttpHeader& field : headers.Fields()) {
+    if (!EqualsIgnoringCase(field.name, "Connection")) continue;
+    const auto items = SplitList(field.value);
+    this->named.insert(this->named.end(), items.begin(), items.end());
+  }
+}
+
+bool ConnectionOptions::IsHopByHop(std::string_view name) const {
+  const auto same = [name](std::string_view other) {
+    return EqualsIgnoringCase(name, other);
+  };
+  return std::any_of(kHopByHop.begin(), kHopByHop.end(), same) ||
+         std::any_of(this->named.begin(), this->named.end(), same);
+}
+
+}  // namespace dandelionscale
