Know what engines' prompt caches hold: observe one router an engine

Change: prompt parts are known one by one; each engine's cache news is followed by one router (rendezvous among those that hear each other) and shared by digests.

--- a/include/dandelionscale/core/prefix_index.h
+++ b/include/dandelionscale/core/prefix_index.h
@@ -18,40 +18,48 @@
   std::uint32_t tokens = 0;
 };
 
-/// \brief A prompt up to and including one shared part.
-///
-/// An engine reuses a part only if it holds all parts before it too, so that
-/// parts are known by the whole chain that ends with them.
+/// \brief One shared part of a prompt, known by its model and id.
 struct PrefixLink {
-  std::uint64_t key = 0;     ///< Hash of the model and all parts so far.
-  std::uint32_t tokens = 0;  ///< Tokens of all parts so far.
+  std::uint64_t key = 0;
+  std::uint32_t tokens = 0;
 };
 
-/// \returns the links of a prompt, shortest first, without its last part, which
+/// \returns the key of a part for a model.
+std::uint64_t PartKey(std::string_view model, std::string_view id);
+
+/// \returns the parts of a prompt in their order, without its last one, which
 ///          belongs to the request or its session alone.
 std::vector<PrefixLink> MakePrefixLinks(std::string_view model,
                                         std::span<const PromptPart> parts);
 
-/// \brief A prompt prefix and the engine that has read it.
+/// \returns the tokens of all `links`.
+std::uint32_t TotalTokens(std::span<const PrefixLink> links);
+
+/// \brief A prompt part and an engine that has read it, or has dropped it.
 struct PrefixPlacement {
-  std::uint64_t prefix_key = 0;
+  std::uint64_t part_key = 0;
   std::uint64_t engine_key = 0;
+  bool dropped = false;
 };
 
-/// \brief Which engines hold which prompt prefixes, as far as placements tell.
+/// \brief Which engines hold which prompt parts.
 ///
-/// Bounded; the least recently used prefixes are forgotten first, as the
-/// engines do.
+/// Learnt from placements and from what engines say of their caches. An engine
+/// reuses a part only if it holds all parts before it too. Bounded; the least
+/// recently used parts are forgotten first, as the engines do.
 class PrefixIndex {
  public:
   explicit PrefixIndex(std::size_t capacity) : capacity(capacity) {}
 
-  /// \brief An engine reads or reuses the prefix.
-  void OnPlaced(TimePoint now, std::uint64_t prefix_key,
-                std::uint64_t engine_key);
+  /// \brief An engine reads, reuses or drops the part.
+  void Apply(TimePoint now, const PrefixPlacement& placement);
+  /// \returns true if some engine is known to hold the part.
+  bool Knows(std::uint64_t part_key) const;
+  /// \returns true if the engine is known to hold the part.
+  bool Holds(std::uint64_t part_key, std::uint64_t engine_key) const;
   /// \brief The engine has lost all that it held.
   void Forget(std::uint64_t engine_key);
-  /// \returns the tokens of the longest prefix that the engine holds.
+  /// \returns the tokens of the leading parts that the engine holds.
   std::uint32_t HeldTokens(TimePoint now, std::span<const PrefixLink> links,
                            std::uint64_t engine_key) const;
   std::size_t Size() const { return this->entries.size(); }
@@ -66,6 +74,9 @@
     TimePoint used_at{};
   };
 
+  void Add(TimePoint now, std::uint64_t part_key, std::uint64_t engine_key);
+  void Drop(std::uint64_t part_key, std::uint64_t engine_key);
+  const Holder* Find(std::uint64_t part_key, std::uint64_t engine_key) const;
   void Trim();
 
   std::size_t capacity;
--- a/include/dandelionscale/dispatch/dialect.h
+++ b/include/dandelionscale/dispatch/dialect.h
@@ -54,6 +54,20 @@
   HttpHeaders end_to_end;  ///< Fields to pass on as they are.
 };
 
+/// \brief An engine has read a prompt part, or dropped it.
+struct CacheEvent {
+  std::uint64_t part_key = 0;  ///< As `PartKey()` makes it.
+  bool dropped = false;
+};
+
+/// \brief News of an engine's prompt cache.
+struct CacheNews {
+  std::string epoch;       ///< Changes when the engine restarts.
+  std::uint64_t next = 0;  ///< Number to ask from the next time.
+  bool has_gap = false;    ///< Older news is not to be had any more.
+  std::vector<CacheEvent> events;
+};
+
 /// \brief Typed error: bytes that are not what they should be.
 struct DecodeFault {
   std::string what;
@@ -85,6 +99,16 @@
   /// \returns an engine's entry; error: `DecodeFault`.
   virtual boost::leaf::result<EngineRecord> DecodeEngine(
       std::string_view id, std::string_view text) const = 0;
+
+  /// \returns the call for news of an engine's cache from number `since` on.
+  /// \param wait how long the engine may hold the call until there is news.
+  virtual HttpRequest EncodeCacheNewsCall(std::uint64_t since,
+                                          Duration wait) const = 0;
+  /// \returns the call for all that an engine's cache holds.
+  virtual HttpRequest EncodeCacheListCall() const = 0;
+  /// \returns the answer to either call; error: `DecodeFault`.
+  virtual boost::leaf::result<CacheNews> DecodeCacheNews(
+      std::string_view text) const = 0;
 };
 
 }  // namespace dandelionscale
--- a/src/core/prefix_index.cc
+++ b/src/core/prefix_index.cc
@@ -14,28 +14,52 @@
 
 }  // namespace
 
+std::uint64_t PartKey(std::string_view model, std::string_view id) {
+  return RendezvousWeight(HashText(id), HashText(model));
+}
+
 std::vector<PrefixLink> MakePrefixLinks(std::string_view model,
                                         std::span<const PromptPart> parts) {
   std::vector<PrefixLink> links;
   if (parts.empty()) return links;
   links.reserve(parts.size());
-  std::uint64_t key = HashText(model);
-  std::uint32_t tokens = 0;
   for (const PromptPart& part : parts.first(parts.size() - 1)) {
-    key = RendezvousWeight(HashText(part.id), key);
-    tokens += part.tokens;
-    links.push_back({key, tokens});
+    links.push_back({PartKey(model, part.id), part.tokens});
   }
   return links;
 }
 
-void PrefixIndex::OnPlaced(TimePoint now, std::uint64_t prefix_key,
-                           std::uint64_t engine_key) {
-  auto [found, added] = this->entries.try_emplace(prefix_key);
+std::uint32_t TotalTokens(std::span<const PrefixLink> links) {
+  std::uint32_t tokens = 0;
+  for (const PrefixLink& link : links) tokens += link.tokens;
+  return tokens;
+}
+
+void PrefixIndex::Apply(TimePoint now, const PrefixPlacement& placement) {
+  if (placement.dropped) {
+    this->Drop(placement.part_key, placement.engine_key);
+  } else {
+    this->Add(now, placement.part_key, placement.engine_key);
+  }
+}
+
+bool PrefixIndex::Knows(std::uint64_t part_key) const {
+  auto found = this->entries.find(part_key);
+  return found != this->entries.end() && !found->second.holders.empty();
+}
+
+bool PrefixIndex::Holds(std::uint64_t part_key,
+                        std::uint64_t engine_key) const {
+  return this->Find(part_key, engine_key) != nullptr;
+}
+
+void PrefixIndex::Add(TimePoint now, std::uint64_t part_key,
+                      std::uint64_t engine_key) {
+  auto [found, added] = this->entries.try_emplace(part_key);
   if (added) {
-    this->order.push_back(prefix_key);
+    this->order.push_back(part_key);
     this->Trim();
-    found = this->entries.find(prefix_key);
+    found = this->entries.find(part_key);
     if (found == this->entries.end()) return;
   }
   Entry& entry = found->second;
@@ -63,18 +87,34 @@
   }
 }
 
+void PrefixIndex::Drop(std::uint64_t part_key, std::uint64_t engine_key) {
+  auto found = this->entries.find(part_key);
+  if (found == this->entries.end()) return;
+  std::erase_if(found->second.holders, [engine_key](const Holder& holder) {
+    return holder.engine_key == engine_key;
+  });
+}
+
+const PrefixIndex::Holder* PrefixIndex::Find(std::uint64_t part_key,
+                                             std::uint64_t engine_key) const {
+  auto found = this->entries.find(part_key);
+  if (found == this->entries.end()) return nullptr;
+  for (const Holder& holder : found->second.holders) {
+    if (holder.engine_key == engine_key) return &holder;
+  }
+  return nullptr;
+}
+
 std::uint32_t PrefixIndex::HeldTokens(TimePoint now,
                                       std::span<const PrefixLink> links,
                                       std::uint64_t engine_key) const {
   for (std::size_t n = links.size(); n > 0; --n) {
-    auto found = this->entries.find(links[n - 1].key);
-    if (found == this->entries.end()) continue;
-    for (const Holder& holder : found->second.holders) {
-      if (holder.engine_key == engine_key &&
-          now - holder.used_at < kHolderLifetime) {
-        return links[n - 1].tokens;
-      }
-    }
+    const Holder* holder = this->Find(links[n - 1].key, engine_key);
+    const bool held =
+        holder != nullptr && now - holder->used_at < kHolderLifetime;
+    // The engine read the parts before it together with this one; of a part
+    // that all engines hold, only some holders are known.
+    if (held) return TotalTokens(links.first(n));
   }
   return 0;
 }
--- a/src/dispatch/belief_watcher.cc
+++ b/src/dispatch/belief_watcher.cc
@@ -95,8 +95,8 @@
     // Written before it is read: of two routers that start together, at least
     // the later writer finds the other, and its digests tell the other of it.
     if (!written) {
-      auto result = co_await this->store->WriteRouter(
-          this->state.options.name, address, kReadTimeout);
+      auto result = co_await this->store->WriteRouter(this->state.options.name,
+                                                      address, kReadTimeout);
       written = result.has_value();
     }
     auto rows = co_await this->store->Read(StoreTable::kRouters, kReadTimeout);
--- a/src/dispatch/dispatch_router.cc
+++ b/src/dispatch/dispatch_router.cc
@@ -7,6 +7,7 @@
 #include "dandelionscale/runtime/logger.h"
 #include "dandelionscale/transport/http_server.h"
 #include "dispatch/belief_watcher.h"
+#include "dispatch/cache_observer.h"
 #include "dispatch/client_connection.h"
 #include "dispatch/dispatch_state.h"
 #include "dispatch/engine_pool.h"
@@ -45,6 +46,7 @@
         pool(this->state),
         watcher(this->state, std::move(store)),
         peers(this->state),
+        observer(this->state),
         acceptor(executor),
         ready_server(executor, HttpServerLimits(),
                      [this](HttpExchange& exchange) {
@@ -68,6 +70,7 @@
   internal::EnginePool pool;
   internal::BeliefWatcher watcher;
   internal::PeerExchange peers;
+  internal::CacheObserver observer;
   asio::ip::tcp::acceptor acceptor;
   HttpServer ready_server;
   HttpServer metrics_server;
@@ -87,6 +90,7 @@
   auto peering = this->peers.Start();
   if (peering.has_error()) return peering.error();
   this->watcher.Start();
+  this->observer.Start();
   asio::co_spawn(this->state.executor, this->Accept(), asio::detached);
   asio::co_spawn(this->state.executor, this->Sweep(), asio::detached);
   return {};
--- a/src/dispatch/dispatch_state.cc
+++ b/src/dispatch/dispatch_state.cc
@@ -91,6 +91,12 @@
                                  {"detail", fault.detail}});
 }
 
+const ServiceSpec* DispatchState::FindService(std::string_view name) const {
+  if (!this->table) return nullptr;
+  auto found = this->table->services.find(name);
+  return found == this->table->services.end() ? nullptr : &found->second;
+}
+
 ServiceState& DispatchState::Service(std::string_view name) {
   auto found = this->services.find(name);
   if (found == this->services.end()) {
--- a/src/dispatch/dispatch_state.h
+++ b/src/dispatch/dispatch_state.h
@@ -48,6 +48,8 @@
   void OnStoreAnswered(std::string_view table);
   void OnStoreFailed(std::string_view table, const Fault& fault);
 
+  /// \returns what the configuration says of a service, or null.
+  const ServiceSpec* FindService(std::string_view name) const;
   ServiceState& Service(std::string_view name);
   /// \returns the number of routers that may exist, this one included.
   std::size_t Routers() const;
@@ -71,6 +73,8 @@
   PrefixIndex prefixes;
   std::vector<PrefixPlacement> recent_placements;  ///< For the next digest.
   std::set<std::string> peers;  ///< Addresses of other routers, IP:PORT.
+  /// Peers whose digests come, and when the last one did.
+  std::map<std::string, TimePoint> peers_heard_at;
 
   std::set<RequestDispatch*> requests;  ///< Under way.
   std::size_t body_bytes = 0;           ///< Held of all request bodies.
--- a/src/dispatch/peer_exchange.cc
+++ b/src/dispatch/peer_exchange.cc
@@ -28,6 +28,8 @@
 constexpr Duration kFetchTimeout = std::chrono::milliseconds(800);
 // A peer that is not heard for so long is reported as lost.
 constexpr Duration kPeerLostAfter = std::chrono::milliseconds(1500);
+// Placements in one digest, so that it stays a few kilobytes.
+constexpr std::size_t kPlacementsEachTime = 250;
 constexpr std::string_view kSnapshotPath = "/snapshot";
 
 std::string ToText(const udp::endpoint& endpoint) {
@@ -91,10 +93,11 @@
     co_await SleepFor(interval);
     const TimePoint now = RuntimeClock::now();
     this->state.fleet_load.Expire(now);
-    for (auto peer = this->heard_at.begin(); peer != this->heard_at.end();) {
+    for (auto peer = this->state.peers_heard_at.begin();
+         peer != this->state.peers_heard_at.end();) {
       if (now - peer->second > kPeerLostAfter) {
         Logger::Warning("peer_lost", {{"peer", peer->first}});
-        peer = this->heard_at.erase(peer);
+        peer = this->state.peers_heard_at.erase(peer);
       } else {
         ++peer;
       }
@@ -116,11 +119,7 @@
     digest.add_engine_keys(engine->key);
     digest.add_loads(engine->in_flight);
   }
-  for (const PrefixPlacement& placement : this->state.recent_placements) {
-    digest.add_placed_prefixes(placement.prefix_key);
-    digest.add_placed_engines(placement.engine_key);
-  }
-  this->state.recent_placements.clear();
+  this->FillPlacements(digest);
   const std::string bytes = digest.SerializeAsString();
   const std::vector<std::string> peers(this->state.peers.begin(),
                                        this->state.peers.end());
@@ -136,6 +135,23 @@
   }
 }
 
+void PeerExchange::FillPlacements(wire::RouterDigest& digest) {
+  auto& placements = this->state.recent_placements;
+  const std::size_t count = std::min(kPlacementsEachTime, placements.size());
+  for (std::size_t n = 0; n < count; ++n) {
+    const PrefixPlacement& placement = placements[n];
+    if (placement.dropped) {
+      digest.add_dropped_parts(placement.part_key);
+      digest.add_dropped_engines(placement.engine_key);
+    } else {
+      digest.add_placed_parts(placement.part_key);
+      digest.add_placed_engines(placement.engine_key);
+    }
+  }
+  placements.erase(placements.begin(),
+                   placements.begin() + static_cast<std::ptrdiff_t>(count));
+}
+
 Awaitable<void> PeerExchange::ReceiveDigests() {
   while (true) {
     udp::endpoint sender;
@@ -150,7 +166,8 @@
     wire::RouterDigest digest;
     if (!digest.ParseFromArray(this->datagram.data(), static_cast<int>(size)) ||
         digest.loads_size() != digest.engine_keys_size() ||
-        digest.placed_engines_size() != digest.placed_prefixes_size()) {
+        digest.placed_engines_size() != digest.placed_parts_size() ||
+        digest.dropped_engines_size() != digest.dropped_parts_size()) {
       this->state.metrics.Add("peer_digests_malformed_total");
       continue;
     }
@@ -162,19 +179,23 @@
                             const std::string& sender) {
   const TimePoint now = RuntimeClock::now();
   this->state.peers.insert(sender);
-  if (!this->heard_at.contains(sender)) {
+  if (!this->state.peers_heard_at.contains(sender)) {
     Logger::Info("peer_heard", {{"peer", sender}, {"name", digest.router()}});
   }
-  this->heard_at[sender] = now;
+  this->state.peers_heard_at[sender] = now;
   std::vector<EngineLoad> loads;
   for (int n = 0; n < digest.engine_keys_size(); ++n) {
     loads.push_back({digest.engine_keys(n), digest.loads(n)});
   }
   this->state.fleet_load.OnReport(now, digest.router(), digest.incarnation(),
                                   digest.sequence(), loads);
-  for (int n = 0; n < digest.placed_prefixes_size(); ++n) {
-    this->state.prefixes.OnPlaced(now, digest.placed_prefixes(n),
-                                  digest.placed_engines(n));
+  for (int n = 0; n < digest.placed_parts_size(); ++n) {
+    this->state.prefixes.Apply(
+        now, {digest.placed_parts(n), digest.placed_engines(n), false});
+  }
+  for (int n = 0; n < digest.dropped_parts_size(); ++n) {
+    this->state.prefixes.Apply(
+        now, {digest.dropped_parts(n), digest.dropped_engines(n), true});
   }
   this->FetchIfBehind(digest, sender);
 }
--- a/src/dispatch/peer_exchange.h
+++ b/src/dispatch/peer_exchange.h
@@ -32,6 +32,7 @@
 
  private:
   Awaitable<void> SendDigests();
+  void FillPlacements(wire::RouterDigest& digest);
   Awaitable<void> ReceiveDigests();
   void OnDigest(const wire::RouterDigest& digest, const std::string& sender);
   void FetchIfBehind(const wire::RouterDigest& digest,
@@ -50,7 +51,6 @@
   std::uint64_t sequence = 0;
   std::size_t next_peer = 0;  ///< Of the rotation when there are many.
   bool fetching = false;
-  std::map<std::string, TimePoint> heard_at;  ///< Peers, for the log.
   TimePoint behind_since = TimePoint::max();
 };
 
--- a/src/dispatch/request_dispatch.cc
+++ b/src/dispatch/request_dispatch.cc
@@ -151,7 +151,7 @@
   question.spread_key = this->spread_key;
   question.load_factor = this->state.options.load_factor;
   if (!this->decoded.prefix.empty()) {
-    question.shared_tokens = this->decoded.prefix.back().tokens;
+    question.shared_tokens = TotalTokens(this->decoded.prefix);
   }
   // If health leaves no engine, a doubtful one is better than none.
   for (bool ignore_health : {false, true}) {
@@ -204,8 +204,9 @@
                                const PlacementDecision& decision) {
   const TimePoint now = RuntimeClock::now();
   for (const PrefixLink& link : this->decoded.prefix) {
-    this->state.prefixes.OnPlaced(now, link.key, engine.key);
-    this->state.recent_placements.push_back({link.key, engine.key});
+    const PrefixPlacement placement{link.key, engine.key};
+    this->state.prefixes.Apply(now, placement);
+    this->state.recent_placements.push_back(placement);
   }
   Logger::Info(
       "request_placed",
@@ -399,9 +400,9 @@
   } else if (*failure != AttemptFailure::kRefused) {
     engine.health.OnFailure(now);
   }
-  const bool holds_nothing = *failure == AttemptFailure::kNotConnected ||
-                             *failure == AttemptFailure::kWrongEngine;
-  if (holds_nothing) this->state.prefixes.Forget(engine.key);
+  if (*failure == AttemptFailure::kWrongEngine) {
+    this->state.prefixes.Forget(engine.key);
+  }
   this->state.metrics.Add(fmt::format("attempt_failures_total{{reason=\"{}\"}}",
                                       ToString(*failure)));
   Logger::Info("attempt_failed",
