--- a/src/core/engine_health.cc
+++ b/src/core/engine_health.cc
@@ -10,7 +10,10 @@
 // Answers that must be known before an engine counts as an outlier.
 constexpr int kSamplesNeeded = 4;
 // An engine is an outlier if it fails this much more often than its service.
-constexpr double kOutlierMargin = 0.2;
+constexpr double kOutlierMargin = 0.3;
+// Failures closer together than this have one cause, such as a link that reset
+// several connections, and count once.
+constexpr Duration kFailureBurst = std::chrono::milliseconds(200);
 // How long an outlier gets nothing after its last failure.
 constexpr Duration kOutlierPause = std::chrono::milliseconds(1500);
 // First pause after a failed connection; doubles up to the longest.
@@ -28,6 +31,7 @@
 }
 
 void EngineHealth::OnFailure(TimePoint now) {
+  if (now - this->last_failure < kFailureBurst) return;
   this->failure_rate += (1 - this->failure_rate) * kSampleWeight;
   ++this->samples;
   this->last_failure = now;
