--- a/include/dandelionscale/core/engine_directory.h
+++ b/include/dandelionscale/core/engine_directory.h
@@ -97,9 +97,17 @@
 
  private:
   void Upsert(const EngineRecord& record, std::vector<EngineChange>& changes);
+  // Why an entry that vanished is kept for a while.
+  enum class Doubt { kNone, kStoreTrouble, kMassRemoval };
+  struct Unlisted {
+    Doubt doubt = Doubt::kNone;
+    TimePoint since{};
+  };
+
   void Unlist(TimePoint now, std::span<const std::string> ids,
               std::vector<EngineChange>& changes);
-  bool IsSuspicious(TimePoint now, std::span<const std::string> ids) const;
+  Doubt DoubtOf(TimePoint now, std::span<const std::string> ids) const;
+  TimePoint KeptUntil(const Unlisted& entry) const;
   void Drop(const std::string& id, std::vector<EngineChange>& changes);
   void Reindex();
 
@@ -109,7 +117,7 @@
   std::map<std::string, std::shared_ptr<Engine>, std::less<>> engines;
   std::map<std::string, std::vector<std::shared_ptr<Engine>>, std::less<>>
       by_service;
-  std::map<std::string, TimePoint, std::less<>> unlisted_since;
+  std::map<std::string, Unlisted, std::less<>> unlisted;
 };
 
 }  // namespace dandelionscale
--- a/src/core/engine_directory.cc
+++ b/src/core/engine_directory.cc
@@ -92,16 +92,9 @@
 
 std::vector<EngineChange> EngineDirectory::Expire(TimePoint now) {
   std::vector<EngineChange> changes;
-  if (this->store_lost) return changes;
   std::vector<std::string> expired;
-  for (const auto& [id, since] : this->unlisted_since) {
-    const bool after_trouble =
-        since <= this->store_regained_at + kRelistPatience;
-    const TimePoint from =
-        after_trouble ? std::max(since, this->store_regained_at) : since;
-    const Duration patience =
-        after_trouble ? kRelistPatience : kMassRemovalPatience;
-    if (now >= from + patience) expired.push_back(id);
+  for (const auto& [id, entry] : this->unlisted) {
+    if (now >= this->KeptUntil(entry)) expired.push_back(id);
   }
   for (const std::string& id : expired) this->Drop(id, changes);
   if (!expired.empty()) this->Reindex();
@@ -118,7 +111,7 @@
 std::vector<EngineRecord> EngineDirectory::Listed() const {
   std::vector<EngineRecord> records;
   for (const auto& [id, engine] : this->engines) {
-    if (this->unlisted_since.contains(id)) continue;
+    if (this->unlisted.contains(id)) continue;
     records.push_back(engine->record);
     records.back().draining = engine->draining;
   }
@@ -144,11 +137,11 @@
         known ? EngineChange::Kind::kRestarted : EngineChange::Kind::kAdded,
         *engine));
     this->engines[record.id] = std::move(engine);
-    this->unlisted_since.erase(record.id);
+    this->unlisted.erase(record.id);
     return;
   }
   Engine& engine = *found->second;
-  if (this->unlisted_since.erase(record.id) > 0) {
+  if (this->unlisted.erase(record.id) > 0) {
     changes.push_back(Change(EngineChange::Kind::kRelisted, engine));
   }
   if (record.draining && !engine.draining) {
@@ -160,27 +153,25 @@
 
 void EngineDirectory::Unlist(TimePoint now, std::span<const std::string> ids,
                              std::vector<EngineChange>& changes) {
-  const bool suspicious = this->IsSuspicious(now, ids);
+  const Doubt doubt = this->DoubtOf(now, ids);
   for (const std::string& id : ids) {
     auto found = this->engines.find(id);
     if (found == this->engines.end()) continue;
     // A draining engine that vanishes has left as announced.
-    if (!suspicious || found->second->draining) {
+    if (doubt == Doubt::kNone || found->second->draining) {
       this->Drop(id, changes);
       continue;
     }
-    if (!this->unlisted_since.emplace(id, now).second) continue;
+    if (!this->unlisted.emplace(id, Unlisted{doubt, now}).second) continue;
     changes.push_back(Change(EngineChange::Kind::kUnlisted, *found->second));
   }
 }
 
-bool EngineDirectory::IsSuspicious(TimePoint now,
-                                   std::span<const std::string> ids) const {
-  if (this->store_lost) return true;
-  if (this->store_regained_at != TimePoint{} &&
-      now < this->store_regained_at + kRelistPatience) {
-    return true;
-  }
+EngineDirectory::Doubt EngineDirectory::DoubtOf(
+    TimePoint now, std::span<const std::string> ids) const {
+  const bool just_regained = this->store_regained_at != TimePoint{} &&
+                             now < this->store_regained_at + kRelistPatience;
+  if (this->store_lost || just_regained) return Doubt::kStoreTrouble;
   std::map<std::string_view, std::size_t> removed;
   for (const std::string& id : ids) {
     auto found = this->engines.find(id);
@@ -190,10 +181,18 @@
   for (const auto& [service, count] : removed) {
     const double known = static_cast<double>(this->Find(service).size());
     if (count >= kMassRemovalLeast && count >= kMassRemovalShare * known) {
-      return true;
+      return Doubt::kMassRemoval;
     }
   }
-  return false;
+  return Doubt::kNone;
+}
+
+TimePoint EngineDirectory::KeptUntil(const Unlisted& entry) const {
+  if (entry.doubt == Doubt::kMassRemoval) {
+    return entry.since + kMassRemovalPatience;
+  }
+  if (this->store_lost) return TimePoint::max();
+  return this->store_regained_at + kRelistPatience;
 }
 
 void EngineDirectory::Drop(const std::string& id,
@@ -203,7 +202,7 @@
   found->second->gone = true;
   changes.push_back(Change(EngineChange::Kind::kGone, *found->second));
   this->engines.erase(found);
-  this->unlisted_since.erase(id);
+  this->unlisted.erase(id);
 }
 
 void EngineDirectory::Reindex() {
--- a/src/dispatch/belief_watcher.cc
+++ b/src/dispatch/belief_watcher.cc
@@ -67,6 +67,8 @@
         continue;
       }
       this->state.OnStoreFailed(NameOf(table), fault);
+      // Only its own table tells whether the list of engines can be refreshed.
+      if (table == StoreTable::kEngines) this->state.engines.OnStoreLost();
       const Duration spread = Spread(pause, this->state.Random());
       co_await SleepFor(spread);
       pause = std::min(pause * 2, kLongestPause);
@@ -74,6 +76,9 @@
     }
     pause = kShortestPause;
     this->state.OnStoreAnswered(NameOf(table));
+    if (table == StoreTable::kEngines) {
+      this->state.engines.OnStoreRegained(RuntimeClock::now());
+    }
     this->state.metrics.Add("store_calls_total");
     if (rows->version < version) continue;
     if (table == StoreTable::kConfiguration) {
--- a/src/dispatch/dispatch_router.cc
+++ b/src/dispatch/dispatch_router.cc
@@ -137,6 +137,7 @@
     co_await SleepFor(interval);
     const TimePoint now = RuntimeClock::now();
     this->state.watchdog.Sweep(now);
+    this->state.OnEngineChanges(this->state.engines.Expire(now), "expiry");
     if (now - this->housekept_at < kHousekeepingInterval) continue;
     this->housekept_at = now;
     this->Housekeep(now);
@@ -145,7 +146,6 @@
 
 void DispatchRouter::Impl::Housekeep(TimePoint now) {
   this->pool.Purge(now);
-  this->state.OnEngineChanges(this->state.engines.Expire(now), "expiry");
   const bool ready = this->state.IsReady();
   if (ready != this->was_ready) {
     this->was_ready = ready;
@@ -160,7 +160,8 @@
       static_cast<double>(this->state.engines.Engines().size()));
   this->state.metrics.Set(
       "peers_heard", static_cast<double>(this->state.fleet_load.Routers()));
-  this->state.metrics.Set("store_lost", this->state.store_lost ? 1 : 0);
+  this->state.metrics.Set("store_lost",
+                          this->state.tables_lost.empty() ? 0 : 1);
 }
 
 Awaitable<void> DispatchRouter::Impl::AnswerReady(HttpExchange& exchange) {
--- a/src/dispatch/dispatch_state.cc
+++ b/src/dispatch/dispatch_state.cc
@@ -75,17 +75,13 @@
 }
 
 void DispatchState::OnStoreAnswered(std::string_view table) {
-  this->engines.OnStoreRegained(RuntimeClock::now());
-  if (!this->store_lost) return;
-  this->store_lost = false;
+  if (this->tables_lost.erase(std::string(table)) == 0) return;
   Logger::Info("store_regained", {{"table", table}});
 }
 
 void DispatchState::OnStoreFailed(std::string_view table, const Fault& fault) {
   this->metrics.Add("store_failures_total");
-  this->engines.OnStoreLost();
-  if (this->store_lost) return;
-  this->store_lost = true;
+  if (!this->tables_lost.insert(std::string(table)).second) return;
   Logger::Warning("store_lost", {{"table", table},
                                  {"fault", ToString(fault.kind)},
                                  {"detail", fault.detail}});
--- a/src/dispatch/dispatch_state.h
+++ b/src/dispatch/dispatch_state.h
@@ -44,7 +44,7 @@
   /// \brief Logs changes of belief and forgets what is gone with the engines.
   void OnEngineChanges(const std::vector<EngineChange>& changes,
                        std::string_view source);
-  /// \brief The store answered, or failed to.
+  /// \brief The store answered for a table, or failed to; logs the change.
   void OnStoreAnswered(std::string_view table);
   void OnStoreFailed(std::string_view table, const Fault& fault);
 
@@ -77,9 +77,9 @@
   std::map<std::string, TimePoint> peers_heard_at;
 
   std::set<RequestDispatch*> requests;  ///< Under way.
+  std::set<std::string> tables_lost;    ///< Of the store, by name.
   std::size_t body_bytes = 0;           ///< Held of all request bodies.
   bool draining = false;
-  bool store_lost = false;
 
  private:
   std::map<std::string, std::unique_ptr<ServiceState>, std::less<>> services;
--- a/src/dispatch/peer_exchange.cc
+++ b/src/dispatch/peer_exchange.cc
@@ -210,7 +210,7 @@
   const TimePoint now = RuntimeClock::now();
   if (this->behind_since == TimePoint::max()) this->behind_since = now;
   const bool patient = this->state.table != nullptr &&
-                       !this->state.store_lost &&
+                       this->state.tables_lost.empty() &&
                        now - this->behind_since < kBehindPatience;
   if (patient || this->fetching) return;
   this->fetching = true;
