Copy cached prompt parts from an engine that holds them

Cause: a spill, a drain or a release made an engine read long prefixes anew, though another live engine held them; a copy over the engines' links is priced at a sixth of that and is faster.

--- a/include/dandelionscale/core/placement.h
+++ b/include/dandelionscale/core/placement.h
@@ -14,7 +14,8 @@
   std::uint32_t in_flight = 0;  ///< Of all routers, as far as known.
   std::uint32_t max_slots = 1;
   std::uint32_t held_tokens = 0;  ///< Of this prompt's shared parts.
-  bool usable = true;  ///< Not draining, not set aside, not tried before.
+  bool usable = true;     ///< Not draining, not set aside, not tried before.
+  bool reachable = true;  ///< Other engines can copy from its cache.
   bool same_zone = false;
 };
 
@@ -50,6 +51,13 @@
 std::optional<PlacementDecision> ChooseEngine(
     const PlacementQuestion& question);
 
+/// \brief Chooses where the chosen engine copies the prompt's parts from.
+/// \returns the index of the candidate that holds most, or nothing if none
+/// holds
+///          enough more than the chosen one to be worth a copy.
+std::optional<std::size_t> ChooseCopySource(const PlacementQuestion& question,
+                                            std::size_t chosen);
+
 }  // namespace dandelionscale
 
 #endif  // DANDELIONSCALE_CORE_PLACEMENT_H_
--- a/include/dandelionscale/dispatch/dialect.h
+++ b/include/dandelionscale/dispatch/dialect.h
@@ -34,6 +34,8 @@
   std::string_view workspace;     ///< Empty on public routes.
   std::uint32_t priority = 0;     ///< 0 is served first.
   std::string_view resume_after;  ///< Id of the last delivered event.
+  /// Address of an engine that holds more of the prompt; empty for none.
+  std::string_view fetch_from;
 };
 
 /// \brief Load that an engine tells with its answer.
--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -23,6 +23,9 @@
 // Requests fewer that an engine in another zone must have to be preferred.
 constexpr double kZoneAdvantage = 0.5;
 
+// Tokens below which a copy is not worth its transfer.
+constexpr std::uint32_t kLeastTokensToCopy = 128;
+
 using Candidate = PlacementCandidate;
 
 bool HasRoom(const Candidate& candidate) {
@@ -155,4 +158,19 @@
   return decision;
 }
 
+std::optional<std::size_t> ChooseCopySource(const PlacementQuestion& question,
+                                            std::size_t chosen) {
+  std::optional<std::size_t> best;
+  std::uint32_t most =
+      question.candidates[chosen].held_tokens + kLeastTokensToCopy - 1;
+  for (std::size_t n = 0; n < question.candidates.size(); ++n) {
+    const Candidate& candidate = question.candidates[n];
+    if (n == chosen || !candidate.reachable) continue;
+    if (candidate.held_tokens <= most) continue;
+    best = n;
+    most = candidate.held_tokens;
+  }
+  return best;
+}
+
 }  // namespace dandelionscale
--- a/src/dispatch/request_dispatch.cc
+++ b/src/dispatch/request_dispatch.cc
@@ -160,6 +160,8 @@
     question.candidates = candidates;
     if (auto decision = ChooseEngine(question)) {
       std::shared_ptr<Engine> engine = engines[decision->index];
+      const auto source = ChooseCopySource(question, decision->index);
+      this->fetch_from = source ? engines[*source]->record.address : "";
       this->OnPlaced(*engine, *decision);
       return engine;
     }
@@ -195,6 +197,8 @@
         (!engine->health.IsSetAside(now, failure_rate) &&
          !(engine->health.IsOnTrial(now) && engine->in_flight > 0));
     candidate.usable = !engine->draining && !tried && healthy;
+    candidate.reachable =
+        !engine->health.IsSetAside(now, failure_rate) && !tried;
     candidates.push_back(candidate);
   }
   return candidates;
@@ -215,6 +219,7 @@
        {"service", this->service},
        {"workspace", this->workspace},
        {"basis", ToString(decision.basis)},
+       {"copy_from", this->fetch_from},
        {"own_load", static_cast<std::int64_t>(engine.in_flight)},
        {"fleet_load",
         static_cast<std::int64_t>(this->state.fleet_load.At(engine.key))},
@@ -296,8 +301,9 @@
       std::make_unique<EngineExchange>(this->state, this->pool, engine);
   const std::string resume_after = this->events.LastId();
   const HttpHeaders headers = this->state.dialect->EncodeSend(
-      this->decoded, {engine->record.id, this->Deadline() - RuntimeClock::now(),
-                      this->workspace, this->priority, resume_after});
+      this->decoded,
+      {engine->record.id, this->Deadline() - RuntimeClock::now(),
+       this->workspace, this->priority, resume_after, this->fetch_from});
   const bool repeatable = this->route->IsRepeatable();
   this->ArmSilence();
   auto failure = co_await this->exchange->Open(
--- a/src/dispatch/request_dispatch.h
+++ b/src/dispatch/request_dispatch.h
@@ -87,6 +87,7 @@
   Interruption interruption = Interruption::kNone;
   std::unique_ptr<Timer> wait_timer;
 
+  std::string fetch_from;  ///< Engine whose cache the next one copies.
   std::vector<std::uint64_t> tried;  ///< Engines that have had the request.
   std::uint32_t sends = 0;    ///< Times that the request reached an engine.
   std::uint32_t attempt = 0;  ///< Number of the send under way, from 1.
