--- a/src/dispatch/cache_observer.cc
+++ b/src/dispatch/cache_observer.cc
@@ -20,7 +20,7 @@
 constexpr Duration kListTimeout = std::chrono::milliseconds(1500);
 constexpr Duration kAssignInterval = std::chrono::milliseconds(400);
 // Peers are heard within this time after the start; observers are chosen then.
-constexpr Duration kFirstAssignment = std::chrono::milliseconds(600);
+constexpr Duration kFirstAssignment = std::chrono::milliseconds(350);
 constexpr Duration kFailurePause = std::chrono::milliseconds(800);
 
 }  // namespace
