--- /dev/null
+++ b/emulator/scripted_engine.cc
@@ -0,0 +1,174 @@
+#include "scripted_engine.h"
+
+#include <fmt/format.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+namespace dandelionscale::emulator {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+namespace {
+
+auto Redirect(error_code& error) {
+  return asio::redirect_error(asio::use_awaitable, error);
+}
+
+constexpr std::string_view kNoCacheNews =
+    "HTTP/1.1 200 OK\r\nContent-Length: 45\r\n\r\n"
+    R"({"epoch":1,"next":0,"lost":false,"events":[]})";
+
+}  // namespace
+
+std::string MakeAnswer(const HttpRequest& request, unsigned status,
+                       std::string_view body, std::string_view more_fields) {
+  return fmt::format(
+      "HTTP/1.1 {} Answer\r\nRequest-Id: {}\r\nResponse-Seal: seal\r\n"
+      "Keep-Alive: timeout=10\r\n{}Content-Length: {}\r\n\r\n{}",
+      status, request.headers.Find("Request-Id"), more_fields, body.size(),
+      body);
+}
+
+std::string MakeStreamHead(const HttpRequest& request) {
+  return fmt::format(
+      "HTTP/1.1 200 OK\r\nRequest-Id: {}\r\nResponse-Seal: seal\r\n"
+      "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+      request.headers.Find("Request-Id"));
+}
+
+std::string MakeEventChunk(int id) {
+  const std::string event = fmt::format("id: {}\ndata: piece {}\n\n", id, id);
+  return fmt::format("{:x}\r\n{}\r\n", event.size(), event);
+}
+
+struct ScriptedEngine::State : std::enable_shared_from_this<State> {
+  State(asio::any_io_executor executor, ScriptMaker maker)
+      : executor(executor), acceptor(executor), maker(std::move(maker)) {}
+
+  Awaitable<void> Accept();
+  Awaitable<void> Serve(asio::ip::tcp::socket socket);
+  Awaitable<bool> Play(asio::ip::tcp::socket& socket, Script script);
+
+  asio::any_io_executor executor;
+  asio::ip::tcp::acceptor acceptor;
+  ScriptMaker maker;
+  std::vector<HttpRequest> requests;
+  std::uint64_t connections = 0;
+  int abandoned = 0;
+};
+
+Awaitable<void> ScriptedEngine::State::Accept() {
+  auto self = this->shared_from_this();
+  while (this->acceptor.is_open()) {
+    error_code error;
+    auto socket = co_await this->acceptor.async_accept(Redirect(error));
+    if (error) co_return;
+    ++this->connections;
+    asio::co_spawn(this->executor, this->Serve(std::move(socket)),
+                   asio::detached);
+  }
+}
+
+Awaitable<void> ScriptedEngine::State::Serve(asio::ip::tcp::socket socket) {
+  auto self = this->shared_from_this();
+  boost::beast::flat_buffer buffer;
+  while (true) {
+    http::request_parser<http::string_body> parser;
+    parser.body_limit(boost::none);
+    error_code error;
+    co_await http::async_read(socket, buffer, parser, Redirect(error));
+    if (error) co_return;
+    auto& message = parser.get();
+    HttpRequest request;
+    request.method = std::string(message.method_string());
+    request.target = std::string(message.target());
+    for (const auto& field : message) {
+      request.headers.Add(std::string(field.name_string()),
+                          std::string(field.value()));
+    }
+    request.body = message.body();
+    if (request.target.starts_with("/dandelionscale/")) {
+      const Duration wait = std::chrono::milliseconds(300);
+      co_await SleepFor(wait);
+      co_await asio::async_write(socket, asio::buffer(kNoCacheNews),
+                                 Redirect(error));
+      continue;
+    }
+    this->requests.push_back(request);
+    Script script = this->maker(request);
+    if (!co_await this->Play(socket, std::move(script))) co_return;
+  }
+}
+
+Awaitable<bool> ScriptedEngine::State::Play(asio::ip::tcp::socket& socket,
+                                            Script script) {
+  for (const ScriptStep& step : script) {
+    error_code error;
+    if (const auto* send = std::get_if<SendBytes>(&step)) {
+      co_await asio::async_write(socket, asio::buffer(send->bytes),
+                                 Redirect(error));
+      if (error) {
+        ++this->abandoned;
+        co_return false;
+      }
+    } else if (const auto* pause = std::get_if<Pause>(&step)) {
+      const Duration duration = pause->duration;
+      co_await SleepFor(duration);
+    } else if (std::holds_alternative<ResetConnection>(step)) {
+      socket.set_option(asio::socket_base::linger(true, 0), error);
+      socket.close(error);
+      co_return false;
+    } else {
+      socket.shutdown(asio::socket_base::shutdown_both, error);
+      co_return false;
+    }
+  }
+  co_return true;
+}
+
+ScriptedEngine::ScriptedEngine(asio::any_io_executor executor,
+                               ScriptMaker maker)
+    : state(std::make_shared<State>(executor, std::move(maker))) {}
+
+ScriptedEngine::~ScriptedEngine() {
+  error_code ignored;
+  this->state->acceptor.close(ignored);
+}
+
+Result<Endpoint> ScriptedEngine::Listen(const Endpoint& endpoint) {
+  error_code error;
+  auto& acceptor = this->state->acceptor;
+  acceptor.open(endpoint.protocol(), error);
+  if (!error) {
+    acceptor.set_option(asio::socket_base::reuse_address(true), error);
+    acceptor.bind(endpoint, error);
+  }
+  if (!error) acceptor.listen(asio::socket_base::max_listen_connections, error);
+  if (error) return Fault{FaultKind::kConnectFailed, error.message()};
+  asio::co_spawn(this->state->executor, this->state->Accept(), asio::detached);
+  return acceptor.local_endpoint();
+}
+
+const std::vector<HttpRequest>& ScriptedEngine::Requests() const {
+  return this->state->requests;
+}
+
+int ScriptedEngine::Abandoned() const { return this->state->abandoned; }
+
+std::uint64_t ScriptedEngine::Connections() const {
+  return this->state->connections;
+}
+
+void ScriptedEngine::SetScript(ScriptMaker maker) {
+  this->state->maker = std::move(maker);
+}
+
+}  // namespace dandelionscale::emulator
--- /dev/null
+++ b/emulator/store_service.cc
@@ -0,0 +1,163 @@
+#include "store_service.h"
+
+#include <boost/beast/core/detail/base64.hpp>
+
+namespace dandelionscale::emulator {
+
+namespace json = boost::json;
+namespace base64 = boost::beast::detail::base64;
+
+namespace {
+
+constexpr unsigned kNotFound = 404;
+constexpr unsigned kConflict = 412;
+constexpr unsigned kHistoryGone = 410;
+constexpr unsigned kUnavailable = 503;
+// Longer than any client waits.
+constexpr Duration kSilence = std::chrono::seconds(60);
+
+std::string Encode(const std::string& bytes) {
+  std::string text(base64::encoded_size(bytes.size()), '\0');
+  text.resize(base64::encode(text.data(), bytes.data(), bytes.size()));
+  return text;
+}
+
+std::string Decode(std::string_view text) {
+  std::string bytes(base64::decoded_size(text.size()), '\0');
+  bytes.resize(base64::decode(bytes.data(), text.data(), text.size()).first);
+  return bytes;
+}
+
+std::uint64_t Number(std::string_view text) {
+  return text.empty() ? 0 : std::stoull(std::string(text));
+}
+
+HttpResponse Status(unsigned status) {
+  HttpResponse response;
+  response.status = status;
+  return response;
+}
+
+}  // namespace
+
+StoreService::StoreService(boost::asio::any_io_executor executor)
+    : executor(executor), changed(executor) {}
+
+Result<Endpoint> StoreService::Listen(const Endpoint& endpoint) {
+  this->server = std::make_unique<HttpServer>(
+      this->executor, HttpServerLimits(),
+      [this](HttpExchange& exchange) { return this->Handle(exchange); });
+  return this->server->Listen(endpoint);
+}
+
+void StoreService::Put(const std::string& table, const std::string& key,
+                       const std::string& value) {
+  this->rows[{table, key}] = {value, ++this->version, false};
+  this->changed.NotifyAll();
+}
+
+void StoreService::Remove(const std::string& table, const std::string& key) {
+  this->rows[{table, key}] = {"", ++this->version, true};
+  this->changed.NotifyAll();
+}
+
+void StoreService::SetMode(StoreMode mode) {
+  this->mode = mode;
+  this->changed.NotifyAll();
+}
+
+Awaitable<void> StoreService::Handle(HttpExchange& exchange) {
+  this->calls.push_back(exchange.Request().target);
+  if (this->mode == StoreMode::kSilent) {
+    const Duration silence = kSilence;
+    co_await SleepFor(silence);
+    co_return;
+  }
+  HttpResponse response = co_await this->Answer(exchange.Request());
+  co_await exchange.Respond(std::move(response));
+}
+
+Awaitable<HttpResponse> StoreService::Answer(const HttpRequest& request) {
+  if (this->mode == StoreMode::kBusy) co_return Status(kUnavailable);
+  const std::string_view path = PathOf(request.target);
+  if (path == "/dandelionscale/rows-get") co_return this->Get(request);
+  if (path == "/dandelionscale/rows-feed") {
+    co_return co_await this->Feed(request);
+  }
+  if (path == "/dandelionscale/rows-tx") co_return this->Transact(request);
+  co_return Status(kNotFound);
+}
+
+HttpResponse StoreService::Get(const HttpRequest& request) const {
+  return this->RowsAnswer(
+      this->Rows(QueryParameter(request.target, "table"), 0, false));
+}
+
+Awaitable<HttpResponse> StoreService::Feed(const HttpRequest& request) {
+  const std::string table(QueryParameter(request.target, "table"));
+  const std::uint64_t after =
+      Number(QueryParameter(request.target, "after_rev"));
+  const TimePoint until =
+      RuntimeClock::now() + std::chrono::milliseconds(Number(
+                                QueryParameter(request.target, "wait_ms")));
+  while (true) {
+    if (this->mode == StoreMode::kBusy) co_return Status(kUnavailable);
+    if (this->mode == StoreMode::kHistoryGone) co_return Status(kHistoryGone);
+    json::array rows = this->Rows(table, after, true);
+    const TimePoint now = RuntimeClock::now();
+    if (!rows.empty() || now >= until) {
+      co_return this->RowsAnswer(std::move(rows));
+    }
+    co_await this->changed.WaitFor(until - now);
+  }
+}
+
+HttpResponse StoreService::Transact(const HttpRequest& request) {
+  const json::value body = json::parse(request.body);
+  for (const json::value& row : body.at("expected_rev").as_array()) {
+    auto found = this->rows.find({std::string(row.at("table").as_string()),
+                                  std::string(row.at("key").as_string())});
+    const std::uint64_t version =
+        found == this->rows.end() || found->second.removed
+            ? 0
+            : found->second.version;
+    if (version != row.at("ver").to_number<std::uint64_t>()) {
+      return Status(kConflict);
+    }
+  }
+  for (const json::value& row : body.at("upserts").as_array()) {
+    this->Put(std::string(row.at("table").as_string()),
+              std::string(row.at("key").as_string()),
+              Decode(row.at("value").as_string()));
+  }
+  return this->RowsAnswer({});
+}
+
+json::array StoreService::Rows(std::string_view table, std::uint64_t after,
+                               bool with_removed) const {
+  json::array list;
+  for (const auto& [key, row] : this->rows) {
+    if (std::get<0>(key) != table || row.version <= after) continue;
+    if (row.removed && !with_removed) continue;
+    json::object entry{{"table", std::get<0>(key)},
+                       {"part", ""},
+                       {"key", std::get<1>(key)},
+                       {"value", Encode(row.value)},
+                       {"ver", row.version}};
+    if (row.removed) entry["deleted"] = true;
+    list.push_back(std::move(entry));
+  }
+  return list;
+}
+
+HttpResponse StoreService::RowsAnswer(json::array rows) const {
+  HttpResponse response;
+  response.headers.Add("Content-Type", "application/json");
+  response.body = json::serialize(json::object{{"rows", std::move(rows)},
+                                               {"has_more", false},
+                                               {"ver", this->version},
+                                               {"server_time_ms", 0}});
+  return response;
+}
+
+}  // namespace dandelionscale::emulator
--- /dev/null
+++ b/tests/dispatch_answers_test.cc
@@ -0,0 +1,288 @@
+// Real routers before scripted engines: every client gets its own whole answer,
+// what may run once runs once, and a refusal is true.
+#include <catch2/catch.hpp>
+
+#include "tests/support/platform_fleet.h"
+#include "tests/support/process_fleet.h"
+
+namespace dandelionscale::tests {
+namespace {
+
+using emulator::CloseConnection;
+using emulator::MakeAnswer;
+using emulator::MakeEventChunk;
+using emulator::MakeStreamHead;
+using emulator::Pause;
+using emulator::ResetConnection;
+using emulator::Script;
+using emulator::SendBytes;
+using std::chrono::milliseconds;
+
+constexpr milliseconds kQuiet(700);
+
+Script Good(const HttpRequest& request) {
+  return {SendBytes{MakeAnswer(request, 200, "hello")}};
+}
+
+Script WholeStream(const HttpRequest& request, int first, int last) {
+  Script script = {SendBytes{MakeStreamHead(request)}};
+  for (int id = first; id <= last; ++id) {
+    script.push_back(SendBytes{MakeEventChunk(id)});
+  }
+  script.push_back(SendBytes{std::string(emulator::kStreamEnd)});
+  return script;
+}
+
+bool StartsWith(const std::string& text, std::string_view start) {
+  return text.starts_with(start);
+}
+
+int Occurrences(const std::string& text, std::string_view part) {
+  int count = 0;
+  for (auto at = text.find(part); at != std::string::npos;
+       at = text.find(part, at + 1)) {
+    ++count;
+  }
+  return count;
+}
+
+struct Fleet : PlatformFleet {
+  Fleet() : PlatformFleet(1) { this->PutConfiguration(3); }
+  // Two engines of a service with the same script.
+  void AddPair(const std::string& service, const emulator::ScriptMaker& maker) {
+    this->AddEngine(service, maker);
+    this->AddEngine(service, maker);
+    this->WaitUntilReady(1);
+  }
+};
+
+TEST_CASE("a request passes unchanged, with the router's fields") {
+  Fleet fleet;
+  fleet.AddPair("plain", Good);
+  const std::string answer = fleet.Exchange(
+      1,
+      ClientBytes("POST", "/once/a%20b?q=%2F", "id1",
+                  "X-Own: 7\r\nTenant: evil\r\nContent-Type: text/plain\r\n",
+                  "the body"),
+      kQuiet);
+  CHECK(StartsWith(answer, "HTTP/1.1 200"));
+  CHECK(answer.find("Response-Seal: seal") != std::string::npos);
+  CHECK(answer.ends_with("hello"));
+  REQUIRE(fleet.TotalRequests() == 1);
+  const auto requests = fleet.Requests(fleet.Requests(0).empty() ? 1 : 0);
+  CHECK(requests[0].target == "/once/a%20b?q=%2F");
+  CHECK(requests[0].body == "the body");
+  CHECK(requests[0].headers.Find("Tenant") == "t1");
+  CHECK(requests[0].headers.Find("X-Own") == "7");
+  CHECK(requests[0].headers.Find("Authorization").empty());
+  CHECK(StartsWith(std::string(requests[0].headers.Find("Expect-Instance")),
+                   "e"));
+}
+
+TEST_CASE(
+    "unknown routes and keys are refused, and without a configuration "
+    "nobody is") {
+  PlatformFleet fleet(1);
+  Eventually([&] {
+    return StartsWith(
+        fleet.Exchange(1, ClientBytes("GET", "/any/", "a"), kQuiet),
+        "HTTP/1.1 503");
+  });
+  CHECK_FALSE(fleet.IsReady(1));
+  fleet.PutConfiguration(3);
+  fleet.AddEngine("plain", Good);
+  fleet.WaitUntilReady(1);
+  CHECK(StartsWith(fleet.Exchange(1, ClientBytes("GET", "/none/", "b"), kQuiet),
+                   "HTTP/1.1 404"));
+  std::string wrong_key = ClientBytes("GET", "/any/", "c");
+  wrong_key.replace(wrong_key.find("k1"), 2, "k9");
+  CHECK(StartsWith(fleet.Exchange(1, wrong_key, kQuiet), "HTTP/1.1 401"));
+  CHECK(fleet.TotalRequests() == 0);
+}
+
+TEST_CASE("a lost answer of what may run once is told as unknown, once run") {
+  Fleet fleet;
+  fleet.AddPair("plain",
+                [](const HttpRequest&) { return Script{ResetConnection{}}; });
+  const std::string answer =
+      fleet.Exchange(1, ClientBytes("POST", "/once/", "id1", "", "x"), kQuiet);
+  CHECK(StartsWith(answer, "HTTP/1.1 502"));
+  CHECK(fleet.TotalRequests() == 1);
+}
+
+TEST_CASE("a lost answer of an idempotent request is fetched elsewhere") {
+  Fleet fleet;
+  const int broken = fleet.AddEngine(
+      "plain", [](const HttpRequest&) { return Script{ResetConnection{}}; });
+  const int good = fleet.AddEngine("plain", Good);
+  fleet.WaitUntilReady(1);
+  for (int n = 0; n < 6; ++n) {
+    CHECK(StartsWith(
+        fleet.Exchange(1, ClientBytes("GET", "/any/", "i" + std::to_string(n)),
+                       kQuiet),
+        "HTTP/1.1 200"));
+  }
+  CHECK(fleet.Requests(good).size() == 6);
+  CHECK(fleet.Requests(broken).size() >= 1);
+}
+
+TEST_CASE("an engine's refusal becomes a refusal with a time to come back") {
+  Fleet fleet;
+  fleet.AddPair("plain", [](const HttpRequest&) {
+    return Script{SendBytes{
+        "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"}};
+  });
+  const std::string answer = fleet.Exchange(
+      1, ClientBytes("POST", "/single/", "id1", "", "x"), kQuiet);
+  CHECK(StartsWith(answer, "HTTP/1.1 503"));
+  CHECK(answer.find("Retry-After: ") != std::string::npos);
+  CHECK(fleet.TotalRequests() == 1);
+  // Two attempts are allowed here, and neither engine has run it.
+  CHECK(StartsWith(
+      fleet.Exchange(1, ClientBytes("POST", "/once/", "id2", "", "x"), kQuiet),
+      "HTTP/1.1 503"));
+  CHECK(fleet.TotalRequests() == 3);
+}
+
+TEST_CASE("a late extra answer is never given to another request") {
+  Fleet fleet;
+  fleet.AddEngine("plain", [](const HttpRequest& request) {
+    return Script{SendBytes{MakeAnswer(request, 200, "first")},
+                  Pause{milliseconds(20)},
+                  SendBytes{MakeAnswer(request, 200, "again")}};
+  });
+  fleet.WaitUntilReady(1);
+  for (int n = 0; n < 5; ++n) {
+    const std::string id = "id" + std::to_string(n);
+    const std::string answer =
+        fleet.Exchange(1, ClientBytes("GET", "/any/", id), milliseconds(60));
+    CHECK(answer.find("Request-Id: " + id) != std::string::npos);
+    CHECK(answer.ends_with("first"));
+  }
+}
+
+TEST_CASE("an answer without a signature or with a foreign id is not success") {
+  Fleet fleet;
+  fleet.AddPair("plain", [](const HttpRequest& request) {
+    const bool unsigned_answer =
+        request.headers.Find("Request-Id") == "unsigned";
+    return Script{
+        SendBytes{
+            unsigned_answer
+                ? "HTTP/1.1 200 OK\r\nRequest-Id: unsigned\r\n"
+                  "Content-Length: 2\r\n\r\nok"
+                : "HTTP/1.1 200 OK\r\nRequest-Id: other\r\nResponse-Seal: s\r\n"
+                  "Content-Length: 2\r\n\r\nok"},
+        CloseConnection{}};
+  });
+  for (const char* id : {"unsigned", "mine"}) {
+    CHECK(StartsWith(
+        fleet.Exchange(1, ClientBytes("POST", "/once/", id, "", "x"), kQuiet),
+        "HTTP/1.1 502"));
+  }
+}
+
+TEST_CASE("a body that is cut short is not passed on as whole") {
+  Fleet fleet;
+  fleet.AddPair("plain", [](const HttpRequest& request) {
+    std::string answer = MakeAnswer(request, 200, "0123456789");
+    answer.resize(answer.size() - 4);
+    return Script{SendBytes{answer}, CloseConnection{}};
+  });
+  CHECK(StartsWith(
+      fleet.Exchange(1, ClientBytes("POST", "/once/", "id1", "", "x"), kQuiet),
+      "HTTP/1.1 502"));
+}
+
+TEST_CASE("an answer that ends with its connection is whole, a reset one not") {
+  Fleet fleet;
+  fleet.AddPair("plain", [](const HttpRequest& request) {
+    std::string head = "HTTP/1.1 200 OK\r\nRequest-Id: " +
+                       std::string(request.headers.Find("Request-Id")) +
+                       "\r\nResponse-Seal: s\r\nConnection: close\r\n\r\nbody";
+    if (request.headers.Find("Request-Id") == "reset") {
+      return Script{SendBytes{head}, Pause{milliseconds(50)},
+                    ResetConnection{}};
+    }
+    return Script{SendBytes{head}, CloseConnection{}};
+  });
+  CHECK(
+      fleet.Exchange(1, ClientBytes("POST", "/once/", "whole", "", "x"), kQuiet)
+          .ends_with("body"));
+  CHECK(StartsWith(
+      fleet.Exchange(1, ClientBytes("POST", "/once/", "reset", "", "x"),
+                     kQuiet),
+      "HTTP/1.1 502"));
+}
+
+TEST_CASE("a stream that breaks goes on at another engine without a seam") {
+  Fleet fleet;
+  const auto maker = [](const HttpRequest& request) {
+    if (request.headers.Find("Last-Event-Id") == "2") {
+      return WholeStream(request, 3, 5);
+    }
+    return Script{SendBytes{MakeStreamHead(request)},
+                  SendBytes{MakeEventChunk(1)}, SendBytes{MakeEventChunk(2)},
+                  // A piece of the third event only.
+                  SendBytes{"5\r\nid: 3\r\n"}, Pause{milliseconds(20)},
+                  ResetConnection{}};
+  };
+  fleet.AddPair("chat", maker);
+  const std::string answer = fleet.Exchange(
+      1, ClientBytes("POST", "/stream/", "id1", "", "x"), kQuiet);
+  CHECK(StartsWith(answer, "HTTP/1.1 200"));
+  for (int id = 1; id <= 5; ++id) {
+    CHECK(Occurrences(answer, "piece " + std::to_string(id) + "\n") == 1);
+  }
+  CHECK(answer.ends_with("0\r\n\r\n"));
+  CHECK(fleet.Requests(0).size() == 1);
+  CHECK(fleet.Requests(1).size() == 1);
+}
+
+TEST_CASE("a stream that can't go on does not look complete") {
+  Fleet fleet;
+  fleet.AddEngine("chat", [](const HttpRequest& request) {
+    return Script{SendBytes{MakeStreamHead(request)},
+                  SendBytes{MakeEventChunk(1)}, ResetConnection{}};
+  });
+  fleet.WaitUntilReady(1);
+  const std::string answer = fleet.Exchange(
+      1, ClientBytes("POST", "/stream/", "id1", "", "x"), kQuiet);
+  CHECK(Occurrences(answer, "piece 1\n") == 1);
+  CHECK_FALSE(answer.ends_with("0\r\n\r\n"));
+}
+
+TEST_CASE("a client that leaves frees its engine") {
+  Fleet fleet;
+  const int engine = fleet.AddEngine("chat", [](const HttpRequest& request) {
+    Script script = {SendBytes{MakeStreamHead(request)}};
+    for (int id = 1; id <= 200; ++id) {
+      script.push_back(SendBytes{MakeEventChunk(id)});
+      script.push_back(Pause{milliseconds(20)});
+    }
+    return script;
+  });
+  fleet.WaitUntilReady(1);
+  // Reads until 10 ms pass without a byte, that is, after the first event.
+  fleet.Exchange(1, ClientBytes("POST", "/stream/", "id1", "", "x"),
+                 milliseconds(10));
+  Eventually([&] {
+    return fleet.Log(1).find("\"outcome\":\"client_gone\"") !=
+           std::string::npos;
+  });
+  CHECK(fleet.Requests(engine).size() == 1);
+}
+
+TEST_CASE("the operator's timeout ends a request with its final answer") {
+  Fleet fleet;
+  fleet.AddPair("plain", [](const HttpRequest&) {
+    return Script{Pause{std::chrono::seconds(30)}};
+  });
+  const std::string answer = fleet.Exchange(
+      1, ClientBytes("POST", "/once/", "id1", "", "x"), milliseconds(4000));
+  CHECK(StartsWith(answer, "HTTP/1.1 504"));
+  CHECK(fleet.TotalRequests() == 1);
+}
+
+}  // namespace
+}  // namespace dandelionscale::tests
--- /dev/null
+++ b/tests/support/platform_fleet.cc
@@ -0,0 +1,281 @@
+#include "tests/support/platform_fleet.h"
+
+#include <fcntl.h>
+#include <fmt/format.h>
+#include <signal.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <future>
+#include <iterator>
+
+#include "tests/support/process_fleet.h"
+
+extern char** environ;
+
+namespace dandelionscale::tests {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+namespace {
+
+constexpr int kFrontPort = 18227;
+constexpr int kReadyPort = 18220;
+constexpr int kPeerPort = 18340;
+constexpr int kMetricsPort = 9464;
+
+Endpoint Any() { return {asio::ip::address_v4::loopback(), 0}; }
+
+std::string MakeFolder() {
+  std::string name = "/tmp/dandelion-test-XXXXXX";
+  REQUIRE(::mkdtemp(name.data()) != nullptr);
+  return name;
+}
+
+}  // namespace
+
+std::string ClientBytes(const std::string& method, const std::string& target,
+                        const std::string& id, const std::string& more,
+                        const std::string& body) {
+  std::string text = fmt::format(
+      "{} {} HTTP/1.1\r\nHost: h.example\r\nRequest-Id: {}\r\n"
+      "Request-Deadline: 5000\r\nAuthorization: Token k1\r\n{}",
+      method, target, id, more);
+  if (!body.empty()) text += fmt::format("Content-Length: {}\r\n", body.size());
+  return text + "\r\n" + body;
+}
+
+PlatformFleet::PlatformFleet(int routers)
+    : folder(MakeFolder()), work(asio::make_work_guard(this->loop)) {
+  this->thread = std::thread([this] { this->loop.run(); });
+  this->Do([this] {
+    this->store =
+        std::make_unique<emulator::StoreService>(this->loop.get_executor());
+    this->store_port = this->store->Listen(Any()).value().port();
+  });
+  for (int n = 1; n <= routers; ++n) this->StartRouter(n);
+}
+
+PlatformFleet::~PlatformFleet() {
+  for (const auto& [router, pid] : this->processes) {
+    ::kill(pid, SIGKILL);
+    ::waitpid(pid, nullptr, 0);
+  }
+  this->work.reset();
+  this->loop.stop();
+  this->thread.join();
+  std::filesystem::remove_all(this->folder);
+}
+
+void PlatformFleet::Do(const std::function<void()>& action) {
+  std::promise<void> done;
+  asio::post(this->loop, [&] {
+    action();
+    done.set_value();
+  });
+  done.get_future().wait();
+}
+
+int PlatformFleet::AddEngine(const std::string& service,
+                             emulator::ScriptMaker maker) {
+  this->Do([&] {
+    Listed listed;
+    listed.engine = std::make_unique<emulator::ScriptedEngine>(
+        this->loop.get_executor(), std::move(maker));
+    listed.port = listed.engine->Listen(Any()).value().port();
+    listed.service = service;
+    this->engines.push_back(std::move(listed));
+  });
+  const int number = static_cast<int>(this->engines.size()) - 1;
+  this->ListEngine(number);
+  return number;
+}
+
+void PlatformFleet::ListEngine(int engine, const std::string& state) {
+  this->Do([&] {
+    const Listed& listed = this->engines[static_cast<std::size_t>(engine)];
+    this->store->Put(
+        "servers", fmt::format("e{}", engine),
+        fmt::format(
+            R"({{"service":"{}","address":"127.0.0.1:{}","zone":"north","version":"v1","max_slots":8,"state":"{}","cold_remaining_ms":0,"call_seq":1,"born":1700000000000}})",
+            listed.service, listed.port, state));
+  });
+}
+
+void PlatformFleet::UnlistEngine(int engine) {
+  this->Do([&] { this->store->Remove("servers", fmt::format("e{}", engine)); });
+}
+
+void PlatformFleet::SetScript(int engine, emulator::ScriptMaker maker) {
+  this->Do([&] {
+    this->engines[static_cast<std::size_t>(engine)].engine->SetScript(
+        std::move(maker));
+  });
+}
+
+std::vector<HttpRequest> PlatformFleet::Requests(int engine) {
+  std::vector<HttpRequest> requests;
+  this->Do([&] {
+    requests =
+        this->engines[static_cast<std::size_t>(engine)].engine->Requests();
+  });
+  return requests;
+}
+
+std::size_t PlatformFleet::TotalRequests() {
+  std::size_t count = 0;
+  for (std::size_t n = 0; n < this->engines.size(); ++n) {
+    count += this->Requests(static_cast<int>(n)).size();
+  }
+  return count;
+}
+
+void PlatformFleet::PutConfiguration(std::uint64_t version,
+                                     const std::string& routes) {
+  const std::string usual =
+      R"({"name":"stream","host":"h.example","prefix":"/stream/","kind":"streaming","timeout_ms":5000,"target_latency_ms":600,"priority":0,"service":"chat","max_attempts":2,"stream_resume":true},)"
+      R"({"name":"once","host":"h.example","prefix":"/once/","kind":"non_idempotent","timeout_ms":2000,"target_latency_ms":300,"priority":2,"service":"plain","max_attempts":2},)"
+      R"({"name":"single","host":"h.example","prefix":"/single/","kind":"non_idempotent","timeout_ms":2000,"target_latency_ms":300,"priority":2,"service":"plain","max_attempts":1},)"
+      R"({"name":"any","host":"h.example","prefix":"/any/","kind":"idempotent","timeout_ms":2000,"target_latency_ms":300,"priority":2,"service":"plain","max_attempts":2})";
+  const std::string text = fmt::format(
+      R"({{"version":{},"routes":[{}],"services":[{{"name":"chat","max_connections":100,"engine":{{"max_slots":8}}}},{{"name":"plain","max_connections":100}}],"limits":{{"max_header_bytes":16384,"max_body_bytes":100000,"header_timeout_ms":3000,"idle_timeout_ms":15000}},"tenants":[{{"name":"t1","api_keys":["k1"],"priority":1}}]}})",
+      version, routes.empty() ? usual : routes);
+  this->Do([&] { this->store->Put("op", "config", text); });
+}
+
+void PlatformFleet::SetStoreMode(emulator::StoreMode mode) {
+  this->Do([&] { this->store->SetMode(mode); });
+}
+
+void PlatformFleet::StartRouter(int router) {
+  const std::string settings =
+      fmt::format("{}/router-{}.conf", this->folder, router);
+  std::ofstream(settings) << fmt::format(
+      "node_name=router-{0}\nzone=north\nip={1}\nlisten.front={1}:{2}\n"
+      "listen.ready={1}:{3}\nport_range={4},{4}\n"
+      "platform.address=127.0.0.1:{5}\nbounds.grace_s=8\n"
+      "bounds.retry_budget_ratio=0.2\nbounds.budget_extra=800\n"
+      "limits.max_fds=1000\nlimits.memory_mb=260\n",
+      router, this->Ip(router), kFrontPort, kReadyPort, kPeerPort,
+      this->store_port);
+  const std::string variable = "DANDELIONSCALE_CONFIG=" + settings;
+  std::vector<char*> environment;
+  for (char** entry = environ; *entry != nullptr; ++entry) {
+    environment.push_back(*entry);
+  }
+  environment.push_back(const_cast<char*>(variable.c_str()));
+  environment.push_back(nullptr);
+  std::string program =
+      std::string(DANDELION_BINARIES) + "/dandelion-platform-router";
+  char* arguments[] = {program.data(), nullptr};
+  posix_spawn_file_actions_t actions;
+  posix_spawn_file_actions_init(&actions);
+  const std::string log = fmt::format("{}/router-{}.log", this->folder, router);
+  for (int descriptor : {1, 2}) {
+    posix_spawn_file_actions_addopen(&actions, descriptor, log.c_str(),
+                                     O_WRONLY | O_CREAT | O_APPEND, 0600);
+  }
+  pid_t pid = 0;
+  REQUIRE(posix_spawn(&pid, program.c_str(), &actions, nullptr, arguments,
+                      environment.data()) == 0);
+  posix_spawn_file_actions_destroy(&actions);
+  this->processes[router] = pid;
+}
+
+void PlatformFleet::Signal(int router, int signal) {
+  REQUIRE(::kill(this->processes.at(router), signal) == 0);
+}
+
+int PlatformFleet::WaitForExit(int router) {
+  int status = 0;
+  ::waitpid(this->processes.at(router), &status, 0);
+  this->processes.erase(router);
+  return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+}
+
+bool PlatformFleet::IsReady(int router) {
+  asio::io_context client;
+  asio::ip::tcp::socket socket(client);
+  error_code error;
+  socket.connect({asio::ip::make_address(this->Ip(router)), kReadyPort}, error);
+  if (error) return false;
+  asio::write(socket,
+              asio::buffer(std::string(
+                  "GET /dandelionscale/ready HTTP/1.1\r\nHost: x\r\n"
+                  "Connection: close\r\n\r\n")),
+              error);
+  std::string text(64, '\0');
+  const auto size = socket.read_some(asio::buffer(text), error);
+  return text.substr(0, size).starts_with("HTTP/1.1 200");
+}
+
+void PlatformFleet::WaitUntilReady(int router) {
+  Eventually([&] { return this->IsReady(router); });
+}
+
+std::string PlatformFleet::Log(int router) const {
+  std::ifstream file(fmt::format("{}/router-{}.log", this->folder, router));
+  return {std::istreambuf_iterator<char>(file), {}};
+}
+
+std::string PlatformFleet::Metrics(int router) {
+  asio::io_context client;
+  asio::ip::tcp::socket socket(client);
+  socket.connect({asio::ip::make_address(this->Ip(router)), kMetricsPort});
+  asio::write(socket,
+              asio::buffer(std::string("GET /metrics HTTP/1.1\r\nHost: x\r\n"
+                                       "Connection: close\r\n\r\n")));
+  std::string text;
+  error_code error;
+  while (!error) {
+    char bytes[4096];
+    const auto size = socket.read_some(asio::buffer(bytes), error);
+    text.append(bytes, size);
+  }
+  return text;
+}
+
+std::string PlatformFleet::Exchange(int router, const std::string& bytes,
+                                    std::chrono::milliseconds quiet) {
+  asio::io_context client;
+  asio::ip::tcp::socket socket(client);
+  error_code error;
+  socket.connect(this->Front(router), error);
+  if (error) return {};
+  asio::write(socket, asio::buffer(bytes), error);
+  std::string text;
+  char buffer[4096];
+  while (true) {
+    bool arrived = false;
+    bool ended = false;
+    socket.async_read_some(asio::buffer(buffer),
+                           [&](error_code failed, std::size_t size) {
+                             text.append(buffer, size);
+                             arrived = !failed;
+                             ended = failed.failed();
+                           });
+    client.restart();
+    client.run_for(quiet);
+    if (!arrived || ended) break;
+  }
+  return text;
+}
+
+Endpoint PlatformFleet::Front(int router) const {
+  return {asio::ip::make_address(this->Ip(router)), kFrontPort};
+}
+
+std::string PlatformFleet::Ip(int router) const {
+  return fmt::format("127.0.0.{}", 10 + router);
+}
+
+}  // namespace dandelionscale::tests
