Serve latency histograms; take changed settings on SIGHUP

Buckets by Boost.Histogram, exposition tested; a settings file that can't be read keeps the old settings and says so. Tests on real processes.

--- a/daemons/dandelion_platform_router.cc
+++ b/daemons/dandelion_platform_router.cc
@@ -55,13 +55,13 @@
       [] { return std::optional<DispatchOptions>(); });
 }
 
-// The options in force are those of the start: the platform changes the file
-// only together with a restart, and says so by this signal.
-Awaitable<void> LogReloads(asio::io_context& loop) {
+Awaitable<void> ReloadOnSignal(DispatchRouter& router, asio::io_context& loop,
+                               std::string path) {
   asio::signal_set signals(loop, SIGHUP);
   while (true) {
     co_await signals.async_wait(asio::use_awaitable);
-    Logger::Info("reload", {{"applied", false}});
+    // A file that can't be read has been logged; the old settings stay.
+    if (auto options = ReadOptions(path)) router.Reload(*options);
   }
 }
 
@@ -113,7 +113,7 @@
     return kExitBadSettings;
   }
   asio::co_spawn(loop, FlushLog(sink), asio::detached);
-  asio::co_spawn(loop, LogReloads(loop), asio::detached);
+  asio::co_spawn(loop, ReloadOnSignal(router, loop, path), asio::detached);
   asio::co_spawn(loop, Run(router, loop), asio::detached);
   loop.run();
   sink.Flush();
--- a/include/dandelionscale/core/fleet_retry_budget.h
+++ b/include/dandelionscale/core/fleet_retry_budget.h
@@ -24,6 +24,8 @@
  public:
   explicit FleetRetryBudget(RetryBudgetTerms terms) : terms(terms) {}
 
+  /// \brief Changes the bound; what was counted stays counted.
+  void SetTerms(const RetryBudgetTerms& newest) { this->terms = newest; }
   /// \brief A request for the service has come in.
   void OnRequest(TimePoint now);
   /// \brief Takes one repeat.
--- a/include/dandelionscale/dispatch/dispatch_router.h
+++ b/include/dandelionscale/dispatch/dispatch_router.h
@@ -38,6 +38,8 @@
 
   /// \brief Opens the listeners and begins to learn configuration and engines.
   Result<void> Start();
+  /// \brief Takes changed settings; addresses and name stay those of the start.
+  void Reload(const DispatchOptions& options);
   /// \brief Drains: not ready at once, serves what comes, ends within the
   /// grace.
   Awaitable<void> Shutdown();
--- a/include/dandelionscale/runtime/metrics.h
+++ b/include/dandelionscale/runtime/metrics.h
@@ -7,9 +7,11 @@
 #include <string>
 #include <string_view>
 
+#include "dandelionscale/runtime/runtime_clock.h"
+
 namespace dandelionscale {
 
-/// \brief Counters, gauges and summaries of one process.
+/// \brief Counters, gauges, summaries and latency histograms of one process.
 ///
 /// Names may carry Prometheus labels: `requests_total{outcome="completed"}`.
 class Metrics {
@@ -22,6 +24,9 @@
   /// \brief Adds a sample to a summary (quantiles 0.5, 0.95, 0.99).
   void Observe(std::string_view summary, double sample);
 
+  /// \brief Counts a latency in a histogram in seconds (1 ms to 10 s).
+  void ObserveLatency(std::string_view histogram, Duration latency);
+
   /// \returns the value of a counter, 0 if unknown.
   std::uint64_t Counter(std::string_view counter) const;
   /// \returns everything in the Prometheus text format.
@@ -29,9 +34,11 @@
 
  private:
   struct Summary;
+  struct Histogram;
   std::map<std::string, std::uint64_t, std::less<>> counters;
   std::map<std::string, double, std::less<>> gauges;
   std::map<std::string, std::unique_ptr<Summary>, std::less<>> summaries;
+  std::map<std::string, std::unique_ptr<Histogram>, std::less<>> histograms;
 };
 
 }  // namespace dandelionscale
--- a/src/dispatch/belief_watcher.cc
+++ b/src/dispatch/belief_watcher.cc
@@ -57,7 +57,10 @@
       const Duration wait = Spread(kWatchWait, this->state.Random());
       rows = co_await this->store->Watch(table, version, wait);
     } else {
+      const TimePoint began = RuntimeClock::now();
       rows = co_await this->store->Read(table, kReadTimeout);
+      this->state.metrics.ObserveLatency("store_read_seconds",
+                                         RuntimeClock::now() - began);
     }
     if (rows.has_error()) {
       const Fault& fault = rows.error();
--- a/src/dispatch/dispatch_router.cc
+++ b/src/dispatch/dispatch_router.cc
@@ -222,6 +222,10 @@
 
 Result<void> DispatchRouter::Start() { return this->impl->Start(); }
 
+void DispatchRouter::Reload(const DispatchOptions& options) {
+  this->impl->state.Reload(options);
+}
+
 Awaitable<void> DispatchRouter::Shutdown() {
   auto kept = this->impl;
   co_await kept->Shutdown();
--- a/src/dispatch/dispatch_state.cc
+++ b/src/dispatch/dispatch_state.cc
@@ -25,6 +25,21 @@
              static_cast<std::uint64_t>(
                  RuntimeClock::now().time_since_epoch().count())) {}
 
+void DispatchState::Reload(const DispatchOptions& newest) {
+  this->options.shutdown_grace = newest.shutdown_grace;
+  this->options.retry_budget = newest.retry_budget;
+  this->options.load_factor = newest.load_factor;
+  this->options.memory_bytes = newest.memory_bytes;
+  this->options.max_descriptors = newest.max_descriptors;
+  for (auto& [name, service] : this->services) {
+    service->budget.SetTerms(newest.retry_budget);
+  }
+  Logger::Info("reload", {{"load_factor", newest.load_factor},
+                          {"retry_ratio", newest.retry_budget.ratio},
+                          {"retry_extra", newest.retry_budget.extra},
+                          {"grace_ms", ToMilliseconds(newest.shutdown_grace)}});
+}
+
 bool DispatchState::ApplyConfiguration(std::string_view text,
                                        std::string_view source) {
   return boost::leaf::try_handle_all(
--- a/src/dispatch/dispatch_state.h
+++ b/src/dispatch/dispatch_state.h
@@ -37,6 +37,8 @@
   DispatchState(boost::asio::any_io_executor executor, DispatchOptions options,
                 std::shared_ptr<const Dialect> dialect);
 
+  /// \brief Takes the settings that may change while the router runs.
+  void Reload(const DispatchOptions& newest);
   /// \brief Puts a configuration in force if it is newer than the present one.
   /// \param source where it came from, for the log.
   /// \returns false if the text is malformed or not newer.
--- a/src/dispatch/engine_pool.cc
+++ b/src/dispatch/engine_pool.cc
@@ -48,7 +48,8 @@
     error_code ignored;
     connection->socket.close(ignored);
   });
-  guard.Set(RuntimeClock::now() + kConnectTimeout);
+  const TimePoint began = RuntimeClock::now();
+  guard.Set(began + kConnectTimeout);
   error_code error;
   co_await connection->socket.async_connect(endpoint.value(), Redirect(error));
   if (!error && !connection->socket.is_open()) {
@@ -59,6 +60,8 @@
   }
   SetPeerSocketOptions(connection->socket);
   this->state.metrics.Add("engine_connections_opened_total");
+  this->state.metrics.ObserveLatency("engine_connect_seconds",
+                                     RuntimeClock::now() - began);
   co_return connection;
 }
 
--- a/src/dispatch/request_dispatch.cc
+++ b/src/dispatch/request_dispatch.cc
@@ -10,7 +10,6 @@
 
 namespace dandelionscale::internal {
 
-using boost::system::error_code;
 
 namespace {
 
@@ -241,10 +240,8 @@
 Awaitable<bool> RequestDispatch::DeliverEvents(const std::string& events) {
   if (this->stream_started) co_return co_await this->client.SendPiece(events);
   this->stream_started = true;
-  this->state.metrics.Observe(
-      "first_event_seconds",
-      std::chrono::duration<double>(RuntimeClock::now() - this->arrived_at)
-          .count());
+  this->state.metrics.ObserveLatency("first_event_seconds",
+                                     RuntimeClock::now() - this->arrived_at);
   co_return co_await this->client.StartStream(
       this->exchange->Answer().status, this->exchange->Answer().end_to_end,
       events);
@@ -405,8 +402,7 @@
   this->state.metrics.Add(
       fmt::format("request_outcomes_total{{outcome=\"{}\",reason=\"{}\"}}",
                   outcome, reason));
-  this->state.metrics.Observe("request_seconds",
-                              std::chrono::duration<double>(age).count());
+  this->state.metrics.ObserveLatency("request_seconds", age);
   Logger::Info(
       "request_finished",
       {{"request", this->decoded.id},
--- a/src/dispatch/request_placement.cc
+++ b/src/dispatch/request_placement.cc
@@ -93,6 +93,8 @@
 void RequestDispatch::OnPlaced(Engine& engine,
                                const PlacementDecision& decision) {
   const TimePoint now = RuntimeClock::now();
+  this->state.metrics.ObserveLatency("placement_wait_seconds",
+                                     now - this->arrived_at);
   for (const PrefixLink& link : this->decoded.prefix) {
     const PrefixPlacement placement{link.key, engine.key};
     this->state.prefixes.Apply(now, placement);
--- a/src/runtime/metrics.cc
+++ b/src/runtime/metrics.cc
@@ -13,6 +13,7 @@
 #include <boost/accumulators/statistics/extended_p_square_quantile.hpp>
 #include <boost/accumulators/statistics/stats.hpp>
 #include <boost/accumulators/statistics/sum.hpp>
+#include <boost/histogram.hpp>
 #include <set>
 
 namespace dandelionscale {
@@ -22,6 +23,10 @@
 
 constexpr std::array<double, 3> kQuantiles = {0.5, 0.95, 0.99};
 
+// Upper bounds of the buckets of latency histograms, in seconds.
+const std::vector<double> kBucketBounds = {
+    0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10};
+
 using Accumulator =
     acc::accumulator_set<double,
                          acc::stats<acc::tag::count, acc::tag::sum,
@@ -50,6 +55,20 @@
   Accumulator accumulator{acc::extended_p_square_probabilities = kQuantiles};
 };
 
+struct Metrics::Histogram {
+  // The first axis edge is the start of the first bucket.
+  static std::vector<double> Edges() {
+    std::vector<double> edges = {0};
+    edges.insert(edges.end(), kBucketBounds.begin(), kBucketBounds.end());
+    return edges;
+  }
+  boost::histogram::histogram<std::tuple<boost::histogram::axis::variable<>>>
+      buckets = boost::histogram::make_histogram(
+          boost::histogram::axis::variable<>(Edges()));
+  double sum = 0;
+  std::uint64_t count = 0;
+};
+
 Metrics::Metrics() = default;
 Metrics::~Metrics() = default;
 
@@ -73,6 +92,18 @@
   found->second->accumulator(sample);
 }
 
+void Metrics::ObserveLatency(std::string_view histogram, Duration latency) {
+  auto found = this->histograms.find(histogram);
+  if (found == this->histograms.end()) {
+    found = this->histograms.emplace(histogram, std::make_unique<Histogram>())
+                .first;
+  }
+  const double seconds = std::chrono::duration<double>(latency).count();
+  found->second->buckets(seconds);
+  found->second->sum += seconds;
+  ++found->second->count;
+}
+
 std::uint64_t Metrics::Counter(std::string_view counter) const {
   auto found = this->counters.find(counter);
   return found == this->counters.end() ? 0 : found->second;
@@ -107,6 +138,23 @@
     text += fmt::format("{} {}\n", WithSuffix(name, "_count"),
                         acc::count(summary->accumulator));
   }
+  for (const auto& [name, histogram] : this->histograms) {
+    declare(name, "histogram");
+    double cumulative = 0;
+    for (std::size_t n = 0; n < kBucketBounds.size(); ++n) {
+      cumulative += histogram->buckets.at(static_cast<int>(n));
+      text += fmt::format("{} {}\n",
+                          WithLabel(WithSuffix(name, "_bucket"),
+                                    fmt::format("le=\"{}\"", kBucketBounds[n])),
+                          cumulative);
+    }
+    text += fmt::format("{} {}\n",
+                        WithLabel(WithSuffix(name, "_bucket"), "le=\"+Inf\""),
+                        histogram->count);
+    text += fmt::format("{} {}\n", WithSuffix(name, "_sum"), histogram->sum);
+    text +=
+        fmt::format("{} {}\n", WithSuffix(name, "_count"), histogram->count);
+  }
   return text;
 }
 
--- a/tests/dispatch_beliefs_test.cc
+++ b/tests/dispatch_beliefs_test.cc
@@ -202,5 +202,23 @@
   CHECK(fleet.Requests(0).size() == 1);
 }
 
+TEST_CASE(
+    "a changed settings file takes hold on SIGHUP, a broken one doesn't") {
+  PlatformFleet fleet(1);
+  fleet.PutConfiguration(3);
+  fleet.AddEngine("plain", Good);
+  fleet.WaitUntilReady(1);
+  fleet.AppendSettings(1, "bounds.grace_s=5\n");
+  fleet.Signal(1, SIGHUP);
+  Eventually([&] {
+    return fleet.Log(1).find("\"grace_ms\":5000") != std::string::npos;
+  });
+  fleet.AppendSettings(1, "bounds.grace_s=soon\n");
+  fleet.Signal(1, SIGHUP);
+  Eventually(
+      [&] { return fleet.Log(1).find("setting_wrong") != std::string::npos; });
+  CHECK(IsServed(fleet, 1, "/any/"));
+}
+
 }  // namespace
 }  // namespace dandelionscale::tests
--- a/tests/runtime_test.cc
+++ b/tests/runtime_test.cc
@@ -136,5 +136,23 @@
   CHECK(text.find("latency_seconds_count 100\n") != std::string::npos);
 }
 
+TEST_CASE("latency histograms have cumulative buckets in seconds") {
+  Metrics metrics;
+  metrics.ObserveLatency("wait_seconds", std::chrono::milliseconds(3));
+  metrics.ObserveLatency("wait_seconds", std::chrono::milliseconds(200));
+  metrics.ObserveLatency("wait_seconds", std::chrono::seconds(60));
+  const std::string text = metrics.ToPrometheus();
+  for (std::string_view line :
+       {"# TYPE wait_seconds histogram\n",
+        "wait_seconds_bucket{le=\"0.0025\"} 0\n",
+        "wait_seconds_bucket{le=\"0.005\"} 1\n",
+        "wait_seconds_bucket{le=\"0.25\"} 2\n",
+        "wait_seconds_bucket{le=\"10\"} 2\n",
+        "wait_seconds_bucket{le=\"+Inf\"} 3\n", "wait_seconds_count 3\n"}) {
+    INFO(line);
+    CHECK(text.find(line) != std::string::npos);
+  }
+}
+
 }  // namespace
 }  // namespace dandelionscale
--- a/tests/support/platform_fleet.cc
+++ b/tests/support/platform_fleet.cc
@@ -157,8 +157,7 @@
 }
 
 void PlatformFleet::StartRouter(int router) {
-  const std::string settings =
-      fmt::format("{}/router-{}.conf", this->folder, router);
+  const std::string settings = this->SettingsPath(router);
   std::ofstream(settings) << fmt::format(
       "node_name=router-{0}\nzone=north\nip={1}\nlisten.front={1}:{2}\n"
       "listen.ready={1}:{3}\nport_range={4},{4}\n"
@@ -191,6 +190,14 @@
   this->processes[router] = pid;
 }
 
+void PlatformFleet::AppendSettings(int router, const std::string& lines) {
+  std::ofstream(this->SettingsPath(router), std::ios::app) << lines;
+}
+
+std::string PlatformFleet::SettingsPath(int router) const {
+  return fmt::format("{}/router-{}.conf", this->folder, router);
+}
+
 void PlatformFleet::Signal(int router, int signal) {
   REQUIRE(::kill(this->processes.at(router), signal) == 0);
 }
--- a/tests/support/platform_fleet.h
+++ b/tests/support/platform_fleet.h
@@ -44,6 +44,8 @@
   void SetStoreMode(emulator::StoreMode mode);
 
   void StartRouter(int router);
+  /// \brief Adds lines to the router's settings file; later ones win.
+  void AppendSettings(int router, const std::string& lines);
   void Signal(int router, int signal);
   int WaitForExit(int router);
   void WaitUntilReady(int router);
@@ -69,7 +71,7 @@
   };
 
   std::string Ip(int router) const;
-  std::string Folder() const { return this->folder; }
+  std::string SettingsPath(int router) const;
 
   std::string folder;
   boost::asio::io_context loop;
