--- a/daemons/dandelionctl.cc
+++ b/daemons/dandelionctl.cc
@@ -14,6 +14,7 @@
 #include <sstream>
 
 #include "dandelionscale/core/configuration.h"
+#include "dandelionscale/dispatch/log_explanation.h"
 #include "dandelionscale/runtime.h"
 #include "dandelionscale/transport.h"
 
@@ -44,7 +45,10 @@
     "  drain ENGINE          let an engine finish and give it nothing new\n"
     "  undrain ENGINE        take that back\n"
     "  status                show routers, engines and loads\n"
-    "  explain REQUEST_ID    show the hops of a request as a tree\n\n"
+    "  explain REQUEST_ID    show the hops of a request as a tree; with "
+    "--log,\n"
+    "                        its story in routers' logs and the likely "
+    "cause\n\n"
     "Exit codes: 0 done, 1 refused or unreachable, 2 wrong usage.";
 
 std::vector<dandelionscale::SettingSpec> Specs() {
@@ -55,6 +59,8 @@
        TextRange{true}},
       {"admin-token", "", "bearer token", TextRange{}},
       {"expect", "", "version that a put replaces", TextRange{}},
+      {"log", "", "explain: log files of routers, comma-separated",
+       TextRange{}},
       {"output", "table", "form of what is printed",
        ChoiceRange{{"table", "json"}}},
   };
@@ -341,6 +347,40 @@
   return kExitOk;
 }
 
+std::vector<std::string> ReadLogs(const std::string& paths) {
+  std::vector<std::string> lines;
+  std::istringstream list(paths);
+  for (std::string path; std::getline(list, path, ',');) {
+    std::ifstream file(path);
+    if (!file) {
+      fmt::print(stderr, "log: \"{}\" can't be read\n", path);
+      std::exit(kExitUsage);
+    }
+    for (std::string line; std::getline(file, line);) lines.push_back(line);
+  }
+  return lines;
+}
+
+void PrintList(std::string_view title, const std::vector<std::string>& lines) {
+  if (lines.empty()) return;
+  fmt::print("{}:\n", title);
+  for (const std::string& line : lines) fmt::print("  {}\n", line);
+}
+
+int ExplainFromLogs(const std::string& paths, const std::string& request_id) {
+  const auto explanation =
+      dandelionscale::ExplainRequest(request_id, ReadLogs(paths));
+  if (explanation.lines.empty()) {
+    fmt::print(stderr, "request {} is in none of the logs\n", request_id);
+    return kExitFailed;
+  }
+  PrintList("request", explanation.lines);
+  PrintList("beliefs that changed around it", explanation.context);
+  fmt::print("likely cause: {}\n", explanation.cause);
+  PrintList("against it", explanation.contradictions);
+  return kExitOk;
+}
+
 int Usage() {
   fmt::print(stderr, "{}\n", kUsage);
   return kExitUsage;
@@ -351,6 +391,10 @@
   if (words.size() == 3 && words[0] == "config" && words[1] == "check") {
     return CheckConfiguration(words[2]);
   }
+  if (words.size() == 2 && words[0] == "explain" &&
+      !settings.Text("log").empty()) {
+    return ExplainFromLogs(settings.Text("log"), words[1]);
+  }
   AdminClient admin(settings);
   if (words.size() == 2 && words[0] == "config" && words[1] == "get") {
     return PrintAnswer(admin.Call(Get("/v1/config")));
--- a/include/dandelionscale/dispatch.h
+++ b/include/dandelionscale/dispatch.h
@@ -9,6 +9,7 @@
 
 #include "dandelionscale/dispatch/dialect.h"          // IWYU pragma: export
 #include "dandelionscale/dispatch/dispatch_router.h"  // IWYU pragma: export
+#include "dandelionscale/dispatch/log_explanation.h"  // IWYU pragma: export
 #include "dandelionscale/dispatch/table_store.h"      // IWYU pragma: export
 
 #endif  // DANDELIONSCALE_DISPATCH_H_
--- a/src/dispatch/peer_exchange.cc
+++ b/src/dispatch/peer_exchange.cc
@@ -124,6 +124,7 @@
   const std::vector<std::string> peers(this->state.peers.begin(),
                                        this->state.peers.end());
   const std::size_t count = std::min(kPeersEachTime, peers.size());
+  this->state.metrics.Add("peer_digest_bytes_sent_total", count * bytes.size());
   for (std::size_t n = 0; n < count; ++n) {
     const auto endpoint =
         ParseEndpoint(peers[this->next_peer++ % peers.size()]);
--- a/src/dispatch/request_dispatch.cc
+++ b/src/dispatch/request_dispatch.cc
@@ -10,7 +10,6 @@
 
 namespace dandelionscale::internal {
 
-
 namespace {
 
 constexpr unsigned kOkLimit = 300;
@@ -260,7 +259,9 @@
     return;
   }
   if (ours) return;
-  if (*failure == AttemptFailure::kNotConnected) {
+  // Another engine at the address means that this one has ended.
+  if (*failure == AttemptFailure::kNotConnected ||
+      *failure == AttemptFailure::kWrongEngine) {
     engine.health.OnUnreachable(now);
   } else if (*failure != AttemptFailure::kRefused) {
     engine.health.OnFailure(now);
--- /dev/null
+++ b/tests/log_explanation_test.cc
@@ -0,0 +1,73 @@
+// From a request's id to its cause, by logs alone.
+#include "dandelionscale/dispatch/log_explanation.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+namespace dandelionscale {
+namespace {
+
+std::string Line(const std::string& time, const std::string& event,
+                 const std::string& more) {
+  return R"({"time":"2026-12-04T05:00:)" + time +
+         R"(Z","level":"info","process":"router-1","event":")" + event + "\"," +
+         more + "}";
+}
+
+std::vector<std::string> Story(const std::string& outcome,
+                               const std::string& reason) {
+  return {"a line that is not JSON",
+          Line("01.000", "engine_belief",
+               R"("engine":"e1","service":"s","change":"unlisted")"),
+          Line("01.100", "request_placed", R"("request":"r1","engine":"e1")"),
+          Line("01.110", "request_placed", R"("request":"r2","engine":"e1")"),
+          Line("01.200", "request_finished",
+               R"("request":"r2","outcome":"answered","reason":"")"),
+          Line("01.300", "attempt_failed",
+               R"("request":"r1","engine":"e1","failure":"no_answer")"),
+          Line("01.310", "request_finished",
+               R"("request":"r1","outcome":")" + outcome + R"(","reason":")" +
+                   reason + "\"")};
+}
+
+TEST_CASE("the lines of a request are found among all others, in order") {
+  auto lines = Story("failed", "no_answer");
+  std::reverse(lines.begin(), lines.end());
+  const auto found = ExplainRequest("r1", lines);
+  REQUIRE(found.lines.size() == 3);
+  CHECK(found.lines[0].find("request_placed") != std::string::npos);
+  CHECK(found.lines[2].find("request_finished") != std::string::npos);
+}
+
+TEST_CASE("the cause, its context and what contradicts it are told") {
+  const auto found = ExplainRequest("r1", Story("failed", "no_answer"));
+  CHECK(found.cause.find("may have run") != std::string::npos);
+  REQUIRE(found.context.size() == 1);
+  CHECK(found.context[0].find("unlisted") != std::string::npos);
+  REQUIRE(found.contradictions.size() == 1);
+  CHECK(found.contradictions[0] ==
+        "engine e1 answered 1 other requests meanwhile");
+}
+
+TEST_CASE("every reason that routers write has a cause") {
+  for (const char* reason :
+       {"no_configuration", "no_route", "unknown_key", "queue_full", "no_room",
+        "no_engine", "deadline", "no_answer", "bad_answer", "engine_error",
+        "stream_broken", "refused", "wrong_engine", "not_connected"}) {
+    INFO(reason);
+    const auto found = ExplainRequest("r1", Story("failed", reason));
+    CHECK(found.cause.find("unknown reason") == std::string::npos);
+  }
+  CHECK(ExplainRequest("r1", Story("client_gone", "")).cause.find("client") !=
+        std::string::npos);
+}
+
+TEST_CASE("a request without a final line, and one that nobody knows") {
+  auto lines = Story("failed", "no_answer");
+  lines.pop_back();
+  CHECK(ExplainRequest("r1", lines).cause.starts_with("no final line"));
+  CHECK(ExplainRequest("r9", lines).lines.empty());
+}
+
+}  // namespace
+}  // namespace dandelionscale
