--- /dev/null
+++ b/bench/placement_bench.cc
@@ -0,0 +1,168 @@
+// Placement against its baselines on a model of engines, and its cost.
+//
+// Prints a Markdown table of policies and one of costs; deterministic but for
+// the costs.
+#include <fmt/format.h>
+
+#include <chrono>
+#include <functional>
+
+#include "dandelionscale/core/hash.h"
+#include "tests/support/engine_model.h"
+
+namespace {
+
+using namespace dandelionscale;         // NOLINT: a program's main file
+using namespace dandelionscale::tests;  // NOLINT
+
+constexpr int kEngines = 18;
+constexpr int kGapMs = 7;
+constexpr int kRunMs = 1200;
+constexpr int kDayMs = 60'000;
+constexpr std::uint32_t kTokens = 10'000;
+constexpr int kParts = 150;
+
+using Policy = std::function<std::optional<std::size_t>(
+    const std::vector<ModelEngine>&, std::uint64_t part, std::mt19937_64&)>;
+
+std::optional<std::size_t> Least(const std::vector<ModelEngine>& engines,
+                                 std::uint64_t, std::mt19937_64&) {
+  std::optional<std::size_t> best;
+  for (std::size_t n = 0; n < engines.size(); ++n) {
+    if (!engines[n].usable) continue;
+    if (!best || engines[n].ends_ms.size() < engines[*best].ends_ms.size()) {
+      best = n;
+    }
+  }
+  return best;
+}
+
+std::optional<std::size_t> Rendezvous(const std::vector<ModelEngine>& engines,
+                                      std::uint64_t part, double bound) {
+  std::optional<std::size_t> best;
+  std::uint64_t best_weight = 0;
+  for (std::size_t n = 0; n < engines.size(); ++n) {
+    const bool full = static_cast<double>(engines[n].ends_ms.size()) > bound;
+    if (!engines[n].usable || full) continue;
+    const std::uint64_t weight = RendezvousWeight(part, engines[n].key);
+    if (!best || weight > best_weight) {
+      best = n;
+      best_weight = weight;
+    }
+  }
+  return best;
+}
+
+double MeanLoad(const std::vector<ModelEngine>& engines) {
+  double sum = 0;
+  for (const ModelEngine& engine : engines) {
+    sum += static_cast<double>(engine.ends_ms.size());
+  }
+  return sum / static_cast<double>(engines.size());
+}
+
+std::optional<std::size_t> TwoChoices(const std::vector<ModelEngine>& engines,
+                                      std::uint64_t, std::mt19937_64& random) {
+  std::optional<std::size_t> best;
+  for (int found = 0, tries = 0; found < 2 && tries < 100; ++tries) {
+    const std::size_t n = random() % engines.size();
+    if (!engines[n].usable) continue;
+    ++found;
+    if (!best || engines[n].ends_ms.size() < engines[*best].ends_ms.size()) {
+      best = n;
+    }
+  }
+  return best;
+}
+
+struct DayResult {
+  ReplayCounts counts;
+  double worst_skew = 0;  ///< Highest load over the mean, at any request.
+};
+
+// A third of the requests are for one part; an engine is replaced each 5 s.
+DayResult PlayDay(const Policy& policy) {
+  EngineModel model(kEngines, 11);
+  PrefixIndex index(10'000);
+  DayResult day;
+  std::size_t replaced = 0;
+  for (int now = 0; now < kDayMs; now += kGapMs) {
+    if (now / 5000 > static_cast<int>(replaced)) {
+      model.engines[replaced++].usable = false;
+      model.Add();
+    }
+    const std::uint64_t part =
+        model.random() % 3 == 0 ? 9999 : 1 + model.random() % kParts;
+    if (policy) {
+      model.PlayAt(now, part, kRunMs, policy(model.engines, part, model.random),
+                   day.counts);
+    } else {
+      model.Play(now, part, kTokens, kRunMs, index, day.counts);
+    }
+    double most = 0;
+    for (const ModelEngine& engine : model.engines) {
+      most = std::max(most, static_cast<double>(engine.ends_ms.size()));
+    }
+    if (now > 5000) {
+      day.worst_skew = std::max(day.worst_skew, most / MeanLoad(model.engines));
+    }
+  }
+  return day;
+}
+
+void PrintPolicies() {
+  const std::vector<std::pair<const char*, Policy>> policies = {
+      {"known holders, bounded (product)", nullptr},
+      {"least in flight", Least},
+      {"two random choices", TwoChoices},
+      {"rendezvous", [](const auto& engines, auto part,
+                        auto&) { return Rendezvous(engines, part, 1e9); }},
+      {"rendezvous, 1.3 x mean + 4", [](const auto& engines, auto part, auto&) {
+         return Rendezvous(engines, part, 1.3 * MeanLoad(engines) + 4);
+       }}};
+  fmt::print(
+      "| policy | reused | read again | above the bound | highest load / mean "
+      "|\n|---|---|---|---|---|\n");
+  for (const auto& [name, policy] : policies) {
+    const DayResult day = PlayDay(policy);
+    fmt::print("| {} | {:.3f} | {:.3f} | {:.3f} | {:.2f} |\n", name,
+               static_cast<double>(day.counts.reused) / day.counts.requests,
+               day.counts.RereadShare(), day.counts.OverBoundShare(),
+               day.worst_skew);
+  }
+}
+
+void PrintCosts() {
+  constexpr int kDecisions = 20'000;
+  fmt::print("\n| engines | ns a decision |\n|---|---|\n");
+  for (int engines : {22, 112, 600}) {
+    std::vector<PlacementCandidate> candidates;
+    for (int n = 0; n < engines; ++n) {
+      PlacementCandidate candidate;
+      candidate.engine_key = 1000 + static_cast<std::uint64_t>(n);
+      candidate.in_flight = static_cast<std::uint32_t>(n % 7);
+      candidate.max_slots = 48;
+      candidates.push_back(candidate);
+    }
+    candidates[5].held_tokens = kTokens;
+    std::size_t sum = 0;
+    const auto began = std::chrono::steady_clock::now();
+    for (int n = 0; n < kDecisions; ++n) {
+      PlacementQuestion question{candidates, kTokens,
+                                 1 + static_cast<std::uint64_t>(n), 7, 2.0};
+      sum += ChooseEngine(question)->index;
+    }
+    const auto took = std::chrono::steady_clock::now() - began;
+    const auto nanoseconds =
+        std::chrono::duration_cast<std::chrono::nanoseconds>(took).count();
+    fmt::print("| {} | {} |\n", engines,
+               sum == 0 ? 0 : nanoseconds / kDecisions);
+  }
+}
+
+}  // namespace
+
+int main() {
+  PrintPolicies();
+  PrintCosts();
+}
--- a/include/dandelionscale/core/prefix_index.h
+++ b/include/dandelionscale/core/prefix_index.h
@@ -42,6 +42,16 @@
   bool dropped = false;
 };
 
+/// \brief An engine and the tokens of a prompt's leading parts that it holds.
+struct PrefixHolding {
+  std::uint64_t engine_key = 0;
+  std::uint32_t tokens = 0;
+};
+
+/// \returns the tokens that the engine holds, 0 if it is not in `holdings`.
+std::uint32_t TokensAt(std::span<const PrefixHolding> holdings,
+                       std::uint64_t engine_key);
+
 /// \brief Which engines hold which prompt parts.
 ///
 /// Learnt from placements and from what engines say of their caches. An engine
@@ -59,6 +69,10 @@
   bool Holds(std::uint64_t part_key, std::uint64_t engine_key) const;
   /// \brief The engine has lost all that it held.
   void Forget(std::uint64_t engine_key);
+  /// \returns the engines that hold leading parts of a prompt, the longest
+  ///          holdings first; an engine may be there more than once.
+  std::vector<PrefixHolding> Holdings(TimePoint now,
+                                      std::span<const PrefixLink> links) const;
   /// \returns the tokens of the leading parts that the engine holds.
   std::uint32_t HeldTokens(TimePoint now, std::span<const PrefixLink> links,
                            std::uint64_t engine_key) const;
--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -34,13 +34,10 @@
 }
 
 double Mean(std::span<const Candidate> candidates) {
-  double sum = 0;
-  double count = 0;
-  for (const Candidate& candidate : candidates) {
-    sum += candidate.in_flight;
-    count += 1;
-  }
-  return count == 0 ? 0 : sum / count;
+  std::uint64_t sum = 0;
+  for (const Candidate& candidate : candidates) sum += candidate.in_flight;
+  if (candidates.empty()) return 0;
+  return static_cast<double>(sum) / static_cast<double>(candidates.size());
 }
 
 // Utilisation after the request is added, with ties broken by the hash so that
@@ -74,8 +71,8 @@
   std::uint64_t best_weight = 0;
   for (std::size_t n = 0; n < question.candidates.size(); ++n) {
     const Candidate& candidate = question.candidates[n];
-    const bool holds_all = candidate.held_tokens >= question.shared_tokens;
-    if (!HasRoom(candidate) || !holds_all) continue;
+    if (candidate.held_tokens < question.shared_tokens) continue;
+    if (!HasRoom(candidate)) continue;
     if (candidate.in_flight + 1 > bound) continue;
     const std::uint64_t weight =
         RendezvousWeight(question.affinity_key, candidate.engine_key);
--- a/src/core/prefix_index.cc
+++ b/src/core/prefix_index.cc
@@ -35,6 +35,14 @@
   return tokens;
 }
 
+std::uint32_t TokensAt(std::span<const PrefixHolding> holdings,
+                       std::uint64_t engine_key) {
+  for (const PrefixHolding& holding : holdings) {
+    if (holding.engine_key == engine_key) return holding.tokens;
+  }
+  return 0;
+}
+
 void PrefixIndex::Apply(TimePoint now, const PrefixPlacement& placement) {
   if (placement.dropped) {
     this->Drop(placement.part_key, placement.engine_key);
@@ -105,18 +113,27 @@
   return nullptr;
 }
 
-std::uint32_t PrefixIndex::HeldTokens(TimePoint now,
-                                      std::span<const PrefixLink> links,
-                                      std::uint64_t engine_key) const {
+std::vector<PrefixHolding> PrefixIndex::Holdings(
+    TimePoint now, std::span<const PrefixLink> links) const {
+  std::vector<PrefixHolding> holdings;
   for (std::size_t n = links.size(); n > 0; --n) {
-    const Holder* holder = this->Find(links[n - 1].key, engine_key);
-    const bool held =
-        holder != nullptr && now - holder->used_at < kHolderLifetime;
+    auto found = this->entries.find(links[n - 1].key);
+    if (found == this->entries.end()) continue;
     // The engine read the parts before it together with this one; of a part
     // that all engines hold, only some holders are known.
-    if (held) return TotalTokens(links.first(n));
+    const std::uint32_t tokens = TotalTokens(links.first(n));
+    for (const Holder& holder : found->second.holders) {
+      if (now - holder.used_at >= kHolderLifetime) continue;
+      holdings.push_back({holder.engine_key, tokens});
+    }
   }
-  return 0;
+  return holdings;
+}
+
+std::uint32_t PrefixIndex::HeldTokens(TimePoint now,
+                                      std::span<const PrefixLink> links,
+                                      std::uint64_t engine_key) const {
+  return TokensAt(this->Holdings(now, links), engine_key);
 }
 
 void PrefixIndex::Trim() {
--- a/src/dispatch/request_placement.cc
+++ b/src/dispatch/request_placement.cc
@@ -64,6 +64,8 @@
     failure_rate += engine->health.FailureRate();
   }
   failure_rate /= static_cast<double>(std::max<std::size_t>(1, engines.size()));
+  const std::vector<PrefixHolding> holdings =
+      this->state.prefixes.Holdings(now, this->decoded.prefix);
   std::vector<PlacementCandidate> candidates;
   candidates.reserve(engines.size());
   for (const auto& engine : engines) {
--- a/tests/support/engine_model.h
+++ b/tests/support/engine_model.h
@@ -64,7 +64,6 @@
     const TimePoint now = TimePoint(std::chrono::milliseconds(now_ms));
     const std::vector<PrefixLink> links = {{part, tokens}};
     std::vector<PlacementCandidate> candidates;
-    double sum = 0;
     for (const ModelEngine& engine : this->engines) {
       PlacementCandidate candidate;
       candidate.engine_key = engine.key;
@@ -73,7 +72,6 @@
       candidate.held_tokens = index.HeldTokens(now, links, engine.key);
       candidate.usable = engine.usable;
       candidates.push_back(candidate);
-      sum += candidate.in_flight;
     }
     PlacementQuestion question;
     question.candidates = candidates;
@@ -81,19 +79,32 @@
     question.affinity_key = part;
     question.spread_key = this->random();
     question.load_factor = kLoadFactor;
-    ++counts.requests;
     const auto decision = ChooseEngine(question);
-    if (!decision) {
+    std::optional<std::size_t> chosen;
+    if (decision) chosen = decision->index;
+    this->PlayAt(now_ms, part, run_ms, chosen, counts);
+    if (chosen) index.Apply(now, {part, this->engines[*chosen].key, false});
+  }
+
+  /// \brief Plays one request that a policy has placed, or has not.
+  void PlayAt(int now_ms, std::uint64_t part, int run_ms,
+              std::optional<std::size_t> index, ReplayCounts& counts) {
+    this->Finish(now_ms);
+    ++counts.requests;
+    if (!index) {
       ++counts.not_placed;
       return;
     }
-    ModelEngine& chosen = this->engines[decision->index];
+    double sum = 0;
+    for (const ModelEngine& engine : this->engines) {
+      sum += static_cast<double>(engine.ends_ms.size());
+    }
     const double mean = sum / static_cast<double>(this->engines.size());
+    ModelEngine& chosen = this->engines[*index];
     const double bound = kLoadFactor * mean + kBoundSlack;
     if (static_cast<double>(chosen.ends_ms.size()) > bound) ++counts.over_bound;
     this->Read(chosen, part, counts);
     chosen.ends_ms.insert(now_ms + run_ms);
-    index.Apply(now, {part, chosen.key, false});
   }
 
   std::vector<ModelEngine> engines;
