--- a/emulator/main.cc
+++ b/emulator/main.cc
@@ -15,6 +15,7 @@
 #include "fault_proxy.h"
 #include "plain_service.h"
 #include "platform_service.h"
+#include "platform_site.h"
 
 namespace {
 
@@ -23,7 +24,8 @@
 using namespace dandelionscale::emulator;  // NOLINT
 
 constexpr std::string_view kUsage =
-    "dandelion-fakes engine|service|platform|fault-proxy [settings]\n\n"
+    "dandelion-fakes engine|service|platform|platform-site|fault-proxy "
+    "[settings]\n\n"
     "Stand-ins for tests and experiments. Each takes control requests on\n"
     "--control-address under /fake/ (docs/emulator.md).";
 
@@ -34,7 +36,8 @@
   return {
       {"control-address", "127.0.0.1:9000", "listener for control requests",
        AddressRange{true}},
-      {"count", "1", "engine, service: number of engines", count},
+      {"count", "1", "engine, service, platform-site: number of engines",
+       count},
       {"base-port", "9100", "engine, service: port of the first engine", port},
       {"prefill-us", "20", "engine: microseconds per prompt token", amount},
       {"token-ms", "10", "engine: milliseconds between tokens", amount},
@@ -47,7 +50,8 @@
        amount},
       {"report-lag-ms", "300", "engine: age of load reports", amount},
       {"work-ms", "5", "service: milliseconds per call", amount},
-      {"address", "127.0.0.1:9001", "platform: listener", AddressRange{true}},
+      {"address", "127.0.0.1:9001", "platform, platform-site: listener",
+       AddressRange{true}},
       {"host-lag-ms", "500", "platform: age of the host list", amount},
       {"links", "", "fault-proxy: LISTEN=TARGET pairs, comma-separated",
        TextRange{}},
@@ -122,6 +126,14 @@
   RunWithControl(loop, settings, platform);
 }
 
+void RunPlatformSite(asio::io_context& loop, const Settings& settings) {
+  PlatformSite site(loop.get_executor(),
+                    static_cast<int>(settings.Integer("count")),
+                    Milliseconds(settings, "token-ms"));
+  RequireOk(site.Listen(ParseEndpoint(settings.Text("address")).value()));
+  RunWithControl(loop, settings, site);
+}
+
 void RunProxy(asio::io_context& loop, const Settings& settings) {
   FaultProxy proxy(loop.get_executor(),
                    static_cast<std::uint64_t>(settings.Integer("seed")));
@@ -153,6 +165,8 @@
     RunService(loop, settings);
   } else if (role == "platform") {
     RunPlatform(loop, settings);
+  } else if (role == "platform-site") {
+    RunPlatformSite(loop, settings);
   } else if (role == "fault-proxy") {
     RunProxy(loop, settings);
   } else {
--- /dev/null
+++ b/emulator/platform_site.h
@@ -0,0 +1,46 @@
+#ifndef DANDELIONSCALE_EMULATOR_PLATFORM_SITE_H_
+#define DANDELIONSCALE_EMULATOR_PLATFORM_SITE_H_
+
+#include <memory>
+#include <vector>
+
+#include "dandelionscale/transport/http_server.h"
+#include "scripted_engine.h"
+#include "store_service.h"
+
+namespace dandelionscale::emulator {
+
+/// \brief A small deployment of the users' platform in one process: the store
+///        with a configuration, model engines and plain engines.
+class PlatformSite {
+ public:
+  /// \param engines number of model engines; as many plain ones.
+  PlatformSite(boost::asio::any_io_executor executor, int engines,
+               Duration event_interval);
+
+  /// \brief Opens the store at `store` and the engines at the ports behind it.
+  Result<void> Listen(const Endpoint& store);
+  /// \brief `GET /fake/drain?engine=ID` lets an engine announce that it leaves.
+  Awaitable<void> HandleControl(HttpExchange& exchange);
+
+ private:
+  Result<void> AddEngine(const std::string& id, const std::string& service,
+                         const Endpoint& endpoint, ScriptMaker maker);
+  void List(const std::string& id, std::string_view state);
+
+  struct Listed {
+    std::string service;
+    Endpoint endpoint;
+    std::unique_ptr<ScriptedEngine> engine;
+  };
+
+  boost::asio::any_io_executor executor;
+  int count;
+  Duration event_interval;
+  StoreService store;
+  std::map<std::string, Listed> engines;
+};
+
+}  // namespace dandelionscale::emulator
+
+#endif  // DANDELIONSCALE_EMULATOR_PLATFORM_SITE_H_
--- a/scripts/quickstart.sh
+++ b/scripts/quickstart.sh
@@ -1,8 +1,13 @@
 #!/usr/bin/env bash
-# Installs, builds, and runs the demonstration on a fresh machine.
+# Installs, builds the programs, and runs the demonstrations on a fresh machine:
+# routers on the users' platform, then the product's own chats and bookings.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 scripts/install.sh >&2
-cmake --preset release >&2
-cmake --build --preset release >&2
+cmake -S . -B build/programs -G Ninja -DCMAKE_BUILD_TYPE=Release \
+  -DBUILD_TESTING=OFF >&2
+cmake --build build/programs --target dandelion-platform-router \
+  dandelion-router dandelionctl dandelion-load dandelion-fakes >&2
+export BUILD=build/programs
+scripts/platform_demo.sh
 exec scripts/demo.sh "$@"
