Keep digests within the control budget; fetch placements at the start

Cause: digests of 150 ms with all placements and 8-byte keys were more than the control budget of 4 KB/s a router. Bytes sent are in each 'stopped' line.

--- a/include/dandelionscale/core/prefix_index.h
+++ b/include/dandelionscale/core/prefix_index.h
@@ -76,6 +76,8 @@
   /// \returns the tokens of the leading parts that the engine holds.
   std::uint32_t HeldTokens(TimePoint now, std::span<const PrefixLink> links,
                            std::uint64_t engine_key) const;
+  /// \returns what is known, at most `most` entries, for a router that starts.
+  std::vector<PrefixPlacement> Known(std::size_t most) const;
   std::size_t Size() const { return this->entries.size(); }
 
  private:
--- a/src/core/prefix_index.cc
+++ b/src/core/prefix_index.cc
@@ -136,6 +136,17 @@
   return TokensAt(this->Holdings(now, links), engine_key);
 }
 
+std::vector<PrefixPlacement> PrefixIndex::Known(std::size_t most) const {
+  std::vector<PrefixPlacement> known;
+  for (const auto& [part_key, entry] : this->entries) {
+    for (const Holder& holder : entry.holders) {
+      if (known.size() >= most) return known;
+      known.push_back({part_key, holder.engine_key, false});
+    }
+  }
+  return known;
+}
+
 void PrefixIndex::Trim() {
   std::size_t checks = this->order.size();
   while (this->entries.size() > this->capacity && checks-- > 0) {
--- a/src/dispatch/dispatch_router.cc
+++ b/src/dispatch/dispatch_router.cc
@@ -76,6 +76,7 @@
   HttpServer ready_server;
   HttpServer metrics_server;
   std::set<std::shared_ptr<ClientConnection>> clients;
+  TimePoint started_at = RuntimeClock::now();
   TimePoint housekept_at{};
   bool was_ready = false;
 };
@@ -206,9 +207,14 @@
   }
   const Duration linger = kLinger;
   co_await SleepFor(linger);
+  const auto digest_bytes = static_cast<std::int64_t>(
+      this->state.metrics.Counter("peer_digest_bytes_sent_total"));
+  const Duration uptime = RuntimeClock::now() - this->started_at;
   Logger::Info(
       "stopped",
-      {{"unfinished", static_cast<std::int64_t>(this->state.requests.size())}});
+      {{"unfinished", static_cast<std::int64_t>(this->state.requests.size())},
+       {"uptime_ms", ToMilliseconds(uptime)},
+       {"digest_bytes_sent", digest_bytes}});
 }
 
 DispatchRouter::DispatchRouter(asio::any_io_executor executor,
--- a/src/dispatch/peer_exchange.cc
+++ b/src/dispatch/peer_exchange.cc
@@ -19,7 +19,7 @@
 
 namespace {
 
-constexpr Duration kDigestInterval = std::chrono::milliseconds(150);
+constexpr Duration kDigestInterval = std::chrono::milliseconds(250);
 // Peers that get a digest each time; more are served in rotation.
 constexpr std::size_t kPeersEachTime = 12;
 // A router that is behind a peer for so long fetches from it; normally the
@@ -30,8 +30,15 @@
 constexpr Duration kPeerLostAfter = std::chrono::milliseconds(1500);
 // Placements in one digest, so that it stays a few kilobytes.
 constexpr std::size_t kPlacementsEachTime = 250;
+// Placements in a snapshot; 12 bytes each.
+constexpr std::size_t kPlacementsInSnapshot = 20'000;
 constexpr std::string_view kSnapshotPath = "/snapshot";
 
+// Engines are few enough for half of their key to tell them apart.
+std::uint32_t ShortKey(std::uint64_t engine_key) {
+  return static_cast<std::uint32_t>(engine_key);
+}
+
 std::string ToText(const udp::endpoint& endpoint) {
   return fmt::format("{}:{}", endpoint.address().to_string(), endpoint.port());
 }
@@ -116,7 +123,7 @@
   digest.set_engines_changed(this->state.engines_changed);
   for (const auto& [id, engine] : this->state.engines.Engines()) {
     if (engine->in_flight == 0) continue;
-    digest.add_engine_keys(engine->key);
+    digest.add_engine_keys(ShortKey(engine->key));
     digest.add_loads(engine->in_flight);
   }
   this->FillPlacements(digest);
@@ -136,6 +143,14 @@
   }
 }
 
+std::map<std::uint32_t, std::uint64_t> PeerExchange::EngineKeys() const {
+  std::map<std::uint32_t, std::uint64_t> key_of;
+  for (const auto& [id, engine] : this->state.engines.Engines()) {
+    key_of[ShortKey(engine->key)] = engine->key;
+  }
+  return key_of;
+}
+
 void PeerExchange::FillPlacements(wire::RouterDigest& digest) {
   auto& placements = this->state.recent_placements;
   const std::size_t count = std::min(kPlacementsEachTime, placements.size());
@@ -143,10 +158,10 @@
     const PrefixPlacement& placement = placements[n];
     if (placement.dropped) {
       digest.add_dropped_parts(placement.part_key);
-      digest.add_dropped_engines(placement.engine_key);
+      digest.add_dropped_engines(ShortKey(placement.engine_key));
     } else {
       digest.add_placed_parts(placement.part_key);
-      digest.add_placed_engines(placement.engine_key);
+      digest.add_placed_engines(ShortKey(placement.engine_key));
     }
   }
   placements.erase(placements.begin(),
@@ -184,19 +199,25 @@
     Logger::Info("peer_heard", {{"peer", sender}, {"name", digest.router()}});
   }
   this->state.peers_heard_at[sender] = now;
+  const auto key_of = this->EngineKeys();
   std::vector<EngineLoad> loads;
   for (int n = 0; n < digest.engine_keys_size(); ++n) {
-    loads.push_back({digest.engine_keys(n), digest.loads(n)});
+    auto known = key_of.find(digest.engine_keys(n));
+    if (known != key_of.end())
+      loads.push_back({known->second, digest.loads(n)});
   }
   this->state.fleet_load.OnReport(now, digest.router(), digest.incarnation(),
                                   digest.sequence(), loads);
+  const auto apply = [&](std::uint64_t part, std::uint32_t engine, bool gone) {
+    auto known = key_of.find(engine);
+    if (known == key_of.end()) return;
+    this->state.prefixes.Apply(now, {part, known->second, gone});
+  };
   for (int n = 0; n < digest.placed_parts_size(); ++n) {
-    this->state.prefixes.Apply(
-        now, {digest.placed_parts(n), digest.placed_engines(n), false});
+    apply(digest.placed_parts(n), digest.placed_engines(n), false);
   }
   for (int n = 0; n < digest.dropped_parts_size(); ++n) {
-    this->state.prefixes.Apply(
-        now, {digest.dropped_parts(n), digest.dropped_engines(n), true});
+    apply(digest.dropped_parts(n), digest.dropped_engines(n), true);
   }
   this->FetchIfBehind(digest, sender);
 }
@@ -207,7 +228,10 @@
       this->state.table ? this->state.table->version : 0;
   const bool behind = digest.configuration_version() > own_configuration ||
                       digest.engines_changed() > this->state.engines.Version();
-  if (!behind) return;
+  // Digests carry news of placements only; a router that starts asks once for
+  // what was before.
+  const bool is_new = !this->knows_placements && this->state.engines_known;
+  if (!behind && !is_new) return;
   const TimePoint now = RuntimeClock::now();
   if (this->behind_since == TimePoint::max()) this->behind_since = now;
   const bool patient = this->state.table != nullptr &&
@@ -240,6 +264,7 @@
 void PeerExchange::ApplySnapshot(const wire::BeliefSnapshot& snapshot,
                                  const std::string& peer) {
   this->state.metrics.Add("peer_snapshots_total");
+  this->knows_placements = this->knows_placements || this->state.engines_known;
   for (const std::string& router : snapshot.routers()) {
     if (ParseEndpoint(router).has_value()) this->state.peers.insert(router);
   }
@@ -249,6 +274,21 @@
   if (!snapshot.configuration().empty()) {
     this->state.ApplyConfiguration(snapshot.configuration(), peer);
   }
+  this->ApplyEngines(snapshot, peer);
+  const TimePoint now = RuntimeClock::now();
+  const auto key_of = this->EngineKeys();
+  const int count =
+      std::min(snapshot.placed_parts_size(), snapshot.placed_engines_size());
+  for (int n = 0; n < count; ++n) {
+    auto known = key_of.find(snapshot.placed_engines(n));
+    if (known == key_of.end()) continue;
+    this->state.prefixes.Apply(
+        now, {snapshot.placed_parts(n), known->second, false});
+  }
+}
+
+void PeerExchange::ApplyEngines(const wire::BeliefSnapshot& snapshot,
+                                const std::string& peer) {
   if (snapshot.engines_version() <= this->state.engines.Version()) return;
   std::vector<EngineRecord> records;
   for (const wire::EngineEntry& entry : snapshot.engines()) {
@@ -274,6 +314,11 @@
   for (const std::string& peer : this->state.peers) {
     snapshot.add_routers(peer);
   }
+  for (const PrefixPlacement& placement :
+       this->state.prefixes.Known(kPlacementsInSnapshot)) {
+    snapshot.add_placed_parts(placement.part_key);
+    snapshot.add_placed_engines(ShortKey(placement.engine_key));
+  }
   HttpResponse response;
   response.headers.Add("Content-Type", "application/octet-stream");
   response.body = snapshot.SerializeAsString();
--- a/src/dispatch/peer_exchange.h
+++ b/src/dispatch/peer_exchange.h
@@ -32,6 +32,7 @@
 
  private:
   Awaitable<void> SendDigests();
+  std::map<std::uint32_t, std::uint64_t> EngineKeys() const;
   void FillPlacements(wire::RouterDigest& digest);
   Awaitable<void> ReceiveDigests();
   void OnDigest(const wire::RouterDigest& digest, const std::string& sender);
@@ -40,6 +41,8 @@
   Awaitable<void> FetchSnapshot(std::string peer);
   void ApplySnapshot(const wire::BeliefSnapshot& snapshot,
                      const std::string& peer);
+  void ApplyEngines(const wire::BeliefSnapshot& snapshot,
+                    const std::string& peer);
   Awaitable<void> ServeSnapshot(HttpExchange& exchange);
 
   DispatchState& state;
@@ -51,6 +54,7 @@
   std::uint64_t sequence = 0;
   std::size_t next_peer = 0;  ///< Of the rotation when there are many.
   bool fetching = false;
+  bool knows_placements = false;  ///< A peer's have been fetched.
   TimePoint behind_since = TimePoint::max();
 };
 
