--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -64,33 +64,16 @@
   return best;
 }
 
-// The holder of the most shared tokens below the bound; ties go by hash.
-std::optional<std::size_t> BestHolder(const PlacementQuestion& question,
-                                      double bound) {
-  std::optional<std::size_t> best;
-  std::uint64_t best_weight = 0;
-  for (std::size_t n = 0; n < question.candidates.size(); ++n) {
-    const Candidate& candidate = question.candidates[n];
-    if (candidate.held_tokens < question.shared_tokens) continue;
-    if (!HasRoom(candidate)) continue;
-    if (candidate.in_flight + 1 > bound) continue;
-    const std::uint64_t weight =
-        RendezvousWeight(question.affinity_key, candidate.engine_key);
-    if (!best || weight > best_weight) {
-      best = n;
-      best_weight = weight;
-    }
-  }
-  return best;
-}
-
-// The first engine in the hash order of the prefix whose load is moderate.
-std::optional<std::size_t> HashedEngine(const PlacementQuestion& question,
-                                        double bound) {
+// The first engine in the hash order of the prefix with load below the bound
+// that holds `least_tokens` of it.
+std::optional<std::size_t> FirstByHash(const PlacementQuestion& question,
+                                       double bound,
+                                       std::uint32_t least_tokens) {
   std::optional<std::size_t> best;
   std::uint64_t best_weight = 0;
   for (std::size_t n = 0; n < question.candidates.size(); ++n) {
     const Candidate& candidate = question.candidates[n];
+    if (candidate.held_tokens < least_tokens) continue;
     if (!HasRoom(candidate) || candidate.in_flight + 1 > bound) continue;
     const std::uint64_t weight =
         RendezvousWeight(question.affinity_key, candidate.engine_key);
@@ -128,7 +111,8 @@
     const double share = question.shared_tokens >= kLongPrefixTokens
                              ? kLongPrefixShare
                              : kShortPrefixShare;
-    if (auto holder = BestHolder(question, bound * share)) {
+    if (auto holder =
+            FirstByHash(question, bound * share, question.shared_tokens)) {
       decision.index = *holder;
       decision.basis = PlacementBasis::kHoldsPrefix;
       return decision;
@@ -140,7 +124,7 @@
                              candidate.held_tokens >= question.shared_tokens;
                     });
     const double moderate = kNewHolderFactor * decision.mean_in_flight + 1;
-    if (auto hashed = HashedEngine(question, moderate)) {
+    if (auto hashed = FirstByHash(question, moderate, 0)) {
       decision.index = *hashed;
       decision.basis =
           held ? PlacementBasis::kSpilled : PlacementBasis::kHashed;
--- /dev/null
+++ b/src/dispatch/request_ending.cc
@@ -0,0 +1,91 @@
+// How a request ends: its final answer, refusal or failure, and the line on it.
+#include <fmt/format.h>
+
+#include "dandelionscale/core/hash.h"
+#include "dandelionscale/runtime/logger.h"
+#include "dispatch/request_dispatch.h"
+
+namespace dandelionscale::internal {
+
+namespace {
+
+constexpr unsigned kBadGateway = 502;
+constexpr unsigned kUnavailable = 503;
+
+// When clients come back if no configuration or engine is known yet.
+constexpr Duration kNotReadyRetryAfter = std::chrono::milliseconds(400);
+
+}  // namespace
+
+Awaitable<void> RequestDispatch::Finish(const AttemptDecision& decision,
+                                        AttemptFailure failure) {
+  if (std::holds_alternative<BreakStream>(decision)) {
+    this->client.Break();
+    this->LogOutcome("stream_broken", 0, ToString(failure));
+  } else if (std::holds_alternative<RefuseNotRun>(decision)) {
+    co_await this->Refuse(kUnavailable, ToString(failure));
+  } else if (this->failed_answer) {
+    co_await this->PassFailedAnswer(ToString(failure));
+  } else {
+    co_await this->Fail(kBadGateway, ToString(failure));
+  }
+}
+
+Awaitable<void> RequestDispatch::PassFailedAnswer(std::string_view reason) {
+  co_await this->client.SendWhole(this->failed_answer->status,
+                                  this->failed_answer->end_to_end,
+                                  this->failed_body);
+  this->LogOutcome("engine_failed", this->failed_answer->status, reason);
+}
+
+Awaitable<void> RequestDispatch::Refuse(unsigned status,
+                                        std::string_view reason) {
+  Duration retry_after = kNotReadyRetryAfter;
+  if (!this->service.empty()) {
+    retry_after =
+        this->state.Service(this->service)
+            .queue.RetryAfter(HashText(this->workspace), this->state.Random());
+  }
+  co_await this->SendFailure(status, reason, retry_after);
+}
+
+Awaitable<void> RequestDispatch::Fail(unsigned status,
+                                      std::string_view reason) {
+  co_await this->SendFailure(status, reason, std::nullopt);
+}
+
+Awaitable<void> RequestDispatch::SendFailure(
+    unsigned status, std::string_view reason,
+    std::optional<Duration> retry_after) {
+  HttpHeaders headers = this->state.dialect->EncodeFailure(this->decoded.id);
+  if (retry_after) {
+    headers.Add(
+        "Retry-After",
+        fmt::format("{:.3f}",
+                    std::chrono::duration<double>(*retry_after).count()));
+  }
+  co_await this->client.SendWhole(status, std::move(headers), "");
+  this->LogOutcome(retry_after ? "refused" : "failed", status, reason);
+}
+
+void RequestDispatch::LogOutcome(std::string_view outcome, unsigned status,
+                                 std::string_view reason) {
+  const Duration age = RuntimeClock::now() - this->arrived_at;
+  this->state.metrics.Add(
+      fmt::format("request_outcomes_total{{outcome=\"{}\",reason=\"{}\"}}",
+                  outcome, reason));
+  this->state.metrics.ObserveLatency("request_seconds", age);
+  Logger::Info(
+      "request_finished",
+      {{"request", this->decoded.id},
+       {"outcome", outcome},
+       {"status", static_cast<std::int64_t>(status)},
+       {"reason", reason},
+       {"route", this->route == nullptr ? std::string_view()
+                                        : std::string_view(this->route->name)},
+       {"took_ms", ToMilliseconds(age)},
+       {"sends", static_cast<std::int64_t>(this->sends)},
+       {"events", static_cast<std::int64_t>(this->events.Events())}});
+}
+
+}  // namespace dandelionscale::internal
--- a/src/runtime/metrics.cc
+++ b/src/runtime/metrics.cc
@@ -24,7 +24,7 @@
 constexpr std::array<double, 3> kQuantiles = {0.5, 0.95, 0.99};
 
 // Upper bounds of the buckets of latency histograms, in seconds.
-const std::vector<double> kBucketBounds = {
+constexpr std::array<double, 13> kBucketBounds = {
     0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10};
 
 using Accumulator =
--- a/tests/dispatch_answers_test.cc
+++ b/tests/dispatch_answers_test.cc
@@ -123,7 +123,7 @@
         "HTTP/1.1 200"));
   }
   CHECK(fleet.Requests(good).size() == 6);
-  CHECK(fleet.Requests(broken).size() >= 1);
+  CHECK_FALSE(fleet.Requests(broken).empty());
 }
 
 TEST_CASE("an engine's refusal becomes a refusal with a time to come back") {
--- a/tests/dispatch_framing_test.cc
+++ b/tests/dispatch_framing_test.cc
@@ -24,7 +24,7 @@
   }
 };
 
-const std::string kInner =
+constexpr std::string_view kInner =
     "GET /any/inner HTTP/1.1\r\nHost: h.example\r\nRequest-Id: inner\r\n"
     "Authorization: Token k1\r\n\r\n";
 
@@ -46,7 +46,7 @@
                     "Transfer-Encoding: chunked\r\n")}) {
     INFO(fields);
     const std::string answer =
-        fleet.Exchange(1, WithFraming(fields, kInner), kQuiet);
+        fleet.Exchange(1, WithFraming(fields, std::string(kInner)), kQuiet);
     CHECK(answer.starts_with("HTTP/1.1 400"));
     CHECK(answer.find("HTTP/1.1", 5) == std::string::npos);
   }
