--- a/tests/dispatch_framing_test.cc
+++ b/tests/dispatch_framing_test.cc
@@ -85,7 +85,7 @@
       fleet.Exchange(1,
                      WithFraming("Transfer-Encoding: chunked\r\n",
                                  "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n") +
-                         kInner,
+                         std::string(kInner),
                      kQuiet);
   CHECK(answer.find("Request-Id: outer") < answer.find("Request-Id: inner"));
   REQUIRE(fleet.TotalRequests() == 2);
