Refuse doubtful framing at the product's own listener too

Cause: the older listener answered 'Transfer-Encoding: xchunked' without a length and read the body as a second request. The check of the platform's front door moved to transport/ and serves both. Test: bad_input_test (two answers came back before).

--- a/include/dandelionscale/transport/http_fields.h
+++ b/include/dandelionscale/transport/http_fields.h
@@ -15,6 +15,12 @@
 ///          them; empty items are left out.
 std::vector<std::string_view> SplitList(std::string_view text);
 
+/// \returns true if two readers could see the end of the body at different
+///          places: a length twice, an encoding other than "chunked", or both
+///          (RFC 9112, section 6.3). Such a request is refused, since what
+///          follows its body could be taken for a request of its own.
+bool HasDoubtfulFraming(const HttpHeaders& headers);
+
 /// \brief Fields that concern one connection only (RFC 9110, section 7.6.1).
 ///
 /// Views into `headers`, which must live longer.
--- a/src/dispatch/client_connection.cc
+++ b/src/dispatch/client_connection.cc
@@ -47,23 +47,6 @@
          error != http::error::partial_message;
 }
 
-// A body whose end two parties could see differently is not accepted.
-bool HasDoubtfulFraming(const HttpHeaders& headers) {
-  int lengths = 0;
-  int encodings = 0;
-  bool chunked = false;
-  for (const HttpHeader& field : headers.Fields()) {
-    if (EqualsIgnoringCase(field.name, "Content-Length")) ++lengths;
-    if (EqualsIgnoringCase(field.name, "Transfer-Encoding")) {
-      ++encodings;
-      chunked = EqualsIgnoringCase(field.value, "chunked");
-    }
-  }
-  if (lengths > 1 || encodings > 1) return true;
-  if (encodings == 1 && (lengths == 1 || !chunked)) return true;
-  return false;
-}
-
 // A request names its host exactly once.
 bool HasOneHost(const HttpHeaders& headers) {
   int hosts = 0;
--- a/src/transport/http_fields.cc
+++ b/src/transport/http_fields.cc
@@ -40,6 +40,21 @@
   return items;
 }
 
+bool HasDoubtfulFraming(const HttpHeaders& headers) {
+  int lengths = 0;
+  int encodings = 0;
+  bool chunked = false;
+  for (const HttpHeader& field : headers.Fields()) {
+    if (EqualsIgnoringCase(field.name, "Content-Length")) ++lengths;
+    if (EqualsIgnoringCase(field.name, "Transfer-Encoding")) {
+      ++encodings;
+      chunked = EqualsIgnoringCase(field.value, "chunked");
+    }
+  }
+  if (lengths > 1 || encodings > 1) return true;
+  return encodings == 1 && (lengths == 1 || !chunked);
+}
+
 ConnectionOptions::ConnectionOptions(const HttpHeaders& headers) {
   for (const HttpHeader& field : headers.Fields()) {
     if (!EqualsIgnoringCase(field.name, "Connection")) continue;
--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -10,6 +10,7 @@
 #include <unordered_set>
 
 #include "dandelionscale/runtime/logger.h"
+#include "dandelionscale/transport/http_fields.h"
 #include "transport/socket_helpers.h"
 
 namespace dandelionscale {
@@ -272,6 +273,15 @@
                            this->limits.write_timeout);
     exchange.keep_alive = keep_alive;
     stream.expires_never();
+    if (HasDoubtfulFraming(exchange.Request().headers)) {
+      auto make =
+          this->on_bad_request ? this->on_bad_request : DefaultBadRequest;
+      HttpResponse response =
+          make({FaultKind::kMalformedMessage, "doubtful framing"});
+      exchange.keep_alive = false;
+      co_await exchange.Respond(std::move(response));
+      break;
+    }
     co_await this->handler(exchange);
     keep = keep_alive && exchange.IsReusable() && !this->stopping;
   }
--- a/tests/bad_input_test.cc
+++ b/tests/bad_input_test.cc
@@ -85,6 +85,14 @@
   }
   SECTION("HTTP") {
     CHECK(SendRaw(client, "NOT HTTP\r\n\r\n").find("400") != std::string::npos);
+    // A second request must not hide in a body whose end is in doubt.
+    const std::string hidden =
+        SendRaw(client,
+                "POST / HTTP/1.1\r\nHost: x\r\n"
+                "Transfer-Encoding: xchunked\r\n\r\n"
+                "GET /v1/hidden HTTP/1.1\r\nHost: x\r\n\r\n");
+    CHECK(hidden.starts_with("HTTP/1.1 400"));
+    CHECK(hidden.find("HTTP/1.1", 1) == std::string::npos);
     const std::string long_header =
         "GET / HTTP/1.1\r\nX: " + std::string(40'000, 'x') + "\r\n\r\n";
     CHECK(SendRaw(client, long_header).find(" 413 ") != std::string::npos);
