Make the tests' client wait for whole answers, not for time

The client gave up after 0.4 s of silence, so that a busy machine could have failed a test that is right. It now reads until the answers asked for are whole; only then a quiet moment ends it.

--- a/tests/dispatch_answers_test.cc
+++ b/tests/dispatch_answers_test.cc
@@ -18,7 +18,7 @@
 using emulator::SendBytes;
 using std::chrono::milliseconds;
 
-constexpr milliseconds kQuiet(700);
+constexpr milliseconds kQuiet(100);
 
 Script Good(const HttpRequest& request) {
   return {SendBytes{MakeAnswer(request, 200, "hello")}};
@@ -263,9 +263,7 @@
     return script;
   });
   fleet.WaitUntilReady(1);
-  // Reads until 10 ms pass without a byte, that is, after the first event.
-  fleet.Exchange(1, ClientBytes("POST", "/stream/", "id1", "", "x"),
-                 milliseconds(10));
+  fleet.SendAndLeave(1, ClientBytes("POST", "/stream/", "id1", "", "x"));
   Eventually([&] {
     return fleet.Log(1).find("\"outcome\":\"client_gone\"") !=
            std::string::npos;
@@ -278,8 +276,8 @@
   fleet.AddPair("plain", [](const HttpRequest&) {
     return Script{Pause{std::chrono::seconds(30)}};
   });
-  const std::string answer = fleet.Exchange(
-      1, ClientBytes("POST", "/once/", "id1", "", "x"), milliseconds(4000));
+  const std::string answer =
+      fleet.Exchange(1, ClientBytes("POST", "/once/", "id1", "", "x"), kQuiet);
   CHECK(StartsWith(answer, "HTTP/1.1 504"));
   CHECK(fleet.TotalRequests() == 1);
 }
--- a/tests/dispatch_beliefs_test.cc
+++ b/tests/dispatch_beliefs_test.cc
@@ -23,7 +23,7 @@
 using emulator::StoreMode;
 using std::chrono::milliseconds;
 
-constexpr milliseconds kQuiet(400);
+constexpr milliseconds kQuiet(100);
 
 Script Good(const HttpRequest& request) {
   return {SendBytes{MakeAnswer(request, 200, "ok")}};
--- a/tests/dispatch_framing_test.cc
+++ b/tests/dispatch_framing_test.cc
@@ -86,7 +86,7 @@
                      WithFraming("Transfer-Encoding: chunked\r\n",
                                  "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n") +
                          std::string(kInner),
-                     kQuiet);
+                     kQuiet, 2);
   CHECK(answer.find("Request-Id: outer") < answer.find("Request-Id: inner"));
   REQUIRE(fleet.TotalRequests() == 2);
   CHECK(fleet.Requests(0)[0].body == "abcde");
--- a/tests/platform_golden_test.cc
+++ b/tests/platform_golden_test.cc
@@ -15,7 +15,7 @@
 using emulator::Script;
 using emulator::SendBytes;
 
-constexpr std::chrono::milliseconds kQuiet(400);
+constexpr std::chrono::milliseconds kQuiet(100);
 
 std::string Printed(std::string text) {
   text = std::regex_replace(text, std::regex("\r\n"), "\n");
--- a/tests/support/platform_fleet.cc
+++ b/tests/support/platform_fleet.cc
@@ -33,6 +33,34 @@
 constexpr int kPeerPort = 18340;
 constexpr int kMetricsPort = 9464;
 
+// Far above what any step needs; only a hang reaches it.
+constexpr std::chrono::milliseconds kHang(60'000);
+
+// Number of whole final answers in `text`.
+int CountAnswers(std::string_view text) {
+  int count = 0;
+  while (true) {
+    const auto head_end = text.find("\r\n\r\n");
+    if (head_end == std::string_view::npos) return count;
+    const std::string_view head = text.substr(0, head_end + 2);
+    text.remove_prefix(head_end + 4);
+    if (head.starts_with("HTTP/1.1 1")) continue;
+    constexpr std::string_view kLength = "\r\nContent-Length: ";
+    const auto length_at = head.find(kLength);
+    std::size_t size = 0;
+    if (length_at != std::string_view::npos) {
+      size = std::stoul(std::string(head.substr(length_at + kLength.size())));
+    } else {
+      const auto last_chunk = text.find(emulator::kStreamEnd);
+      if (last_chunk == std::string_view::npos) return count;
+      size = last_chunk + emulator::kStreamEnd.size();
+    }
+    if (text.size() < size) return count;
+    text.remove_prefix(size);
+    ++count;
+  }
+}
+
 Endpoint Any() { return {asio::ip::address_v4::loopback(), 0}; }
 
 std::string MakeFolder() {
@@ -254,7 +282,8 @@
 }
 
 std::string PlatformFleet::Exchange(int router, const std::string& bytes,
-                                    std::chrono::milliseconds quiet) {
+                                    std::chrono::milliseconds quiet,
+                                    int answers) {
   asio::io_context client;
   asio::ip::tcp::socket socket(client);
   error_code error;
@@ -265,18 +294,24 @@
   char buffer[4096];
   while (true) {
     bool arrived = false;
-    bool ended = false;
     socket.async_read_some(asio::buffer(buffer),
                            [&](error_code failed, std::size_t size) {
                              text.append(buffer, size);
                              arrived = !failed;
-                             ended = failed.failed();
                            });
     client.restart();
-    client.run_for(quiet);
-    if (!arrived || ended) break;
+    client.run_for(CountAnswers(text) < answers ? kHang : quiet);
+    if (!arrived) return text;
   }
-  return text;
+}
+
+void PlatformFleet::SendAndLeave(int router, const std::string& bytes) {
+  asio::io_context client;
+  asio::ip::tcp::socket socket(client);
+  socket.connect(this->Front(router));
+  asio::write(socket, asio::buffer(bytes));
+  char buffer[4096];
+  socket.read_some(asio::buffer(buffer));
 }
 
 Endpoint PlatformFleet::Front(int router) const {
--- a/tests/support/platform_fleet.h
+++ b/tests/support/platform_fleet.h
@@ -55,10 +55,15 @@
   std::string Metrics(int router);
 
   /// \brief Sends bytes on a new connection and reads until the other side
-  ///        closes, or until nothing has come for `quiet`.
+  ///        closes, or until as many whole answers as asked for have come and
+  ///        then nothing more for `quiet`.
   std::string Exchange(
       int router, const std::string& bytes,
-      std::chrono::milliseconds quiet = std::chrono::milliseconds(1500));
+      std::chrono::milliseconds quiet = std::chrono::milliseconds(300),
+      int answers = 1);
+  /// \brief Sends bytes on a new connection and leaves after the first bytes of
+  ///        the answer.
+  void SendAndLeave(int router, const std::string& bytes);
   Endpoint Front(int router) const;
 
   emulator::StoreService& Store() { return *this->store; }
