Tell peers again of prompt parts that stay in use

Cause: digests told of a holder once, while every router forgot a holder 60 s after it last heard of it. After a minute only the router that placed a prefix still counted on its holder; the others read it anew elsewhere.

Now Observe() says when peers have to be told: when they can't know yet, or when a third of the holder's lifetime (5 min) has passed since the last time. The test 'a peer counts on a holder for as long as it stays in use' fails with the old lifetime and no second telling (at the 7th use of 360), and passes now.

Ruled out: a lifetime without end. Cache news can be lost, so that a holder that nobody uses has to lapse some time.

Also gone: members without use in EnginePool and PrefixIndex, a loop that stood twice in PeerExchange, a comment that claimed too much.

--- a/include/dandelionscale/core/prefix_index.h
+++ b/include/dandelionscale/core/prefix_index.h
@@ -61,10 +61,13 @@
  public:
   explicit PrefixIndex(std::size_t capacity) : capacity(capacity) {}
 
-  /// \brief An engine reads, reuses or drops the part.
+  /// \brief A peer tells that an engine reads, reuses or drops the part.
   void Apply(TimePoint now, const PrefixPlacement& placement);
-  /// \returns true if some engine is known to hold the part.
-  bool Knows(std::uint64_t part_key) const;
+  /// \brief This router itself learns that an engine reads, reuses or drops
+  ///        the part.
+  /// \returns true if peers have to be told: they don't know it yet, or would
+  ///          soon forget the holder.
+  bool Observe(TimePoint now, const PrefixPlacement& placement);
   /// \returns true if the engine is known to hold the part.
   bool Holds(std::uint64_t part_key, std::uint64_t engine_key) const;
   /// \brief The engine has lost all that it held.
@@ -84,13 +87,14 @@
   struct Holder {
     std::uint64_t engine_key = 0;
     TimePoint used_at{};
+    TimePoint told_at{};  ///< When routers last told each other of it.
   };
   struct Entry {
     std::vector<Holder> holders;
     TimePoint used_at{};
   };
 
-  void Add(TimePoint now, std::uint64_t part_key, std::uint64_t engine_key);
+  Holder* Use(TimePoint now, std::uint64_t part_key, std::uint64_t engine_key);
   void Drop(std::uint64_t part_key, std::uint64_t engine_key);
   const Holder* Find(std::uint64_t part_key, std::uint64_t engine_key) const;
   void Trim();
--- a/src/core/prefix_index.cc
+++ b/src/core/prefix_index.cc
@@ -7,9 +7,11 @@
 namespace dandelionscale {
 namespace {
 
-// Engines reuse what they hold least recently; unused prefixes are gone by
-// then.
-constexpr Duration kHolderLifetime = std::chrono::seconds(60);
+// Engines drop what they used least recently; unused prefixes are gone by then.
+constexpr Duration kHolderLifetime = std::chrono::minutes(5);
+// Peers hear of a holder that stays in use again after this time, so that a
+// lost message or two don't let it lapse there.
+constexpr Duration kTellAgainAfter = kHolderLifetime / 3;
 constexpr std::size_t kMostHolders = 8;
 
 }  // namespace
@@ -46,14 +48,24 @@
 void PrefixIndex::Apply(TimePoint now, const PrefixPlacement& placement) {
   if (placement.dropped) {
     this->Drop(placement.part_key, placement.engine_key);
-  } else {
-    this->Add(now, placement.part_key, placement.engine_key);
+    return;
   }
+  Holder* holder = this->Use(now, placement.part_key, placement.engine_key);
+  if (holder != nullptr) holder->told_at = now;
 }
 
-bool PrefixIndex::Knows(std::uint64_t part_key) const {
-  auto found = this->entries.find(part_key);
-  return found != this->entries.end() && !found->second.holders.empty();
+bool PrefixIndex::Observe(TimePoint now, const PrefixPlacement& placement) {
+  const Holder* known = this->Find(placement.part_key, placement.engine_key);
+  const bool is_news =
+      placement.dropped
+          ? known != nullptr
+          : known == nullptr || now - known->told_at >= kTellAgainAfter;
+  if (is_news) {
+    this->Apply(now, placement);
+  } else if (!placement.dropped) {
+    this->Use(now, placement.part_key, placement.engine_key);
+  }
+  return is_news;
 }
 
 bool PrefixIndex::Holds(std::uint64_t part_key,
@@ -61,30 +73,30 @@
   return this->Find(part_key, engine_key) != nullptr;
 }
 
-void PrefixIndex::Add(TimePoint now, std::uint64_t part_key,
-                      std::uint64_t engine_key) {
+PrefixIndex::Holder* PrefixIndex::Use(TimePoint now, std::uint64_t part_key,
+                                      std::uint64_t engine_key) {
   auto [found, added] = this->entries.try_emplace(part_key);
   if (added) {
     this->order.push_back(part_key);
     this->Trim();
     found = this->entries.find(part_key);
-    if (found == this->entries.end()) return;
+    if (found == this->entries.end()) return nullptr;
   }
   Entry& entry = found->second;
   entry.used_at = now;
   for (Holder& holder : entry.holders) {
     if (holder.engine_key != engine_key) continue;
     holder.used_at = now;
-    return;
+    return &holder;
   }
-  if (entry.holders.size() >= kMostHolders) {
-    auto oldest = std::min_element(
-        entry.holders.begin(), entry.holders.end(),
-        [](const Holder& a, const Holder& b) { return a.used_at < b.used_at; });
-    *oldest = {engine_key, now};
-    return;
+  if (entry.holders.size() < kMostHolders) {
+    return &entry.holders.emplace_back(Holder{engine_key, now, {}});
   }
-  entry.holders.push_back({engine_key, now});
+  auto oldest = std::min_element(
+      entry.holders.begin(), entry.holders.end(),
+      [](const Holder& a, const Holder& b) { return a.used_at < b.used_at; });
+  *oldest = {engine_key, now, {}};
+  return &*oldest;
 }
 
 void PrefixIndex::Forget(std::uint64_t engine_key) {
--- a/src/dispatch/cache_observer.cc
+++ b/src/dispatch/cache_observer.cc
@@ -127,13 +127,12 @@
   for (const CacheEvent& event : news.events) {
     // In steady state placements tell of shared parts sooner, and other parts
     // belong to one request each.
-    const bool news_to_all =
-        event.dropped ? this->state.prefixes.Holds(event.part_key, engine.key)
-                      : is_replay;
-    if (!news_to_all) continue;
+    if (!event.dropped && !is_replay) continue;
     const PrefixPlacement placement{event.part_key, engine.key, event.dropped};
-    this->state.prefixes.Apply(now, placement);
-    this->state.recent_placements.push_back(placement);
+    const bool is_news = this->state.prefixes.Observe(now, placement);
+    if (is_news || is_replay) {
+      this->state.recent_placements.push_back(placement);
+    }
   }
   if (!is_replay) return;
   Logger::Info("cache_learnt",
--- a/src/dispatch/dispatch_state.h
+++ b/src/dispatch/dispatch_state.h
@@ -43,7 +43,7 @@
   /// \param source where it came from, for the log.
   /// \returns false if the text is malformed or not newer.
   bool ApplyConfiguration(std::string_view text, std::string_view source);
-  /// \brief Logs changes of belief and forgets what is gone with the engines.
+  /// \brief Logs and counts changes of belief about engines.
   void OnEngineChanges(const std::vector<EngineChange>& changes,
                        std::string_view source);
   /// \brief The store answered for a table, or failed to; logs the change.
--- a/src/dispatch/engine_pool.cc
+++ b/src/dispatch/engine_pool.cc
@@ -73,7 +73,6 @@
                                 : kUnstatedLifetime;
   connection->idle_since = RuntimeClock::now();
   connection->idle_lifetime = lifetime;
-  connection->reused = true;
   auto& kept = this->idle[engine.key];
   kept.push_back(std::move(connection));
   if (kept.size() > kMostIdle) kept.erase(kept.begin());
@@ -93,12 +92,6 @@
   }
 }
 
-std::size_t EnginePool::IdleCount() const {
-  std::size_t count = 0;
-  for (const auto& [key, connections] : this->idle) count += connections.size();
-  return count;
-}
-
 std::shared_ptr<EngineConnection> EnginePool::TakeIdle(const Engine& engine,
                                                        ReuseCare care) {
   auto found = this->idle.find(engine.key);
--- a/src/dispatch/engine_pool.h
+++ b/src/dispatch/engine_pool.h
@@ -21,7 +21,6 @@
       : socket(executor) {}
   boost::asio::ip::tcp::socket socket;
   boost::beast::flat_buffer buffer;
-  bool reused = false;
   TimePoint idle_since{};
   Duration idle_lifetime{};
 };
@@ -47,7 +46,6 @@
             Duration stated);
   /// \brief Closes connections that are old or whose engine is gone.
   void Purge(TimePoint now);
-  std::size_t IdleCount() const;
 
  private:
   std::shared_ptr<EngineConnection> TakeIdle(const Engine& engine,
--- a/src/dispatch/peer_exchange.cc
+++ b/src/dispatch/peer_exchange.cc
@@ -39,6 +39,12 @@
   return static_cast<std::uint32_t>(engine_key);
 }
 
+template <typename Number>
+std::span<const Number> ToSpan(
+    const google::protobuf::RepeatedField<Number>& field) {
+  return {field.data(), static_cast<std::size_t>(field.size())};
+}
+
 std::string ToText(const udp::endpoint& endpoint) {
   return fmt::format("{}:{}", endpoint.address().to_string(), endpoint.port());
 }
@@ -208,17 +214,10 @@
   }
   this->state.fleet_load.OnReport(now, digest.router(), digest.incarnation(),
                                   digest.sequence(), loads);
-  const auto apply = [&](std::uint64_t part, std::uint32_t engine, bool gone) {
-    auto known = key_of.find(engine);
-    if (known == key_of.end()) return;
-    this->state.prefixes.Apply(now, {part, known->second, gone});
-  };
-  for (int n = 0; n < digest.placed_parts_size(); ++n) {
-    apply(digest.placed_parts(n), digest.placed_engines(n), false);
-  }
-  for (int n = 0; n < digest.dropped_parts_size(); ++n) {
-    apply(digest.dropped_parts(n), digest.dropped_engines(n), true);
-  }
+  this->ApplyPlacements(ToSpan(digest.placed_parts()),
+                        ToSpan(digest.placed_engines()), false);
+  this->ApplyPlacements(ToSpan(digest.dropped_parts()),
+                        ToSpan(digest.dropped_engines()), true);
   this->FetchIfBehind(digest, sender);
 }
 
@@ -275,15 +274,20 @@
     this->state.ApplyConfiguration(snapshot.configuration(), peer);
   }
   this->ApplyEngines(snapshot, peer);
+  this->ApplyPlacements(ToSpan(snapshot.placed_parts()),
+                        ToSpan(snapshot.placed_engines()), false);
+}
+
+void PeerExchange::ApplyPlacements(std::span<const std::uint64_t> parts,
+                                   std::span<const std::uint32_t> short_keys,
+                                   bool dropped) {
   const TimePoint now = RuntimeClock::now();
   const auto key_of = this->EngineKeys();
-  const int count =
-      std::min(snapshot.placed_parts_size(), snapshot.placed_engines_size());
-  for (int n = 0; n < count; ++n) {
-    auto known = key_of.find(snapshot.placed_engines(n));
+  const std::size_t count = std::min(parts.size(), short_keys.size());
+  for (std::size_t n = 0; n < count; ++n) {
+    auto known = key_of.find(short_keys[n]);
     if (known == key_of.end()) continue;
-    this->state.prefixes.Apply(
-        now, {snapshot.placed_parts(n), known->second, false});
+    this->state.prefixes.Apply(now, {parts[n], known->second, dropped});
   }
 }
 
--- a/src/dispatch/peer_exchange.h
+++ b/src/dispatch/peer_exchange.h
@@ -7,6 +7,7 @@
 #include <boost/asio/ip/udp.hpp>
 #include <map>
 #include <memory>
+#include <span>
 #include <string>
 
 #include "dandelionscale/transport/http_client.h"
@@ -41,6 +42,9 @@
   Awaitable<void> FetchSnapshot(std::string peer);
   void ApplySnapshot(const wire::BeliefSnapshot& snapshot,
                      const std::string& peer);
+  /// \param short_keys of the engines, one for each of `parts`.
+  void ApplyPlacements(std::span<const std::uint64_t> parts,
+                       std::span<const std::uint32_t> short_keys, bool dropped);
   void ApplyEngines(const wire::BeliefSnapshot& snapshot,
                     const std::string& peer);
   Awaitable<void> ServeSnapshot(HttpExchange& exchange);
--- a/src/dispatch/request_placement.cc
+++ b/src/dispatch/request_placement.cc
@@ -99,9 +99,8 @@
                                      now - this->arrived_at);
   for (const PrefixLink& link : this->decoded.prefix) {
     const PrefixPlacement placement{link.key, engine.key};
-    const bool is_news = !this->state.prefixes.Holds(link.key, engine.key);
-    this->state.prefixes.Apply(now, placement);
-    if (is_news) this->state.recent_placements.push_back(placement);
+    if (!this->state.prefixes.Observe(now, placement)) continue;
+    this->state.recent_placements.push_back(placement);
   }
   Logger::Info(
       "request_placed",
--- a/tests/prefix_index_test.cc
+++ b/tests/prefix_index_test.cc
@@ -61,6 +61,37 @@
   CHECK(index.HeldTokens(kNow, links, 7) == 0);
 }
 
+// A chat day longer than a holder's lifetime: one router goes on placing a
+// prefix where it is held, its peer only hears what is told.
+TEST_CASE("a peer counts on a holder for as long as it stays in use") {
+  constexpr Duration kBetweenUses = std::chrono::seconds(10);
+  constexpr int kUses = 360;
+  PrefixIndex placing(100);
+  PrefixIndex peer(100);
+  const auto links = Links({"manual"});
+  const PrefixPlacement placement{links[0].key, 7, false};
+  int told = 0;
+  for (int use = 0; use < kUses; ++use) {
+    const TimePoint now = kNow + use * kBetweenUses;
+    if (placing.Observe(now, placement)) {
+      peer.Apply(now, placement);
+      ++told;
+    }
+    REQUIRE(peer.HeldTokens(now, links, 7) == 100);
+  }
+  CHECK(told < kUses / 5);
+}
+
+TEST_CASE("peers are told once of what they know already") {
+  PrefixIndex index(100);
+  CHECK(index.Observe(kNow, {1, 7, false}));
+  CHECK_FALSE(index.Observe(kNow, {1, 7, false}));
+  index.Apply(kNow, {2, 7, false});
+  CHECK_FALSE(index.Observe(kNow, {2, 7, false}));
+  CHECK(index.Observe(kNow, {1, 7, true}));
+  CHECK_FALSE(index.Observe(kNow, {1, 7, true}));
+}
+
 TEST_CASE("the index is bounded and keeps what is used") {
   PrefixIndex index(50);
   for (std::uint64_t n = 0; n < 1000; ++n) {
