Let three routers watch the store and tell the others

Cause: each router watched both tables of the store by itself.

Now each router ranks itself among the peers that it hears, and the first three watch. Peers that learn of newer beliefs fetch them from whoever told. The age of the newest view of the store travels with the digests: a router that finds it too old, or that can't fetch what it has been told of, watches for itself until it knows of a watcher again. Nobody depends on one router.

Ruled out: a leader (somebody to depend on); ranks alone (a part of the fleet that is cut off would hear nothing); watchers' beats to all peers (27 KB/s at 68 routers).

--- a/include/dandelionscale/core/fleet_load.h
+++ b/include/dandelionscale/core/fleet_load.h
@@ -26,7 +26,8 @@
                 std::uint64_t incarnation, std::uint64_t sequence,
                 std::span<const EngineLoad> loads);
   /// \brief Drops reports that are too old to plan by.
-  void Expire(TimePoint now);
+  /// \param rotation time between two reports of one router.
+  void Expire(TimePoint now, Duration rotation);
 
   /// \returns requests of the other routers at the engine.
   std::uint32_t At(std::uint64_t engine_key) const;
--- a/include/dandelionscale/transport/address.h
+++ b/include/dandelionscale/transport/address.h
@@ -12,6 +12,8 @@
 
 /// \returns the endpoint written as `IP:PORT`.
 Result<Endpoint> ParseEndpoint(std::string_view text);
+/// \returns the endpoint as `IP:PORT`.
+std::string ToText(const Endpoint& endpoint);
 
 }  // namespace dandelionscale
 
--- /dev/null
+++ b/src/core/digest_schedule.cc
@@ -0,0 +1,21 @@
+#include "dandelionscale/core/digest_schedule.h"
+
+#include <algorithm>
+
+namespace dandelionscale {
+
+Duration DigestRotation(std::size_t peers) {
+  const std::size_t rounds = (peers + kPeersEachDigest - 1) / kPeersEachDigest;
+  return kDigestInterval * std::max<std::size_t>(rounds, 1);
+}
+
+Duration DigestSpread(std::size_t peers) {
+  int rounds = 1;
+  for (std::size_t reached = kPeersEachDigest; reached < peers;
+       reached *= kPeersEachDigest) {
+    ++rounds;
+  }
+  return kDigestInterval * rounds;
+}
+
+}  // namespace dandelionscale
--- a/src/core/fleet_load.cc
+++ b/src/core/fleet_load.cc
@@ -5,8 +5,10 @@
 namespace dandelionscale {
 namespace {
 
-// A router that has been silent for so long is not counted any more.
+// A router that has been silent for so long, or for so many times its usual
+// pause, is not counted any more.
 constexpr Duration kReportLifetime = std::chrono::milliseconds(1200);
+constexpr int kReportLifetimeRotations = 2;
 
 }  // namespace
 
@@ -23,9 +25,11 @@
   this->Add(report);
 }
 
-void FleetLoad::Expire(TimePoint now) {
+void FleetLoad::Expire(TimePoint now, Duration rotation) {
+  const Duration lifetime =
+      std::max(kReportLifetime, rotation * kReportLifetimeRotations);
   for (auto entry = this->reports.begin(); entry != this->reports.end();) {
-    if (now - entry->second.received_at > kReportLifetime) {
+    if (now - entry->second.received_at > lifetime) {
       this->Subtract(entry->second);
       entry = this->reports.erase(entry);
     } else {
--- a/src/dispatch/belief_watcher.cc
+++ b/src/dispatch/belief_watcher.cc
@@ -1,12 +1,12 @@
 #include "dispatch/belief_watcher.h"
 
-#include <fmt/format.h>
-
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
 #include "dandelionscale/runtime/logger.h"
+#include "dandelionscale/runtime/trace.h"
+#include "dandelionscale/transport/address.h"
 
 namespace dandelionscale::internal {
 
@@ -15,9 +15,9 @@
 namespace {
 
 constexpr Duration kReadTimeout = std::chrono::milliseconds(1200);
-// How long one watch call waits. A watch can fall silent without closing; the
-// first router whose call ends tells the others.
-constexpr Duration kWatchWait = std::chrono::milliseconds(2500);
+// How long one watch call waits. A watch can fall silent without closing; it
+// is asked again after this time.
+constexpr Duration kWatchWait = std::chrono::milliseconds(1600);
 // Part of the wait by which routers differ.
 constexpr double kWatchSpread = 0.4;
 // Pause after a failed call; grows up to the longest.
@@ -26,6 +26,10 @@
 // A router's row is written again until this has worked; rows are read anew
 // this often to find peers that came while digests were lost.
 constexpr Duration kRouterReadInterval = std::chrono::seconds(20);
+// Changes are gathered for so long after some have come.
+constexpr Duration kGatherPause = std::chrono::milliseconds(120);
+// How often the router decides whether it watches the store itself.
+constexpr Duration kRoleInterval = std::chrono::milliseconds(50);
 
 std::string_view NameOf(StoreTable table) {
   return table == StoreTable::kConfiguration ? "configuration" : "engines";
@@ -45,6 +49,56 @@
   asio::co_spawn(this->state.executor, this->WatchTable(StoreTable::kEngines),
                  asio::detached);
   asio::co_spawn(this->state.executor, this->JoinRouters(), asio::detached);
+  asio::co_spawn(this->state.executor, this->ChooseRole(), asio::detached);
+}
+
+Awaitable<void> BeliefWatcher::ChooseRole() {
+  while (true) {
+    const WatchRole before = this->state.watch_duty.Role();
+    const TimePoint now = RuntimeClock::now();
+    const WatchRole role =
+        this->state.watch_duty.Decide(now, this->state.peers.size());
+    if (role != before) this->OnRoleChanged(before, role);
+    const Duration interval = kRoleInterval;
+    co_await SleepFor(interval);
+  }
+}
+
+void BeliefWatcher::OnRoleChanged(WatchRole before, WatchRole role) {
+  const TimePoint now = RuntimeClock::now();
+  const auto age = this->state.watch_duty.ViewAge(now);
+  Logger::Info("watch_role",
+               {{"role", ToString(role)},
+                {"before", ToString(before)},
+                {"view_age_ms", age ? ToMilliseconds(*age) : std::int64_t{-1}},
+                {"peers", static_cast<std::int64_t>(
+                              this->state.peers_heard_at.size())}});
+  if (before == WatchRole::kListener) {
+    this->duty_began.NotifyAll();
+  } else if (role == WatchRole::kListener) {
+    // Its peers keep the beliefs fresh from here on.
+    this->tables_read.clear();
+    this->state.tables_lost.clear();
+    this->state.engines.OnStoreRegained(now);
+  }
+}
+
+void BeliefWatcher::OnTableAnswered(StoreTable table) {
+  const TimePoint now = RuntimeClock::now();
+  this->state.OnStoreAnswered(NameOf(table));
+  if (table == StoreTable::kEngines) this->state.engines.OnStoreRegained(now);
+  this->tables_read.insert(table);
+  const bool has_both = this->tables_read.contains(StoreTable::kEngines) &&
+                        this->tables_read.contains(StoreTable::kConfiguration);
+  if (has_both) this->state.watch_duty.OnStoreAnswered(now);
+}
+
+void BeliefWatcher::OnTableFailed(StoreTable table, const Fault& fault) {
+  this->state.OnStoreFailed(NameOf(table), fault);
+  this->tables_read.erase(table);
+  this->state.watch_duty.OnStoreLost(RuntimeClock::now());
+  // Only its own table tells whether the list of engines can be refreshed.
+  if (table == StoreTable::kEngines) this->state.engines.OnStoreLost();
 }
 
 Awaitable<void> BeliefWatcher::WatchTable(StoreTable table) {
@@ -52,6 +106,11 @@
   std::uint64_t version = 0;
   Duration pause = kShortestPause;
   while (true) {
+    if (this->state.watch_duty.Role() == WatchRole::kListener) {
+      know_table = false;
+      co_await this->duty_began.Wait();
+      continue;
+    }
     Result<StoreRows> rows = StoreRows();
     if (know_table) {
       const Duration wait = Spread(kWatchWait, this->state.Random());
@@ -69,21 +128,21 @@
         know_table = false;
         continue;
       }
-      this->state.OnStoreFailed(NameOf(table), fault);
-      // Only its own table tells whether the list of engines can be refreshed.
-      if (table == StoreTable::kEngines) this->state.engines.OnStoreLost();
+      this->OnTableFailed(table, fault);
       const Duration spread = Spread(pause, this->state.Random());
       co_await SleepFor(spread);
       pause = std::min(pause * 2, kLongestPause);
       continue;
     }
     pause = kShortestPause;
-    this->state.OnStoreAnswered(NameOf(table));
-    if (table == StoreTable::kEngines) {
-      this->state.engines.OnStoreRegained(RuntimeClock::now());
-    }
     this->state.metrics.Add("store_calls_total");
-    if (rows->version < version) continue;
+    if (this->state.watch_duty.Role() == WatchRole::kListener) continue;
+    if (rows->version < version) {
+      // An answer from the past; the next one may be current.
+      const Duration spread = Spread(kShortestPause, this->state.Random());
+      co_await SleepFor(spread);
+      continue;
+    }
     if (table == StoreTable::kConfiguration) {
       this->OnConfigurationRows(*rows);
     } else {
@@ -91,13 +150,15 @@
     }
     version = rows->version;
     know_table = true;
+    this->OnTableAnswered(table);
+    if (rows->rows.empty()) continue;
+    const Duration gather = kGatherPause;
+    co_await SleepFor(gather);
   }
 }
 
 Awaitable<void> BeliefWatcher::JoinRouters() {
-  const Endpoint& own = this->state.options.peer_address;
-  const std::string address =
-      fmt::format("{}:{}", own.address().to_string(), own.port());
+  const std::string address = ToText(this->state.options.peer_address);
   bool written = false;
   while (true) {
     // Written before it is read: of two routers that start together, at least
--- a/src/dispatch/cache_observer.cc
+++ b/src/dispatch/cache_observer.cc
@@ -7,6 +7,7 @@
 
 #include "dandelionscale/core/hash.h"
 #include "dandelionscale/runtime/logger.h"
+#include "dandelionscale/transport/address.h"
 
 namespace dandelionscale::internal {
 
@@ -111,10 +112,8 @@
 }
 
 bool CacheObserver::IsObserver(const Engine& engine) const {
-  const Endpoint& own = this->state.options.peer_address;
   const std::uint64_t own_weight = RendezvousWeight(
-      HashText(fmt::format("{}:{}", own.address().to_string(), own.port())),
-      engine.key);
+      HashText(ToText(this->state.options.peer_address)), engine.key);
   for (const auto& [peer, heard_at] : this->state.peers_heard_at) {
     if (RendezvousWeight(HashText(peer), engine.key) > own_weight) return false;
   }
--- a/src/dispatch/dispatch_router.cc
+++ b/src/dispatch/dispatch_router.cc
@@ -165,6 +165,9 @@
       static_cast<double>(this->state.engines.Engines().size()));
   this->state.metrics.Set(
       "peers_heard", static_cast<double>(this->state.fleet_load.Routers()));
+  this->state.metrics.Set(
+      "watches_store",
+      this->state.watch_duty.Role() == WatchRole::kListener ? 0 : 1);
   this->state.metrics.Set("store_lost",
                           this->state.tables_lost.empty() ? 0 : 1);
 }
--- a/src/dispatch/dispatch_state.cc
+++ b/src/dispatch/dispatch_state.cc
@@ -2,6 +2,7 @@
 
 #include "dandelionscale/core/hash.h"
 #include "dandelionscale/runtime/logger.h"
+#include "dandelionscale/transport/address.h"
 #include "dispatch/request_dispatch.h"
 
 namespace dandelionscale::internal {
@@ -20,6 +21,8 @@
     : executor(executor),
       options(std::move(options)),
       dialect(std::move(dialect)),
+      watch_duty(HashText(ToText(this->options.peer_address))),
+      news(executor),
       prefixes(kPrefixCapacity),
       random(HashText(this->options.name) ^
              static_cast<std::uint64_t>(
@@ -51,8 +54,8 @@
         Logger::Info(
             "configuration_in_force",
             {{"version", static_cast<std::int64_t>(decoded.version)},
-             {"before", static_cast<std::int64_t>(
-                            this->table ? this->table->version : 0)},
+             {"before",
+              static_cast<std::int64_t>(this->ConfigurationVersion())},
              {"source", source},
              {"routes", static_cast<std::int64_t>(decoded.routes.size())}});
         this->table = std::make_shared<const RoutingTable>(std::move(decoded));
@@ -62,6 +65,7 @@
         for (RequestDispatch* request : this->requests) {
           request->OnTableChanged(*this->table);
         }
+        this->news.NotifyAll();
         return true;
       },
       [&](const DecodeFault& fault) {
@@ -87,6 +91,7 @@
          {"version", static_cast<std::int64_t>(this->engines.Version())}});
     this->metrics.Add("engine_changes_total");
   }
+  if (!changes.empty()) this->news.NotifyAll();
 }
 
 void DispatchState::OnStoreAnswered(std::string_view table) {
--- a/src/dispatch/dispatch_state.h
+++ b/src/dispatch/dispatch_state.h
@@ -16,7 +16,9 @@
 #include "dandelionscale/core/fleet_retry_budget.h"
 #include "dandelionscale/core/prefix_index.h"
 #include "dandelionscale/core/routing_table.h"
+#include "dandelionscale/core/watch_duty.h"
 #include "dandelionscale/dispatch/dispatch_router.h"
+#include "dandelionscale/runtime/event.h"
 #include "dandelionscale/runtime/metrics.h"
 #include "dispatch/watchdog.h"
 
@@ -43,7 +45,7 @@
   /// \param source where it came from, for the log.
   /// \returns false if the text is malformed or not newer.
   bool ApplyConfiguration(std::string_view text, std::string_view source);
-  /// \brief Logs and counts changes of belief about engines.
+  /// \brief Logs and counts changes of belief about engines; tells peers.
   void OnEngineChanges(const std::vector<EngineChange>& changes,
                        std::string_view source);
   /// \brief The store answered for a table, or failed to; logs the change.
@@ -53,6 +55,10 @@
   /// \returns what the configuration says of a service, or null.
   const ServiceSpec* FindService(std::string_view name) const;
   ServiceState& Service(std::string_view name);
+  /// \returns the version of the configuration in force; 0 if there is none.
+  std::uint64_t ConfigurationVersion() const {
+    return this->table ? this->table->version : 0;
+  }
   /// \returns the number of routers that may exist, this one included.
   std::size_t Routers() const;
   /// \returns true if clients should be sent here.
@@ -72,6 +78,8 @@
   std::uint64_t engines_changed = 0;  ///< Version of the newest engine entry.
   bool engines_known = false;
   FleetLoad fleet_load;
+  WatchDuty watch_duty;
+  Event news;  ///< Beliefs have changed; peers want to know soon.
   PrefixIndex prefixes;
   std::vector<PrefixPlacement> recent_placements;  ///< For the next digest.
   std::set<std::string> peers;  ///< Addresses of other routers, IP:PORT.
--- a/src/dispatch/peer_exchange.cc
+++ b/src/dispatch/peer_exchange.cc
@@ -1,13 +1,14 @@
 #include "dispatch/peer_exchange.h"
 
-#include <fmt/format.h>
-
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include "dandelionscale/core/digest_schedule.h"
 #include "dandelionscale/core/hash.h"
 #include "dandelionscale/runtime/logger.h"
 #include "dandelionscale/runtime/trace.h"
+#include "dandelionscale/transport/address.h"
 #include "dispatch_peer.pb.h"
 #include "transport/socket_helpers.h"
 
@@ -19,15 +20,21 @@
 
 namespace {
 
-constexpr Duration kDigestInterval = std::chrono::milliseconds(250);
-// Peers that get a digest each time; more are served in rotation.
-constexpr std::size_t kPeersEachTime = 12;
-// A router that is behind a peer for so long fetches from it; normally the
+// A watcher that is behind a peer for so long fetches from it; normally the
 // store tells it sooner.
 constexpr Duration kBehindPatience = std::chrono::milliseconds(120);
-constexpr Duration kFetchTimeout = std::chrono::milliseconds(800);
-// A peer that is not heard for so long is reported as lost.
+constexpr Duration kFetchTimeout = std::chrono::milliseconds(600);
+// Peers that fetch from one router at the same time. Others are sent away and
+// fetch from one of these a moment later, so that no host's link is crowded.
+constexpr int kMostServed = 4;
+// A peer that is not heard for so long, or so many rotations of digests, is
+// reported as lost.
 constexpr Duration kPeerLostAfter = std::chrono::milliseconds(1500);
+constexpr int kPeerLostRotations = 3;
+// Least time between two digests; news is gathered for so long.
+constexpr Duration kLeastInterval = std::chrono::milliseconds(30);
+// Views older than this are alike.
+constexpr std::int64_t kMostAgeMs = 3'600'000;
 // Placements in one digest, so that it stays a few kilobytes.
 constexpr std::size_t kPlacementsEachTime = 250;
 // Placements in a snapshot; 12 bytes each.
@@ -45,8 +52,21 @@
   return {field.data(), static_cast<std::size_t>(field.size())};
 }
 
-std::string ToText(const udp::endpoint& endpoint) {
-  return fmt::format("{}:{}", endpoint.address().to_string(), endpoint.port());
+std::uint32_t ToAgeMs(Duration age) {
+  return static_cast<std::uint32_t>(std::min(ToMilliseconds(age), kMostAgeMs));
+}
+
+WatchReport ToWatchReport(const wire::RouterDigest& digest) {
+  using std::chrono::milliseconds;
+  WatchReport report;
+  report.store_lost = digest.store_lost();
+  if (digest.has_view_age_ms()) {
+    report.view_age = milliseconds(digest.view_age_ms());
+  }
+  if (digest.has_watcher_age_ms()) {
+    report.watcher_age = milliseconds(digest.watcher_age_ms());
+  }
+  return report;
 }
 
 EngineRecord ToRecord(const wire::EngineEntry& entry) {
@@ -83,7 +103,9 @@
       client(state.executor, nullptr),
       // Only the order matters; the wall clock of one host seldom goes back
       // over a restart.
-      incarnation(static_cast<std::uint64_t>(UnixNanoseconds())) {}
+      incarnation(static_cast<std::uint64_t>(UnixNanoseconds())),
+      // Routers that start together must not all tell the same peers at once.
+      next_peer(HashText(ToText(state.options.peer_address))) {}
 
 Result<void> PeerExchange::Start() {
   const Endpoint& own = this->state.options.peer_address;
@@ -102,13 +124,19 @@
 
 Awaitable<void> PeerExchange::SendDigests() {
   while (true) {
-    const Duration interval = kDigestInterval;
-    co_await SleepFor(interval);
+    const bool has_news = co_await this->state.news.WaitFor(kDigestInterval);
+    if (has_news) {
+      const Duration least = kLeastInterval;
+      co_await SleepFor(least);
+    }
     const TimePoint now = RuntimeClock::now();
-    this->state.fleet_load.Expire(now);
+    const Duration rotation = DigestRotation(this->state.peers.size());
+    const Duration lost_after =
+        std::max(kPeerLostAfter, rotation * kPeerLostRotations);
+    this->state.fleet_load.Expire(now, rotation);
     for (auto peer = this->state.peers_heard_at.begin();
          peer != this->state.peers_heard_at.end();) {
-      if (now - peer->second > kPeerLostAfter) {
+      if (now - peer->second > lost_after) {
         Logger::Warning("peer_lost", {{"peer", peer->first}});
         peer = this->state.peers_heard_at.erase(peer);
       } else {
@@ -124,8 +152,7 @@
   digest.set_router(this->state.options.name);
   digest.set_incarnation(this->incarnation);
   digest.set_sequence(++this->sequence);
-  digest.set_configuration_version(
-      this->state.table ? this->state.table->version : 0);
+  digest.set_configuration_version(this->state.ConfigurationVersion());
   digest.set_engines_changed(this->state.engines_changed);
   for (const auto& [id, engine] : this->state.engines.Engines()) {
     if (engine->in_flight == 0) continue;
@@ -133,10 +160,11 @@
     digest.add_loads(engine->in_flight);
   }
   this->FillPlacements(digest);
+  this->FillWatchReport(digest);
   const std::string bytes = digest.SerializeAsString();
   const std::vector<std::string> peers(this->state.peers.begin(),
                                        this->state.peers.end());
-  const std::size_t count = std::min(kPeersEachTime, peers.size());
+  const std::size_t count = std::min(kPeersEachDigest, peers.size());
   this->state.metrics.Add("peer_digest_bytes_sent_total", count * bytes.size());
   for (std::size_t n = 0; n < count; ++n) {
     const auto endpoint =
@@ -157,6 +185,15 @@
   return key_of;
 }
 
+void PeerExchange::FillWatchReport(wire::RouterDigest& digest) const {
+  const WatchReport report = this->state.watch_duty.Report(RuntimeClock::now());
+  digest.set_store_lost(report.store_lost);
+  if (report.view_age) digest.set_view_age_ms(ToAgeMs(*report.view_age));
+  if (report.watcher_age) {
+    digest.set_watcher_age_ms(ToAgeMs(*report.watcher_age));
+  }
+}
+
 void PeerExchange::FillPlacements(wire::RouterDigest& digest) {
   auto& placements = this->state.recent_placements;
   const std::size_t count = std::min(kPlacementsEachTime, placements.size());
@@ -193,7 +230,7 @@
       this->state.metrics.Add("peer_digests_malformed_total");
       continue;
     }
-    this->OnDigest(digest, ToText(sender));
+    this->OnDigest(digest, ToText(Endpoint(sender.address(), sender.port())));
   }
 }
 
@@ -214,6 +251,8 @@
   }
   this->state.fleet_load.OnReport(now, digest.router(), digest.incarnation(),
                                   digest.sequence(), loads);
+  this->state.watch_duty.OnDigest(now, sender, HashText(sender),
+                                  ToWatchReport(digest));
   this->ApplyPlacements(ToSpan(digest.placed_parts()),
                         ToSpan(digest.placed_engines()), false);
   this->ApplyPlacements(ToSpan(digest.dropped_parts()),
@@ -221,21 +260,37 @@
   this->FetchIfBehind(digest, sender);
 }
 
+bool PeerExchange::NoteNewest(const wire::RouterDigest& digest) {
+  this->newest_configuration =
+      std::max(this->newest_configuration, digest.configuration_version());
+  this->newest_engines =
+      std::max(this->newest_engines, digest.engines_changed());
+  const bool behind =
+      this->newest_configuration > this->state.ConfigurationVersion() ||
+      this->newest_engines > this->state.engines.Version();
+  if (!behind) {
+    this->behind_since.reset();
+    this->state.watch_duty.OnCaughtUp();
+    return false;
+  }
+  if (!this->behind_since) this->behind_since = RuntimeClock::now();
+  this->state.watch_duty.OnBehind(*this->behind_since);
+  return digest.configuration_version() > this->state.ConfigurationVersion() ||
+         digest.engines_changed() > this->state.engines.Version();
+}
+
 void PeerExchange::FetchIfBehind(const wire::RouterDigest& digest,
                                  const std::string& sender) {
-  const std::uint64_t own_configuration =
-      this->state.table ? this->state.table->version : 0;
-  const bool behind = digest.configuration_version() > own_configuration ||
-                      digest.engines_changed() > this->state.engines.Version();
+  const bool sender_knows_more = this->NoteNewest(digest);
   // Digests carry news of placements only; a router that starts asks once for
   // what was before.
   const bool is_new = !this->knows_placements && this->state.engines_known;
-  if (!behind && !is_new) return;
-  const TimePoint now = RuntimeClock::now();
-  if (this->behind_since == TimePoint::max()) this->behind_since = now;
-  const bool patient = this->state.table != nullptr &&
-                       this->state.tables_lost.empty() &&
-                       now - this->behind_since < kBehindPatience;
+  if (!sender_knows_more && !is_new) return;
+  const bool watches = this->state.watch_duty.Role() != WatchRole::kListener;
+  const bool patient =
+      watches && this->state.table != nullptr &&
+      this->state.tables_lost.empty() && this->behind_since &&
+      RuntimeClock::now() - *this->behind_since < kBehindPatience;
   if (patient || this->fetching) return;
   this->fetching = true;
   asio::co_spawn(this->state.executor, this->FetchSnapshot(sender),
@@ -244,17 +299,28 @@
 
 Awaitable<void> PeerExchange::FetchSnapshot(std::string peer) {
   auto endpoint = ParseEndpoint(peer);
+  wire::SnapshotRequest known;
+  known.set_configuration_version(this->state.ConfigurationVersion());
+  known.set_engines_version(this->state.engines.Version());
+  known.set_without_placements(this->knows_placements);
   HttpRequest request;
-  request.method = "GET";
+  request.method = "POST";
   request.target = kSnapshotPath;
+  request.body = known.SerializeAsString();
   auto answer =
       co_await this->client.Fetch(endpoint.value(), std::move(request),
                                   ConnectionUse::kFresh, kFetchTimeout);
   this->fetching = false;
-  this->behind_since = TimePoint::max();
   wire::BeliefSnapshot snapshot;
-  if (answer.has_error() || !snapshot.ParseFromString(answer->body)) {
-    Logger::Warning("peer_snapshot_failed", {{"peer", peer}});
+  constexpr unsigned kOk = 200;
+  const bool is_answered = answer.has_value() && answer->status == kOk &&
+                           snapshot.ParseFromString(answer->body);
+  if (!is_answered) {
+    Logger::Info("peer_snapshot_failed",
+                 {{"peer", peer},
+                  {"status", answer.has_value()
+                                 ? static_cast<std::int64_t>(answer->status)
+                                 : std::int64_t{0}}});
     co_return;
   }
   this->ApplySnapshot(snapshot, peer);
@@ -267,9 +333,7 @@
   for (const std::string& router : snapshot.routers()) {
     if (ParseEndpoint(router).has_value()) this->state.peers.insert(router);
   }
-  const Endpoint& own = this->state.options.peer_address;
-  this->state.peers.erase(
-      fmt::format("{}:{}", own.address().to_string(), own.port()));
+  this->state.peers.erase(ToText(this->state.options.peer_address));
   if (!snapshot.configuration().empty()) {
     this->state.ApplyConfiguration(snapshot.configuration(), peer);
   }
@@ -307,14 +371,44 @@
 }
 
 Awaitable<void> PeerExchange::ServeSnapshot(HttpExchange& exchange) {
+  wire::SnapshotRequest known;
+  HttpResponse response;
+  if (!known.ParseFromString(exchange.Request().body)) {
+    constexpr unsigned kBadRequest = 400;
+    response.status = kBadRequest;
+    co_await exchange.Respond(std::move(response));
+    co_return;
+  }
+  if (this->serving >= kMostServed) {
+    constexpr unsigned kUnavailable = 503;
+    response.status = kUnavailable;
+    co_await exchange.Respond(std::move(response));
+    co_return;
+  }
   wire::BeliefSnapshot snapshot;
-  snapshot.set_configuration_version(
-      this->state.table ? this->state.table->version : 0);
-  snapshot.set_configuration(this->state.table_text);
+  snapshot.set_configuration_version(this->state.ConfigurationVersion());
+  if (this->state.ConfigurationVersion() > known.configuration_version()) {
+    snapshot.set_configuration(this->state.table_text);
+  }
+  if (this->state.engines.Version() > known.engines_version()) {
+    this->FillEngines(snapshot);
+  }
+  if (!known.without_placements()) this->FillHistory(snapshot);
+  response.headers.Add("Content-Type", "application/octet-stream");
+  response.body = snapshot.SerializeAsString();
+  ++this->serving;
+  co_await exchange.Respond(std::move(response));
+  --this->serving;
+}
+
+void PeerExchange::FillEngines(wire::BeliefSnapshot& snapshot) const {
   snapshot.set_engines_version(this->state.engines.Version());
   for (const EngineRecord& record : this->state.engines.Listed()) {
     FillEntry(record, *snapshot.add_engines());
   }
+}
+
+void PeerExchange::FillHistory(wire::BeliefSnapshot& snapshot) const {
   for (const std::string& peer : this->state.peers) {
     snapshot.add_routers(peer);
   }
@@ -323,10 +417,6 @@
     snapshot.add_placed_parts(placement.part_key);
     snapshot.add_placed_engines(ShortKey(placement.engine_key));
   }
-  HttpResponse response;
-  response.headers.Add("Content-Type", "application/octet-stream");
-  response.body = snapshot.SerializeAsString();
-  co_await exchange.Respond(std::move(response));
 }
 
 }  // namespace dandelionscale::internal
--- a/src/dispatch/peer_exchange.h
+++ b/src/dispatch/peer_exchange.h
@@ -7,6 +7,7 @@
 #include <boost/asio/ip/udp.hpp>
 #include <map>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 
@@ -37,6 +38,9 @@
   void FillPlacements(wire::RouterDigest& digest);
   Awaitable<void> ReceiveDigests();
   void OnDigest(const wire::RouterDigest& digest, const std::string& sender);
+  void FillWatchReport(wire::RouterDigest& digest) const;
+  // True if the sender of the digest knows more than this router.
+  bool NoteNewest(const wire::RouterDigest& digest);
   void FetchIfBehind(const wire::RouterDigest& digest,
                      const std::string& sender);
   Awaitable<void> FetchSnapshot(std::string peer);
@@ -48,6 +52,8 @@
   void ApplyEngines(const wire::BeliefSnapshot& snapshot,
                     const std::string& peer);
   Awaitable<void> ServeSnapshot(HttpExchange& exchange);
+  void FillEngines(wire::BeliefSnapshot& snapshot) const;
+  void FillHistory(wire::BeliefSnapshot& snapshot) const;
 
   DispatchState& state;
   boost::asio::ip::udp::socket socket;
@@ -56,10 +62,13 @@
   HttpClient client;
   std::uint64_t incarnation;
   std::uint64_t sequence = 0;
-  std::size_t next_peer = 0;  ///< Of the rotation when there are many.
+  std::size_t next_peer;  ///< Of the rotation when there are many.
   bool fetching = false;
-  bool knows_placements = false;  ///< A peer's have been fetched.
-  TimePoint behind_since = TimePoint::max();
+  int serving = 0;  ///< Peers that fetch from this router just now.
+  bool knows_placements = false;           ///< A peer's have been fetched.
+  std::uint64_t newest_configuration = 0;  ///< That any peer has told of.
+  std::uint64_t newest_engines = 0;
+  std::optional<TimePoint> behind_since;  ///< Of what peers know.
 };
 
 }  // namespace dandelionscale::internal
--- a/src/transport/address.cc
+++ b/src/transport/address.cc
@@ -1,5 +1,7 @@
 #include "dandelionscale/transport/address.h"
 
+#include <fmt/format.h>
+
 #include <boost/asio/ip/address.hpp>
 #include <charconv>
 #include <string>
@@ -23,4 +25,8 @@
   return Endpoint(address, port);
 }
 
+std::string ToText(const Endpoint& endpoint) {
+  return fmt::format("{}:{}", endpoint.address().to_string(), endpoint.port());
+}
+
 }  // namespace dandelionscale
--- a/tests/dispatch_beliefs_test.cc
+++ b/tests/dispatch_beliefs_test.cc
@@ -102,6 +102,46 @@
   Eventually([&] { return IsServed(fleet, 1, "/fifty/"); });
 }
 
+// Load pattern: an operator's change while the routers that watch the store die
+// together.
+TEST_CASE("few routers watch the store; others take over when they die") {
+  constexpr int kRouters = 6;
+  PlatformFleet fleet(kRouters);
+  fleet.PutConfiguration(3, OnlyRoute("/three/"));
+  fleet.AddEngine("plain", Good);
+  for (int n = 1; n <= kRouters; ++n) fleet.WaitUntilReady(n);
+  std::vector<int> watchers;
+  const auto find_watchers = [&] {
+    watchers.clear();
+    for (int n = 1; n <= kRouters; ++n) {
+      const std::string metrics = fleet.Metrics(n);
+      if (metrics.find("\nwatches_store 1") != std::string::npos) {
+        watchers.push_back(n);
+      }
+    }
+    return watchers.size() == 3;
+  };
+  Eventually(find_watchers);
+  fleet.PutConfiguration(4, OnlyRoute("/four/"));
+  for (int n = 1; n <= kRouters; ++n) {
+    Eventually([&] { return IsServed(fleet, n, "/four/"); });
+  }
+  for (int watcher : watchers) fleet.Signal(watcher, SIGKILL);
+  fleet.PutConfiguration(5, OnlyRoute("/five/"));
+  bool someone_took_over = false;
+  for (int n = 1; n <= kRouters; ++n) {
+    const bool is_dead =
+        std::find(watchers.begin(), watchers.end(), n) != watchers.end();
+    if (is_dead) continue;
+    Eventually([&] { return IsServed(fleet, n, "/five/"); });
+    const std::string log = fleet.Log(n);
+    someone_took_over = someone_took_over ||
+                        log.find(R"("role":"stand_in","before":"listener")") !=
+                            std::string::npos;
+  }
+  CHECK(someone_took_over);
+}
+
 TEST_CASE("a router that the store turns away learns from its peers") {
   PlatformFleet fleet(2);
   fleet.PutConfiguration(3, OnlyRoute("/three/"));
--- a/tests/fleet_load_test.cc
+++ b/tests/fleet_load_test.cc
@@ -5,6 +5,8 @@
 
 #include <catch2/catch.hpp>
 
+#include "dandelionscale/core/digest_schedule.h"
+
 namespace dandelionscale {
 namespace {
 
@@ -33,7 +35,7 @@
 TEST_CASE("a router that falls silent is not counted any more") {
   FleetLoad load;
   load.OnReport(kNow, "a", 1, 1, std::vector<EngineLoad>{{10, 2}});
-  load.Expire(kNow + std::chrono::seconds(2));
+  load.Expire(kNow + std::chrono::seconds(2), kDigestInterval);
   CHECK(load.At(10) == 0);
   CHECK(load.Routers() == 0);
 }
