Tell every peer of placements, not only the next twelve

Cause: news of who holds which prompt part was sent once, in the next digest, and a digest goes to twelve peers. With 68 routers the other 55 never heard of it and had the part read anew or copied elsewhere.

PlacementNews keeps each item for as many digests as a rotation through all peers takes.

Ruled out: larger digests to all peers (67 x 4 a second); asking peers at the time of a placement (a round trip of 7 ms for each request).

Also: candidates are told apart by the holdings that were gathered once, not by gathering them again for each engine.

--- a/src/dispatch/cache_observer.cc
+++ b/src/dispatch/cache_observer.cc
@@ -130,7 +130,7 @@
     const PrefixPlacement placement{event.part_key, engine.key, event.dropped};
     const bool is_news = this->state.prefixes.Observe(now, placement);
     if (is_news || is_replay) {
-      this->state.recent_placements.push_back(placement);
+      this->state.placement_news.Add(placement);
     }
   }
   if (!is_replay) return;
--- a/src/dispatch/dispatch_state.h
+++ b/src/dispatch/dispatch_state.h
@@ -14,6 +14,7 @@
 #include "dandelionscale/core/engine_directory.h"
 #include "dandelionscale/core/fleet_load.h"
 #include "dandelionscale/core/fleet_retry_budget.h"
+#include "dandelionscale/core/placement_news.h"
 #include "dandelionscale/core/prefix_index.h"
 #include "dandelionscale/core/routing_table.h"
 #include "dandelionscale/core/watch_duty.h"
@@ -81,7 +82,7 @@
   WatchDuty watch_duty;
   Event news;  ///< Beliefs have changed; peers want to know soon.
   PrefixIndex prefixes;
-  std::vector<PrefixPlacement> recent_placements;  ///< For the next digest.
+  PlacementNews placement_news;
   std::set<std::string> peers;  ///< Addresses of other routers, IP:PORT.
   /// Peers whose digests come, and when the last one did.
   std::map<std::string, TimePoint> peers_heard_at;
--- a/src/dispatch/peer_exchange.cc
+++ b/src/dispatch/peer_exchange.cc
@@ -195,10 +195,10 @@
 }
 
 void PeerExchange::FillPlacements(wire::RouterDigest& digest) {
-  auto& placements = this->state.recent_placements;
-  const std::size_t count = std::min(kPlacementsEachTime, placements.size());
-  for (std::size_t n = 0; n < count; ++n) {
-    const PrefixPlacement& placement = placements[n];
+  const std::size_t rotation =
+      DigestRotation(this->state.peers.size()) / kDigestInterval;
+  for (const PrefixPlacement& placement :
+       this->state.placement_news.Next(rotation, kPlacementsEachTime)) {
     if (placement.dropped) {
       digest.add_dropped_parts(placement.part_key);
       digest.add_dropped_engines(ShortKey(placement.engine_key));
@@ -207,8 +207,6 @@
       digest.add_placed_engines(ShortKey(placement.engine_key));
     }
   }
-  placements.erase(placements.begin(),
-                   placements.begin() + static_cast<std::ptrdiff_t>(count));
 }
 
 Awaitable<void> PeerExchange::ReceiveDigests() {
--- a/src/dispatch/request_placement.cc
+++ b/src/dispatch/request_placement.cc
@@ -74,8 +74,7 @@
     candidate.in_flight =
         engine->in_flight + this->state.fleet_load.At(engine->key);
     candidate.max_slots = engine->record.max_slots;
-    candidate.held_tokens =
-        this->state.prefixes.HeldTokens(now, this->decoded.prefix, engine->key);
+    candidate.held_tokens = TokensAt(holdings, engine->key);
     candidate.same_zone = engine->record.availability_zone ==
                           this->state.options.availability_zone;
     const bool tried = std::find(this->tried.begin(), this->tried.end(),
@@ -100,7 +99,7 @@
   for (const PrefixLink& link : this->decoded.prefix) {
     const PrefixPlacement placement{link.key, engine.key};
     if (!this->state.prefixes.Observe(now, placement)) continue;
-    this->state.recent_placements.push_back(placement);
+    this->state.placement_news.Add(placement);
   }
   Logger::Info(
       "request_placed",
