Answer 431 to a head that is too long, 400 to a request without one host

Now StatusOfBadRequest() serves both paths, HasOneHost() stands once, and HTTP/1.0 may still leave Host out.

Its client of 'a client that leaves' sent no Host either, so that it was no valid HTTP/1.1 request; it sends one now.

Ruled out: asking HTTP/1.0 for Host, as simple health checks may send none.

--- a/include/dandelionscale/runtime/fault.h
+++ b/include/dandelionscale/runtime/fault.h
@@ -20,6 +20,7 @@
   kConnectionLost,    ///< The connection broke after data had been sent.
   kTimeout,           ///< The deadline passed.
   kMalformedMessage,  ///< The other side broke the protocol.
+  kHeadTooLarge,      ///< The fields before a body exceed their limit.
   kMessageTooLarge,   ///< A size limit was exceeded.
   kUnexpectedStatus,  ///< An HTTP status outside the protocol.
   kCancelled,         ///< The local side gave up.
--- a/include/dandelionscale/transport/http_fields.h
+++ b/include/dandelionscale/transport/http_fields.h
@@ -20,6 +20,8 @@
 ///          (RFC 9112, section 6.3). Such a request is refused, since what
 ///          follows its body could be taken for a request of its own.
 bool HasDoubtfulFraming(const HttpHeaders& headers);
+/// \returns true if the request names exactly one host.
+bool HasOneHost(const HttpHeaders& headers);
 
 /// \brief Fields that concern one connection only (RFC 9110, section 7.6.1).
 ///
--- a/include/dandelionscale/transport/http_types.h
+++ b/include/dandelionscale/transport/http_types.h
@@ -5,6 +5,8 @@
 #include <string_view>
 #include <vector>
 
+#include "dandelionscale/runtime/fault.h"
+
 namespace dandelionscale {
 
 /// \brief One header field.
@@ -51,6 +53,9 @@
 /// \returns the value of query parameter `name`, or an empty view.
 std::string_view QueryParameter(std::string_view target, std::string_view name);
 
+/// \returns the status for a request that could not be read: 431, 413 or 400.
+unsigned StatusOfBadRequest(FaultKind kind);
+
 }  // namespace dandelionscale
 
 #endif  // DANDELIONSCALE_TRANSPORT_HTTP_TYPES_H_
--- a/src/dispatch/client_connection.cc
+++ b/src/dispatch/client_connection.cc
@@ -48,13 +48,6 @@
 }
 
 // A request names its host exactly once.
-bool HasOneHost(const HttpHeaders& headers) {
-  int hosts = 0;
-  for (const HttpHeader& field : headers.Fields()) {
-    if (EqualsIgnoringCase(field.name, "Host")) ++hosts;
-  }
-  return hosts == 1;
-}
 
 }  // namespace
 
--- a/src/router/router.cc
+++ b/src/router/router.cc
@@ -39,7 +39,7 @@
   problem.reason = RefusalReason::kMalformedRequest;
   problem.detail = ToString(fault.kind);
   HttpResponse response = ProblemResponse(problem);
-  if (fault.kind == FaultKind::kMessageTooLarge) response.status = 413;
+  response.status = StatusOfBadRequest(fault.kind);
   return response;
 }
 
--- a/src/runtime/fault.cc
+++ b/src/runtime/fault.cc
@@ -14,6 +14,8 @@
       return "timeout";
     case FaultKind::kMalformedMessage:
       return "malformed_message";
+    case FaultKind::kHeadTooLarge:
+      return "head_too_large";
     case FaultKind::kMessageTooLarge:
       return "message_too_large";
     case FaultKind::kUnexpectedStatus:
--- a/src/transport/http_fields.cc
+++ b/src/transport/http_fields.cc
@@ -55,6 +55,14 @@
   return encodings == 1 && (lengths == 1 || !chunked);
 }
 
+bool HasOneHost(const HttpHeaders& headers) {
+  const auto& fields = headers.Fields();
+  return std::count_if(fields.begin(), fields.end(),
+                       [](const HttpHeader& field) {
+                         return EqualsIgnoringCase(field.name, "Host");
+                       }) == 1;
+}
+
 ConnectionOptions::ConnectionOptions(const HttpHeaders& headers) {
   for (const HttpHeader& field : headers.Fields()) {
     if (!EqualsIgnoringCase(field.name, "Connection")) continue;
--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -27,7 +27,10 @@
 constexpr std::size_t kReadBufferBytes = 64 * 1024;
 
 Fault ToFault(const error_code& error) {
-  if (error == http::error::header_limit || error == http::error::body_limit ||
+  if (error == http::error::header_limit) {
+    return {FaultKind::kHeadTooLarge, error.message()};
+  }
+  if (error == http::error::body_limit ||
       error == http::error::buffer_overflow) {
     return {FaultKind::kMessageTooLarge, error.message()};
   }
@@ -45,7 +48,7 @@
 
 HttpResponse DefaultBadRequest(const Fault& fault) {
   HttpResponse response;
-  response.status = fault.kind == FaultKind::kMessageTooLarge ? 413 : 400;
+  response.status = StatusOfBadRequest(fault.kind);
   response.body = std::string(ToString(fault.kind)) + "\n";
   return response;
 }
@@ -269,15 +272,18 @@
     }
     http::request<http::string_body> message = parser.release();
     bool keep_alive = message.keep_alive() && !this->stopping;
+    constexpr unsigned kHttp11 = 11;
+    const bool needs_host = message.version() >= kHttp11;
     BeastExchange exchange(stream, ToRequest(message),
                            this->limits.write_timeout);
     exchange.keep_alive = keep_alive;
     stream.expires_never();
-    if (HasDoubtfulFraming(exchange.Request().headers)) {
+    if (HasDoubtfulFraming(exchange.Request().headers) ||
+        (needs_host && !HasOneHost(exchange.Request().headers))) {
       auto make =
           this->on_bad_request ? this->on_bad_request : DefaultBadRequest;
       HttpResponse response =
-          make({FaultKind::kMalformedMessage, "doubtful framing"});
+          make({FaultKind::kMalformedMessage, "doubtful framing or host"});
       exchange.keep_alive = false;
       co_await exchange.Respond(std::move(response));
       break;
--- a/src/transport/http_types.cc
+++ b/src/transport/http_types.cc
@@ -30,4 +30,13 @@
   return {};
 }
 
+unsigned StatusOfBadRequest(FaultKind kind) {
+  constexpr unsigned kBadRequest = 400;
+  constexpr unsigned kBodyTooLarge = 413;
+  constexpr unsigned kHeadTooLarge = 431;
+  if (kind == FaultKind::kHeadTooLarge) return kHeadTooLarge;
+  if (kind == FaultKind::kMessageTooLarge) return kBodyTooLarge;
+  return kBadRequest;
+}
+
 }  // namespace dandelionscale
--- a/tests/bad_input_test.cc
+++ b/tests/bad_input_test.cc
@@ -95,7 +95,12 @@
     CHECK(hidden.find("HTTP/1.1", 1) == std::string::npos);
     const std::string long_header =
         "GET / HTTP/1.1\r\nX: " + std::string(40'000, 'x') + "\r\n\r\n";
-    CHECK(SendRaw(client, long_header).find(" 413 ") != std::string::npos);
+    CHECK(SendRaw(client, long_header).starts_with("HTTP/1.1 431"));
+    for (const char* hosts : {"", "Host: x\r\nHost: y\r\n"}) {
+      const std::string answer = SendRaw(
+          client, std::string("GET /livez HTTP/1.1\r\n") + hosts + "\r\n");
+      CHECK(answer.starts_with("HTTP/1.1 400"));
+    }
     CHECK(SendRaw(client, "POST / HTTP/1.1\r\nContent-Length: 99999999\r\n\r\n")
               .find(" 413 ") != std::string::npos);
   }
@@ -169,7 +174,8 @@
     const std::string body =
         R"({"model":"advice","stream":true,"messages":[]})";
     const std::string request =
-        "POST /v1/chat/completions HTTP/1.1\r\nX-Workspace: guild\r\n"
+        "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n"
+        "X-Workspace: guild\r\n"
         "Content-Length: " +
         std::to_string(body.size()) + "\r\n\r\n" + body;
     asio::write(socket, asio::buffer(request));
