Pass over what a watch brings after the watch was left to peers

Cause: a watch call that was under way when the router began to listen failed later. The router took the list of engines for lost; nothing set that right, since a listener does not call the store, and engines that left were kept.

Ruled out: late digests (that router knew of the removal 0.15 s after its acknowledgement); the patience for mass removals (two engines).

belief_watcher_test, under a paused clock with a store by hand, failed in both cases and passes.

--- a/src/dispatch/belief_watcher.cc
+++ b/src/dispatch/belief_watcher.cc
@@ -121,6 +121,9 @@
       this->state.metrics.ObserveLatency("store_read_seconds",
                                          RuntimeClock::now() - began);
     }
+    // What a call brings that was under way when the watch was left to peers
+    // says nothing of the beliefs any more.
+    if (this->state.watch_duty.Role() == WatchRole::kListener) continue;
     if (rows.has_error()) {
       const Fault& fault = rows.error();
       if (fault.kind == FaultKind::kUnexpectedStatus) {
@@ -136,7 +139,6 @@
     }
     pause = kShortestPause;
     this->state.metrics.Add("store_calls_total");
-    if (this->state.watch_duty.Role() == WatchRole::kListener) continue;
     if (rows->version < version) {
       // An answer from the past; the next one may be current.
       const Duration spread = Spread(kShortestPause, this->state.Random());
