Log what decides placements, waits and repeats, and make them again

A line held loads and versions, but not enough to make the decision again. Now request_placed holds the chosen engine and its few rivals, with keys, loads, slots and held tokens; a property test shows that with the mean load these decide as all candidates do. request_waits and wait_refused hold the queue and its rate, attempt_decided all that follows a failed send. ReplayDecision() makes each again; dandelionctl explain says how many came out the same, and shows those that did not.

decision_replay_test replays the whole log of a router before failing and slow engines; it also shows that a wrong outcome is told apart.

The admission queue's decision is a function of its inputs now, to the microsecond, so that the log can state them.

platform_golden_test failed once beside load: the list of engines may come 120 ms apart since changes are gathered, and a request came between. The product may refuse it then; WaitUntilReady() waits for the listed engines.

--- a/daemons/dandelionctl.cc
+++ b/daemons/dandelionctl.cc
@@ -378,6 +378,9 @@
   PrintList("beliefs that changed around it", explanation.context);
   fmt::print("likely cause: {}\n", explanation.cause);
   PrintList("against it", explanation.contradictions);
+  fmt::print("decisions made again from their inputs: {}, {} otherwise\n",
+             explanation.decisions, explanation.unexplained.size());
+  PrintList("otherwise", explanation.unexplained);
   return kExitOk;
 }
 
--- a/include/dandelionscale/core/admission_queue.h
+++ b/include/dandelionscale/core/admission_queue.h
@@ -24,6 +24,22 @@
   TimePoint until{};
 };
 
+/// \brief What decides whether a request may wait.
+struct WaitInputs {
+  std::size_t waiting = 0;      ///< Requests in the queue.
+  std::size_t workspaces = 0;   ///< That have requests in the queue.
+  std::size_t own_waiting = 0;  ///< Requests of the request's workspace.
+  Duration completion_gap{};    ///< Mean between completions; 0: unknown.
+  Duration latency_target{};
+  Duration time_left{};
+  std::uint32_t priority = 0;  ///< 0 is served first.
+};
+
+/// \returns how long a request would wait for its turn.
+Duration EstimateWait(const WaitInputs& inputs);
+/// \returns how long the request may wait, or nothing if it should be refused.
+std::optional<Duration> DecideWait(const WaitInputs& inputs);
+
 /// \brief Requests of one service that no engine has room for.
 ///
 /// Served by priority, then fairly between workspaces. A request waits no
@@ -32,6 +48,8 @@
 /// moved.
 class AdmissionQueue {
  public:
+  /// \returns what decides whether such a request may wait, to the microsecond.
+  WaitInputs Inputs(TimePoint now, const WaitTerms& terms) const;
   /// \brief Asks for a place.
   /// \returns the grant, or nothing if the request should be refused now.
   std::optional<WaitGrant> TryWait(TimePoint now, const WaitTerms& terms);
@@ -45,8 +63,6 @@
     return this->queue.IsFirst(ticket);
   }
   std::size_t Size() const { return this->queue.Size(); }
-  /// \returns how long a new request of the workspace would wait.
-  Duration EstimatedWait(std::uint64_t workspace_hash) const;
   /// \returns when a refused client should come back.
   /// \param spread 0 to 1, differs between requests, so that clients that were
   ///        refused together don't come back together.
--- a/include/dandelionscale/core/attempt_policy.h
+++ b/include/dandelionscale/core/attempt_policy.h
@@ -1,6 +1,7 @@
 #ifndef DANDELIONSCALE_CORE_ATTEMPT_POLICY_H_
 #define DANDELIONSCALE_CORE_ATTEMPT_POLICY_H_
 
+#include <array>
 #include <cstdint>
 #include <string_view>
 #include <variant>
@@ -20,6 +21,12 @@
   kBadAnswer,     ///< The bytes are not an answer to this request.
 };
 
+inline constexpr std::array kAttemptFailures = {
+    AttemptFailure::kNotConnected, AttemptFailure::kRefused,
+    AttemptFailure::kWrongEngine,  AttemptFailure::kEngineError,
+    AttemptFailure::kNoAnswer,     AttemptFailure::kStreamBroken,
+    AttemptFailure::kBadAnswer};
+
 /// \returns the name used in logs.
 std::string_view ToString(AttemptFailure failure);
 /// \returns true if the request certainly has not run and never will.
@@ -50,8 +57,20 @@
 using AttemptDecision = std::variant<SendAgain, RefuseNotRun, AnswerFailed,
                                      PassEngineAnswer, BreakStream>;
 
+/// \returns the name used in logs.
+std::string_view ToString(const AttemptDecision& decision);
+
+/// \brief What a route allows.
+struct AttemptLimits {
+  std::uint32_t max_attempts = 1;
+  bool is_repeatable = false;  ///< May run again after it may have run.
+};
+
+/// \returns the limits of a route.
+AttemptLimits LimitsOf(const Route& route);
+
 /// \brief Decides what follows a failed send, before the retry budget is asked.
-AttemptDecision DecideAfterFailure(const Route& route,
+AttemptDecision DecideAfterFailure(const AttemptLimits& limits,
                                    const AttemptHistory& history);
 /// \brief Decides the final answer when no further send is possible.
 AttemptDecision DecideFinal(const AttemptHistory& history);
--- a/include/dandelionscale/core/placement.h
+++ b/include/dandelionscale/core/placement.h
@@ -26,6 +26,8 @@
   std::uint64_t affinity_key = 0;   ///< Of the last shared part; 0 for none.
   std::uint64_t spread_key = 0;     ///< Differs between requests.
   double load_factor = 2.0;         ///< Bound on load, times the mean, plus 3.
+  /// Mean load of the service; worked out if `candidates` are all its engines.
+  std::optional<double> mean_in_flight{};
 };
 
 /// \brief Why an engine was chosen.
--- a/include/dandelionscale/dispatch/log_explanation.h
+++ b/include/dandelionscale/dispatch/log_explanation.h
@@ -14,6 +14,9 @@
   std::string cause;                 ///< Most likely cause of its outcome.
   std::vector<std::string> context;  ///< Beliefs that changed around it.
   std::vector<std::string> contradictions;  ///< What speaks against the cause.
+  int decisions = 0;  ///< Logged with all that they were made from.
+  /// Those of them that come out otherwise when they are made again.
+  std::vector<std::string> unexplained;
 };
 
 /// \brief Finds a request in the logs of several routers.
--- a/src/core/admission_queue.cc
+++ b/src/core/admission_queue.cc
@@ -22,32 +22,62 @@
       static_cast<double>(duration.count()) * factor));
 }
 
+Duration ToMicroseconds(Duration duration) {
+  return std::chrono::duration_cast<std::chrono::microseconds>(duration);
+}
+
 }  // namespace
 
-std::optional<WaitGrant> AdmissionQueue::TryWait(TimePoint now,
-                                                 const WaitTerms& terms) {
+Duration EstimateWait(const WaitInputs& inputs) {
+  const Duration gap =
+      inputs.completion_gap == Duration{} ? kUnknownGap : inputs.completion_gap;
+  const std::size_t workspaces =
+      inputs.workspaces + (inputs.own_waiting > 0 ? 0 : 1);
+  // By turns, every other workspace is served once for each request of its own.
+  const std::size_t ahead =
+      std::min(inputs.waiting + 1, (inputs.own_waiting + 1) * workspaces);
+  return gap * static_cast<Duration::rep>(ahead);
+}
+
+std::optional<Duration> DecideWait(const WaitInputs& inputs) {
   const std::size_t others =
-      this->waiting.size() - (this->Waiting(terms.workspace_hash) > 0 ? 1 : 0);
+      inputs.workspaces - (inputs.own_waiting > 0 ? 1 : 0);
   const std::size_t fair_places = kMostWaiting / (others + 1);
-  if (this->queue.Size() >= kMostWaiting &&
-      this->Waiting(terms.workspace_hash) >= fair_places) {
+  if (inputs.waiting >= kMostWaiting && inputs.own_waiting >= fair_places) {
     return std::nullopt;
   }
   const Duration longest =
-      std::min(Scale(terms.latency_target, kWaitShareOfTarget),
-               Scale(terms.deadline - now, kWaitShareOfTimeLeft));
+      std::min(Scale(inputs.latency_target, kWaitShareOfTarget),
+               Scale(inputs.time_left, kWaitShareOfTimeLeft));
   if (longest <= Duration::zero()) return std::nullopt;
   // An urgent request passes the others, so that the queue's length says
   // nothing of its own wait.
-  const bool urgent = terms.priority == 0;
-  if (!urgent && this->EstimatedWait(terms.workspace_hash) > longest) {
-    return std::nullopt;
-  }
+  const bool urgent = inputs.priority == 0;
+  if (!urgent && EstimateWait(inputs) > longest) return std::nullopt;
+  return longest;
+}
+
+WaitInputs AdmissionQueue::Inputs(TimePoint now, const WaitTerms& terms) const {
+  WaitInputs inputs;
+  inputs.waiting = this->queue.Size();
+  inputs.workspaces = this->waiting.size();
+  inputs.own_waiting = this->Waiting(terms.workspace_hash);
+  inputs.completion_gap = ToMicroseconds(this->completion_gap);
+  inputs.latency_target = ToMicroseconds(terms.latency_target);
+  inputs.time_left = ToMicroseconds(terms.deadline - now);
+  inputs.priority = terms.priority;
+  return inputs;
+}
+
+std::optional<WaitGrant> AdmissionQueue::TryWait(TimePoint now,
+                                                 const WaitTerms& terms) {
+  const auto longest = DecideWait(this->Inputs(now, terms));
+  if (!longest) return std::nullopt;
   const FairQueue::Ticket ticket =
       this->queue.Add(terms.workspace_hash, 1, terms.priority);
   this->workspace_of[ticket] = terms.workspace_hash;
   ++this->waiting[terms.workspace_hash];
-  return WaitGrant{ticket, now + longest};
+  return WaitGrant{ticket, now + *longest};
 }
 
 void AdmissionQueue::OnPlaced(TimePoint, FairQueue::Ticket ticket) {
@@ -70,21 +100,11 @@
   this->last_completion = now;
 }
 
-Duration AdmissionQueue::EstimatedWait(std::uint64_t workspace_hash) const {
-  const Duration gap =
-      this->completion_gap == Duration{} ? kUnknownGap : this->completion_gap;
-  const std::size_t own = this->Waiting(workspace_hash);
-  const std::size_t workspaces = this->waiting.size() + (own > 0 ? 0 : 1);
-  // By turns, every other workspace is served once for each request of its own.
-  const std::size_t ahead =
-      std::min(this->queue.Size() + 1, (own + 1) * workspaces);
-  return gap * static_cast<Duration::rep>(ahead);
-}
-
 Duration AdmissionQueue::RetryAfter(std::uint64_t workspace_hash,
                                     double spread) const {
-  const Duration base = std::clamp(this->EstimatedWait(workspace_hash),
-                                   kShortestRetryAfter, kLongestRetryAfter);
+  const WaitInputs inputs = this->Inputs(TimePoint{}, {workspace_hash});
+  const Duration base =
+      std::clamp(EstimateWait(inputs), kShortestRetryAfter, kLongestRetryAfter);
   return Scale(base, 1.0 + spread);
 }
 
--- a/src/core/attempt_policy.cc
+++ b/src/core/attempt_policy.cc
@@ -34,16 +34,33 @@
          failure == AttemptFailure::kWrongEngine;
 }
 
-AttemptDecision DecideAfterFailure(const Route& route,
+std::string_view ToString(const AttemptDecision& decision) {
+  struct Name {
+    std::string_view operator()(SendAgain) const { return "send_again"; }
+    std::string_view operator()(RefuseNotRun) const { return "refuse"; }
+    std::string_view operator()(AnswerFailed) const { return "answer_failed"; }
+    std::string_view operator()(PassEngineAnswer) const {
+      return "pass_engine_answer";
+    }
+    std::string_view operator()(BreakStream) const { return "break_stream"; }
+  };
+  return std::visit(Name(), decision);
+}
+
+AttemptLimits LimitsOf(const Route& route) {
+  return {static_cast<std::uint32_t>(route.max_attempts), route.IsRepeatable()};
+}
+
+AttemptDecision DecideAfterFailure(const AttemptLimits& limits,
                                    const AttemptHistory& history) {
   if (history.time_left < kLeastTimeToSend) return DecideFinal(history);
   // A send that reached nobody is no attempt.
   if (history.failure == AttemptFailure::kNotConnected &&
-      history.sends < route.max_attempts) {
+      history.sends < limits.max_attempts) {
     return SendAgain{history.sends > 0};
   }
-  if (history.sends >= route.max_attempts) return DecideFinal(history);
-  if (history.any_may_have_run && !route.IsRepeatable()) {
+  if (history.sends >= limits.max_attempts) return DecideFinal(history);
+  if (history.any_may_have_run && !limits.is_repeatable) {
     return DecideFinal(history);
   }
   if (history.events_delivered && !history.can_resume) {
--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -104,7 +104,8 @@
 std::optional<PlacementDecision> ChooseEngine(
     const PlacementQuestion& question) {
   PlacementDecision decision;
-  decision.mean_in_flight = Mean(question.candidates);
+  decision.mean_in_flight =
+      question.mean_in_flight.value_or(Mean(question.candidates));
   if (question.affinity_key != 0) {
     const double bound =
         question.load_factor * decision.mean_in_flight + kBoundSlack;
--- /dev/null
+++ b/src/core/placement_record.cc
@@ -0,0 +1,101 @@
+#include "dandelionscale/core/placement_record.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <charconv>
+#include <iterator>
+
+#include "dandelionscale/core/hash.h"
+
+namespace dandelionscale {
+namespace {
+
+using Candidate = PlacementCandidate;
+
+constexpr int kHexadecimal = 16;
+
+// Reads one number and the separator behind it.
+template <typename Number>
+bool ReadNumber(std::string_view& text, char separator, int base,
+                Number& number) {
+  const auto parsed =
+      std::from_chars(text.data(), text.data() + text.size(), number, base);
+  if (parsed.ec != std::errc()) return false;
+  text.remove_prefix(static_cast<std::size_t>(parsed.ptr - text.data()));
+  if (text.empty() || text.front() != separator) return false;
+  text.remove_prefix(1);
+  return true;
+}
+
+std::optional<Candidate> ParseCandidate(std::string_view text) {
+  Candidate candidate;
+  const bool read = ReadNumber(text, ':', kHexadecimal, candidate.engine_key) &&
+                    ReadNumber(text, '/', 10, candidate.in_flight) &&
+                    ReadNumber(text, '/', 10, candidate.max_slots) &&
+                    ReadNumber(text, '/', 10, candidate.held_tokens);
+  if (!read) return std::nullopt;
+  candidate.usable = text.find('u') != std::string_view::npos;
+  candidate.reachable = text.find('r') != std::string_view::npos;
+  candidate.same_zone = text.find('z') != std::string_view::npos;
+  return candidate;
+}
+
+}  // namespace
+
+std::vector<Candidate> PlacementRivals(const PlacementQuestion& question,
+                                       const PlacementDecision& decision) {
+  const auto weight = [&question](const Candidate& candidate) {
+    return RendezvousWeight(question.affinity_key, candidate.engine_key);
+  };
+  const Candidate* holder = nullptr;
+  const Candidate* first = nullptr;
+  const Candidate* least = nullptr;
+  for (const Candidate& candidate : question.candidates) {
+    if (!candidate.usable) continue;
+    const bool holds = candidate.held_tokens >= question.shared_tokens;
+    if (holds && (!holder || weight(candidate) > weight(*holder))) {
+      holder = &candidate;
+    }
+    if (!first || weight(candidate) > weight(*first)) first = &candidate;
+    if (!least || candidate.in_flight < least->in_flight) least = &candidate;
+  }
+  const Candidate* chosen = &question.candidates[decision.index];
+  std::vector<Candidate> rivals{*chosen};
+  for (const Candidate* rival : {holder, first, least}) {
+    const bool is_new =
+        rival != nullptr &&
+        std::none_of(rivals.begin(), rivals.end(),
+                     [rival](const Candidate& listed) {
+                       return listed.engine_key == rival->engine_key;
+                     });
+    if (is_new) rivals.push_back(*rival);
+  }
+  return rivals;
+}
+
+std::string FormatCandidates(std::span<const Candidate> candidates) {
+  std::string text;
+  for (const Candidate& candidate : candidates) {
+    fmt::format_to(
+        std::back_inserter(text), "{}{:x}:{}/{}/{}/{}{}{}",
+        text.empty() ? "" : " ", candidate.engine_key, candidate.in_flight,
+        candidate.max_slots, candidate.held_tokens, candidate.usable ? "u" : "",
+        candidate.reachable ? "r" : "", candidate.same_zone ? "z" : "");
+  }
+  return text;
+}
+
+std::optional<std::vector<Candidate>> ParseCandidates(std::string_view text) {
+  std::vector<Candidate> candidates;
+  while (!text.empty()) {
+    const std::size_t end = std::min(text.find(' '), text.size());
+    auto candidate = ParseCandidate(text.substr(0, end));
+    if (!candidate) return std::nullopt;
+    candidates.push_back(*candidate);
+    text.remove_prefix(std::min(end + 1, text.size()));
+  }
+  return candidates;
+}
+
+}  // namespace dandelionscale
--- a/src/dispatch/log_explanation.cc
+++ b/src/dispatch/log_explanation.cc
@@ -8,6 +8,8 @@
 #include <optional>
 #include <set>
 
+#include "dandelionscale/dispatch/decision_replay.h"
+
 namespace dandelionscale {
 namespace {
 
@@ -156,6 +158,11 @@
     if (!first) first = n;
     last = n;
     explanation.lines.push_back(lines[n].text);
+    const ReplayResult replayed = ReplayDecision(lines[n].text);
+    if (replayed != ReplayResult::kNoDecision) ++explanation.decisions;
+    if (replayed == ReplayResult::kDifferent) {
+      explanation.unexplained.push_back(lines[n].text);
+    }
     engines.insert(lines[n].Text("engine"));
     if (lines[n].Text("event") == "attempt_failed") {
       failed_engines.insert(lines[n].Text("engine"));
--- a/src/dispatch/request_dispatch.cc
+++ b/src/dispatch/request_dispatch.cc
@@ -88,10 +88,7 @@
       co_return;
     }
     this->interruption = Interruption::kNone;
-    AttemptDecision decision = DecideAfterFailure(
-        *this->route, {*failure, this->sends, this->may_have_run,
-                       this->stream_started, !this->events.LastId().empty(),
-                       this->Deadline() - RuntimeClock::now()});
+    AttemptDecision decision = this->DecideNext(*failure);
     if (!this->MaySendAgain(*failure, decision)) {
       co_await this->Finish(decision, *failure);
       co_return;
@@ -279,6 +276,33 @@
                 {"events", static_cast<std::int64_t>(this->events.Events())}});
 }
 
+AttemptDecision RequestDispatch::DecideNext(AttemptFailure failure) const {
+  using std::chrono::microseconds;
+  const auto time_left = std::chrono::duration_cast<microseconds>(
+      this->Deadline() - RuntimeClock::now());
+  const AttemptLimits limits = LimitsOf(*this->route);
+  const AttemptHistory history = {failure,
+                                  this->sends,
+                                  this->may_have_run,
+                                  this->stream_started,
+                                  !this->events.LastId().empty(),
+                                  time_left};
+  const AttemptDecision decision = DecideAfterFailure(limits, history);
+  Logger::Info(
+      "attempt_decided",
+      {{"request", this->decoded.id},
+       {"decision", ToString(decision)},
+       {"failure", ToString(failure)},
+       {"sends", static_cast<std::int64_t>(history.sends)},
+       {"max_attempts", static_cast<std::int64_t>(limits.max_attempts)},
+       {"repeatable", limits.is_repeatable},
+       {"may_have_run", history.any_may_have_run},
+       {"events_delivered", history.events_delivered},
+       {"can_resume", history.can_resume},
+       {"time_left_us", static_cast<std::int64_t>(time_left.count())}});
+  return decision;
+}
+
 bool RequestDispatch::MaySendAgain(AttemptFailure failure,
                                    AttemptDecision& decision) {
   const auto* again = std::get_if<SendAgain>(&decision);
--- a/src/dispatch/request_dispatch.h
+++ b/src/dispatch/request_dispatch.h
@@ -40,8 +40,10 @@
   Awaitable<std::shared_ptr<Engine>> Place();
   std::shared_ptr<Engine> TryPlace();
   std::vector<PlacementCandidate> Candidates(bool ignore_health) const;
-  void OnPlaced(Engine& engine, const PlacementDecision& decision);
+  void OnPlaced(Engine& engine, const PlacementDecision& decision,
+                const PlacementQuestion& question);
   Awaitable<std::shared_ptr<Engine>> WaitForEngine();
+  void LogWait(std::string_view event, const WaitInputs& inputs) const;
   bool AnyEngineLeft() const;
   Awaitable<void> EndUnplaced(std::string_view reason);
 
@@ -53,6 +55,7 @@
   Awaitable<bool> DeliverEvents(const std::string& events);
   void OnAttemptEnded(Engine& engine, std::optional<AttemptFailure> failure);
 
+  AttemptDecision DecideNext(AttemptFailure failure) const;
   bool MaySendAgain(AttemptFailure failure, AttemptDecision& decision);
   Awaitable<void> Finish(const AttemptDecision& decision,
                          AttemptFailure failure);
--- a/src/dispatch/request_placement.cc
+++ b/src/dispatch/request_placement.cc
@@ -1,7 +1,10 @@
 // Where a request goes, and how it waits when no engine has room.
+#include <fmt/format.h>
+
 #include <algorithm>
 
 #include "dandelionscale/core/hash.h"
+#include "dandelionscale/core/placement_record.h"
 #include "dandelionscale/runtime/logger.h"
 #include "dispatch/request_dispatch.h"
 #include "transport/socket_helpers.h"
@@ -22,6 +25,11 @@
   return static_cast<std::int64_t>(number);
 }
 
+std::int64_t ToMicroseconds(Duration duration) {
+  return std::chrono::duration_cast<std::chrono::microseconds>(duration)
+      .count();
+}
+
 }  // namespace
 
 Awaitable<std::shared_ptr<Engine>> RequestDispatch::Place() {
@@ -48,7 +56,7 @@
       std::shared_ptr<Engine> engine = engines[decision->index];
       const auto source = ChooseCopySource(question, decision->index);
       this->fetch_from = source ? engines[*source]->record.address : "";
-      this->OnPlaced(*engine, *decision);
+      this->OnPlaced(*engine, *decision, question);
       return engine;
     }
   }
@@ -92,7 +100,8 @@
 }
 
 void RequestDispatch::OnPlaced(Engine& engine,
-                               const PlacementDecision& decision) {
+                               const PlacementDecision& decision,
+                               const PlacementQuestion& question) {
   const TimePoint now = RuntimeClock::now();
   this->state.metrics.ObserveLatency("placement_wait_seconds",
                                      now - this->arrived_at);
@@ -108,10 +117,12 @@
        {"service", this->service},
        {"workspace", this->workspace},
        {"basis", ToString(decision.basis)},
+       {"candidates", FormatCandidates(PlacementRivals(question, decision))},
+       {"affinity", fmt::format("{:x}", question.affinity_key)},
+       {"spread", fmt::format("{:x}", question.spread_key)},
+       {"load_factor", question.load_factor},
        {"copy_from", this->fetch_from},
-       {"own_load", static_cast<std::int64_t>(engine.in_flight)},
-       {"fleet_load",
-        static_cast<std::int64_t>(this->state.fleet_load.At(engine.key))},
+       {"shared_tokens", static_cast<std::int64_t>(question.shared_tokens)},
        {"mean_load", decision.mean_in_flight},
        {"load_age_ms", ToMilliseconds(this->state.fleet_load.OldestAge(now))},
        {"peers", Count(this->state.fleet_load.Routers())},
@@ -134,20 +145,16 @@
                   });
   std::optional<WaitGrant> grant;
   if (any_usable) {
-    grant = queue.TryWait(now, {HashText(this->workspace), this->priority,
-                                this->route->latency_target, this->Deadline()});
+    const WaitTerms terms = {HashText(this->workspace), this->priority,
+                             this->route->latency_target, this->Deadline()};
+    const WaitInputs inputs = queue.Inputs(now, terms);
+    grant = queue.TryWait(now, terms);
+    this->LogWait(grant ? "request_waits" : "wait_refused", inputs);
   }
   if (!grant) {
     co_await this->EndUnplaced(any_usable ? "queue_full" : "no_engine");
     co_return nullptr;
   }
-  Logger::Info(
-      "request_waits",
-      {{"request", this->decoded.id},
-       {"service", this->service},
-       {"waiting", Count(queue.Size())},
-       {"estimate_ms",
-        ToMilliseconds(queue.EstimatedWait(HashText(this->workspace)))}});
   this->wait_timer = std::make_unique<Timer>(this->state.executor);
   while (RuntimeClock::now() < grant->until &&
          this->interruption == Interruption::kNone) {
@@ -170,6 +177,21 @@
   co_return nullptr;
 }
 
+void RequestDispatch::LogWait(std::string_view event,
+                              const WaitInputs& inputs) const {
+  Logger::Info(event, {{"request", this->decoded.id},
+                       {"service", this->service},
+                       {"workspace", this->workspace},
+                       {"waiting", Count(inputs.waiting)},
+                       {"workspaces", Count(inputs.workspaces)},
+                       {"own_waiting", Count(inputs.own_waiting)},
+                       {"gap_us", ToMicroseconds(inputs.completion_gap)},
+                       {"target_us", ToMicroseconds(inputs.latency_target)},
+                       {"time_left_us", ToMicroseconds(inputs.time_left)},
+                       {"priority", static_cast<std::int64_t>(inputs.priority)},
+                       {"estimate_ms", ToMilliseconds(EstimateWait(inputs))}});
+}
+
 bool RequestDispatch::AnyEngineLeft() const {
   const auto engines = this->state.engines.Find(this->service);
   return std::any_of(
--- a/tests/attempt_policy_test.cc
+++ b/tests/attempt_policy_test.cc
@@ -41,24 +41,24 @@
 
 TEST_CASE("a lost answer of what may run once is never sent again") {
   const Route route = MakeRoute(RouteKind::kNonIdempotent, 3);
-  CHECK(Is<AnswerFailed>(
-      DecideAfterFailure(route, History(AttemptFailure::kNoAnswer, 1))));
-  CHECK(Is<AnswerFailed>(
-      DecideAfterFailure(route, History(AttemptFailure::kBadAnswer, 1))));
+  CHECK(Is<AnswerFailed>(DecideAfterFailure(
+      LimitsOf(route), History(AttemptFailure::kNoAnswer, 1))));
+  CHECK(Is<AnswerFailed>(DecideAfterFailure(
+      LimitsOf(route), History(AttemptFailure::kBadAnswer, 1))));
 }
 
 TEST_CASE("what has provably not run may go to another engine") {
   const Route route = MakeRoute(RouteKind::kNonIdempotent, 2);
-  CHECK(Is<SendAgain>(
-      DecideAfterFailure(route, History(AttemptFailure::kRefused, 1))));
-  CHECK(Is<RefuseNotRun>(
-      DecideAfterFailure(route, History(AttemptFailure::kRefused, 2))));
+  CHECK(Is<SendAgain>(DecideAfterFailure(
+      LimitsOf(route), History(AttemptFailure::kRefused, 1))));
+  CHECK(Is<RefuseNotRun>(DecideAfterFailure(
+      LimitsOf(route), History(AttemptFailure::kRefused, 2))));
 }
 
 TEST_CASE("a connection that was never made costs no attempt") {
   const Route route = MakeRoute(RouteKind::kNonIdempotent, 1);
-  const auto decision =
-      DecideAfterFailure(route, History(AttemptFailure::kNotConnected, 0));
+  const auto decision = DecideAfterFailure(
+      LimitsOf(route), History(AttemptFailure::kNotConnected, 0));
   REQUIRE(Is<SendAgain>(decision));
   CHECK_FALSE(std::get<SendAgain>(decision).costs_budget);
 }
@@ -67,21 +67,21 @@
   AttemptHistory history = History(AttemptFailure::kStreamBroken, 1);
   history.events_delivered = true;
   history.can_resume = true;
-  CHECK(Is<SendAgain>(
-      DecideAfterFailure(MakeRoute(RouteKind::kStreaming, 2, true), history)));
-  CHECK(Is<BreakStream>(
-      DecideAfterFailure(MakeRoute(RouteKind::kStreaming, 2, false), history)));
+  CHECK(Is<SendAgain>(DecideAfterFailure(
+      LimitsOf(MakeRoute(RouteKind::kStreaming, 2, true)), history)));
+  CHECK(Is<BreakStream>(DecideAfterFailure(
+      LimitsOf(MakeRoute(RouteKind::kStreaming, 2, false)), history)));
   history.can_resume = false;
-  CHECK(Is<BreakStream>(
-      DecideAfterFailure(MakeRoute(RouteKind::kStreaming, 2, true), history)));
+  CHECK(Is<BreakStream>(DecideAfterFailure(
+      LimitsOf(MakeRoute(RouteKind::kStreaming, 2, true)), history)));
 }
 
 TEST_CASE("an engine's own failure is passed on when attempts are spent") {
   const Route route = MakeRoute(RouteKind::kIdempotent, 2);
-  CHECK(Is<SendAgain>(
-      DecideAfterFailure(route, History(AttemptFailure::kEngineError, 1))));
-  CHECK(Is<PassEngineAnswer>(
-      DecideAfterFailure(route, History(AttemptFailure::kEngineError, 2))));
+  CHECK(Is<SendAgain>(DecideAfterFailure(
+      LimitsOf(route), History(AttemptFailure::kEngineError, 1))));
+  CHECK(Is<PassEngineAnswer>(DecideAfterFailure(
+      LimitsOf(route), History(AttemptFailure::kEngineError, 2))));
 }
 
 TEST_CASE("whatever happened, promises hold") {
@@ -103,7 +103,7 @@
     history.can_resume =
         history.events_delivered && *rc::gen::arbitrary<bool>();
     history.time_left = milliseconds(*rc::gen::inRange(0, 2000));
-    const auto decision = DecideAfterFailure(route, history);
+    const auto decision = DecideAfterFailure(LimitsOf(route), history);
     if (Is<SendAgain>(decision)) {
       RC_ASSERT(history.sends < route.max_attempts);
       RC_ASSERT(!history.any_may_have_run || route.IsRepeatable());
--- /dev/null
+++ b/tests/decision_replay_test.cc
@@ -0,0 +1,111 @@
+// Decisions made again from the lines of a router's log, by real processes.
+#include "dandelionscale/dispatch/decision_replay.h"
+
+#include <boost/json.hpp>
+#include <catch2/catch.hpp>
+#include <map>
+#include <sstream>
+#include <thread>
+
+#include "tests/support/platform_fleet.h"
+#include "tests/support/process_fleet.h"
+
+namespace dandelionscale::tests {
+namespace {
+
+using emulator::MakeAnswer;
+using emulator::Pause;
+using emulator::Script;
+using emulator::SendBytes;
+
+constexpr std::chrono::milliseconds kQuiet(50);
+// More than one engine has slots for, with its queue.
+constexpr int kClients = 24;
+
+Script Slow(const HttpRequest& request) {
+  return {Pause{std::chrono::milliseconds(1200)},
+          SendBytes{MakeAnswer(request, 200, "hello")}};
+}
+
+Script Failing(const HttpRequest& request) {
+  return {SendBytes{MakeAnswer(request, 500, "broken")}};
+}
+
+std::map<std::string, int> ReplayLog(const std::string& log) {
+  std::map<std::string, int> replayed;
+  std::istringstream lines(log);
+  for (std::string line; std::getline(lines, line);) {
+    const ReplayResult result = ReplayDecision(line);
+    if (result == ReplayResult::kNoDecision) continue;
+    CAPTURE(line);
+    CHECK(result == ReplayResult::kSame);
+    const auto event = boost::json::parse(line).at("event").as_string();
+    ++replayed[std::string(event.data(), event.size())];
+  }
+  return replayed;
+}
+
+TEST_CASE("every logged decision on a request can be made again") {
+  PlatformFleet fleet(1);
+  fleet.PutConfiguration(3);
+  fleet.AddEngine("chat", Failing);
+  fleet.AddEngine("chat", Failing);
+  fleet.AddEngine("plain", Slow);
+  fleet.WaitUntilReady(1);
+  const std::string parts = "Prompt-Prefix: a1:5000,b2:700,c3:100\r\n";
+  for (int n = 0; n < 6; ++n) {
+    fleet.Exchange(1,
+                   ClientBytes("POST", "/stream/", "c" + std::to_string(n),
+                               parts + "Model: m\r\n", "x"),
+                   kQuiet);
+  }
+  std::vector<std::thread> clients;
+  for (int n = 0; n < kClients; ++n) {
+    clients.emplace_back([&fleet, n] {
+      fleet.Exchange(1, ClientBytes("GET", "/any/", "p" + std::to_string(n)),
+                     kQuiet);
+    });
+  }
+  for (std::thread& client : clients) client.join();
+  const auto replayed = ReplayLog(fleet.Log(1));
+  CHECK(replayed.at("request_placed") >= 6 + 8);
+  CHECK(replayed.at("attempt_decided") >= 6);
+  const int waits =
+      replayed.contains("request_waits") ? replayed.at("request_waits") : 0;
+  const int refused =
+      replayed.contains("wait_refused") ? replayed.at("wait_refused") : 0;
+  CHECK(waits + refused > 0);
+}
+
+TEST_CASE("a line whose outcome does not follow from its inputs is told") {
+  const std::string wait =
+      R"({"event":"request_waits","waiting":500,"workspaces":1,)"
+      R"("own_waiting":500,"gap_us":20000,"target_us":500000,)"
+      R"("time_left_us":2000000,"priority":1})";
+  CHECK(ReplayDecision(wait) == ReplayResult::kDifferent);
+  const std::string placed =
+      R"({"event":"request_placed","basis":"holds_prefix","candidates":)"
+      R"("a:9/10/0/ur b:0/10/500/ur","affinity":"7","spread":"8",)"
+      R"("load_factor":2.0,"shared_tokens":500,"mean_load":4.5})";
+  CHECK(ReplayDecision(placed) == ReplayResult::kDifferent);
+  const std::string repeat =
+      R"({"event":"attempt_decided","decision":"send_again",)"
+      R"("failure":"no_answer","sends":1,"max_attempts":3,"repeatable":false,)"
+      R"("may_have_run":true,"events_delivered":false,"can_resume":false,)"
+      R"("time_left_us":900000})";
+  CHECK(ReplayDecision(repeat) == ReplayResult::kDifferent);
+}
+
+TEST_CASE("lines without a decision, or without its inputs, are passed over") {
+  for (const char* line :
+       {"", "no JSON", "[]", R"({"event":"start"})", R"({"event":7})",
+        R"({"event":"request_placed","basis":"hashed"})",
+        R"({"event":"request_waits","waiting":"many"})",
+        R"({"event":"attempt_decided","failure":"unheard of"})"}) {
+    CAPTURE(line);
+    CHECK(ReplayDecision(line) == ReplayResult::kNoDecision);
+  }
+}
+
+}  // namespace
+}  // namespace dandelionscale::tests
--- a/tests/log_explanation_test.cc
+++ b/tests/log_explanation_test.cc
@@ -69,5 +69,23 @@
   CHECK(ExplainRequest("r9", lines).lines.empty());
 }
 
+TEST_CASE("decisions are made again, and those that differ are shown") {
+  const std::string inputs =
+      R"("request":"r1","failure":"no_answer","sends":1,"max_attempts":2,)"
+      R"("may_have_run":true,"events_delivered":false,"can_resume":false,)"
+      R"("time_left_us":500000,"decision":)";
+  const std::string repeated =
+      Line("01.400", "attempt_decided",
+           R"("repeatable":true,)" + inputs + R"("send_again")");
+  const std::string wrong =
+      Line("01.500", "attempt_decided",
+           R"("repeatable":false,)" + inputs + R"("send_again")");
+  const std::vector<std::string> log = {repeated, wrong};
+  const RequestExplanation explanation = ExplainRequest("r1", log);
+  CHECK(explanation.decisions == 2);
+  REQUIRE(explanation.unexplained.size() == 1);
+  CHECK(explanation.unexplained[0] == wrong);
+}
+
 }  // namespace
 }  // namespace dandelionscale
--- a/tests/placement_test.cc
+++ b/tests/placement_test.cc
@@ -1,9 +1,13 @@
 // Where requests go: single decisions, and replays of the loads that are hard.
 #include "dandelionscale/core/placement.h"
 
+#include <rapidcheck.h>
+
 #include <catch2/catch.hpp>
 #include <numeric>
 
+#include "dandelionscale/core/hash.h"
+#include "dandelionscale/core/placement_record.h"
 #include "tests/support/engine_model.h"
 
 namespace dandelionscale::tests {
@@ -143,5 +147,52 @@
   CHECK(counts.RereadShare() < 0.03);
 }
 
+// A log line holds the chosen engine and its rivals only.
+TEST_CASE("the rivals of a decision are enough to make it again") {
+  rc::check([] {
+    const auto count = *rc::gen::inRange<std::size_t>(1, 60);
+    std::vector<PlacementCandidate> candidates(count);
+    for (std::size_t n = 0; n < count; ++n) {
+      candidates[n].engine_key = HashText(std::to_string(n));
+      candidates[n].in_flight = *rc::gen::inRange<std::uint32_t>(0, 30);
+      candidates[n].max_slots = *rc::gen::inRange<std::uint32_t>(1, 48);
+      candidates[n].held_tokens = *rc::gen::element(0U, 500U, 11'000U);
+      candidates[n].usable = *rc::gen::inRange(0, 6) != 0;
+      candidates[n].reachable = *rc::gen::arbitrary<bool>();
+      candidates[n].same_zone = *rc::gen::arbitrary<bool>();
+    }
+    PlacementQuestion question;
+    question.candidates = candidates;
+    question.affinity_key = *rc::gen::element<std::uint64_t>(0, 77, 91'234);
+    question.shared_tokens =
+        question.affinity_key == 0 ? 0 : *rc::gen::element(500U, 11'000U);
+    question.spread_key = *rc::gen::arbitrary<std::uint64_t>();
+    const auto decision = ChooseEngine(question);
+    RC_PRE(decision.has_value());
+    const std::string text =
+        FormatCandidates(PlacementRivals(question, *decision));
+    const auto rivals = ParseCandidates(text);
+    RC_ASSERT(rivals.has_value());
+    RC_ASSERT(rivals->size() <= 4);
+    RC_ASSERT(FormatCandidates(*rivals) == text);
+    PlacementQuestion again = question;
+    again.candidates = *rivals;
+    again.mean_in_flight = decision->mean_in_flight;
+    const auto replayed = ChooseEngine(again);
+    RC_ASSERT(replayed.has_value());
+    RC_ASSERT(replayed->index == 0);
+    RC_ASSERT(replayed->basis == decision->basis);
+  });
+}
+
+TEST_CASE("text that is no list of candidates is told apart") {
+  for (const char* text : {"x", "1:2/3", "1:2/3/4", "1:2/3/4/u ,", "1:-2/3/4/u",
+                           "g:1/1/1/u", "1:1/1/99999999999/u"}) {
+    CAPTURE(text);
+    CHECK_FALSE(ParseCandidates(text));
+  }
+  CHECK(ParseCandidates("")->empty());
+}
+
 }  // namespace
 }  // namespace dandelionscale::tests
--- a/tests/support/platform_fleet.cc
+++ b/tests/support/platform_fleet.cc
@@ -129,6 +129,7 @@
 }
 
 void PlatformFleet::ListEngine(int engine, const std::string& state) {
+  this->listed.insert(engine);
   this->Do([&] {
     const Listed& listed = this->engines[static_cast<std::size_t>(engine)];
     this->store->Put(
@@ -140,6 +141,7 @@
 }
 
 void PlatformFleet::UnlistEngine(int engine) {
+  this->listed.erase(engine);
   this->Do([&] { this->store->Remove("servers", fmt::format("e{}", engine)); });
 }
 
@@ -255,6 +257,12 @@
 
 void PlatformFleet::WaitUntilReady(int router) {
   Eventually([&] { return this->IsReady(router); });
+  // A router is ready with the first list of engines; later ones come apart.
+  for (int engine : this->listed) {
+    const std::string known = fmt::format(R"("engine":"e{}")", engine);
+    Eventually(
+        [&] { return this->Log(router).find(known) != std::string::npos; });
+  }
 }
 
 std::string PlatformFleet::Log(int router) const {
--- a/tests/support/platform_fleet.h
+++ b/tests/support/platform_fleet.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -48,6 +49,7 @@
   void AppendSettings(int router, const std::string& lines);
   void Signal(int router, int signal);
   int WaitForExit(int router);
+  /// \brief Waits until the router is ready and knows the listed engines.
   void WaitUntilReady(int router);
   bool IsReady(int router);
   /// \returns what the router has written to its log.
@@ -85,6 +87,7 @@
   std::unique_ptr<emulator::StoreService> store;
   std::uint16_t store_port = 0;
   std::vector<Listed> engines;
+  std::set<int> listed;  ///< Engines in the store, by number.
   std::map<int, pid_t> processes;
 };
 
