--- a/daemons/dandelionctl.cc
+++ b/daemons/dandelionctl.cc
@@ -13,8 +13,8 @@
 #include <map>
 #include <sstream>
 
+#include "daemons/explain_logs.h"
 #include "dandelionscale/core/configuration.h"
-#include "dandelionscale/dispatch/log_explanation.h"
 #include "dandelionscale/runtime.h"
 #include "dandelionscale/transport.h"
 
@@ -30,9 +30,9 @@
 using dandelionscale::Settings;
 using dandelionscale::TextRange;
 
-constexpr int kExitOk = 0;
-constexpr int kExitFailed = 1;
-constexpr int kExitUsage = 2;
+using dandelionscale::kExitFailed;
+using dandelionscale::kExitOk;
+using dandelionscale::kExitUsage;
 constexpr dandelionscale::Duration kTimeout = std::chrono::seconds(15);
 
 constexpr std::string_view kUsage =
@@ -347,43 +347,6 @@
   return kExitOk;
 }
 
-std::vector<std::string> ReadLogs(const std::string& paths) {
-  std::vector<std::string> lines;
-  std::istringstream list(paths);
-  for (std::string path; std::getline(list, path, ',');) {
-    std::ifstream file(path);
-    if (!file) {
-      fmt::print(stderr, "log: \"{}\" can't be read\n", path);
-      std::exit(kExitUsage);
-    }
-    for (std::string line; std::getline(file, line);) lines.push_back(line);
-  }
-  return lines;
-}
-
-void PrintList(std::string_view title, const std::vector<std::string>& lines) {
-  if (lines.empty()) return;
-  fmt::print("{}:\n", title);
-  for (const std::string& line : lines) fmt::print("  {}\n", line);
-}
-
-int ExplainFromLogs(const std::string& paths, const std::string& request_id) {
-  const auto explanation =
-      dandelionscale::ExplainRequest(request_id, ReadLogs(paths));
-  if (explanation.lines.empty()) {
-    fmt::print(stderr, "request {} is in none of the logs\n", request_id);
-    return kExitFailed;
-  }
-  PrintList("request", explanation.lines);
-  PrintList("beliefs that changed around it", explanation.context);
-  fmt::print("likely cause: {}\n", explanation.cause);
-  PrintList("against it", explanation.contradictions);
-  fmt::print("decisions made again from their inputs: {}, {} otherwise\n",
-             explanation.decisions, explanation.unexplained.size());
-  PrintList("otherwise", explanation.unexplained);
-  return kExitOk;
-}
-
 int Usage() {
   fmt::print(stderr, "{}\n", kUsage);
   return kExitUsage;
@@ -396,7 +359,7 @@
   }
   if (words.size() == 2 && words[0] == "explain" &&
       !settings.Text("log").empty()) {
-    return ExplainFromLogs(settings.Text("log"), words[1]);
+    return dandelionscale::ExplainFromLogs(settings.Text("log"), words[1]);
   }
   AdminClient admin(settings);
   if (words.size() == 2 && words[0] == "config" && words[1] == "get") {
--- a/src/dispatch/peer_exchange.cc
+++ b/src/dispatch/peer_exchange.cc
@@ -9,7 +9,7 @@
 #include "dandelionscale/runtime/logger.h"
 #include "dandelionscale/runtime/trace.h"
 #include "dandelionscale/transport/address.h"
-#include "dispatch_peer.pb.h"
+#include "dispatch/peer_messages.h"
 #include "transport/socket_helpers.h"
 
 namespace dandelionscale::internal {
@@ -33,64 +33,12 @@
 constexpr int kPeerLostRotations = 3;
 // Least time between two digests; news is gathered for so long.
 constexpr Duration kLeastInterval = std::chrono::milliseconds(30);
-// Views older than this are alike.
-constexpr std::int64_t kMostAgeMs = 3'600'000;
 // Placements in one digest, so that it stays a few kilobytes.
 constexpr std::size_t kPlacementsEachTime = 250;
 // Placements in a snapshot; 12 bytes each.
 constexpr std::size_t kPlacementsInSnapshot = 20'000;
 constexpr std::string_view kSnapshotPath = "/snapshot";
 
-// Engines are few enough for half of their key to tell them apart.
-std::uint32_t ShortKey(std::uint64_t engine_key) {
-  return static_cast<std::uint32_t>(engine_key);
-}
-
-template <typename Number>
-std::span<const Number> ToSpan(
-    const google::protobuf::RepeatedField<Number>& field) {
-  return {field.data(), static_cast<std::size_t>(field.size())};
-}
-
-std::uint32_t ToAgeMs(Duration age) {
-  return static_cast<std::uint32_t>(std::min(ToMilliseconds(age), kMostAgeMs));
-}
-
-WatchReport ToWatchReport(const wire::RouterDigest& digest) {
-  using std::chrono::milliseconds;
-  WatchReport report;
-  report.store_lost = digest.store_lost();
-  if (digest.has_view_age_ms()) {
-    report.view_age = milliseconds(digest.view_age_ms());
-  }
-  if (digest.has_watcher_age_ms()) {
-    report.watcher_age = milliseconds(digest.watcher_age_ms());
-  }
-  return report;
-}
-
-EngineRecord ToRecord(const wire::EngineEntry& entry) {
-  EngineRecord record;
-  record.id = entry.id();
-  record.service = entry.service();
-  record.address = entry.address();
-  record.availability_zone = entry.availability_zone();
-  record.max_slots = entry.max_slots();
-  record.draining = entry.draining();
-  record.born_unix_ms = entry.born_unix_ms();
-  return record;
-}
-
-void FillEntry(const EngineRecord& record, wire::EngineEntry& entry) {
-  entry.set_id(record.id);
-  entry.set_service(record.service);
-  entry.set_address(record.address);
-  entry.set_availability_zone(record.availability_zone);
-  entry.set_max_slots(record.max_slots);
-  entry.set_draining(record.draining);
-  entry.set_born_unix_ms(record.born_unix_ms);
-}
-
 }  // namespace
 
 PeerExchange::PeerExchange(DispatchState& state)
@@ -160,7 +108,7 @@
     digest.add_loads(engine->in_flight);
   }
   this->FillPlacements(digest);
-  this->FillWatchReport(digest);
+  FillWatchReport(this->state.watch_duty.Report(RuntimeClock::now()), digest);
   const std::string bytes = digest.SerializeAsString();
   const std::vector<std::string> peers(this->state.peers.begin(),
                                        this->state.peers.end());
@@ -185,15 +133,6 @@
   return key_of;
 }
 
-void PeerExchange::FillWatchReport(wire::RouterDigest& digest) const {
-  const WatchReport report = this->state.watch_duty.Report(RuntimeClock::now());
-  digest.set_store_lost(report.store_lost);
-  if (report.view_age) digest.set_view_age_ms(ToAgeMs(*report.view_age));
-  if (report.watcher_age) {
-    digest.set_watcher_age_ms(ToAgeMs(*report.watcher_age));
-  }
-}
-
 void PeerExchange::FillPlacements(wire::RouterDigest& digest) {
   const std::size_t rotation =
       DigestRotation(this->state.peers.size()) / kDigestInterval;
--- a/src/dispatch/peer_exchange.h
+++ b/src/dispatch/peer_exchange.h
@@ -38,7 +38,6 @@
   void FillPlacements(wire::RouterDigest& digest);
   Awaitable<void> ReceiveDigests();
   void OnDigest(const wire::RouterDigest& digest, const std::string& sender);
-  void FillWatchReport(wire::RouterDigest& digest) const;
   // True if the sender of the digest knows more than this router.
   bool NoteNewest(const wire::RouterDigest& digest);
   void FetchIfBehind(const wire::RouterDigest& digest,
