--- a/emulator/store_service.cc
+++ b/emulator/store_service.cc
@@ -66,6 +66,18 @@
   this->changed.NotifyAll();
 }
 
+void StoreService::TakeCopy() {
+  this->copied_rows = this->rows;
+  this->copied_version = this->version;
+}
+
+void StoreService::Restore() {
+  this->rows = this->copied_rows;
+  this->version = this->copied_version;
+  ++this->era;
+  this->changed.NotifyAll();
+}
+
 Awaitable<void> StoreService::Handle(HttpExchange& exchange) {
   this->calls.push_back(exchange.Request().target);
   if (this->mode == StoreMode::kSilent) {
@@ -74,6 +86,7 @@
     co_return;
   }
   HttpResponse response = co_await this->HandleCall(exchange.Request());
+  response.headers.Add("Store-Era", std::to_string(this->era));
   co_await exchange.Respond(std::move(response));
 }
 
@@ -102,7 +115,9 @@
                                 QueryParameter(request.target, "wait_ms")));
   while (true) {
     if (this->mode == StoreMode::kBusy) co_return StatusResponse(kUnavailable);
-    if (this->mode == StoreMode::kHistoryGone) co_return StatusResponse(kGone);
+    const bool has_version =
+        this->mode != StoreMode::kHistoryGone && after <= this->version;
+    if (!has_version) co_return StatusResponse(kGone);
     json::array rows = this->Rows(table, after, true);
     const TimePoint now = RuntimeClock::now();
     if (!rows.empty() || now >= until) {
--- a/emulator/store_service.h
+++ b/emulator/store_service.h
@@ -40,6 +40,12 @@
   /// \brief Deletes a row; watches then receive it as `deleted`.
   void Remove(const std::string& table, const std::string& key);
   void SetMode(StoreMode mode);
+  /// \brief Copies the content, for a later `Restore()`.
+  void TakeCopy();
+  /// \brief Replaces the content by the last copy, as a drill does: version
+  /// numbers continue from the copy's, the era rises, and watches after a
+  /// version that does not exist yet get status 410.
+  void Restore();
   /// \returns the request targets of all calls so far, in order of arrival.
   const std::vector<std::string>& Calls() const { return this->calls; }
 
@@ -65,6 +71,9 @@
   Event changed;
   std::map<RowKey, Row> rows;
   std::uint64_t version = 1;
+  std::uint64_t era = 1;
+  std::map<RowKey, Row> copied_rows;
+  std::uint64_t copied_version = 1;
   std::vector<std::string> calls;
   StoreMode mode = StoreMode::kServing;
 };
--- a/include/dandelionscale/core.h
+++ b/include/dandelionscale/core.h
@@ -13,6 +13,7 @@
 #include "dandelionscale/core/configuration.h"    // IWYU pragma: export
 #include "dandelionscale/core/digest_tree.h"      // IWYU pragma: export
 #include "dandelionscale/core/drain_tracker.h"    // IWYU pragma: export
+#include "dandelionscale/core/engine_pause.h"     // IWYU pragma: export
 #include "dandelionscale/core/fair_queue.h"       // IWYU pragma: export
 #include "dandelionscale/core/fleet_view.h"       // IWYU pragma: export
 #include "dandelionscale/core/hash.h"             // IWYU pragma: export
@@ -23,5 +24,7 @@
 #include "dandelionscale/core/request_plan.h"     // IWYU pragma: export
 #include "dandelionscale/core/retry_budget.h"     // IWYU pragma: export
 #include "dandelionscale/core/session_memory.h"   // IWYU pragma: export
+#include "dandelionscale/core/start_up_check.h"   // IWYU pragma: export
+#include "dandelionscale/core/store_version.h"    // IWYU pragma: export
 
 #endif  // DANDELIONSCALE_CORE_H_
--- a/include/dandelionscale/core/admission_queue.h
+++ b/include/dandelionscale/core/admission_queue.h
@@ -16,6 +16,8 @@
   std::uint32_t priority = 0;  ///< 0 is served first.
   Duration latency_target{};   ///< Of the request's route.
   TimePoint deadline{};
+  /// Time until an engine wants requests, if all have asked for a pause.
+  Duration engine_pause{};
 };
 
 /// \brief Permission to wait in the queue.
@@ -33,6 +35,7 @@
   Duration latency_target{};
   Duration time_left{};        ///< Until the request's deadline.
   std::uint32_t priority = 0;  ///< 0 is served first.
+  Duration engine_pause{};     ///< As in `WaitRequest`.
 };
 
 /// \returns the expected time until the request is placed on an engine.
--- a/include/dandelionscale/core/engine_directory.h
+++ b/include/dandelionscale/core/engine_directory.h
@@ -8,9 +8,12 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 #include "dandelionscale/core/engine_health.h"
+#include "dandelionscale/core/engine_pause.h"
+#include "dandelionscale/core/store_version.h"
 #include "dandelionscale/runtime/runtime_clock.h"
 
 namespace dandelionscale {
@@ -26,6 +29,13 @@
   std::int64_t born_unix_ms = 0;  ///< Start of this incarnation.
 };
 
+/// \returns the low half of an engine's key, by which routers identify the
+///          engine to each other. A fleet has few enough engines for it to be
+///          unique.
+inline std::uint32_t ShortKey(std::uint64_t engine_key) {
+  return static_cast<std::uint32_t>(engine_key);
+}
+
 /// \brief One incarnation of an engine and this router's state for it.
 struct Engine {
   EngineRecord record;
@@ -36,6 +46,7 @@
   /// Removed from the directory or replaced by a new incarnation.
   bool gone = false;
   EngineHealth health;
+  EnginePause pause;  ///< Requested by the engine from this router.
 };
 
 /// \brief A change of the directory, for logs and metrics.
@@ -44,6 +55,7 @@
     kAdded,
     kRestarted,  ///< Replaced: new incarnation, address or service.
     kDraining,
+    kHeldBack,  ///< Listed after a restoration, but was known to have left.
     kUnlisted,  ///< No longer listed, but kept for a grace period.
     kRelisted,  ///< Listed again within the grace period.
     kGone       ///< Removed from the directory.
@@ -73,40 +85,75 @@
 ///   outage, all engines that the update removes are kept for a shorter grace
 ///   period, since the store may have lost entries.
 /// - A draining engine that disappears is removed at once.
+/// - A list of a new era comes from an older copy of the store. It may still
+///   list engines that have left since the copy: those are held back until
+///   their entry would have expired, unless they write it again. It may lack
+///   engines that have started since the copy: those are kept for the grace
+///   period.
+/// - An incarnation that was draining when it was removed is draining if it is
+///   ever listed again.
 class EngineDirectory {
  public:
   /// \brief Applies the complete engine list as of `version`.
   /// \returns the changes; none if a newer version was applied before.
-  std::vector<EngineChange> OnSnapshot(TimePoint now, std::uint64_t version,
+  std::vector<EngineChange> OnSnapshot(TimePoint now, StoreVersion version,
                                        std::span<const EngineRecord> records);
   /// \brief Applies the changes that lead to `version`.
   /// \returns the changes; none if a newer version was applied before.
-  std::vector<EngineChange> OnUpdates(TimePoint now, std::uint64_t version,
+  std::vector<EngineChange> OnUpdates(TimePoint now, StoreVersion version,
                                       std::span<const EngineUpdate> updates);
+  /// \brief Records that an engine has stated that it is shutting down.
+  /// \returns the change; none if it was known to drain.
+  std::vector<EngineChange> OnLeaving(Engine& engine);
   /// \brief Records that the list can't be refreshed from the store.
   void OnStoreLost() { this->store_lost = true; }
   /// \brief Records that the list can be refreshed again; starts the grace
   ///        period if the store was lost.
   void OnStoreRegained(TimePoint now);
-  /// \brief Removes unlisted engines whose grace period has ended.
+  /// \brief Removes unlisted engines whose grace period has ended, and adds
+  ///        those that were held back for long enough.
   /// \returns the changes.
   std::vector<EngineChange> Expire(TimePoint now);
 
   /// \returns the engines of `service`, draining and unlisted ones included.
   std::span<const std::shared_ptr<Engine>> Find(std::string_view service) const;
+  /// \returns the `ShortKey()` of each engine that is known to be leaving
+  /// though
+  ///          the store lists it as ready.
+  std::vector<std::uint32_t> LeavingKeys() const;
+  /// \returns the engine whose key has this `ShortKey()`, or null.
+  std::shared_ptr<Engine> FindByShortKey(std::uint32_t short_key) const;
   /// \returns all engines by id, draining and unlisted ones included.
   const std::map<std::string, std::shared_ptr<Engine>, std::less<>>& Engines()
       const {
     return this->engines;
   }
-  /// \returns the version of the newest list applied; 0 before the first.
-  std::uint64_t Version() const { return this->version; }
+  /// \returns the version of the newest list applied; zero before the first.
+  StoreVersion Version() const { return this->version; }
+  /// \returns the era of the first list applied; 0 before it.
+  std::uint64_t InitialEra() const { return this->initial_era; }
   /// \returns the records of the listed engines, for a peer with an older
   ///          version of the list.
   std::vector<EngineRecord> Listed() const;
 
  private:
+  // The last known state of a removed engine.
+  struct Departed {
+    std::int64_t born_unix_ms = 0;
+    bool draining = false;
+    TimePoint since{};
+  };
+  // An engine that is listed but not used yet.
+  struct HeldBack {
+    EngineRecord record;
+    TimePoint until{};
+  };
+
   void Upsert(const EngineRecord& record, std::vector<EngineChange>& changes);
+  bool MayHaveLeft(const EngineRecord& record) const;
+  bool IsHeldBack(const EngineRecord& record) const;
+  void HoldBack(TimePoint now, const EngineRecord& record,
+                std::vector<EngineChange>& changes);
   // Why an engine that is no longer listed is kept for a grace period.
   enum class RetentionReason { kNone, kStoreOutage, kMassRemoval };
   struct Unlisted {
@@ -119,16 +166,21 @@
   RetentionReason RetentionReasonOf(TimePoint now,
                                     std::span<const std::string> ids) const;
   TimePoint RetentionDeadline(const Unlisted& entry) const;
-  void Remove(const std::string& id, std::vector<EngineChange>& changes);
+  void Remove(TimePoint now, const std::string& id,
+              std::vector<EngineChange>& changes);
   void Reindex();
 
-  std::uint64_t version = 0;
+  StoreVersion version;
+  std::uint64_t initial_era = 0;
   bool store_lost = false;
   TimePoint store_regained_at{};
   std::map<std::string, std::shared_ptr<Engine>, std::less<>> engines;
   std::map<std::string, std::vector<std::shared_ptr<Engine>>, std::less<>>
       by_service;
+  std::unordered_map<std::uint32_t, std::shared_ptr<Engine>> by_short_key;
   std::map<std::string, Unlisted, std::less<>> unlisted;
+  std::map<std::string, Departed, std::less<>> departed;
+  std::map<std::string, HeldBack, std::less<>> held_back;
 };
 
 }  // namespace dandelionscale
--- a/include/dandelionscale/dispatch/protocol_codec.h
+++ b/include/dandelionscale/dispatch/protocol_codec.h
@@ -61,7 +61,11 @@
   /// produced. Such a success response is rejected.
   bool has_content_encoding = false;
   std::optional<ReportedLoad> load;
-  HttpHeaders end_to_end;  ///< Header fields to forward unchanged.
+  bool leaving = false;  ///< The engine is shutting down.
+  /// The engine wants no requests from this router for this time.
+  std::optional<Duration> requested_pause;
+  bool has_malformed_pause = false;  ///< The requested time is not a number.
+  HttpHeaders end_to_end;            ///< Header fields to forward unchanged.
 };
 
 /// \brief An engine has added a prompt part to its cache, or evicted it.
--- a/include/dandelionscale/dispatch/table_store.h
+++ b/include/dandelionscale/dispatch/table_store.h
@@ -6,6 +6,7 @@
 #include <string_view>
 #include <vector>
 
+#include "dandelionscale/core/store_version.h"
 #include "dandelionscale/runtime/fault.h"
 #include "dandelionscale/runtime/runtime_clock.h"
 
@@ -15,14 +16,15 @@
 struct StoreRow {
   std::string key;
   std::string value;
-  std::uint64_t version = 0;  ///< Store version of the write or removal.
+  /// Number of the store version that wrote or removed the row.
+  std::uint64_t version = 0;
   bool removed = false;
 };
 
 /// \brief Rows as of one version of the store.
 struct StoreRows {
   std::vector<StoreRow> rows;
-  std::uint64_t version = 0;
+  StoreVersion version;
 };
 
 /// \brief Tables of the shared store.
@@ -36,8 +38,13 @@
 ///
 /// Faults: `kConnectFailed`, `kConnectionLost`, `kTimeout`, `kNotSent` (the
 /// store refused the call), `kMalformedMessage`. `Watch()` also returns
-/// `kUnexpectedStatus` if the store no longer retains the changes after the
-/// given version; the caller then has to read the whole table.
+/// `kUnexpectedStatus` if the store does not have the given version or no
+/// longer retains the changes after it; the caller then has to read the whole
+/// table.
+///
+/// The era of `StoreRows::version` rises when the store was restored from an
+/// older copy. Rows of a watch that spans a restoration are not the difference
+/// to the state before it, so the caller has to read the whole table.
 class TableStore {
  public:
   virtual ~TableStore() = default;
@@ -48,7 +55,7 @@
   /// \brief Long-polls for changes after `version`.
   /// \returns the changes in order; none if there were none within `wait`.
   virtual Awaitable<Result<StoreRows>> Watch(StoreTable table,
-                                             std::uint64_t version,
+                                             StoreVersion version,
                                              Duration wait) = 0;
   /// \brief Writes a row of `kRouters` unconditionally.
   virtual Awaitable<Result<void>> WriteRouter(std::string key,
--- a/src/core/admission_queue.cc
+++ b/src/core/admission_queue.cc
@@ -57,6 +57,7 @@
       std::min(Scale(inputs.latency_target, kWaitShareOfTarget),
                Scale(inputs.time_left, kWaitShareOfTimeLeft));
   if (max_wait <= Duration::zero()) return std::nullopt;
+  if (inputs.engine_pause > max_wait) return std::nullopt;
   // An urgent request is served before all others, so the length of the queue
   // does not predict its wait.
   const bool urgent = inputs.priority == 0;
@@ -74,6 +75,7 @@
   inputs.latency_target = ToMicroseconds(request.latency_target);
   inputs.time_left = ToMicroseconds(request.deadline - now);
   inputs.priority = request.priority;
+  inputs.engine_pause = ToMicroseconds(request.engine_pause);
   return inputs;
 }
 
--- a/src/core/engine_directory.cc
+++ b/src/core/engine_directory.cc
@@ -17,6 +17,13 @@
 // at least this many, may be a loss of entries in the store.
 constexpr double kMinMassRemovalShare = 0.4;
 constexpr std::size_t kMinMassRemovalCount = 3;
+// Time for which an engine that was known to have left is held back after the
+// store was restored. The store removes the entry of an engine that writes
+// nothing sooner than that.
+constexpr Duration kHoldBackTime = std::chrono::seconds(6);
+// Time for which a removed engine is remembered. The copies from which the
+// store is restored are much younger.
+constexpr Duration kDepartedMemory = std::chrono::minutes(5);
 
 std::uint64_t EngineKey(const EngineRecord& record) {
   return HashText(record.id + "/" + std::to_string(record.born_unix_ms));
@@ -36,6 +43,8 @@
       return "restarted";
     case EngineChange::Kind::kDraining:
       return "draining";
+    case EngineChange::Kind::kHeldBack:
+      return "held_back";
     case EngineChange::Kind::kUnlisted:
       return "unlisted";
     case EngineChange::Kind::kRelisted:
@@ -47,16 +56,29 @@
 }
 
 std::vector<EngineChange> EngineDirectory::OnSnapshot(
-    TimePoint now, std::uint64_t version,
+    TimePoint now, StoreVersion version,
     std::span<const EngineRecord> records) {
   std::vector<EngineChange> changes;
   if (version < this->version) return changes;
+  const bool is_first = this->version == StoreVersion{};
+  const bool is_restored = !is_first && version.era > this->version.era;
+  if (is_first) this->initial_era = version.era;
+  if (is_restored) this->store_regained_at = now;
   this->version = version;
   std::set<std::string_view> listed;
   for (const EngineRecord& record : records) {
     listed.insert(record.id);
-    this->Upsert(record, changes);
+    if (this->IsHeldBack(record) ||
+        (is_restored && this->MayHaveLeft(record))) {
+      this->HoldBack(now, record, changes);
+    } else {
+      this->held_back.erase(record.id);
+      this->Upsert(record, changes);
+    }
   }
+  std::erase_if(this->held_back, [&listed](const auto& entry) {
+    return !listed.contains(entry.first);
+  });
   std::vector<std::string> missing;
   for (const auto& [id, engine] : this->engines) {
     if (!listed.contains(id)) missing.push_back(id);
@@ -67,13 +89,15 @@
 }
 
 std::vector<EngineChange> EngineDirectory::OnUpdates(
-    TimePoint now, std::uint64_t version,
+    TimePoint now, StoreVersion version,
     std::span<const EngineUpdate> updates) {
   std::vector<EngineChange> changes;
   if (version < this->version) return changes;
   this->version = version;
   std::vector<std::string> removed;
   for (const EngineUpdate& update : updates) {
+    // An engine that writes its entry again has not left.
+    this->held_back.erase(update.id);
     if (update.removed) {
       removed.push_back(update.id);
     } else {
@@ -86,6 +110,12 @@
   return changes;
 }
 
+std::vector<EngineChange> EngineDirectory::OnLeaving(Engine& engine) {
+  if (engine.draining) return {};
+  engine.draining = true;
+  return {MakeChange(EngineChange::Kind::kDraining, engine)};
+}
+
 void EngineDirectory::OnStoreRegained(TimePoint now) {
   if (!this->store_lost) return;
   this->store_lost = false;
@@ -98,8 +128,19 @@
   for (const auto& [id, entry] : this->unlisted) {
     if (now >= this->RetentionDeadline(entry)) expired.push_back(id);
   }
-  for (const std::string& id : expired) this->Remove(id, changes);
-  if (!expired.empty()) this->Reindex();
+  for (const std::string& id : expired) this->Remove(now, id, changes);
+  std::vector<EngineRecord> released;
+  for (const auto& [id, entry] : this->held_back) {
+    if (now >= entry.until) released.push_back(entry.record);
+  }
+  for (const EngineRecord& record : released) {
+    this->held_back.erase(record.id);
+    this->Upsert(record, changes);
+  }
+  std::erase_if(this->departed, [now](const auto& entry) {
+    return now - entry.second.since > kDepartedMemory;
+  });
+  if (!changes.empty()) this->Reindex();
   return changes;
 }
 
@@ -110,6 +151,28 @@
   return found->second;
 }
 
+std::vector<std::uint32_t> EngineDirectory::LeavingKeys() const {
+  std::vector<std::uint32_t> keys;
+  for (const auto& [id, engine] : this->engines) {
+    if (engine->draining && !engine->record.draining) {
+      keys.push_back(ShortKey(engine->key));
+    }
+  }
+  for (const auto& [id, entry] : this->held_back) {
+    const auto found = this->departed.find(id);
+    if (found != this->departed.end() && found->second.draining) {
+      keys.push_back(ShortKey(EngineKey(entry.record)));
+    }
+  }
+  return keys;
+}
+
+std::shared_ptr<Engine> EngineDirectory::FindByShortKey(
+    std::uint32_t short_key) const {
+  const auto found = this->by_short_key.find(short_key);
+  return found == this->by_short_key.end() ? nullptr : found->second;
+}
+
 std::vector<EngineRecord> EngineDirectory::Listed() const {
   std::vector<EngineRecord> records;
   for (const auto& [id, engine] : this->engines) {
@@ -124,6 +187,12 @@
                              std::vector<EngineChange>& changes) {
   auto found = this->engines.find(record.id);
   const bool known = found != this->engines.end();
+  const auto departed = this->departed.find(record.id);
+  const bool is_known_departed = !known && departed != this->departed.end();
+  if (is_known_departed &&
+      record.born_unix_ms < departed->second.born_unix_ms) {
+    return;
+  }
   if (known && record.born_unix_ms < found->second->record.born_unix_ms) return;
   const bool same = known &&
                     record.born_unix_ms == found->second->record.born_unix_ms &&
@@ -134,7 +203,9 @@
     auto engine = std::make_shared<Engine>();
     engine->record = record;
     engine->key = EngineKey(record);
-    engine->draining = record.draining;
+    engine->draining = record.draining ||
+                       (is_known_departed && departed->second.draining &&
+                        departed->second.born_unix_ms == record.born_unix_ms);
     changes.push_back(MakeChange(
         known ? EngineChange::Kind::kRestarted : EngineChange::Kind::kAdded,
         *engine));
@@ -153,6 +224,28 @@
   engine.record = record;
 }
 
+bool EngineDirectory::MayHaveLeft(const EngineRecord& record) const {
+  const auto found = this->departed.find(record.id);
+  return found != this->departed.end() &&
+         record.born_unix_ms <= found->second.born_unix_ms &&
+         !this->engines.contains(record.id);
+}
+
+bool EngineDirectory::IsHeldBack(const EngineRecord& record) const {
+  const auto found = this->held_back.find(record.id);
+  return found != this->held_back.end() &&
+         found->second.record.born_unix_ms == record.born_unix_ms;
+}
+
+void EngineDirectory::HoldBack(TimePoint now, const EngineRecord& record,
+                               std::vector<EngineChange>& changes) {
+  auto [entry, added] = this->held_back.try_emplace(record.id);
+  entry->second.record = record;
+  if (!added) return;
+  entry->second.until = now + kHoldBackTime;
+  changes.push_back({EngineChange::Kind::kHeldBack, record.id, record.service});
+}
+
 void EngineDirectory::Unlist(TimePoint now, std::span<const std::string> ids,
                              std::vector<EngineChange>& changes) {
   const RetentionReason reason = this->RetentionReasonOf(now, ids);
@@ -161,7 +254,7 @@
     if (found == this->engines.end()) continue;
     // A draining engine has announced its shutdown, so its removal is final.
     if (reason == RetentionReason::kNone || found->second->draining) {
-      this->Remove(id, changes);
+      this->Remove(now, id, changes);
       continue;
     }
     if (!this->unlisted.emplace(id, Unlisted{reason, now}).second) continue;
@@ -199,11 +292,13 @@
   return this->store_regained_at + kRelistGracePeriod;
 }
 
-void EngineDirectory::Remove(const std::string& id,
+void EngineDirectory::Remove(TimePoint now, const std::string& id,
                              std::vector<EngineChange>& changes) {
   auto found = this->engines.find(id);
   if (found == this->engines.end()) return;
   found->second->gone = true;
+  this->departed[id] = {found->second->record.born_unix_ms,
+                        found->second->draining, now};
   changes.push_back(MakeChange(EngineChange::Kind::kGone, *found->second));
   this->engines.erase(found);
   this->unlisted.erase(id);
@@ -211,7 +306,9 @@
 
 void EngineDirectory::Reindex() {
   this->by_service.clear();
+  this->by_short_key.clear();
   for (const auto& [id, engine] : this->engines) {
+    this->by_short_key[ShortKey(engine->key)] = engine;
     this->by_service[engine->record.service].push_back(engine);
   }
 }
--- a/src/dispatch/cache_observer.cc
+++ b/src/dispatch/cache_observer.cc
@@ -75,7 +75,8 @@
     }
     if (batch.has_error()) {
       this->state.metrics.Add("cache_news_failures_total");
-      const Duration pause = kRetryDelay;
+      const Duration pause =
+          std::max(kRetryDelay, engine->pause.Remaining(RuntimeClock::now()));
       co_await SleepFor(pause);
       continue;
     }
@@ -94,6 +95,9 @@
   auto response = co_await this->client.Fetch(
       endpoint.value(), std::move(request), ConnectionUse::kReuse, timeout);
   if (response.has_error()) co_return response.error();
+  this->state.OnEngineResponse(
+      *engine,
+      this->state.codec->DecodeResponse(response->status, response->headers));
   constexpr unsigned kOk = 200;
   if (response->status != kOk) {
     co_return Fault{FaultKind::kUnexpectedStatus,
--- a/src/dispatch/decision_replay.cc
+++ b/src/dispatch/decision_replay.cc
@@ -55,6 +55,8 @@
     return key;
   }
 
+  bool Has(std::string_view name) const { return this->fields.contains(name); }
+
   bool IsComplete() const { return this->complete; }
 
  private:
@@ -104,6 +106,8 @@
   inputs.latency_target = line.Microseconds("target_us");
   inputs.time_left = line.Microseconds("time_left_us");
   inputs.priority = line.As<std::uint32_t>("priority");
+  // Older builds don't log it.
+  if (line.Has("pause_us")) inputs.engine_pause = line.Microseconds("pause_us");
   if (!line.IsComplete()) return ReplayResult::kNoDecision;
   return ToReplayResult(DecideWait(inputs).has_value() == granted);
 }
--- a/src/dispatch/dispatch_state.cc
+++ b/src/dispatch/dispatch_state.cc
@@ -21,8 +21,10 @@
     : executor(executor),
       options(std::move(options)),
       codec(std::move(codec)),
+      start_up(RuntimeClock::now()),
       watcher_election(HashText(ToText(this->options.peer_address))),
       state_changed(executor),
+      store_restored(executor),
       prefixes(kMaxPrefixEntries),
       random(HashText(this->options.name) ^
              static_cast<std::uint64_t>(
@@ -91,12 +93,46 @@
          {"service", change.service},
          {"change", ToString(change.kind)},
          {"source", source},
-         {"version", static_cast<std::int64_t>(this->engines.Version())}});
+         {"era", static_cast<std::int64_t>(this->engines.Version().era)},
+         {"version",
+          static_cast<std::int64_t>(this->engines.Version().number)}});
     this->metrics.Add("engine_changes_total");
   }
   if (!changes.empty()) this->state_changed.NotifyAll();
 }
 
+void DispatchState::OnStoreEra(std::uint64_t era) {
+  if (this->store_era && era <= *this->store_era) return;
+  if (this->store_era) {
+    Logger::Warning("store_restored",
+                    {{"era", static_cast<std::int64_t>(era)},
+                     {"before", static_cast<std::int64_t>(*this->store_era)}});
+    this->store_restored.NotifyAll();
+  }
+  this->store_era = era;
+}
+
+void DispatchState::OnEngineResponse(Engine& engine,
+                                     const EngineResponse& response) {
+  // Another engine has answered at this address.
+  if (response.wrong_engine) return;
+  if (response.leaving) {
+    this->OnEngineChanges(this->engines.OnLeaving(engine), "engine");
+  }
+  if (response.requested_pause) {
+    engine.pause.Request(RuntimeClock::now(), *response.requested_pause);
+    this->metrics.Add("engine_pauses_total");
+    Logger::Info("engine_pause",
+                 {{"engine", engine.record.id},
+                  {"service", engine.record.service},
+                  {"pause_ms", ToMilliseconds(*response.requested_pause)}});
+  }
+  if (response.has_malformed_pause &&
+      this->logged_malformed_pauses.insert(engine.record.id).second) {
+    Logger::Warning("engine_pause_malformed", {{"engine", engine.record.id}});
+  }
+}
+
 void DispatchState::OnStoreAnswered(std::string_view store_table) {
   if (this->unreachable_tables.erase(std::string(store_table)) == 0) return;
   Logger::Info("store_regained", {{"table", store_table}});
@@ -136,7 +172,7 @@
 
 bool DispatchState::IsReady() const {
   return this->routing_table != nullptr && this->engines_known &&
-         !this->draining;
+         this->start_up.IsComplete(RuntimeClock::now()) && !this->draining;
 }
 
 double DispatchState::Random() {
--- a/src/dispatch/dispatch_state.h
+++ b/src/dispatch/dispatch_state.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -17,6 +18,7 @@
 #include "dandelionscale/core/prefix_index.h"
 #include "dandelionscale/core/prefix_update_queue.h"
 #include "dandelionscale/core/routing_table.h"
+#include "dandelionscale/core/start_up_check.h"
 #include "dandelionscale/core/watcher_election.h"
 #include "dandelionscale/dispatch/dispatch_router.h"
 #include "dandelionscale/runtime/event.h"
@@ -52,6 +54,11 @@
   /// \param source origin of the changes, for the log.
   void OnEngineChanges(const std::vector<EngineChange>& changes,
                        std::string_view source);
+  /// \brief Records the store's era, as it or a peer reports it.
+  void OnStoreEra(std::uint64_t era);
+  /// \brief Applies what an engine states about itself in a response head: that
+  ///        it is shutting down, or that it wants no requests for some time.
+  void OnEngineResponse(Engine& engine, const EngineResponse& response);
   /// \brief Records a successful store call; logs the end of an outage.
   void OnStoreAnswered(std::string_view store_table);
   /// \brief Records a failed store call; logs the start of an outage.
@@ -84,8 +91,10 @@
   /// Encoded form of `routing_table`, as in the store.
   std::string routing_table_text;
   EngineDirectory engines;
+  /// Whether peers have confirmed what this router read when it started.
+  StartUpCheck start_up;
   /// Highest version of an engine row.
-  std::uint64_t newest_engine_version = 0;
+  StoreVersion newest_engine_version;
   bool engines_known = false;  ///< The engine list was loaded.
   PeerLoad peer_load;          ///< Load that the peers report.
   /// Decides whether this router watches the store or relies on the digests of
@@ -93,6 +102,8 @@
   WatcherElection watcher_election;
   /// Signals a change that should be sent in a digest soon.
   Event state_changed;
+  std::optional<std::uint64_t> store_era;  ///< Newest known era of the store.
+  Event store_restored;                    ///< Signals that the era has risen.
   PrefixIndex prefixes;              ///< Prompt parts that engines have cached.
   PrefixUpdateQueue prefix_updates;  ///< Prefix changes to send in digests.
   std::set<std::string> peers;       ///< Addresses of other routers, IP:PORT.
@@ -108,6 +119,9 @@
 
  private:
   std::map<std::string, std::unique_ptr<ServiceState>, std::less<>> services;
+  /// Ids of engines whose malformed pause requests have been logged; each is
+  /// logged once.
+  std::set<std::string> logged_malformed_pauses;
   std::mt19937_64 random;
 };
 
--- a/src/dispatch/engine_connection_pool.cc
+++ b/src/dispatch/engine_connection_pool.cc
@@ -85,16 +85,16 @@
 }
 
 void EngineConnectionPool::Purge(TimePoint now) {
-  std::set<std::uint64_t> known_engine_keys;
+  std::set<std::uint64_t> usable_engine_keys;
   for (const auto& [id, engine] : this->state.engines.Engines()) {
-    known_engine_keys.insert(engine->key);
+    if (!engine->draining) usable_engine_keys.insert(engine->key);
   }
   for (auto entry = this->idle.begin(); entry != this->idle.end();) {
     std::erase_if(entry->second, [now](const auto& connection) {
       return now - connection->idle_since > connection->idle_lifetime;
     });
     const bool removable =
-        entry->second.empty() || !known_engine_keys.contains(entry->first);
+        entry->second.empty() || !usable_engine_keys.contains(entry->first);
     entry = removable ? this->idle.erase(entry) : std::next(entry);
   }
 }
--- a/src/dispatch/engine_connection_pool.h
+++ b/src/dispatch/engine_connection_pool.h
@@ -48,7 +48,8 @@
   void Return(const Engine& engine,
               std::shared_ptr<EngineConnection> connection,
               Duration keep_alive_timeout);
-  /// \brief Closes expired connections and those to removed engines.
+  /// \brief Closes expired connections and those to removed or draining
+  ///        engines.
   void Purge(TimePoint now);
 
  private:
--- a/src/dispatch/engine_exchange.cc
+++ b/src/dispatch/engine_exchange.cc
@@ -43,8 +43,10 @@
   auto acquired = co_await this->pool.Acquire(this->engine, policy);
   if (acquired.has_error()) co_return AttemptFailure::kNotConnected;
   this->connection = acquired.value();
-  // The engine may have started to drain while the connection was opened.
-  if (this->cancelled || this->engine->draining || this->engine->gone) {
+  // The engine may have started to drain or asked for a pause while the
+  // connection was opened.
+  if (this->cancelled || this->engine->draining || this->engine->gone ||
+      this->engine->pause.IsActive(RuntimeClock::now())) {
     co_return AttemptFailure::kNotConnected;
   }
   if (!co_await this->Send(request, headers))
@@ -121,6 +123,7 @@
   const HttpHeaders headers = CopyHeaders(message);
   this->response =
       this->state.codec->DecodeResponse(message.result_int(), headers);
+  this->state.OnEngineResponse(*this->engine, this->response);
   this->keep_alive_timeout = ParseKeepAliveTimeout(headers.Find("Keep-Alive"));
   this->event_stream =
       headers.Find("Content-Type").starts_with("text/event-stream");
@@ -164,7 +167,8 @@
       this->parser != nullptr && this->parser->is_done() &&
       this->parser->get().keep_alive() && *this->write_done &&
       this->connection->buffer.size() == 0 &&
-      !this->received_mismatched_response && this->connection->socket.is_open();
+      !this->received_mismatched_response && !this->engine->draining &&
+      this->connection->socket.is_open();
   if (is_reusable) {
     this->pool.Return(*this->engine, std::move(this->connection),
                       this->keep_alive_timeout);
--- a/src/dispatch/log_explanation.cc
+++ b/src/dispatch/log_explanation.cc
@@ -86,11 +86,13 @@
 
 bool IsStateChange(const LogLine& line) {
   static const std::set<std::string, std::less<>> kStateChangeEvents = {
-      "engine_belief", "configuration_in_force",
-      "store_lost",    "store_regained",
-      "peer_lost",     "readiness",
-      "draining",      "stopped",
-      "start",         "log_dropped"};
+      "engine_belief",  "configuration_in_force",
+      "store_lost",     "store_regained",
+      "peer_lost",      "readiness",
+      "draining",       "stopped",
+      "start",          "log_dropped",
+      "store_restored", "engine_pause",
+      "watch_role"};
   return kStateChangeEvents.contains(line.Text("event"));
 }
 
--- a/src/dispatch/peer_exchange.cc
+++ b/src/dispatch/peer_exchange.cc
@@ -107,12 +107,16 @@
   digest.set_incarnation(this->incarnation);
   digest.set_sequence(++this->sequence);
   digest.set_configuration_version(this->state.ConfigurationVersion());
-  digest.set_engines_changed(this->state.newest_engine_version);
+  digest.set_engines_changed(this->state.newest_engine_version.number);
+  digest.set_store_era(this->state.newest_engine_version.era);
   for (const auto& [id, engine] : this->state.engines.Engines()) {
     if (engine->in_flight == 0) continue;
     digest.add_engine_keys(ShortKey(engine->key));
     digest.add_loads(engine->in_flight);
   }
+  for (std::uint32_t short_key : this->state.engines.LeavingKeys()) {
+    digest.add_leaving_engines(short_key);
+  }
   this->FillPlacements(digest);
   FillWatchReport(this->state.watcher_election.Report(RuntimeClock::now()),
                   digest);
@@ -132,12 +136,24 @@
   }
 }
 
-std::map<std::uint32_t, std::uint64_t> PeerExchange::EngineKeys() const {
-  std::map<std::uint32_t, std::uint64_t> key_of;
-  for (const auto& [id, engine] : this->state.engines.Engines()) {
-    key_of[ShortKey(engine->key)] = engine->key;
-  }
-  return key_of;
+template <typename Message>
+std::uint64_t PeerExchange::EraOf(const Message& message) const {
+  return message.has_store_era() ? message.store_era()
+                                 : this->state.engines.InitialEra();
+}
+
+StoreVersion PeerExchange::VersionOf(const wire::RouterDigest& digest) const {
+  return {this->EraOf(digest), digest.engines_changed()};
+}
+
+StoreVersion PeerExchange::VersionOf(
+    const wire::SnapshotRequest& request) const {
+  return {this->EraOf(request), request.engines_version()};
+}
+
+StoreVersion PeerExchange::VersionOf(
+    const wire::BeliefSnapshot& snapshot) const {
+  return {this->EraOf(snapshot), snapshot.engines_version()};
 }
 
 void PeerExchange::FillPlacements(wire::RouterDigest& digest) {
@@ -185,12 +201,11 @@
     Logger::Info("peer_heard", {{"peer", sender}, {"name", digest.router()}});
   }
   this->state.last_digest_at[sender] = now;
-  const auto key_of = this->EngineKeys();
   std::vector<EngineLoad> loads;
   for (int n = 0; n < digest.engine_keys_size(); ++n) {
-    auto found = key_of.find(digest.engine_keys(n));
-    if (found != key_of.end())
-      loads.push_back({found->second, digest.loads(n)});
+    const auto engine =
+        this->state.engines.FindByShortKey(digest.engine_keys(n));
+    if (engine != nullptr) loads.push_back({engine->key, digest.loads(n)});
   }
   this->state.peer_load.OnReport(now, digest.router(), digest.incarnation(),
                                  digest.sequence(), loads);
@@ -200,17 +215,29 @@
                         ToSpan(digest.placed_engines()), false);
   this->ApplyPlacements(ToSpan(digest.dropped_parts()),
                         ToSpan(digest.dropped_engines()), true);
+  this->ApplyLeavingEngines(ToSpan(digest.leaving_engines()), sender);
   this->FetchIfBehind(digest, sender);
 }
 
+void PeerExchange::ApplyLeavingEngines(
+    std::span<const std::uint32_t> short_keys, const std::string& sender) {
+  for (std::uint32_t short_key : short_keys) {
+    const auto engine = this->state.engines.FindByShortKey(short_key);
+    if (engine == nullptr) continue;
+    this->state.OnEngineChanges(this->state.engines.OnLeaving(*engine), sender);
+  }
+}
+
 bool PeerExchange::UpdateNewestVersions(const wire::RouterDigest& digest) {
+  const StoreVersion engines_changed = this->VersionOf(digest);
+  if (engines_changed.number > 0) this->state.OnStoreEra(engines_changed.era);
   this->newest_configuration =
       std::max(this->newest_configuration, digest.configuration_version());
-  this->newest_engines =
-      std::max(this->newest_engines, digest.engines_changed());
+  this->newest_engines = std::max(this->newest_engines, engines_changed);
   const bool behind =
       this->newest_configuration > this->state.ConfigurationVersion() ||
       this->newest_engines > this->state.engines.Version();
+  this->state.start_up.OnDigest(behind);
   if (!behind) {
     this->behind_since.reset();
     this->state.watcher_election.OnCaughtUp();
@@ -219,7 +246,7 @@
   if (!this->behind_since) this->behind_since = RuntimeClock::now();
   this->state.watcher_election.OnLagDetected(*this->behind_since);
   return digest.configuration_version() > this->state.ConfigurationVersion() ||
-         digest.engines_changed() > this->state.engines.Version();
+         engines_changed > this->state.engines.Version();
 }
 
 void PeerExchange::FetchIfBehind(const wire::RouterDigest& digest,
@@ -247,7 +274,8 @@
   wire::SnapshotRequest snapshot_request;
   snapshot_request.set_configuration_version(
       this->state.ConfigurationVersion());
-  snapshot_request.set_engines_version(this->state.engines.Version());
+  snapshot_request.set_engines_version(this->state.engines.Version().number);
+  snapshot_request.set_store_era(this->state.engines.Version().era);
   snapshot_request.set_without_placements(this->has_prefixes);
   HttpRequest request;
   request.method = "POST";
@@ -292,27 +320,27 @@
                                    std::span<const std::uint32_t> short_keys,
                                    bool dropped) {
   const TimePoint now = RuntimeClock::now();
-  const auto key_of = this->EngineKeys();
   const std::size_t count = std::min(parts.size(), short_keys.size());
   for (std::size_t n = 0; n < count; ++n) {
-    auto found = key_of.find(short_keys[n]);
-    if (found == key_of.end()) continue;
-    this->state.prefixes.Apply(now, {parts[n], found->second, dropped});
+    const auto engine = this->state.engines.FindByShortKey(short_keys[n]);
+    if (engine == nullptr) continue;
+    this->state.prefixes.Apply(now, {parts[n], engine->key, dropped});
   }
 }
 
 void PeerExchange::ApplyEngines(const wire::BeliefSnapshot& snapshot,
                                 const std::string& peer) {
-  if (snapshot.engines_version() <= this->state.engines.Version()) return;
+  const StoreVersion version = this->VersionOf(snapshot);
+  if (version.number == 0 || version <= this->state.engines.Version()) return;
   std::vector<EngineRecord> records;
   for (const wire::EngineEntry& entry : snapshot.engines()) {
     records.push_back(ToRecord(entry));
   }
   this->state.engines_known = true;
-  const auto changes = this->state.engines.OnSnapshot(
-      RuntimeClock::now(), snapshot.engines_version(), records);
+  const auto changes =
+      this->state.engines.OnSnapshot(RuntimeClock::now(), version, records);
   this->state.newest_engine_version =
-      std::max(this->state.newest_engine_version, snapshot.engines_version());
+      std::max(this->state.newest_engine_version, version);
   this->state.OnEngineChanges(changes, peer);
 }
 
@@ -337,7 +365,7 @@
       snapshot_request.configuration_version()) {
     snapshot.set_configuration(this->state.routing_table_text);
   }
-  if (this->state.engines.Version() > snapshot_request.engines_version()) {
+  if (this->state.engines.Version() > this->VersionOf(snapshot_request)) {
     this->FillEngines(snapshot);
   }
   if (!snapshot_request.without_placements())
@@ -350,7 +378,8 @@
 }
 
 void PeerExchange::FillEngines(wire::BeliefSnapshot& snapshot) const {
-  snapshot.set_engines_version(this->state.engines.Version());
+  snapshot.set_engines_version(this->state.engines.Version().number);
+  snapshot.set_store_era(this->state.engines.Version().era);
   for (const EngineRecord& record : this->state.engines.Listed()) {
     FillEntry(record, *snapshot.add_engines());
   }
--- a/src/dispatch/peer_exchange.h
+++ b/src/dispatch/peer_exchange.h
@@ -5,7 +5,6 @@
 
 #include <array>
 #include <boost/asio/ip/udp.hpp>
-#include <map>
 #include <memory>
 #include <optional>
 #include <span>
@@ -17,6 +16,7 @@
 
 namespace dandelionscale::wire {
 class RouterDigest;
+class SnapshotRequest;
 class BeliefSnapshot;
 }  // namespace dandelionscale::wire
 
@@ -43,11 +43,19 @@
 
  private:
   Awaitable<void> SendDigests();
-  // Returns the keys of all engines by their `ShortKey()`.
-  std::map<std::uint32_t, std::uint64_t> EngineKeys() const;
+  // Messages of older builds have no era. Their version counts as one of the
+  // era in which this router started, so that it is older than any version
+  // since a restoration.
+  template <typename Message>
+  std::uint64_t EraOf(const Message& message) const;
+  StoreVersion VersionOf(const wire::RouterDigest& digest) const;
+  StoreVersion VersionOf(const wire::SnapshotRequest& request) const;
+  StoreVersion VersionOf(const wire::BeliefSnapshot& snapshot) const;
   void FillPlacements(wire::RouterDigest& digest);
   Awaitable<void> ReceiveDigests();
   void OnDigest(const wire::RouterDigest& digest, const std::string& sender);
+  void ApplyLeavingEngines(std::span<const std::uint32_t> short_keys,
+                           const std::string& sender);
   // Records the newest versions among peers and whether this router is behind
   // them. True if the sender of the digest has a newer version than this
   // router.
@@ -78,7 +86,7 @@
   int serving = 0;        ///< Snapshot responses that are being sent.
   bool has_prefixes = false;  ///< A snapshot with prefixes was fetched.
   std::uint64_t newest_configuration = 0;  ///< Newest in received digests.
-  std::uint64_t newest_engines = 0;        ///< Newest in received digests.
+  StoreVersion newest_engines;             ///< Newest in received digests.
   /// Since when peers have newer versions; none if they have not.
   std::optional<TimePoint> behind_since;
 };
--- a/src/dispatch/peer_messages.h
+++ b/src/dispatch/peer_messages.h
@@ -12,12 +12,6 @@
 
 namespace dandelionscale::internal {
 
-/// \returns the low half of an engine's key, by which digests identify the
-///          engine. A fleet has few enough engines for it to be unique.
-inline std::uint32_t ShortKey(std::uint64_t engine_key) {
-  return static_cast<std::uint32_t>(engine_key);
-}
-
 /// \returns a view of a repeated field, valid as long as the field is.
 template <typename Number>
 std::span<const Number> ToSpan(
--- a/src/dispatch/request_dispatch.cc
+++ b/src/dispatch/request_dispatch.cc
@@ -261,13 +261,7 @@
     return;
   }
   if (ended_by_client_or_deadline) return;
-  // A different engine at this address means that this one no longer exists.
-  if (*failure == AttemptFailure::kNotConnected ||
-      *failure == AttemptFailure::kWrongEngine) {
-    engine.health.OnUnreachable(now);
-  } else if (*failure != AttemptFailure::kRefused) {
-    engine.health.OnFailure(now);
-  }
+  this->RecordFailure(engine, *failure);
   if (*failure == AttemptFailure::kWrongEngine) {
     this->state.prefixes.RemoveEngine(engine.key);
   }
@@ -285,6 +279,19 @@
        {"events", static_cast<std::int64_t>(this->events.EventCount())}});
 }
 
+void RequestDispatch::RecordFailure(Engine& engine, AttemptFailure failure) {
+  const TimePoint now = RuntimeClock::now();
+  // An engine that asks for a pause or is leaving works as intended.
+  if (engine.draining || engine.pause.IsActive(now)) return;
+  // A different engine at this address means that this one no longer exists.
+  if (failure == AttemptFailure::kNotConnected ||
+      failure == AttemptFailure::kWrongEngine) {
+    engine.health.OnUnreachable(now);
+  } else if (failure != AttemptFailure::kRefused) {
+    engine.health.OnFailure(now);
+  }
+}
+
 AttemptDecision RequestDispatch::DecideAfterFailedAttempt(
     AttemptFailure failure) const {
   using std::chrono::microseconds;
--- a/src/dispatch/request_dispatch.h
+++ b/src/dispatch/request_dispatch.h
@@ -61,6 +61,9 @@
   void LogWait(std::string_view event, const WaitInputs& inputs) const;
   bool WasTried(const Engine& engine) const;
   bool HasUntriedEngine() const;
+  // Time until one of the engines that may be tried wants requests; zero if one
+  // does or if there is none.
+  Duration TimeUntilUsableEngine() const;
   // Sends the final response if no engine can be chosen.
   Awaitable<void> FinishUnplaced(std::string_view reason);
 
@@ -73,6 +76,8 @@
   // Returns false if the client has disconnected.
   Awaitable<bool> DeliverEvents(const std::string& events);
   void OnAttemptEnded(Engine& engine, std::optional<AttemptFailure> failure);
+  // Records the failure in the health of the engine.
+  void RecordFailure(Engine& engine, AttemptFailure failure);
 
   AttemptDecision DecideAfterFailedAttempt(AttemptFailure failure) const;
   // Returns true if `decision` is a retry that the retry budget allows. If the
--- a/src/dispatch/request_ending.cc
+++ b/src/dispatch/request_ending.cc
@@ -1,6 +1,8 @@
 // RequestDispatch: the final response to the client and its log record.
 #include <fmt/format.h>
 
+#include <algorithm>
+
 #include "dandelionscale/core/hash.h"
 #include "dandelionscale/runtime/logger.h"
 #include "dispatch/request_dispatch.h"
@@ -43,9 +45,10 @@
                                         std::string_view reason) {
   Duration retry_after = kDefaultRetryAfter;
   if (!this->service.empty()) {
-    retry_after =
-        this->state.Service(this->service)
-            .queue.RetryAfter(HashText(this->workspace), this->state.Random());
+    const AdmissionQueue& queue = this->state.Service(this->service).queue;
+    retry_after = std::max(
+        queue.RetryAfter(HashText(this->workspace), this->state.Random()),
+        this->TimeUntilUsableEngine());
   }
   co_await this->SendErrorResponse(status, reason, retry_after);
 }
--- a/src/dispatch/request_placement.cc
+++ b/src/dispatch/request_placement.cc
@@ -92,7 +92,8 @@
     const bool probe_in_flight =
         engine->health.IsHalfOpen(now) && engine->in_flight > 0;
     const bool healthy = ignore_health || (!ejected && !probe_in_flight);
-    candidate.usable = !engine->draining && !was_tried && healthy;
+    candidate.usable = !engine->draining && !was_tried && healthy &&
+                       !engine->pause.IsActive(now);
     candidate.reachable = !ejected && !was_tried;
     candidates.push_back(candidate);
   }
@@ -128,7 +129,9 @@
        {"peers", ToInt64(this->state.peer_load.RouterCount())},
        {"configuration",
         static_cast<std::int64_t>(this->routing_table->version)},
-       {"engines", static_cast<std::int64_t>(this->state.engines.Version())},
+       {"era", static_cast<std::int64_t>(this->state.engines.Version().era)},
+       {"engines",
+        static_cast<std::int64_t>(this->state.engines.Version().number)},
        {"waited_ms", ToMilliseconds(now - this->arrived_at)},
        {"sends", static_cast<std::int64_t>(this->sends)}});
 }
@@ -139,9 +142,9 @@
   const bool has_untried_engine = this->HasUntriedEngine();
   std::optional<WaitGrant> grant;
   if (has_untried_engine) {
-    const WaitRequest wait_request = {HashText(this->workspace), this->priority,
-                                      this->route->latency_target,
-                                      this->Deadline()};
+    const WaitRequest wait_request = {
+        HashText(this->workspace), this->priority, this->route->latency_target,
+        this->Deadline(), this->TimeUntilUsableEngine()};
     const WaitInputs inputs = queue.Inputs(now, wait_request);
     grant = queue.TryEnqueue(now, wait_request);
     this->LogWait(grant ? "request_waits" : "wait_refused", inputs);
@@ -184,6 +187,7 @@
                        {"gap_us", ToMicroseconds(inputs.completion_gap)},
                        {"target_us", ToMicroseconds(inputs.latency_target)},
                        {"time_left_us", ToMicroseconds(inputs.time_left)},
+                       {"pause_us", ToMicroseconds(inputs.engine_pause)},
                        {"priority", static_cast<std::int64_t>(inputs.priority)},
                        {"estimate_ms", ToMilliseconds(EstimateWait(inputs))}});
 }
@@ -194,6 +198,17 @@
                    engine.key) != this->tried_engine_keys.end();
 }
 
+Duration RequestDispatch::TimeUntilUsableEngine() const {
+  const TimePoint now = RuntimeClock::now();
+  std::optional<Duration> shortest;
+  for (const auto& engine : this->state.engines.Find(this->service)) {
+    if (engine->draining || this->WasTried(*engine)) continue;
+    const Duration pause = engine->pause.Remaining(now);
+    shortest = std::min(shortest.value_or(pause), pause);
+  }
+  return shortest.value_or(Duration::zero());
+}
+
 bool RequestDispatch::HasUntriedEngine() const {
   const auto engines = this->state.engines.Find(this->service);
   return std::any_of(engines.begin(), engines.end(),
--- a/src/dispatch/store_watcher.cc
+++ b/src/dispatch/store_watcher.cc
@@ -29,6 +29,10 @@
 // while digests were lost. Until the router's own row is written and after a
 // failed read, the calls are repeated after `kMaxRetryDelay` instead.
 constexpr Duration kRouterReadInterval = std::chrono::seconds(20);
+// Within this time after a restoration of the store, routers check whether
+// their rows are still there.
+constexpr std::chrono::duration<double> kReregistrationSpread =
+    std::chrono::seconds(2);
 // Delay after a call that returned rows, so that the next call returns several
 // changes at once.
 constexpr Duration kBatchDelay = std::chrono::milliseconds(120);
@@ -109,7 +113,7 @@
 
 Awaitable<void> StoreWatcher::WatchTable(StoreTable table) {
   bool has_table = false;
-  std::uint64_t version = 0;
+  StoreVersion version;
   Duration pause = kMinRetryDelay;
   while (true) {
     if (this->state.watcher_election.Role() == WatchRole::kListener) {
@@ -135,7 +139,7 @@
     if (rows.has_error()) {
       const Fault& fault = rows.error();
       if (fault.kind == FaultKind::kUnexpectedStatus) {
-        // The store no longer has the changes since `version`. The next call
+        // The store lacks `version` or the changes since then. The next call
         // reads the whole table.
         Logger::Info("store_history_gone", {{"table", TableName(table)}});
         has_table = false;
@@ -149,6 +153,12 @@
     }
     pause = kMinRetryDelay;
     this->state.metrics.Add("store_calls_total");
+    this->state.OnStoreEra(rows->version.era);
+    if (has_table && rows->version.era > version.era) {
+      // The rows are not the difference to the state before the restoration.
+      has_table = false;
+      continue;
+    }
     if (rows->version < version) {
       // Older than the rows already applied; the next response may be current.
       const Duration jittered =
@@ -184,13 +194,27 @@
     }
     auto rows = co_await this->store->Read(StoreTable::kRouters, kReadTimeout);
     if (rows.has_value()) this->OnRouterRows(*rows);
+    // The store may have been restored from a copy without the row.
+    if (rows.has_value()) written = written && this->HasOwnRow(*rows);
     const bool is_registered = written && rows.has_value();
     const Duration pause = is_registered ? kRouterReadInterval : kMaxRetryDelay;
     const Duration jittered = WithJitter(pause, this->state.Random());
-    co_await SleepFor(jittered);
+    const bool restored = co_await this->state.store_restored.WaitFor(jittered);
+    if (restored) {
+      const auto spread = std::chrono::duration_cast<Duration>(
+          kReregistrationSpread * this->state.Random());
+      co_await SleepFor(spread);
+    }
   }
 }
 
+bool StoreWatcher::HasOwnRow(const StoreRows& rows) const {
+  return std::any_of(rows.rows.begin(), rows.rows.end(),
+                     [this](const StoreRow& row) {
+                       return row.key == this->state.options.name;
+                     });
+}
+
 void StoreWatcher::OnRouterRows(const StoreRows& rows) {
   for (const StoreRow& row : rows.rows) {
     const bool is_other = row.key != this->state.options.name && !row.removed;
@@ -213,7 +237,8 @@
   std::vector<EngineRecord> records;
   for (const StoreRow& row : rows.rows) {
     this->state.newest_engine_version =
-        std::max(this->state.newest_engine_version, row.version);
+        std::max(this->state.newest_engine_version,
+                 StoreVersion{rows.version.era, row.version});
     EngineUpdate update;
     if (!this->DecodeEngineRow(row, update)) continue;
     if (!update.removed) records.push_back(update.record);
--- a/src/dispatch/store_watcher.h
+++ b/src/dispatch/store_watcher.h
@@ -34,6 +34,7 @@
   void OnTableCallFailed(StoreTable table, const Fault& fault);
   Awaitable<void> WatchTable(StoreTable table);
   Awaitable<void> RegisterAndFindPeers();
+  bool HasOwnRow(const StoreRows& rows) const;
   void OnRouterRows(const StoreRows& rows);
   void OnConfigurationRows(const StoreRows& rows);
   void OnEngineRows(const StoreRows& rows, bool is_whole_table);
--- a/tests/dispatch_answers_test.cc
+++ b/tests/dispatch_answers_test.cc
@@ -299,5 +299,113 @@
   CHECK(fleet.TotalRequests() == 1);
 }
 
+// An engine may say that it leaves before the store lists it as draining, or
+// without the store ever listing it so.
+TEST_CASE("an engine that states that it is leaving gets no further requests") {
+  PlatformFleet fleet(2);
+  fleet.PutConfiguration(3);
+  const auto leaving_response = [](const HttpRequest& request) {
+    return Script{
+        SendBytes{MakeResponse(request, 200, "bye", "Server-Leaving: 1\r\n")}};
+  };
+  const int leaving = fleet.AddEngine("plain", leaving_response);
+  for (int n : {1, 2}) fleet.WaitUntilReady(n);
+  const std::string first = fleet.Exchange(
+      1, MakeClientRequest("GET", "/any/", "a"), kReadIdleTimeout);
+  CHECK(StartsWith(first, "HTTP/1.1 200"));
+  CHECK(first.find("Server-Leaving") == std::string::npos);
+  const int staying = fleet.AddEngine("plain", RespondOk);
+  // The other router learns of it from a digest.
+  for (int n : {1, 2}) {
+    fleet.WaitUntilReady(n);
+    Eventually([&] {
+      return fleet.Log(n).find(R"("change":"draining")") != std::string::npos;
+    });
+  }
+  // The store still lists the engine as ready.
+  fleet.RegisterEngine(leaving);
+  for (int n = 0; n < 10; ++n) {
+    for (int router : {1, 2}) {
+      const std::string id = std::to_string(router) + "-" + std::to_string(n);
+      CHECK(StartsWith(
+          fleet.Exchange(router, MakeClientRequest("GET", "/any/", id),
+                         kReadIdleTimeout),
+          "HTTP/1.1 200"));
+    }
+  }
+  CHECK(fleet.Requests(leaving).size() == 1);
+  CHECK(fleet.Requests(staying).size() == 20);
+}
+
+// Load pattern: an engine that is overloaded turns requests away and asks its
+// callers to stay away for a while.
+TEST_CASE("an engine that asks for a pause gets no requests until it ends") {
+  Fleet fleet;
+  const auto overloaded = [](const HttpRequest& request) {
+    return Script{SendBytes{MakeResponse(
+        request, 503, "", "Not-Executed: 1\r\nRetry-After: 1.5\r\n")}};
+  };
+  const int first = fleet.AddEngine("plain", overloaded);
+  fleet.WaitUntilReady(1);
+  const auto began = std::chrono::steady_clock::now();
+  const std::string refused = fleet.Exchange(
+      1, MakeClientRequest("GET", "/any/", "a"), kReadIdleTimeout);
+  CHECK(StartsWith(refused, "HTTP/1.1 503"));
+  REQUIRE(fleet.Requests(first).size() == 1);
+  SECTION("without another engine, clients are refused at once") {
+    const std::string response = fleet.Exchange(
+        1, MakeClientRequest("GET", "/any/", "b"), kReadIdleTimeout);
+    CHECK(StartsWith(response, "HTTP/1.1 503"));
+    const auto field = response.find("Retry-After: ");
+    REQUIRE(field != std::string::npos);
+    CHECK(std::stod(response.substr(field + 13)) > 0.5);
+    CHECK(std::stod(response.substr(field + 13)) < 5.0);
+    CHECK(fleet.Requests(first).size() == 1);
+  }
+  SECTION("another engine takes its requests") {
+    const int second = fleet.AddEngine("plain", RespondOk);
+    fleet.WaitUntilReady(1);
+    int sent = 0;
+    while (std::chrono::steady_clock::now() - began < milliseconds(1300)) {
+      CHECK(StartsWith(
+          fleet.Exchange(
+              1, MakeClientRequest("GET", "/any/", std::to_string(++sent)),
+              milliseconds(20)),
+          "HTTP/1.1 200"));
+    }
+    CHECK(fleet.Requests(first).size() == 1);
+    CHECK(fleet.Requests(second).size() == static_cast<std::size_t>(sent));
+  }
+  SECTION("it is used again afterwards") {
+    fleet.SetScript(first, RespondOk);
+    Eventually([&] {
+      static int number = 0;
+      return StartsWith(
+          fleet.Exchange(
+              1,
+              MakeClientRequest("GET", "/any/", "r" + std::to_string(++number)),
+              kReadIdleTimeout),
+          "HTTP/1.1 200");
+    });
+    CHECK(std::chrono::steady_clock::now() - began >= milliseconds(1500));
+  }
+}
+
+TEST_CASE("a malformed request for a pause is ignored and logged once") {
+  Fleet fleet;
+  fleet.AddEngine("plain", [](const HttpRequest& request) {
+    return Script{SendBytes{MakeResponse(
+        request, 503, "", "Not-Executed: 1\r\nRetry-After: soon\r\n")}};
+  });
+  fleet.WaitUntilReady(1);
+  for (const char* id : {"a", "b", "c"}) {
+    CHECK(StartsWith(fleet.Exchange(1, MakeClientRequest("GET", "/any/", id),
+                                    kReadIdleTimeout),
+                     "HTTP/1.1 503"));
+  }
+  CHECK(fleet.TotalRequests() == 3);
+  CHECK(Occurrences(fleet.Log(1), "engine_pause_malformed") == 1);
+}
+
 }  // namespace
 }  // namespace dandelionscale::tests
--- a/tests/dispatch_router_test.cc
+++ b/tests/dispatch_router_test.cc
@@ -38,7 +38,7 @@
     while (!this->open) co_await this->opened.Wait();
     co_return this->tables[table];
   }
-  Awaitable<Result<StoreRows>> Watch(StoreTable table, std::uint64_t,
+  Awaitable<Result<StoreRows>> Watch(StoreTable table, StoreVersion,
                                      Duration wait) override {
     const Duration pause = wait;
     co_await SleepFor(pause);
--- a/tests/dispatch_store_test.cc
+++ b/tests/dispatch_store_test.cc
@@ -269,5 +269,93 @@
   CHECK(IsServed(fleet, 1, "/any/"));
 }
 
+// Load pattern: a drill in which the store comes back from a copy that is some
+// seconds old, while a key is revoked, an engine drains and leaves, and a
+// router restarts.
+TEST_CASE("a restored store does not undo what routers know") {
+  constexpr int kRouters = 3;
+  PlatformFleet fleet(kRouters);
+  fleet.PutConfiguration(3, OnlyRoute("/three/"));
+  const int staying = fleet.AddEngine("plain", AnswerOk);
+  const int leaving = fleet.AddEngine("plain", AnswerOk);
+  for (int n = 1; n <= kRouters; ++n) fleet.WaitUntilReady(n);
+  fleet.RunOnLoop([&] { fleet.Store().TakeCopy(); });
+  // Everything from here to the restoration is lost in the store.
+  fleet.PutConfiguration(4, OnlyRoute("/four/"));
+  fleet.RegisterEngine(leaving, "draining");
+  for (int n = 1; n <= kRouters; ++n) {
+    Eventually([&] { return IsServed(fleet, n, "/four/"); });
+    Eventually([&] {
+      return fleet.Log(n).find(R"("change":"draining")") != std::string::npos;
+    });
+  }
+  fleet.DeregisterEngine(leaving);
+  for (int n = 1; n <= kRouters; ++n) {
+    Eventually([&] {
+      return fleet.Log(n).find(R"("change":"gone")") != std::string::npos;
+    });
+  }
+  const std::size_t before = fleet.Requests(leaving).size();
+  fleet.RunOnLoop([&] { fleet.Store().Restore(); });
+  for (int n = 1; n <= kRouters; ++n) {
+    Eventually([&] {
+      return fleet.Log(n).find(R"("event":"store_restored")") !=
+             std::string::npos;
+    });
+    CHECK(IsServed(fleet, n, "/four/"));
+    CHECK_FALSE(IsServed(fleet, n, "/three/"));
+  }
+  fleet.Signal(2, SIGKILL);
+  fleet.WaitForExit(2);
+  fleet.StartRouter(2);
+  // The restored store lists the engine as ready. The restarted router learns
+  // from its peers that it has left.
+  fleet.WaitUntilReady(2);
+  Eventually([&] {
+    const std::string log = fleet.Log(2);
+    return log.find(R"("change":"draining")",
+                    log.rfind(R"("event":"start")")) != std::string::npos;
+  });
+  Eventually([&] { return IsServed(fleet, 2, "/four/"); });
+  // New writes are applied although their versions are lower than before.
+  fleet.PutConfiguration(5, OnlyRoute("/five/"));
+  const int added = fleet.AddEngine("plain", AnswerOk);
+  for (int n = 1; n <= kRouters; ++n) {
+    Eventually([&] { return IsServed(fleet, n, "/five/"); });
+    const std::string field = R"("engine":"e)" + std::to_string(added) + "\"";
+    Eventually([&] { return fleet.Log(n).find(field) != std::string::npos; });
+  }
+  for (int n = 0; n < 12; ++n) {
+    for (int router : {1, 3}) CHECK(IsServed(fleet, router, "/five/"));
+  }
+  CHECK(fleet.Requests(leaving).size() == before);
+  CHECK(fleet.Requests(staying).size() + fleet.Requests(added).size() >= 24);
+}
+
+TEST_CASE(
+    "a router that the store refuses in a drill learns of it from peers") {
+  constexpr int kRouters = 5;
+  PlatformFleet fleet(kRouters);
+  fleet.PutConfiguration(3, OnlyRoute("/three/"));
+  fleet.AddEngine("plain", AnswerOk);
+  for (int n = 1; n <= kRouters; ++n) fleet.WaitUntilReady(n);
+  fleet.RunOnLoop([&] { fleet.Store().TakeCopy(); });
+  fleet.PutConfiguration(4, OnlyRoute("/four/"));
+  for (int n = 1; n <= kRouters; ++n) {
+    Eventually([&] { return IsServed(fleet, n, "/four/"); });
+  }
+  // Frozen over the drill, the router returns with the versions of the old era.
+  fleet.Signal(1, SIGSTOP);
+  fleet.RunOnLoop([&] { fleet.Store().Restore(); });
+  const int added = fleet.AddEngine("plain", AnswerOk);
+  const std::string field = R"("engine":"e)" + std::to_string(added) + "\"";
+  for (int n = 2; n <= kRouters; ++n) {
+    Eventually([&] { return fleet.Log(n).find(field) != std::string::npos; });
+  }
+  fleet.Signal(1, SIGCONT);
+  Eventually([&] { return fleet.Log(1).find(field) != std::string::npos; });
+  for (int n = 1; n <= kRouters; ++n) CHECK(IsServed(fleet, n, "/four/"));
+}
+
 }  // namespace
 }  // namespace dandelionscale::tests
--- a/tests/store_watcher_test.cc
+++ b/tests/store_watcher_test.cc
@@ -17,28 +17,37 @@
 class HangingStore : public TableStore {
  public:
   explicit HangingStore(const boost::asio::any_io_executor& executor)
-      : failure(executor) {}
+      : end(executor) {}
 
   Awaitable<Result<StoreRows>> Read(StoreTable table, Duration) override {
     co_return this->tables[table];
   }
-  Awaitable<Result<StoreRows>> Watch(StoreTable, std::uint64_t,
+  Awaitable<Result<StoreRows>> Watch(StoreTable table, StoreVersion,
                                      Duration) override {
     ++this->watches;
-    co_await this->failure.Wait();
-    co_return Fault{FaultKind::kConnectionLost, "cut"};
+    co_await this->end.Wait();
+    if (this->watch_rows.contains(table)) co_return this->watch_rows[table];
+    co_return this->watch_fault;
   }
-  Awaitable<Result<void>> WriteRouter(std::string, std::string,
+  Awaitable<Result<void>> WriteRouter(std::string key, std::string value,
                                       Duration) override {
+    ++this->writes;
+    this->tables[StoreTable::kRouters].rows.push_back(
+        {std::move(key), std::move(value), 1, false});
     co_return Result<void>();
   }
-  void FailWatches() { this->failure.NotifyAll(); }
+  void FailWatches() { this->end.NotifyAll(); }
+  void EndWatches() { this->end.NotifyAll(); }
 
   std::map<StoreTable, StoreRows> tables;
+  /// Response of watches that end, if they do not fail.
+  std::map<StoreTable, StoreRows> watch_rows;
+  Fault watch_fault{FaultKind::kConnectionLost, "cut"};
   int watches = 0;
+  int writes = 0;
 
  private:
-  Event failure;
+  Event end;
 };
 
 struct WatcherFixture {
@@ -55,7 +64,7 @@
            R"("max_slots":4,"state":"ready"})",
            1, false});
     }
-    this->store->tables[StoreTable::kEngines].version = 2;
+    this->store->tables[StoreTable::kEngines].version = {1, 2};
     this->watcher.Start();
   }
   ~WatcherFixture() {
@@ -111,7 +120,7 @@
   fixture.BecomeListener();
   CHECK(fixture.state.unreachable_tables.empty());
   const EngineRecord remaining = fixture.state.engines.Listed().front();
-  fixture.state.engines.OnSnapshot(RuntimeClock::now(), 3,
+  fixture.state.engines.OnSnapshot(RuntimeClock::now(), {1, 3},
                                    std::array{remaining});
   CHECK(fixture.state.engines.Engines().size() == 1);
 }
@@ -123,12 +132,48 @@
   REQUIRE(fixture.state.watcher_election.Role() == WatchRole::kListener);
   fixture.store->FailWatches();
   fixture.store->tables[StoreTable::kEngines].rows.pop_back();
-  fixture.store->tables[StoreTable::kEngines].version = 5;
+  fixture.store->tables[StoreTable::kEngines].version = {1, 5};
   fixture.Advance(std::chrono::seconds(3));
   CHECK(fixture.state.watcher_election.Role() != WatchRole::kListener);
-  CHECK(fixture.state.engines.Version() == 5);
+  CHECK(fixture.state.engines.Version() == StoreVersion{1, 5});
   CHECK(fixture.state.engines.Engines().size() == 1);
 }
 
+// Load pattern of the next cases: the store comes back from an older copy while
+// watches are open. Its version numbers start again from the copy's.
+TEST_CASE("the whole table is read again after a restoration of the store") {
+  WatcherFixture fixture;
+  fixture.Advance(milliseconds(300));
+  REQUIRE(fixture.state.engines.Engines().size() == 2);
+  auto& engines = fixture.store->tables[StoreTable::kEngines];
+  engines.version = {2, 1};
+  engines.rows.push_back(engines.rows.back());
+  engines.rows.back().key = "e3";
+  SECTION("a watch returns rows of the new era") {
+    StoreRows rows;
+    rows.version = {2, 1};
+    fixture.store->watch_rows[StoreTable::kEngines] = rows;
+  }
+  SECTION("the store lacks the version of the watch") {
+    fixture.store->watch_fault = {FaultKind::kUnexpectedStatus, "410"};
+  }
+  fixture.store->EndWatches();
+  fixture.Advance(milliseconds(500));
+  CHECK(fixture.state.engines.Version() == StoreVersion{2, 1});
+  CHECK(fixture.state.engines.Engines().size() == 3);
+}
+
+TEST_CASE("a row of the router that a restoration has lost is written again") {
+  WatcherFixture fixture;
+  fixture.Advance(milliseconds(300));
+  REQUIRE(fixture.store->writes == 1);
+  fixture.store->tables[StoreTable::kRouters].rows.clear();
+  fixture.state.OnStoreEra(1);
+  fixture.state.OnStoreEra(2);
+  fixture.Advance(std::chrono::seconds(4));
+  CHECK(fixture.store->writes == 2);
+  CHECK(fixture.store->tables[StoreTable::kRouters].rows.size() == 1);
+}
+
 }  // namespace
 }  // namespace dandelionscale::internal
