Limit the bytes of an engine's response that are no answer

Cause, read from the code: no limit on interim heads, on unparsed bytes of a connection, on a foreign answer's body or on one event, whose end was searched from its start at each read; buffered bodies of 16 MB each without a common limit on hosts of 160 MB. A stalled stream that drips bytes within an event kept its stall timeout from passing.

Each has a limit by name now; the connection is closed, the client gets 502 (it may have run) or the stream is broken or resumed, and the part is logged and counted. Buffered bodies share a quarter of the host's memory.

--- a/emulator/scripted_engine.cc
+++ b/emulator/scripted_engine.cc
@@ -56,6 +56,8 @@
 
   Awaitable<void> Accept();
   Awaitable<void> Serve(asio::ip::tcp::socket socket);
+  Awaitable<void> SendUntilClosed(asio::ip::tcp::socket& socket,
+                                  SendEndlessly step);
   Awaitable<bool> RunScript(asio::ip::tcp::socket& socket, Script script);
 
   asio::any_io_executor executor;
@@ -64,6 +66,7 @@
   std::vector<HttpRequest> requests;
   std::uint64_t connections = 0;
   int abandoned = 0;
+  std::uint64_t endless_bytes = 0;
 };
 
 Awaitable<void> ScriptedEngine::State::Accept() {
@@ -111,6 +114,17 @@
   }
 }
 
+Awaitable<void> ScriptedEngine::State::SendUntilClosed(
+    asio::ip::tcp::socket& socket, SendEndlessly step) {
+  error_code error;
+  while (!error) {
+    this->endless_bytes += co_await asio::async_write(
+        socket, asio::buffer(step.bytes), RedirectError(error));
+    if (step.interval > Duration::zero()) co_await SleepFor(step.interval);
+  }
+  ++this->abandoned;
+}
+
 Awaitable<bool> ScriptedEngine::State::RunScript(asio::ip::tcp::socket& socket,
                                                  Script script) {
   for (const ScriptStep& step : script) {
@@ -122,6 +136,9 @@
         ++this->abandoned;
         co_return false;
       }
+    } else if (const auto* endless = std::get_if<SendEndlessly>(&step)) {
+      co_await this->SendUntilClosed(socket, *endless);
+      co_return false;
     } else if (const auto* pause = std::get_if<Pause>(&step)) {
       const Duration duration = pause->duration;
       co_await SleepFor(duration);
@@ -168,6 +185,10 @@
   return this->state->abandoned;
 }
 
+std::uint64_t ScriptedEngine::EndlessBytes() const {
+  return this->state->endless_bytes;
+}
+
 std::uint64_t ScriptedEngine::Connections() const {
   return this->state->connections;
 }
--- a/emulator/scripted_engine.h
+++ b/emulator/scripted_engine.h
@@ -22,12 +22,17 @@
 struct Pause {
   Duration duration{};
 };
+/// \brief Sends bytes again and again until the router closes the connection.
+struct SendEndlessly {
+  std::string bytes;
+  Duration interval{};  ///< Pause after each time.
+};
 /// \brief Shuts the connection down (TCP FIN).
 struct CloseConnection {};
 /// \brief Resets the connection (TCP RST).
 struct ResetConnection {};
-using ScriptStep =
-    std::variant<SendBytes, Pause, CloseConnection, ResetConnection>;
+using ScriptStep = std::variant<SendBytes, SendEndlessly, Pause,
+                                CloseConnection, ResetConnection>;
 
 /// \brief Steps by which an engine responds to one request.
 using Script = std::vector<ScriptStep>;
@@ -67,6 +72,8 @@
   /// \returns the number of responses that could not be sent because the
   /// router had closed the connection.
   int AbandonedResponses() const;
+  /// \returns the bytes of `SendEndlessly` steps that were sent so far.
+  std::uint64_t EndlessBytes() const;
   /// \returns the number of connections accepted so far.
   std::uint64_t Connections() const;
   /// \brief Replaces the script of all later requests.
--- a/include/dandelionscale/core.h
+++ b/include/dandelionscale/core.h
@@ -19,6 +19,7 @@
 #include "dandelionscale/core/hash.h"             // IWYU pragma: export
 #include "dandelionscale/core/lease.h"            // IWYU pragma: export
 #include "dandelionscale/core/load_bound.h"       // IWYU pragma: export
+#include "dandelionscale/core/memory_budget.h"    // IWYU pragma: export
 #include "dandelionscale/core/owner_core.h"       // IWYU pragma: export
 #include "dandelionscale/core/reasons.h"          // IWYU pragma: export
 #include "dandelionscale/core/request_plan.h"     // IWYU pragma: export
--- a/src/dispatch/dispatch_state.cc
+++ b/src/dispatch/dispatch_state.cc
@@ -10,6 +10,8 @@
 
 // Entries of the prefix index; about 100 bytes each.
 constexpr std::size_t kMaxPrefixEntries = 20'000;
+// Buffered responses of engines may use 1/4 of the memory limit.
+constexpr std::size_t kResponseMemoryDivisor = 4;
 // Number of routers that is assumed until a peer has been discovered.
 constexpr std::size_t kAssumedRouters = 8;
 
@@ -26,6 +28,7 @@
       state_changed(executor),
       store_restored(executor),
       prefixes(kMaxPrefixEntries),
+      response_memory(this->options.memory_bytes / kResponseMemoryDivisor),
       random(HashText(this->options.name) ^
              static_cast<std::uint64_t>(
                  RuntimeClock::now().time_since_epoch().count())) {}
@@ -36,6 +39,8 @@
   this->options.load_factor = new_options.load_factor;
   this->options.memory_bytes = new_options.memory_bytes;
   this->options.max_descriptors = new_options.max_descriptors;
+  this->response_memory.SetLimit(new_options.memory_bytes /
+                                 kResponseMemoryDivisor);
   for (auto& [name, service] : this->services) {
     service->budget.SetLimits(new_options.retry_budget);
   }
--- a/src/dispatch/dispatch_state.h
+++ b/src/dispatch/dispatch_state.h
@@ -14,6 +14,7 @@
 #include "dandelionscale/core/admission_queue.h"
 #include "dandelionscale/core/engine_directory.h"
 #include "dandelionscale/core/fleet_retry_budget.h"
+#include "dandelionscale/core/memory_budget.h"
 #include "dandelionscale/core/peer_load.h"
 #include "dandelionscale/core/prefix_index.h"
 #include "dandelionscale/core/prefix_update_queue.h"
@@ -115,7 +116,8 @@
   /// failed.
   std::set<std::string> unreachable_tables;
   std::size_t reserved_body_bytes = 0;  ///< Reserved for all request bodies.
-  bool draining = false;                ///< The router is shutting down.
+  MemoryBudget response_memory;  ///< For all responses that are buffered.
+  bool draining = false;         ///< The router is shutting down.
 
  private:
   std::map<std::string, std::unique_ptr<ServiceState>, std::less<>> services;
--- a/src/dispatch/engine_connection_pool.h
+++ b/src/dispatch/engine_connection_pool.h
@@ -17,8 +17,12 @@
 
 /// \brief A connection to an engine, with its read buffer.
 struct EngineConnection {
+  /// Limit of the bytes that are received but not parsed yet, such as a head
+  /// or the extension of a chunk without end.
+  static constexpr std::size_t kMaxBufferedBytes = 128 * 1024;
+
   explicit EngineConnection(const boost::asio::any_io_executor& executor)
-      : socket(executor) {}
+      : socket(executor), buffer(kMaxBufferedBytes) {}
   boost::asio::ip::tcp::socket socket;
   boost::beast::flat_buffer buffer;
   TimePoint idle_since{};
--- a/src/dispatch/engine_exchange.cc
+++ b/src/dispatch/engine_exchange.cc
@@ -21,8 +21,11 @@
 constexpr std::uint32_t kMaxHeaderBytes = 64 * 1024;
 constexpr std::size_t kReadBufferBytes = 16 * 1024;
 // Late responses to other requests that are discarded before the attempt
-// fails.
+// fails, and the limit of their bodies together.
 constexpr int kMaxMismatchedResponses = 3;
+constexpr std::size_t kMaxDiscardedBytes = 1024 * 1024;
+// Interim (1xx) responses that may precede a response.
+constexpr int kMaxInterimResponses = 8;
 
 // Parses `timeout=N` of a Keep-Alive field; zero if absent.
 Duration ParseKeepAliveTimeout(std::string_view keep_alive) {
@@ -35,6 +38,11 @@
   return {};
 }
 
+bool IsTooLong(const error_code& error) {
+  return error == http::error::header_limit ||
+         error == http::error::buffer_overflow;
+}
+
 }  // namespace
 
 Awaitable<std::optional<AttemptFailure>> EngineExchange::Open(
@@ -77,6 +85,7 @@
 
 Awaitable<std::optional<AttemptFailure>> EngineExchange::ReadMatchingHead(
     std::string_view method, std::string_view request_id) {
+  std::size_t discarded_bytes = 0;
   for (int n = 0; n <= kMaxMismatchedResponses; ++n) {
     if (!co_await this->ReadFinalHead(method))
       co_return this->FailureOnLostConnection();
@@ -97,6 +106,11 @@
     while (!this->parser->is_done()) {
       auto fragment = co_await this->ReadBodyFragment();
       if (fragment.has_error()) co_return this->FailureOnLostConnection();
+      discarded_bytes += fragment->size();
+      if (discarded_bytes > kMaxDiscardedBytes) {
+        this->OnExcessiveBytes("mismatched_body");
+        co_return AttemptFailure::kBadAnswer;
+      }
     }
   }
   co_return AttemptFailure::kBadAnswer;
@@ -104,7 +118,7 @@
 
 Awaitable<bool> EngineExchange::ReadFinalHead(std::string_view method) {
   constexpr int kFirstFinalStatus = 200;
-  while (true) {
+  for (int n = 0; n <= kMaxInterimResponses; ++n) {
     this->parser = std::make_unique<Parser>();
     this->parser->header_limit(kMaxHeaderBytes);
     this->parser->body_limit(boost::none);
@@ -113,9 +127,20 @@
     co_await http::async_read_header(this->connection->socket,
                                      this->connection->buffer, *this->parser,
                                      RedirectError(error));
+    if (IsTooLong(error)) this->OnExcessiveBytes("head");
     if (error || this->cancelled) co_return false;
     if (this->parser->get().result_int() >= kFirstFinalStatus) co_return true;
   }
+  this->OnExcessiveBytes("interim_responses");
+  co_return false;
+}
+
+void EngineExchange::OnExcessiveBytes(std::string_view part) {
+  this->state.metrics.Add(
+      fmt::format("engine_responses_too_long_total{{part=\"{}\"}}", part));
+  Logger::Warning("engine_response_too_long",
+                  {{"engine", this->engine->record.id}, {"part", part}});
+  this->Cancel();
 }
 
 void EngineExchange::DecodeHead() {
@@ -145,6 +170,7 @@
     fragment.resize(fragment.size() - body.size);
     // Bytes received before the connection failed are still returned.
     if (!fragment.empty()) co_return fragment;
+    if (IsTooLong(error)) this->OnExcessiveBytes("chunk");
     if (error) co_return Fault{FaultKind::kConnectionLost, error.message()};
   }
   co_return std::string();
--- a/src/dispatch/engine_exchange.h
+++ b/src/dispatch/engine_exchange.h
@@ -42,6 +42,9 @@
   Awaitable<Result<std::string>> ReadBodyFragment();
   /// \brief Closes the connection, which cancels the request at the engine.
   void Cancel();
+  /// \brief Records that a part of the response exceeds its limit, and closes
+  ///        the connection.
+  void OnExcessiveBytes(std::string_view part);
 
   const EngineResponse& Response() const { return this->response; }
   bool IsEventStream() const { return this->event_stream; }
--- a/src/dispatch/event_splitter.cc
+++ b/src/dispatch/event_splitter.cc
@@ -1,16 +1,23 @@
 #include "dispatch/event_splitter.h"
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 
 namespace dandelionscale::internal {
 namespace {
 
+// Length of the longest line ending that terminates an event.
+constexpr std::size_t kMaxTerminatorBytes = 4;
+
 // Returns the size of the first event in `text`, including its terminating
-// empty line; 0 if it is incomplete.
-std::size_t FindEventEnd(std::string_view text) {
-  const auto lf_end = text.find("\n\n");
-  const auto crlf_end = text.find("\r\n\r\n");
+// empty line; 0 if it is incomplete. The first `searched` bytes are known not
+// to contain its end.
+std::size_t FindEventEnd(std::string_view text, std::size_t searched) {
+  const std::size_t from =
+      searched - std::min(searched, kMaxTerminatorBytes - 1);
+  const auto lf_end = text.find("\n\n", from);
+  const auto crlf_end = text.find("\r\n\r\n", from);
   if (lf_end == std::string_view::npos && crlf_end == std::string_view::npos) {
     return 0;
   }
@@ -51,8 +58,9 @@
   while (true) {
     const std::string_view rest =
         std::string_view(this->pending).substr(position);
-    const std::size_t size = FindEventEnd(rest);
+    const std::size_t size = FindEventEnd(rest, this->searched);
     if (size == 0) break;
+    this->searched = 0;
     const std::string_view event = rest.substr(0, size);
     std::string id;
     if (!this->IsDuplicate(event, id)) {
@@ -63,15 +71,18 @@
     position += size;
   }
   this->pending.erase(0, position);
+  this->searched = this->pending.size();
   return complete_events;
 }
 
 std::string EventSplitter::Flush() {
+  this->searched = 0;
   return std::exchange(this->pending, std::string());
 }
 
 void EventSplitter::OnResumed() {
   this->pending.clear();
+  this->searched = 0;
   this->resumed = true;
 }
 
--- a/src/dispatch/event_splitter.h
+++ b/src/dispatch/event_splitter.h
@@ -16,9 +16,14 @@
 /// returned before.
 class EventSplitter {
  public:
+  /// Limit of one event. The stream is malformed if an event exceeds it.
+  static constexpr std::size_t kMaxEventBytes = 1024 * 1024;
+
   /// \brief Appends received bytes.
   /// \returns all events that are complete now, concatenated.
   std::string Feed(std::string_view bytes);
+  /// \returns true if the incomplete event at the end exceeds the limit.
+  bool IsEventTooLong() const { return this->pending.size() > kMaxEventBytes; }
   /// \brief The stream ended regularly.
   /// \returns the remaining bytes, which have no terminating empty line.
   std::string Flush();
@@ -35,6 +40,7 @@
   bool IsDuplicate(std::string_view event, std::string& id) const;
 
   std::string pending;
+  std::size_t searched = 0;  ///< Bytes of `pending` without an event's end.
   std::string last_id;
   std::uint64_t events = 0;
   bool resumed = false;
--- a/src/dispatch/request_dispatch.cc
+++ b/src/dispatch/request_dispatch.cc
@@ -34,7 +34,7 @@
 // A router that has just started loads its configuration within this time.
 // Waiting is faster for the client than a refusal and a retry.
 constexpr Duration kMaxConfigurationWait = std::chrono::milliseconds(200);
-// Limit for responses that are buffered before they are relayed.
+// Limit for a response that is buffered before it is relayed.
 constexpr std::size_t kMaxBufferedBytes = 16 * 1024 * 1024;
 
 std::int64_t ToInt64(std::size_t number) {
@@ -190,12 +190,16 @@
 Awaitable<std::optional<AttemptFailure>>
 RequestDispatch::RelayBufferedResponse() {
   std::string body;
+  MemoryBudget::Share memory(this->state.response_memory);
   while (true) {
     auto data = co_await this->exchange->ReadBodyFragment();
     if (data.has_error()) co_return AttemptFailure::kNoAnswer;
     if (data.value().empty()) break;
     body += data.value();
-    if (body.size() > kMaxBufferedBytes) co_return AttemptFailure::kBadAnswer;
+    if (body.size() > kMaxBufferedBytes || !memory.Resize(body.capacity())) {
+      this->exchange->OnExcessiveBytes("body");
+      co_return AttemptFailure::kBadAnswer;
+    }
   }
   const EngineResponse response = this->exchange->Response();
   this->exchange.reset();
@@ -230,7 +234,13 @@
       }
     }
     if (at_end) break;
-    this->ArmStallTimeout();
+    if (this->events.IsEventTooLong()) {
+      this->exchange->OnExcessiveBytes("event");
+      co_return this->stream_started ? AttemptFailure::kStreamBroken
+                                     : AttemptFailure::kBadAnswer;
+    }
+    // Bytes of an event that is never completed are no progress.
+    if (!events_text.empty()) this->ArmStallTimeout();
   }
   this->exchange.reset();
   co_await this->client.EndStream();
--- a/tests/support/platform_fleet.cc
+++ b/tests/support/platform_fleet.cc
@@ -164,6 +164,10 @@
   return requests;
 }
 
+emulator::ScriptedEngine& PlatformFleet::Engine(int engine) {
+  return *this->engines[static_cast<std::size_t>(engine)].engine;
+}
+
 std::size_t PlatformFleet::TotalRequests() {
   std::size_t count = 0;
   for (std::size_t n = 0; n < this->engines.size(); ++n) {
--- a/tests/support/platform_fleet.h
+++ b/tests/support/platform_fleet.h
@@ -46,6 +46,8 @@
   void SetScript(int engine, emulator::ScriptMaker maker);
   /// \returns the requests that an engine has received, in order.
   std::vector<HttpRequest> Requests(int engine);
+  /// \returns the emulator of an engine; to be used by `RunOnLoop()` only.
+  emulator::ScriptedEngine& Engine(int engine);
   /// \returns the number of requests that all engines have received.
   std::size_t TotalRequests();
   /// \brief Writes a configuration with the services `chat` (model engines) and
