Do not act on expired deadlines after a pause; serve what waits at a planned stop

Cause, from the operators' reports: a request that lay in the socket of a paused process was sent on with the client's whole time, and the clock did not count the time for which a host is suspended. At a planned stop, closing the listener reset connections that the kernel had queued, and a connection whose first request was on its way was closed.

The runtime's clock counts suspension; the time for which the event loop did not run is taken off what a client still waits, and an expired request is refused at once. Queued connections are accepted before the listener closes; a new connection, or one with unread bytes, isn't closed as idle.

--- a/src/dispatch/client_connection.cc
+++ b/src/dispatch/client_connection.cc
@@ -31,6 +31,9 @@
 constexpr Duration kWriteTimeout = std::chrono::seconds(10);
 // Time limit for the body, in addition to the one for the head.
 constexpr Duration kBodyTimeout = std::chrono::seconds(10);
+// While draining, a new connection stays open for this long, since its first
+// request is on its way.
+constexpr Duration kFirstRequestTime = std::chrono::milliseconds(500);
 // Request bodies may use 1/3 of the memory limit.
 constexpr std::size_t kBodyMemoryDivisor = 3;
 constexpr std::size_t kReadBufferBytes = 4096;
@@ -172,7 +175,13 @@
 }
 
 void ClientConnection::CloseIfIdle() {
-  if (!this->has_active_request) this->Abort();
+  if (this->has_active_request) return;
+  error_code error;
+  const bool has_unread_bytes = this->socket.available(error) > 0;
+  const bool is_new =
+      RuntimeClock::now() - this->accepted_at < kFirstRequestTime;
+  if (!error && (has_unread_bytes || is_new)) return;
+  this->Abort();
 }
 
 Awaitable<void> ClientConnection::SendResponse(unsigned status,
--- a/src/dispatch/client_connection.h
+++ b/src/dispatch/client_connection.h
@@ -23,7 +23,8 @@
 
   /// \brief Runs until the connection ends.
   Awaitable<void> Serve();
-  /// \brief Closes the connection if it has no active request; for draining.
+  /// \brief Closes the connection if it has no active request, none has
+  ///        arrived unread and none is expected at once; for draining.
   void CloseIfIdle();
 
   /// \brief Sends a complete response.
@@ -62,6 +63,7 @@
   boost::asio::ip::tcp::socket socket;
   boost::beast::flat_buffer buffer;
   std::unique_ptr<Watchdog::Guard> timeout_guard;
+  TimePoint accepted_at = RuntimeClock::now();
   /// Part of `DispatchState::reserved_body_bytes`.
   std::size_t reserved_bytes = 0;
   bool is_head_request = false;
--- a/src/dispatch/dispatch_router.cc
+++ b/src/dispatch/dispatch_router.cc
@@ -23,7 +23,7 @@
 namespace {
 
 // Interval at which `Watchdog` deadlines are checked, which is their precision.
-constexpr Duration kSweepInterval = std::chrono::milliseconds(40);
+constexpr Duration kSweepInterval = internal::kLoopCheckInterval;
 constexpr Duration kHousekeepingInterval = std::chrono::milliseconds(250);
 // The load balancer needs this long to stop sending requests after the
 // readiness endpoint reports "not ready". The listener is closed then, so that
@@ -65,6 +65,8 @@
   Result<void> Start();
   Awaitable<void> Shutdown();
   Awaitable<void> Accept();
+  void AcceptPending();
+  void OnAccepted(asio::ip::tcp::socket socket);
   Awaitable<void> ServeClient(std::shared_ptr<ClientConnection> client);
   Awaitable<void> Sweep();
   Awaitable<void> ServeReadiness(HttpExchange& exchange);
@@ -115,21 +117,37 @@
       co_await SleepFor(pause);
       continue;
     }
-    const std::size_t descriptors = this->state.options.max_descriptors;
-    const std::size_t max_clients = descriptors > 2 * kReservedDescriptors
-                                        ? descriptors - kReservedDescriptors
-                                        : descriptors / 2;
-    if (this->clients.size() >= max_clients) {
-      Logger::Warning(
-          "connection_refused",
-          {{"connections", static_cast<std::int64_t>(this->clients.size())}});
-      continue;
-    }
-    auto client = std::make_shared<ClientConnection>(this->state, this->pool,
-                                                     std::move(socket));
-    asio::co_spawn(this->state.executor, this->ServeClient(client),
-                   asio::detached);
+    this->OnAccepted(std::move(socket));
+  }
+}
+
+// Accepts the connections that the kernel has queued. Closing the listener
+// would reset them.
+void DispatchRouter::Impl::AcceptPending() {
+  error_code error;
+  if (this->acceptor.is_open()) this->acceptor.non_blocking(true, error);
+  while (this->acceptor.is_open() && !error) {
+    asio::ip::tcp::socket socket(this->state.executor);
+    this->acceptor.accept(socket, error);
+    if (!error) this->OnAccepted(std::move(socket));
+  }
+}
+
+void DispatchRouter::Impl::OnAccepted(asio::ip::tcp::socket socket) {
+  const std::size_t descriptors = this->state.options.max_descriptors;
+  const std::size_t max_clients = descriptors > 2 * kReservedDescriptors
+                                      ? descriptors - kReservedDescriptors
+                                      : descriptors / 2;
+  if (this->clients.size() >= max_clients) {
+    Logger::Warning(
+        "connection_refused",
+        {{"connections", static_cast<std::int64_t>(this->clients.size())}});
+    return;
   }
+  auto client = std::make_shared<ClientConnection>(this->state, this->pool,
+                                                   std::move(socket));
+  asio::co_spawn(this->state.executor, this->ServeClient(client),
+                 asio::detached);
 }
 
 Awaitable<void> DispatchRouter::Impl::ServeClient(
@@ -146,6 +164,7 @@
     const Duration interval = kSweepInterval;
     co_await SleepFor(interval);
     const TimePoint now = RuntimeClock::now();
+    this->state.OnLoopCheck(now);
     this->state.watchdog.Sweep(now);
     this->state.OnEngineChanges(this->state.engines.Expire(now), "expiry");
     if (now - this->last_housekeeping_at < kHousekeepingInterval) continue;
@@ -204,6 +223,7 @@
     const Duration poll = kDrainPollInterval;
     co_await SleepFor(poll);
     if (RuntimeClock::now() < began + kBalancerDelay) continue;
+    this->AcceptPending();
     if (this->acceptor.is_open()) {
       error_code ignored;
       this->acceptor.close(ignored);
--- a/src/dispatch/dispatch_state.cc
+++ b/src/dispatch/dispatch_state.cc
@@ -12,6 +12,10 @@
 constexpr std::size_t kMaxPrefixEntries = 20'000;
 // Buffered responses of engines may use 1/4 of the memory limit.
 constexpr std::size_t kResponseMemoryDivisor = 4;
+// If the event loop has not run for longer, the process was paused.
+constexpr Duration kMaxLoopLag = std::chrono::milliseconds(300);
+// After a pause, the requests that arrived meanwhile are read within this time.
+constexpr Duration kBacklogTime = std::chrono::milliseconds(50);
 // Number of routers that is assumed until a peer has been discovered.
 constexpr std::size_t kAssumedRouters = 8;
 
@@ -31,7 +35,8 @@
       response_memory(this->options.memory_bytes / kResponseMemoryDivisor),
       random(HashText(this->options.name) ^
              static_cast<std::uint64_t>(
-                 RuntimeClock::now().time_since_epoch().count())) {}
+                 RuntimeClock::now().time_since_epoch().count())),
+      loop_checked_at(RuntimeClock::now()) {}
 
 void DispatchState::Reload(const DispatchOptions& new_options) {
   this->options.shutdown_grace = new_options.shutdown_grace;
@@ -106,6 +111,23 @@
   if (!changes.empty()) this->state_changed.NotifyAll();
 }
 
+void DispatchState::OnLoopCheck(TimePoint now) {
+  const Duration since_check = now - this->loop_checked_at;
+  if (since_check > kMaxLoopLag) {
+    Logger::Warning("paused", {{"for_ms", ToMilliseconds(since_check)}});
+    this->last_stall = since_check;
+    this->last_stall_end = now;
+  }
+  this->loop_checked_at = now;
+}
+
+Duration DispatchState::LoopStall(TimePoint now) const {
+  const Duration since_check = now - this->loop_checked_at;
+  if (since_check > kMaxLoopLag) return since_check;
+  const bool just_ended = now - this->last_stall_end < kBacklogTime;
+  return just_ended ? this->last_stall : Duration::zero();
+}
+
 void DispatchState::OnStoreEra(std::uint64_t era) {
   if (this->store_era && era <= *this->store_era) return;
   if (this->store_era) {
--- a/src/dispatch/dispatch_state.h
+++ b/src/dispatch/dispatch_state.h
@@ -38,6 +38,9 @@
   FleetRetryBudget budget;
 };
 
+/// Interval of `DispatchState::OnLoopCheck()`.
+inline constexpr Duration kLoopCheckInterval = std::chrono::milliseconds(40);
+
 /// \brief Configuration, engine and peer state, metrics and active requests of
 /// one router.
 class DispatchState {
@@ -55,6 +58,12 @@
   /// \param source origin of the changes, for the log.
   void OnEngineChanges(const std::vector<EngineChange>& changes,
                        std::string_view source);
+  /// \brief Records that the event loop runs; called every
+  ///        `kLoopCheckInterval`.
+  void OnLoopCheck(TimePoint now);
+  /// \returns for how long a request that is read at `now` may have waited
+  ///          because the process did not run; zero in normal operation.
+  Duration LoopStall(TimePoint now) const;
   /// \brief Records the store's era, as it or a peer reports it.
   void OnStoreEra(std::uint64_t era);
   /// \brief Applies what an engine states about itself in a response head: that
@@ -125,6 +134,9 @@
   /// logged once.
   std::set<std::string> logged_malformed_pauses;
   std::mt19937_64 random;
+  TimePoint loop_checked_at;
+  Duration last_stall{};  ///< Length of the last pause of the event loop.
+  TimePoint last_stall_end{};
 };
 
 }  // namespace dandelionscale::internal
--- a/src/dispatch/request_dispatch.cc
+++ b/src/dispatch/request_dispatch.cc
@@ -53,7 +53,8 @@
       decoded(state.codec->DecodeRequest(this->request)),
       routing_table(state.routing_table),
       arrived_at(RuntimeClock::now()),
-      client_deadline(arrived_at +
+      // The client's time also passes while this process is paused.
+      client_deadline(arrived_at - state.LoopStall(arrived_at) +
                       this->decoded.time_left.value_or(kDefaultClientTimeout)),
       timeout_guard(state.watchdog, [this] { this->OnTimeout(); }) {
   state.requests.insert(this);
@@ -137,6 +138,10 @@
     co_await this->Fail(kBadRequest, "no_request_id");
     co_return false;
   }
+  if (RuntimeClock::now() >= this->client_deadline) {
+    co_await this->Refuse(kUnavailable, "expired");
+    co_return false;
+  }
   this->timeout = this->route->timeout;
   this->request_key = HashText(this->decoded.id);
   if (!this->decoded.prefix.empty()) {
--- a/src/runtime/runtime_clock.cc
+++ b/src/runtime/runtime_clock.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <ctime>
 #include <optional>
 
 namespace dandelionscale {
@@ -22,9 +23,14 @@
   return state;
 }
 
+// Unlike std::chrono::steady_clock, this clock counts the time for which the
+// host was suspended, so that deadlines pass meanwhile.
 TimePoint SteadyNow() {
-  auto since_epoch = std::chrono::steady_clock::now().time_since_epoch();
-  return TimePoint(std::chrono::duration_cast<Duration>(since_epoch));
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return TimePoint(std::chrono::duration_cast<Duration>(
+      std::chrono::seconds(now.tv_sec) +
+      std::chrono::nanoseconds(now.tv_nsec)));
 }
 
 }  // namespace
--- a/tests/dispatch_store_test.cc
+++ b/tests/dispatch_store_test.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/connect.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
+#include <thread>
 
 #include "tests/support/platform_fleet.h"
 #include "tests/support/process_fleet.h"
@@ -252,6 +253,58 @@
   CHECK(fleet.Requests(0).size() == 1);
 }
 
+// Load pattern: a host is paused for longer than a client waits; the request
+// lies in the socket meanwhile.
+TEST_CASE("a paused router does not send a request that has expired") {
+  PlatformFleet fleet(1);
+  fleet.PutConfiguration(3);
+  fleet.AddEngine("plain", AnswerOk);
+  fleet.WaitUntilReady(1);
+  REQUIRE(IsServed(fleet, 1, "/any/"));
+  asio::io_context loop;
+  asio::ip::tcp::socket socket(loop);
+  socket.connect(fleet.ClientEndpoint(1));
+  fleet.Signal(1, SIGSTOP);
+  std::string request = MakeClientRequest("POST", "/once/", "late", "", "x");
+  const std::string deadline = "Request-Deadline: 5000";
+  request.replace(request.find(deadline), deadline.size(),
+                  "Request-Deadline: 800");
+  asio::write(socket, asio::buffer(request));
+  std::this_thread::sleep_for(milliseconds(1500));
+  fleet.Signal(1, SIGCONT);
+  CHECK(ReadUntil(socket, "\r\n\r\n").starts_with("HTTP/1.1 503"));
+  CHECK(fleet.Requests(0).size() == 1);
+  CHECK(IsServed(fleet, 1, "/any/"));
+}
+
+// Load pattern: clients connect until the listener closes, and their first
+// request follows a moment later.
+TEST_CASE("connections made just before the listener closes are served") {
+  PlatformFleet fleet(1);
+  fleet.PutConfiguration(3);
+  fleet.AddEngine("plain", AnswerOk);
+  fleet.WaitUntilReady(1);
+  fleet.Signal(1, SIGTERM);
+  asio::io_context loop;
+  int cut_off = 0;
+  int connected = 0;
+  while (true) {
+    asio::ip::tcp::socket socket(loop);
+    boost::system::error_code error;
+    socket.connect(fleet.ClientEndpoint(1), error);
+    if (error) break;
+    ++connected;
+    std::this_thread::sleep_for(milliseconds(5));
+    const std::string id = "c" + std::to_string(connected);
+    asio::write(socket, asio::buffer(MakeClientRequest("GET", "/any/", id)),
+                error);
+    if (!ReadUntil(socket, "\r\n\r\n").starts_with("HTTP/1.1 200")) ++cut_off;
+  }
+  CHECK(connected > 20);
+  CHECK(cut_off == 0);
+  CHECK(fleet.WaitForExit(1) == 0);
+}
+
 TEST_CASE("SIGHUP applies a changed settings file and ignores an invalid one") {
   PlatformFleet fleet(1);
   fleet.PutConfiguration(3);
--- a/tests/endless_response_test.cc
+++ b/tests/endless_response_test.cc
@@ -153,6 +153,8 @@
   CHECK_FALSE(response.ends_with(std::string(emulator::kStreamEnd)));
   fleet.RunOnLoop(
       [&] { CHECK(fleet.Engine(stream).EndlessBytes() < kMaxTakenBytes); });
+  CHECK(fleet.Metrics(1).find("too_long_total{part=\"event\"}") !=
+        std::string::npos);
 }
 
 // Load pattern: an engine that is stuck keeps its connection busy with a byte
