Let routers that start together read the store once before they elect watchers

Cause (large site): a router that had heard no peer elected itself, so all routers watched both tables at once; the not elected ones became stand-ins and watched on for 2 s, each woken by every engine that registered.

A starting router reads the tables once, ranks itself among the listed peers too and takes part in the election after 0.6 s; a stand-in ends as soon as a live watcher is reported (0.3 s at least); the table of routers is read each 60 s, as newcomers are known by their digests.

--- a/include/dandelionscale/core/watcher_election.h
+++ b/include/dandelionscale/core/watcher_election.h
@@ -13,6 +13,7 @@
 
 /// \brief Whether a router watches the shared store for changes itself.
 enum class WatchRole {
+  kStarting,  ///< Reads the tables once; the election has not begun.
   kListener,  ///< Does not; receives changes from its peers.
   kWatcher,   ///< Watches on behalf of the fleet.
   /// Not elected, but watches until a live watcher is reported: its view is too
@@ -22,6 +23,10 @@
 
 /// \returns the name used in logs.
 std::string_view ToString(WatchRole role);
+/// \returns true if a router in this role watches the store for changes.
+inline bool WatchesStore(WatchRole role) {
+  return role == WatchRole::kWatcher || role == WatchRole::kStandIn;
+}
 
 /// \brief A router's state in regard to watching the store, sent in digests.
 struct WatchReport {
@@ -36,13 +41,15 @@
 
 /// \brief Elects the few routers that watch the store for the whole fleet.
 ///
-/// Each router ranks itself among the peers whose digests it receives; the
-/// first few watch and the others rely on digests. Peers that the store does
-/// not answer are not ranked, and a router whose own call failed is not elected
-/// for a while if another watcher is known to be alive. No router depends on a
-/// particular watcher: digests carry the age of the newest view, and a router
-/// whose view is too old watches the store itself until a live watcher is
-/// reported again.
+/// Each router ranks itself among the peers whose digests it receives or that
+/// are listed in the store; the first few watch and the others rely on digests.
+/// A router that has just started knows few peers, so it reads the tables once
+/// and takes part a moment later; otherwise routers that start together would
+/// all elect themselves. Peers that the store does not answer are not ranked,
+/// and a router whose own call failed is not elected for a while if another
+/// watcher is known to be alive. No router depends on a particular watcher:
+/// digests carry the age of the newest view, and a router whose view is too old
+/// watches the store itself until a live watcher is reported again.
 class WatcherElection {
  public:
   /// \param own_key unique to the router; higher keys rank first.
@@ -53,6 +60,10 @@
   /// \param peer_key the peer's own key, which decides its rank.
   void OnDigest(TimePoint now, const std::string& peer, std::uint64_t peer_key,
                 const WatchReport& report);
+  /// \brief Records a peer that is listed in the store. It is ranked until it
+  ///        should have sent a digest.
+  void OnPeerListed(TimePoint now, const std::string& peer,
+                    std::uint64_t peer_key);
   /// \brief Records that a call of this router to the store succeeded.
   void OnStoreAnswered(TimePoint now);
   /// \brief Records that a call of this router to the store failed.
@@ -90,7 +101,8 @@
 
   std::uint64_t own_key;
   std::unordered_map<std::string, Peer> peers;
-  WatchRole role = WatchRole::kListener;
+  WatchRole role = WatchRole::kStarting;
+  std::optional<TimePoint> started_at;
   bool store_answers = false;
   bool store_lost = false;
   TimePoint store_lost_at{};
--- a/src/core/watcher_election.cc
+++ b/src/core/watcher_election.cc
@@ -21,7 +21,10 @@
 // A router that has not obtained the newer entries reported by its peers within
 // this time reads the store itself.
 constexpr Duration kCatchUpTimeout = std::chrono::milliseconds(700);
-constexpr Duration kMinStandInTime = std::chrono::seconds(2);
+constexpr Duration kMinStandInTime = std::chrono::milliseconds(300);
+// Time from the start of a router until it takes part in the election. Routers
+// that start together are listed and send digests by then.
+constexpr Duration kStartTime = std::chrono::milliseconds(600);
 // For this time after a failed call to the store, a router is not elected if it
 // has a record of another live watcher.
 constexpr Duration kStoreLostHoldOff = std::chrono::seconds(2);
@@ -46,6 +49,8 @@
 
 std::string_view ToString(WatchRole role) {
   switch (role) {
+    case WatchRole::kStarting:
+      return "starting";
     case WatchRole::kListener:
       return "listener";
     case WatchRole::kWatcher:
@@ -64,8 +69,14 @@
   Advance(this->watcher_at, now, report.watcher_age);
 }
 
+void WatcherElection::OnPeerListed(TimePoint now, const std::string& peer,
+                                   std::uint64_t peer_key) {
+  this->peers.try_emplace(peer, Peer{peer_key, now, false});
+}
+
 void WatcherElection::OnStoreAnswered(TimePoint now) {
-  this->store_answers = true;
+  // A single read does not show later changes.
+  this->store_answers = this->role != WatchRole::kStarting;
   this->store_lost = false;
   this->view_at = now;
 }
@@ -79,6 +90,8 @@
 WatchRole WatcherElection::Decide(TimePoint now, std::size_t known_peers) {
   this->known_peers = known_peers;
   this->ExpirePeers(now);
+  if (!this->started_at) this->started_at = now;
+  if (now - *this->started_at < kStartTime) return this->role;
   if (now - this->store_lost_at > kStoreLostHoldOff) this->store_lost = false;
   const bool is_lagging =
       this->lagging_since && now - *this->lagging_since > kCatchUpTimeout;
@@ -92,8 +105,9 @@
     // is known to be alive.
     this->stand_in_since = now;
     this->role = WatchRole::kStandIn;
-  } else if (now - this->stand_in_since > kMinStandInTime &&
-             this->HasWatcherSince(this->stand_in_since)) {
+  } else if (this->role == WatchRole::kStarting ||
+             (now - this->stand_in_since > kMinStandInTime &&
+              this->HasWatcherSince(this->stand_in_since))) {
     this->role = WatchRole::kListener;
     this->store_answers = false;
   }
--- a/src/dispatch/dispatch_router.cc
+++ b/src/dispatch/dispatch_router.cc
@@ -191,7 +191,7 @@
       "peers_heard", static_cast<double>(this->state.peer_load.RouterCount()));
   this->state.metrics.Set(
       "watches_store",
-      this->state.watcher_election.Role() == WatchRole::kListener ? 0 : 1);
+      WatchesStore(this->state.watcher_election.Role()) ? 1 : 0);
   this->state.metrics.Set("store_lost",
                           this->state.unreachable_tables.empty() ? 0 : 1);
 }
--- a/src/dispatch/peer_exchange.cc
+++ b/src/dispatch/peer_exchange.cc
@@ -257,8 +257,7 @@
   // engines, because entries of unknown engines are discarded.
   const bool needs_prefixes = !this->has_prefixes && this->state.engines_known;
   if (!sender_is_newer && !needs_prefixes) return;
-  const bool watches =
-      this->state.watcher_election.Role() != WatchRole::kListener;
+  const bool watches = WatchesStore(this->state.watcher_election.Role());
   const bool waits_for_store =
       watches && this->state.routing_table != nullptr &&
       this->state.unreachable_tables.empty() && this->behind_since &&
--- a/src/dispatch/store_watcher.cc
+++ b/src/dispatch/store_watcher.cc
@@ -4,6 +4,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include "dandelionscale/core/hash.h"
 #include "dandelionscale/runtime/logger.h"
 #include "dandelionscale/runtime/trace.h"
 #include "dandelionscale/transport/address.h"
@@ -28,7 +29,7 @@
 // Interval between reads of the table of routers, to find peers that started
 // while digests were lost. Until the router's own row is written and after a
 // failed read, the calls are repeated after `kMaxRetryDelay` instead.
-constexpr Duration kRouterReadInterval = std::chrono::seconds(20);
+constexpr Duration kRouterReadInterval = std::chrono::seconds(60);
 // Within this time after a restoration of the store, routers check whether
 // their rows are still there.
 constexpr std::chrono::duration<double> kReregistrationSpread =
@@ -82,9 +83,8 @@
                 {"view_age_ms", age ? ToMilliseconds(*age) : std::int64_t{-1}},
                 {"peers", static_cast<std::int64_t>(
                               this->state.last_digest_at.size())}});
-  if (before == WatchRole::kListener) {
-    this->watch_started.NotifyAll();
-  } else if (role == WatchRole::kListener) {
+  this->role_changed.NotifyAll();
+  if (role == WatchRole::kListener) {
     // Peers supply configuration and engines from now on, so an earlier loss
     // of the store no longer matters.
     this->tables_read.clear();
@@ -116,9 +116,12 @@
   StoreVersion version;
   Duration pause = kMinRetryDelay;
   while (true) {
-    if (this->state.watcher_election.Role() == WatchRole::kListener) {
+    const WatchRole role = this->state.watcher_election.Role();
+    const bool is_read_once = role == WatchRole::kStarting && has_table;
+    if (role == WatchRole::kListener || is_read_once) {
+      co_await this->role_changed.Wait();
+      // The table may have changed since it was read.
       has_table = false;
-      co_await this->watch_started.Wait();
       continue;
     }
     Result<StoreRows> rows = StoreRows();
@@ -219,6 +222,8 @@
   for (const StoreRow& row : rows.rows) {
     const bool is_other = row.key != this->state.options.name && !row.removed;
     if (!is_other || ParseEndpoint(row.value).has_error()) continue;
+    this->state.watcher_election.OnPeerListed(RuntimeClock::now(), row.value,
+                                              HashText(row.value));
     if (!this->state.peers.insert(row.value).second) continue;
     Logger::Info("peer_listed", {{"peer", row.value}, {"name", row.key}});
   }
--- a/src/dispatch/store_watcher.h
+++ b/src/dispatch/store_watcher.h
@@ -15,14 +15,14 @@
 
 /// \brief Applies the rows of the store's tables to the router's state.
 ///
-/// Configuration and engines are watched unless the router's role is
-/// `WatchRole::kListener`; a listener receives them from its peers. In every
+/// Configuration and engines are read once at the start, and watched if the
+/// router's role demands it; a listener receives them from its peers. In every
 /// role, the router's own row is written to the table of routers, and the other
 /// rows are read as the list of peers.
 class StoreWatcher {
  public:
   StoreWatcher(DispatchState& state, std::shared_ptr<TableStore> store)
-      : state(state), store(std::move(store)), watch_started(state.executor) {}
+      : state(state), store(std::move(store)), role_changed(state.executor) {}
 
   /// \brief Starts the watches; they run until the event loop ends.
   void Start();
@@ -42,7 +42,7 @@
 
   DispatchState& state;
   std::shared_ptr<TableStore> store;
-  Event watch_started;  ///< The role has changed from listener to another.
+  Event role_changed;
   /// Tables whose last call succeeded since this router began to watch.
   std::set<StoreTable> tables_read;
   /// Ids of malformed engine entries that have been logged; each is logged
