Count listed routers as peers when engines' caches are shared out

Listed peers now count as heard when they are listed, and the delay after a failure doubles up to 6.4 s.

--- a/src/dispatch/cache_observer.cc
+++ b/src/dispatch/cache_observer.cc
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
@@ -21,10 +22,13 @@
 constexpr Duration kLongPollMargin = std::chrono::milliseconds(700);
 constexpr Duration kListTimeout = std::chrono::milliseconds(1500);
 constexpr Duration kAssignInterval = std::chrono::milliseconds(400);
-// Delay before the first assignment, within which digests of peers arrive. A
-// router that has received none would observe all engines.
-constexpr Duration kFirstAssignDelay = std::chrono::milliseconds(350);
-constexpr Duration kRetryDelay = std::chrono::milliseconds(800);
+// Delay before the first assignment, within which the peers are listed. A
+// router that knows none would observe all engines.
+constexpr Duration kFirstAssignDelay = std::chrono::milliseconds(600);
+// Delay after a failed call; doubles with each further failure up to the
+// maximum.
+constexpr Duration kMinRetryDelay = std::chrono::milliseconds(800);
+constexpr Duration kMaxRetryDelay = std::chrono::milliseconds(6400);
 
 }  // namespace
 
@@ -57,6 +61,7 @@
   std::uint64_t since = 0;
   std::string epoch;
   bool is_resync = true;
+  Duration retry_delay = kMinRetryDelay;
   while (!engine->gone && !engine->draining && this->IsObserver(*engine)) {
     HttpRequest call =
         this->state.codec->EncodeCacheEventsRequest(since, kLongPollWait);
@@ -76,10 +81,12 @@
     if (batch.has_error()) {
       this->state.metrics.Add("cache_news_failures_total");
       const Duration pause =
-          std::max(kRetryDelay, engine->pause.Remaining(RuntimeClock::now()));
+          std::max(retry_delay, engine->pause.Remaining(RuntimeClock::now()));
       co_await SleepFor(pause);
+      retry_delay = std::min(retry_delay * 2, kMaxRetryDelay);
       continue;
     }
+    retry_delay = kMinRetryDelay;
     this->ApplyEvents(*engine, *batch, is_resync);
     since = batch->next;
     epoch = batch->epoch;
--- a/src/dispatch/dispatch_state.h
+++ b/src/dispatch/dispatch_state.h
@@ -117,7 +117,8 @@
   PrefixIndex prefixes;              ///< Prompt parts that engines have cached.
   PrefixUpdateQueue prefix_updates;  ///< Prefix changes to send in digests.
   std::set<std::string> peers;       ///< Addresses of other routers, IP:PORT.
-  /// Peers that send digests, with the arrival time of the last one.
+  /// Peers that send digests, with the arrival time of the last one. A peer
+  /// that is newly listed in the store counts as heard at that time.
   std::map<std::string, TimePoint> last_digest_at;
 
   std::set<RequestDispatch*> requests;  ///< Active requests.
--- a/src/dispatch/store_watcher.cc
+++ b/src/dispatch/store_watcher.cc
@@ -222,9 +222,11 @@
   for (const StoreRow& row : rows.rows) {
     const bool is_other = row.key != this->state.options.name && !row.removed;
     if (!is_other || ParseEndpoint(row.value).has_error()) continue;
-    this->state.watcher_election.OnPeerListed(RuntimeClock::now(), row.value,
-                                              HashText(row.value));
     if (!this->state.peers.insert(row.value).second) continue;
+    const TimePoint now = RuntimeClock::now();
+    this->state.watcher_election.OnPeerListed(now, row.value,
+                                              HashText(row.value));
+    this->state.last_digest_at.try_emplace(row.value, now);
     Logger::Info("peer_listed", {{"peer", row.value}, {"name", row.key}});
   }
 }
--- a/tests/store_watcher_test.cc
+++ b/tests/store_watcher_test.cc
@@ -166,6 +166,20 @@
   CHECK(fixture.state.engines.Engines().size() == 3);
 }
 
+// Load pattern: hundreds of routers start together, and each has received the
+// digests of few. A router that counts only those as its peers takes itself for
+// the observer of most engines' caches.
+TEST_CASE("listed routers count as peers until they should have been heard") {
+  WatcherFixture fixture;
+  for (int n = 1; n <= 294; ++n) {
+    fixture.store->tables[StoreTable::kRouters].rows.push_back(
+        {"router-" + std::to_string(n), "10.0.0.1:" + std::to_string(1000 + n),
+         1, false});
+  }
+  fixture.Advance(milliseconds(200));
+  CHECK(fixture.state.last_digest_at.size() == 294);
+}
+
 TEST_CASE("a row of the router that a restoration has lost is written again") {
   WatcherFixture fixture;
   fixture.Advance(kStartUpTime);
