--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -128,8 +128,9 @@
                       return candidate.usable &&
                              candidate.cached_tokens >= inputs.shared_tokens;
                     });
-    const double hashed_bound =
-        kMaxHashedLoadFactor * decision.mean_in_flight + 1;
+    // An engine that the first rule has refused is not chosen by the second.
+    const double hashed_bound = std::min(
+        kMaxHashedLoadFactor * decision.mean_in_flight + 1, bound * share);
     if (auto hashed = ChooseByHash(inputs, hashed_bound, 0)) {
       decision.index = *hashed;
       decision.basis =
--- a/tests/placement_test.cc
+++ b/tests/placement_test.cc
@@ -60,6 +60,22 @@
   CHECK(ChooseCopySource(inputs, decision->index) == std::size_t{0});
 }
 
+TEST_CASE("a holder that is refused for its load is not chosen by its hash") {
+  // With a factor of 1, the bound of holders is below that of other engines.
+  auto candidates = Candidates({20, 22, 22, 22});
+  for (auto& candidate : candidates) candidate.max_slots = 40;
+  candidates[0].cached_tokens = 1000;
+  for (std::uint64_t affinity = 1; affinity < 50; ++affinity) {
+    // The mean is 21.5: the holder's bound is 18.4, the other engines' 27.9.
+    PlacementInputs inputs{candidates, 1000, affinity, 1, 1.0};
+    const auto decision = ChooseEngine(inputs);
+    REQUIRE(decision);
+    // All exceed their bounds, so the least loaded engine is chosen.
+    CHECK(decision->basis == PlacementBasis::kSpilled);
+    CHECK(decision->index == 0);
+  }
+}
+
 TEST_CASE("an unreachable engine is never the copy source") {
   auto candidates = Candidates({0, 0});
   candidates[0].cached_tokens = 1000;
