--- a/src/core/admission_queue.cc
+++ b/src/core/admission_queue.cc
@@ -12,9 +12,11 @@
 constexpr double kWaitShareOfTarget = 0.5;
 // Part of the time until the deadline that may be spent waiting.
 constexpr double kWaitShareOfTimeLeft = 0.25;
-// Limits of the retry time before jitter is applied.
+// Limits of the retry time before jitter, which at most doubles it.
 constexpr Duration kMinRetryAfter = std::chrono::milliseconds(150);
-constexpr Duration kMaxRetryAfter = std::chrono::seconds(2);
+constexpr Duration kMaxRetryAfter = std::chrono::seconds(1);
+// Cap of the time between completions that enters the moving average.
+constexpr Duration kMaxCompletionGap = std::chrono::seconds(2);
 // Assumed time between completions until two have been observed.
 constexpr Duration kDefaultCompletionGap = std::chrono::milliseconds(20);
 // Weight of the newest value in the moving average of the time between
@@ -101,7 +103,8 @@
 void AdmissionQueue::OnCompleted(TimePoint now) {
   if (this->last_completion != TimePoint{}) {
     // The cap limits the effect of an idle period on the average.
-    const Duration gap = std::min(now - this->last_completion, kMaxRetryAfter);
+    const Duration gap =
+        std::min(now - this->last_completion, kMaxCompletionGap);
     this->completion_gap =
         this->completion_gap == Duration{}
             ? gap
--- a/tests/admission_queue_test.cc
+++ b/tests/admission_queue_test.cc
@@ -101,6 +101,22 @@
   CHECK(served[0] > 0);
 }
 
+TEST_CASE("clients are told to return within two seconds, jitter included") {
+  AdmissionQueue queue;
+  for (int n = 0; n < 20; ++n) queue.OnCompleted(At(n * 4000));
+  CHECK(queue.RetryAfter(1, 0.999) <= std::chrono::seconds(2));
+  CHECK(queue.RetryAfter(1, 0.0) < queue.RetryAfter(1, 0.999));
+}
+
+TEST_CASE("a request that no engine wants in time is refused on arrival") {
+  AdmissionQueue queue;
+  WaitRequest request = MakeRequest(0, 1);
+  request.engine_pause = milliseconds(200);
+  CHECK(queue.TryEnqueue(At(0), request));
+  request.engine_pause = milliseconds(400);
+  CHECK_FALSE(queue.TryEnqueue(At(0), request));
+}
+
 TEST_CASE("an abandoned request leaves the queue at once") {
   AdmissionQueue queue;
   const auto first = queue.TryEnqueue(At(0), MakeRequest(0, 1));
