--- a/include/dandelionscale/core/prefix_index.h
+++ b/include/dandelionscale/core/prefix_index.h
@@ -91,8 +91,9 @@
   std::uint32_t CachedTokens(TimePoint now, std::span<const PrefixPart> prefix,
                              std::uint64_t engine_key) const;
   /// \returns at most `max_updates` updates that fill the index of a router
-  ///          that has just started. Expired records are included.
-  std::vector<PrefixUpdate> Snapshot(std::size_t max_updates) const;
+  ///          that has just started.
+  std::vector<PrefixUpdate> Snapshot(TimePoint now,
+                                     std::size_t max_updates) const;
   /// \returns the number of prompt parts in the index.
   std::size_t Size() const { return this->entries.size(); }
 
--- a/src/core/prefix_index.cc
+++ b/src/core/prefix_index.cc
@@ -153,11 +153,14 @@
   return MatchedTokens(this->FindMatches(now, prefix), engine_key);
 }
 
-std::vector<PrefixUpdate> PrefixIndex::Snapshot(std::size_t max_updates) const {
+std::vector<PrefixUpdate> PrefixIndex::Snapshot(TimePoint now,
+                                                std::size_t max_updates) const {
   std::vector<PrefixUpdate> updates;
   for (const auto& [part_key, entry] : this->entries) {
     for (const Holder& holder : entry.holders) {
       if (updates.size() >= max_updates) return updates;
+      // The receiver would count an expired holder as used now.
+      if (now - holder.used_at >= kHolderLifetime) continue;
       updates.push_back({part_key, holder.engine_key, false});
     }
   }
--- a/src/dispatch/peer_exchange.cc
+++ b/src/dispatch/peer_exchange.cc
@@ -388,8 +388,8 @@
   for (const std::string& peer : this->state.peers) {
     snapshot.add_routers(peer);
   }
-  for (const PrefixUpdate& update :
-       this->state.prefixes.Snapshot(kMaxPrefixesPerSnapshot)) {
+  for (const PrefixUpdate& update : this->state.prefixes.Snapshot(
+           RuntimeClock::now(), kMaxPrefixesPerSnapshot)) {
     snapshot.add_placed_parts(update.part_key);
     snapshot.add_placed_engines(ShortKey(update.engine_key));
   }
--- a/tests/prefix_index_test.cc
+++ b/tests/prefix_index_test.cc
@@ -84,6 +84,16 @@
   CHECK(announcements < kUses / 5);
 }
 
+TEST_CASE("a snapshot leaves out holders that have expired") {
+  PrefixIndex index(10);
+  const TimePoint start{std::chrono::hours(1)};
+  index.Apply(start, {1, 7, false});
+  index.Apply(start + std::chrono::minutes(10), {2, 7, false});
+  const auto updates = index.Snapshot(start + std::chrono::minutes(11), 10);
+  REQUIRE(updates.size() == 1);
+  CHECK(updates.front().part_key == 2);
+}
+
 TEST_CASE("an update that peers already have is not announced again") {
   PrefixIndex index(100);
   CHECK(index.Observe(kNow, {1, 7, false}));
