--- a/tests/platform_translation_test.cc
+++ b/tests/platform_translation_test.cc
@@ -155,6 +155,43 @@
   CHECK_FALSE(DecodeTable("not json"));
 }
 
+TEST_CASE("malformed services and limits of a configuration are left out") {
+  const auto table = DecodeTable(R"({"version":7,"routes":[
+    {"name":"r1","host":"h","prefix":"/a/","kind":"idempotent",
+     "timeout_ms":100,"weighted_services":[{"weight":3},
+       {"service":"s1","weight":1},{"service":"s2","weight":"many"}]}],
+    "services":[{"max_connections":3},{"name":"s1"}],
+    "limits":{"max_header_bytes":"many","max_body_bytes":-5}})");
+  REQUIRE(table);
+  const Route* route = table->FindRoute("h", "/a/x");
+  REQUIRE(route != nullptr);
+  REQUIRE(route->services.size() == 1);
+  CHECK(route->services.front().service == "s1");
+  CHECK(table->services.size() == 1);
+  CHECK(table->limits.header_bytes == ClientLimits().header_bytes);
+  CHECK(table->limits.body_bytes == ClientLimits().body_bytes);
+}
+
+TEST_CASE("an engine's statements about itself are decoded") {
+  const PlatformCodec codec;
+  CHECK(codec.DecodeResponse(200, {{"Server-Leaving", "1"}}).leaving);
+  CHECK_FALSE(codec.DecodeResponse(200, {{"Server-Leaving", "0"}}).leaving);
+  const auto busy = codec.DecodeResponse(503, {{"Retry-After", "1.5"}});
+  CHECK(busy.requested_pause == Duration(std::chrono::milliseconds(1500)));
+  CHECK_FALSE(
+      codec.DecodeResponse(429, {{"Retry-After", "1.5"}}).requested_pause);
+  for (const char* malformed : {"soon", "-1", "nan", "inf", "1s"}) {
+    CAPTURE(malformed);
+    const auto response =
+        codec.DecodeResponse(503, {{"Retry-After", malformed}});
+    CHECK_FALSE(response.requested_pause);
+    CHECK(response.has_malformed_pause);
+  }
+  const auto absurd = codec.DecodeResponse(503, {{"Retry-After", "1e30"}});
+  REQUIRE(absurd.requested_pause);
+  CHECK(*absurd.requested_pause > std::chrono::hours(1));
+}
+
 TEST_CASE("malformed engine records are rejected") {
   const auto engine = DecodeEngine(kEngine);
   REQUIRE(engine);
