--- a/include/dandelionscale/core/engine_directory.h
+++ b/include/dandelionscale/core/engine_directory.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -82,8 +83,8 @@
 ///   after it is kept until a grace period after the store's return has ended:
 ///   live engines register again within that time.
 /// - If a large share of a service disappears in one update without a known
-///   outage, all engines that the update removes are kept for a shorter grace
-///   period, since the store may have lost entries.
+///   outage, these engines are kept for a shorter grace period, since the store
+///   may have lost entries.
 /// - A draining engine that disappears is removed at once.
 /// - A list of a new era comes from an older copy of the store. It may still
 ///   list engines that have left since the copy: those are held back until
@@ -163,8 +164,10 @@
 
   void Unlist(TimePoint now, std::span<const std::string> ids,
               std::vector<EngineChange>& changes);
-  RetentionReason RetentionReasonOf(TimePoint now,
-                                    std::span<const std::string> ids) const;
+  bool IsStoreOutage(TimePoint now) const;
+  // Returns the services that lose a large share of their engines by `ids`.
+  std::set<std::string> FindMassRemovals(
+      std::span<const std::string> ids) const;
   TimePoint RetentionDeadline(const Unlisted& entry) const;
   void Remove(TimePoint now, const std::string& id,
               std::vector<EngineChange>& changes);
--- a/src/core/engine_directory.cc
+++ b/src/core/engine_directory.cc
@@ -248,10 +248,17 @@
 
 void EngineDirectory::Unlist(TimePoint now, std::span<const std::string> ids,
                              std::vector<EngineChange>& changes) {
-  const RetentionReason reason = this->RetentionReasonOf(now, ids);
+  const bool is_outage = this->IsStoreOutage(now);
+  const std::set<std::string> mass_removals = this->FindMassRemovals(ids);
   for (const std::string& id : ids) {
     auto found = this->engines.find(id);
     if (found == this->engines.end()) continue;
+    RetentionReason reason = RetentionReason::kNone;
+    if (is_outage) {
+      reason = RetentionReason::kStoreOutage;
+    } else if (mass_removals.contains(found->second->record.service)) {
+      reason = RetentionReason::kMassRemoval;
+    }
     // A draining engine has announced its shutdown, so its removal is final.
     if (reason == RetentionReason::kNone || found->second->draining) {
       this->Remove(now, id, changes);
@@ -263,25 +270,29 @@
   }
 }
 
-EngineDirectory::RetentionReason EngineDirectory::RetentionReasonOf(
-    TimePoint now, std::span<const std::string> ids) const {
+bool EngineDirectory::IsStoreOutage(TimePoint now) const {
   const bool just_regained = this->store_regained_at != TimePoint{} &&
                              now < this->store_regained_at + kRelistGracePeriod;
-  if (this->store_lost || just_regained) return RetentionReason::kStoreOutage;
+  return this->store_lost || just_regained;
+}
+
+std::set<std::string> EngineDirectory::FindMassRemovals(
+    std::span<const std::string> ids) const {
   std::map<std::string_view, std::size_t> removed;
   for (const std::string& id : ids) {
     auto found = this->engines.find(id);
     if (found == this->engines.end() || found->second->draining) continue;
     ++removed[found->second->record.service];
   }
+  std::set<std::string> services;
   for (const auto& [service, count] : removed) {
     const double engine_count = static_cast<double>(this->Find(service).size());
     if (count >= kMinMassRemovalCount &&
         count >= kMinMassRemovalShare * engine_count) {
-      return RetentionReason::kMassRemoval;
+      services.emplace(service);
     }
   }
-  return RetentionReason::kNone;
+  return services;
 }
 
 TimePoint EngineDirectory::RetentionDeadline(const Unlisted& entry) const {
--- a/tests/engine_directory_test.cc
+++ b/tests/engine_directory_test.cc
@@ -123,6 +123,22 @@
   CHECK(directory.Find("chat").size() == 5);
 }
 
+TEST_CASE("a mass removal in one service does not delay removals of others") {
+  EngineDirectory directory;
+  std::vector<EngineRecord> records = Records(10);
+  for (int n = 0; n < 10; ++n) {
+    records.push_back(Record("p" + std::to_string(n)));
+    records.back().service = "plain";
+  }
+  directory.OnSnapshot(At(0), {0, 1}, records);
+  std::vector<EngineUpdate> updates = {Removal("p0")};
+  for (int n = 0; n < 5; ++n)
+    updates.push_back(Removal("e" + std::to_string(n)));
+  directory.OnUpdates(At(100), {0, 2}, updates);
+  CHECK(directory.Find("chat").size() == 10);
+  CHECK(directory.Find("plain").size() == 9);
+}
+
 TEST_CASE(
     "the removal of a draining engine takes effect even in a store outage") {
   EngineDirectory directory;
