Log a listed peer's first digest; name HTTP statuses once

- peer_heard was no longer logged for a listed peer: dispatch_store_test, 'a router that the store refuses gets its state from peers', failed 7 of 7 times for it, now passes.
A peer's contact says whether it has sent a digest.

--- a/include/dandelionscale/transport.h
+++ b/include/dandelionscale/transport.h
@@ -8,6 +8,7 @@
 #include "dandelionscale/transport/byte_counters.h"    // IWYU pragma: export
 #include "dandelionscale/transport/http_client.h"      // IWYU pragma: export
 #include "dandelionscale/transport/http_server.h"      // IWYU pragma: export
+#include "dandelionscale/transport/http_status.h"      // IWYU pragma: export
 #include "dandelionscale/transport/http_types.h"       // IWYU pragma: export
 #include "dandelionscale/transport/peer_connection.h"  // IWYU pragma: export
 #include "dandelionscale/transport/sse.h"              // IWYU pragma: export
--- a/src/dispatch/cache_observer.cc
+++ b/src/dispatch/cache_observer.cc
@@ -9,6 +9,7 @@
 #include "dandelionscale/core/hash.h"
 #include "dandelionscale/runtime/logger.h"
 #include "dandelionscale/transport/address.h"
+#include "dandelionscale/transport/http_status.h"
 
 namespace dandelionscale::internal {
 
@@ -105,8 +106,7 @@
   this->state.OnEngineResponse(
       *engine,
       this->state.codec->DecodeResponse(response->status, response->headers));
-  constexpr unsigned kOk = 200;
-  if (response->status != kOk) {
+  if (response->status != http_status::kOk) {
     co_return Fault{FaultKind::kUnexpectedStatus,
                     fmt::format("status {}", response->status)};
   }
@@ -128,7 +128,7 @@
 bool CacheObserver::IsObserver(const Engine& engine) const {
   const std::uint64_t own_weight = RendezvousWeight(
       HashText(ToText(this->state.options.peer_address)), engine.key);
-  for (const auto& [peer, heard_at] : this->state.last_digest_at) {
+  for (const auto& [peer, contact] : this->state.live_peers) {
     if (RendezvousWeight(HashText(peer), engine.key) > own_weight) return false;
   }
   return true;
--- a/src/dispatch/client_connection.cc
+++ b/src/dispatch/client_connection.cc
@@ -9,6 +9,7 @@
 
 #include "dandelionscale/runtime/logger.h"
 #include "dandelionscale/transport/http_fields.h"
+#include "dandelionscale/transport/http_status.h"
 #include "dispatch/http_text.h"
 #include "dispatch/request_dispatch.h"
 #include "dispatch/socket_options.h"
@@ -22,11 +23,6 @@
 
 namespace {
 
-constexpr unsigned kBadRequest = 400;
-constexpr unsigned kRequestTimeout = 408;
-constexpr unsigned kBodyTooLarge = 413;
-constexpr unsigned kHeadTooLarge = 431;
-constexpr unsigned kUnavailable = 503;
 // Time limit for one write to a client.
 constexpr Duration kWriteTimeout = std::chrono::seconds(10);
 // Time limit for the body, in addition to the one for the head.
@@ -112,17 +108,17 @@
                                    RedirectError(error));
   if (error) {
     if (error == http::error::header_limit) {
-      co_await this->Reject(kHeadTooLarge);
+      co_await this->Reject(http_status::kHeaderFieldsTooLarge);
     } else if (IsTooLarge(error)) {
-      co_await this->Reject(kBodyTooLarge);
+      co_await this->Reject(http_status::kContentTooLarge);
     } else if (IsMalformed(error)) {
-      co_await this->Reject(kBadRequest);
+      co_await this->Reject(http_status::kBadRequest);
     }
     co_return ReadOutcome::kRejected;
   }
   request.headers = CopyHeaders(parser.get());
   if (HasAmbiguousFraming(request.headers) || !HasOneHost(request.headers)) {
-    co_await this->Reject(kBadRequest);
+    co_await this->Reject(http_status::kBadRequest);
     co_return ReadOutcome::kRejected;
   }
   const auto length = parser.content_length();
@@ -133,7 +129,7 @@
   this->state.reserved_body_bytes += this->reserved_bytes;
   if (this->state.reserved_body_bytes >
       this->state.options.memory_bytes / kBodyMemoryDivisor) {
-    co_await this->Reject(kUnavailable);
+    co_await this->Reject(http_status::kServiceUnavailable);
     co_return ReadOutcome::kRejected;
   }
   if (EqualsIgnoringCase(request.headers.Find("Expect"), "100-continue")) {
@@ -147,9 +143,9 @@
   }
   if (error) {
     if (IsTooLarge(error)) {
-      co_await this->Reject(kBodyTooLarge);
+      co_await this->Reject(http_status::kContentTooLarge);
     } else if (IsMalformed(error)) {
-      co_await this->Reject(kBadRequest);
+      co_await this->Reject(http_status::kBadRequest);
     }
     co_return ReadOutcome::kRejected;
   }
@@ -168,7 +164,8 @@
                {{"status", static_cast<std::int64_t>(status)}});
   this->keep_alive = false;
   HttpHeaders headers;
-  if (status == kUnavailable || status == kRequestTimeout) {
+  if (status == http_status::kServiceUnavailable ||
+      status == http_status::kRequestTimeout) {
     headers.Add("Retry-After", "0.5");
   }
   co_await this->SendResponse(status, std::move(headers), "");
@@ -187,10 +184,9 @@
 Awaitable<void> ClientConnection::SendResponse(unsigned status,
                                                HttpHeaders headers,
                                                std::string_view body) {
-  constexpr unsigned kNoContent = 204;
-  constexpr unsigned kNotModified = 304;
   this->keep_alive = this->MayKeepAlive();
-  const bool has_no_body = status == kNoContent || status == kNotModified;
+  const bool has_no_body =
+      status == http_status::kNoContent || status == http_status::kNotModified;
   const std::string framing =
       has_no_body || this->is_head_request
           ? std::string()
--- a/src/dispatch/dispatch_router.cc
+++ b/src/dispatch/dispatch_router.cc
@@ -6,6 +6,7 @@
 
 #include "dandelionscale/runtime/logger.h"
 #include "dandelionscale/transport/http_server.h"
+#include "dandelionscale/transport/http_status.h"
 #include "dispatch/cache_observer.h"
 #include "dispatch/client_connection.h"
 #include "dispatch/dispatch_state.h"
@@ -197,10 +198,9 @@
 }
 
 Awaitable<void> DispatchRouter::Impl::ServeReadiness(HttpExchange& exchange) {
-  constexpr unsigned kOk = 200;
-  constexpr unsigned kUnavailable = 503;
   HttpResponse response;
-  response.status = this->state.IsReady() ? kOk : kUnavailable;
+  response.status = this->state.IsReady() ? http_status::kOk
+                                          : http_status::kServiceUnavailable;
   co_await exchange.Respond(std::move(response));
 }
 
--- a/src/dispatch/dispatch_state.h
+++ b/src/dispatch/dispatch_state.h
@@ -38,6 +38,13 @@
   FleetRetryBudget budget;
 };
 
+/// \brief When a peer was last known to be alive.
+struct PeerContact {
+  /// Arrival of its last digest, or when it was found in the store's table.
+  TimePoint at{};
+  bool has_sent_digest = false;
+};
+
 /// Interval of `DispatchState::OnLoopCheck()`.
 inline constexpr Duration kLoopCheckInterval = std::chrono::milliseconds(40);
 
@@ -117,9 +124,8 @@
   PrefixIndex prefixes;              ///< Prompt parts that engines have cached.
   PrefixUpdateQueue prefix_updates;  ///< Prefix changes to send in digests.
   std::set<std::string> peers;       ///< Addresses of other routers, IP:PORT.
-  /// Peers that send digests, with the arrival time of the last one. A peer
-  /// that is newly listed in the store counts as heard at that time.
-  std::map<std::string, TimePoint> last_digest_at;
+  /// Peers that are taken to be alive, by address.
+  std::map<std::string, PeerContact> live_peers;
 
   std::set<RequestDispatch*> requests;  ///< Active requests.
   /// Names of the store tables that this router watches and whose last call
--- a/src/dispatch/engine_exchange.cc
+++ b/src/dispatch/engine_exchange.cc
@@ -7,6 +7,7 @@
 
 #include "dandelionscale/runtime/logger.h"
 #include "dandelionscale/transport/http_fields.h"
+#include "dandelionscale/transport/http_status.h"
 #include "dispatch/http_text.h"
 #include "transport/socket_helpers.h"
 
@@ -91,7 +92,8 @@
       co_return this->FailureOnLostConnection();
     this->DecodeHead();
     const std::string& echoed = this->response.request_id;
-    const bool is_success = this->response.status < 300;
+    const bool is_success =
+        http_status::IsBelowRedirection(this->response.status);
     if (echoed.empty() && is_success) co_return AttemptFailure::kBadAnswer;
     if (echoed.empty() || echoed == request_id) {
       const bool bad = is_success && (!this->response.is_signed ||
--- a/src/dispatch/peer_exchange.cc
+++ b/src/dispatch/peer_exchange.cc
@@ -9,6 +9,7 @@
 #include "dandelionscale/runtime/logger.h"
 #include "dandelionscale/runtime/trace.h"
 #include "dandelionscale/transport/address.h"
+#include "dandelionscale/transport/http_status.h"
 #include "dispatch/peer_messages.h"
 #include "transport/socket_helpers.h"
 
@@ -88,11 +89,11 @@
     const Duration peer_timeout =
         std::max(kPeerTimeout, rotation * kPeerTimeoutRotations);
     this->state.peer_load.Expire(now, rotation);
-    for (auto peer = this->state.last_digest_at.begin();
-         peer != this->state.last_digest_at.end();) {
-      if (now - peer->second > peer_timeout) {
+    for (auto peer = this->state.live_peers.begin();
+         peer != this->state.live_peers.end();) {
+      if (now - peer->second.at > peer_timeout) {
         Logger::Warning("peer_lost", {{"peer", peer->first}});
-        peer = this->state.last_digest_at.erase(peer);
+        peer = this->state.live_peers.erase(peer);
       } else {
         ++peer;
       }
@@ -197,10 +198,11 @@
                             const std::string& sender) {
   const TimePoint now = RuntimeClock::now();
   this->state.peers.insert(sender);
-  if (!this->state.last_digest_at.contains(sender)) {
+  PeerContact& contact = this->state.live_peers[sender];
+  if (!contact.has_sent_digest) {
     Logger::Info("peer_heard", {{"peer", sender}, {"name", digest.router()}});
   }
-  this->state.last_digest_at[sender] = now;
+  contact = {now, true};
   std::vector<EngineLoad> loads;
   for (int n = 0; n < digest.engine_keys_size(); ++n) {
     const auto engine =
@@ -285,8 +287,8 @@
                                   ConnectionUse::kFresh, kFetchTimeout);
   this->fetching = false;
   wire::BeliefSnapshot snapshot;
-  constexpr unsigned kOk = 200;
-  const bool is_answered = response.has_value() && response->status == kOk &&
+  const bool is_answered = response.has_value() &&
+                           response->status == http_status::kOk &&
                            snapshot.ParseFromString(response->body);
   if (!is_answered) {
     Logger::Info("peer_snapshot_failed",
@@ -347,14 +349,12 @@
   wire::SnapshotRequest snapshot_request;
   HttpResponse response;
   if (!snapshot_request.ParseFromString(exchange.Request().body)) {
-    constexpr unsigned kBadRequest = 400;
-    response.status = kBadRequest;
+    response.status = http_status::kBadRequest;
     co_await exchange.Respond(std::move(response));
     co_return;
   }
   if (this->serving >= kMaxSnapshotsServed) {
-    constexpr unsigned kUnavailable = 503;
-    response.status = kUnavailable;
+    response.status = http_status::kServiceUnavailable;
     co_await exchange.Respond(std::move(response));
     co_return;
   }
--- a/src/dispatch/request_dispatch.cc
+++ b/src/dispatch/request_dispatch.cc
@@ -6,20 +6,13 @@
 
 #include "dandelionscale/core/hash.h"
 #include "dandelionscale/runtime/logger.h"
+#include "dandelionscale/transport/http_status.h"
 #include "transport/socket_helpers.h"
 
 namespace dandelionscale::internal {
 
 namespace {
 
-constexpr unsigned kFirstNonSuccessStatus = 300;
-constexpr unsigned kUnauthorized = 401;
-constexpr unsigned kBadRequest = 400;
-constexpr unsigned kNotFound = 404;
-constexpr unsigned kFirstServerErrorStatus = 500;
-constexpr unsigned kUnavailable = 503;
-constexpr unsigned kGatewayTimeout = 504;
-
 // Timeout of clients that don't send one.
 constexpr Duration kDefaultClientTimeout = std::chrono::seconds(30);
 // An engine that enforces the deadline itself responds at the deadline; this
@@ -86,7 +79,7 @@
         this->client.Abort();
         this->LogOutcome("stream_broken", 0, "deadline");
       } else {
-        co_await this->Fail(kGatewayTimeout, "deadline");
+        co_await this->Fail(http_status::kGatewayTimeout, "deadline");
       }
       co_return;
     }
@@ -114,13 +107,13 @@
     co_await this->WaitForConfiguration();
   }
   if (!this->routing_table) {
-    co_await this->Refuse(kUnavailable, "no_configuration");
+    co_await this->Refuse(http_status::kServiceUnavailable, "no_configuration");
     co_return false;
   }
   this->route =
       this->routing_table->FindRoute(this->decoded.host, this->decoded.path);
   if (this->route == nullptr) {
-    co_await this->Fail(kNotFound, "no_route");
+    co_await this->Fail(http_status::kNotFound, "no_route");
     co_return false;
   }
   this->priority = this->route->priority;
@@ -128,18 +121,18 @@
     const WorkspaceEntry* entry =
         this->routing_table->FindWorkspace(this->decoded.key);
     if (entry == nullptr) {
-      co_await this->Fail(kUnauthorized, "unknown_key");
+      co_await this->Fail(http_status::kUnauthorized, "unknown_key");
       co_return false;
     }
     this->workspace = entry->name;
     this->priority = entry->priority.value_or(this->priority);
   }
   if (this->decoded.id.empty()) {
-    co_await this->Fail(kBadRequest, "no_request_id");
+    co_await this->Fail(http_status::kBadRequest, "no_request_id");
     co_return false;
   }
   if (RuntimeClock::now() >= this->client_deadline) {
-    co_await this->Refuse(kUnavailable, "expired");
+    co_await this->Refuse(http_status::kServiceUnavailable, "expired");
     co_return false;
   }
   this->timeout = this->route->timeout;
@@ -187,7 +180,7 @@
   if (response.not_run) co_return AttemptFailure::kRefused;
   const bool is_stream = this->route->kind == RouteKind::kStreaming &&
                          this->exchange->IsEventStream() &&
-                         response.status < kFirstNonSuccessStatus;
+                         http_status::IsBelowRedirection(response.status);
   if (is_stream) co_return co_await this->RelayEventStream();
   co_return co_await this->RelayBufferedResponse();
 }
@@ -208,7 +201,7 @@
   }
   const EngineResponse response = this->exchange->Response();
   this->exchange.reset();
-  const bool failed = response.status >= kFirstServerErrorStatus;
+  const bool failed = http_status::IsServerError(response.status);
   // A response that is not an event stream can't continue a started stream.
   if (failed || this->stream_started) {
     this->error_response = response;
--- a/src/dispatch/request_ending.cc
+++ b/src/dispatch/request_ending.cc
@@ -5,15 +5,13 @@
 
 #include "dandelionscale/core/hash.h"
 #include "dandelionscale/runtime/logger.h"
+#include "dandelionscale/transport/http_status.h"
 #include "dispatch/request_dispatch.h"
 
 namespace dandelionscale::internal {
 
 namespace {
 
-constexpr unsigned kBadGateway = 502;
-constexpr unsigned kUnavailable = 503;
-
 // Retry-After of refusals before a service was chosen, for example while no
 // configuration is loaded.
 constexpr Duration kDefaultRetryAfter = std::chrono::milliseconds(400);
@@ -26,11 +24,11 @@
     this->client.Abort();
     this->LogOutcome("stream_broken", 0, ToString(failure));
   } else if (std::holds_alternative<RefuseNotRun>(decision)) {
-    co_await this->Refuse(kUnavailable, ToString(failure));
+    co_await this->Refuse(http_status::kServiceUnavailable, ToString(failure));
   } else if (this->error_response) {
     co_await this->RelayErrorResponse(ToString(failure));
   } else {
-    co_await this->Fail(kBadGateway, ToString(failure));
+    co_await this->Fail(http_status::kBadGateway, ToString(failure));
   }
 }
 
--- a/src/dispatch/request_placement.cc
+++ b/src/dispatch/request_placement.cc
@@ -7,6 +7,7 @@
 #include "dandelionscale/core/hash.h"
 #include "dandelionscale/core/placement_record.h"
 #include "dandelionscale/runtime/logger.h"
+#include "dandelionscale/transport/http_status.h"
 #include "dispatch/request_dispatch.h"
 #include "transport/socket_helpers.h"
 
@@ -16,9 +17,6 @@
 
 namespace {
 
-constexpr unsigned kBadGateway = 502;
-constexpr unsigned kUnavailable = 503;
-
 // Interval at which a waiting request checks for an engine with capacity.
 constexpr Duration kCapacityPollInterval = std::chrono::milliseconds(15);
 
@@ -224,9 +222,9 @@
   } else if (this->error_response) {
     co_await this->RelayErrorResponse(reason);
   } else if (this->may_have_run) {
-    co_await this->Fail(kBadGateway, reason);
+    co_await this->Fail(http_status::kBadGateway, reason);
   } else {
-    co_await this->Refuse(kUnavailable, reason);
+    co_await this->Refuse(http_status::kServiceUnavailable, reason);
   }
 }
 
--- a/src/dispatch/store_watcher.cc
+++ b/src/dispatch/store_watcher.cc
@@ -77,12 +77,12 @@
 void StoreWatcher::OnRoleChanged(WatchRole before, WatchRole role) {
   const TimePoint now = RuntimeClock::now();
   const auto age = this->state.watcher_election.ViewAge(now);
-  Logger::Info("watch_role",
-               {{"role", ToString(role)},
-                {"before", ToString(before)},
-                {"view_age_ms", age ? ToMilliseconds(*age) : std::int64_t{-1}},
-                {"peers", static_cast<std::int64_t>(
-                              this->state.last_digest_at.size())}});
+  Logger::Info(
+      "watch_role",
+      {{"role", ToString(role)},
+       {"before", ToString(before)},
+       {"view_age_ms", age ? ToMilliseconds(*age) : std::int64_t{-1}},
+       {"peers", static_cast<std::int64_t>(this->state.live_peers.size())}});
   this->role_changed.NotifyAll();
   if (role == WatchRole::kListener) {
     // Peers supply configuration and engines from now on, so an earlier loss
@@ -226,7 +226,7 @@
     const TimePoint now = RuntimeClock::now();
     this->state.watcher_election.OnPeerListed(now, row.value,
                                               HashText(row.value));
-    this->state.last_digest_at.try_emplace(row.value, now);
+    this->state.live_peers.try_emplace(row.value, PeerContact{now, false});
     Logger::Info("peer_listed", {{"peer", row.value}, {"name", row.key}});
   }
 }
--- a/src/transport/http_types.cc
+++ b/src/transport/http_types.cc
@@ -2,6 +2,8 @@
 
 #include <boost/algorithm/string/predicate.hpp>
 
+#include "dandelionscale/transport/http_status.h"
+
 namespace dandelionscale {
 
 std::string_view HttpHeaders::Find(std::string_view name) const {
@@ -31,12 +33,10 @@
 }
 
 unsigned StatusOfBadRequest(FaultKind kind) {
-  constexpr unsigned kBadRequest = 400;
-  constexpr unsigned kBodyTooLarge = 413;
-  constexpr unsigned kHeadTooLarge = 431;
-  if (kind == FaultKind::kHeadTooLarge) return kHeadTooLarge;
-  if (kind == FaultKind::kMessageTooLarge) return kBodyTooLarge;
-  return kBadRequest;
+  if (kind == FaultKind::kHeadTooLarge)
+    return http_status::kHeaderFieldsTooLarge;
+  if (kind == FaultKind::kMessageTooLarge) return http_status::kContentTooLarge;
+  return http_status::kBadRequest;
 }
 
 }  // namespace dandelionscale
--- a/tests/store_watcher_test.cc
+++ b/tests/store_watcher_test.cc
@@ -177,7 +177,7 @@
          1, false});
   }
   fixture.Advance(milliseconds(200));
-  CHECK(fixture.state.last_digest_at.size() == 294);
+  CHECK(fixture.state.live_peers.size() == 294);
 }
 
 TEST_CASE("a row of the router that a restoration has lost is written again") {
