--- a/include/dandelionscale/core/engine_directory.h
+++ b/include/dandelionscale/core/engine_directory.h
@@ -118,8 +118,7 @@
 
   /// \returns the engines of `service`, draining and unlisted ones included.
   std::span<const std::shared_ptr<Engine>> Find(std::string_view service) const;
-  /// \returns the `ShortKey()` of each engine that is known to be leaving
-  /// though
+  /// \returns the `ShortKey()` of each engine that is known to be leaving while
   ///          the store lists it as ready.
   std::vector<std::uint32_t> LeavingKeys() const;
   /// \returns the engine whose key has this `ShortKey()`, or null.
