--- a/include/dandelionscale/core/store_version.h
+++ b/include/dandelionscale/core/store_version.h
@@ -1,8 +1,8 @@
 #ifndef DANDELIONSCALE_CORE_STORE_VERSION_H_
 #define DANDELIONSCALE_CORE_STORE_VERSION_H_
 
-#include <compare>
 #include <cstdint>
+#include <tuple>
 
 namespace dandelionscale {
 
@@ -14,7 +14,17 @@
 struct StoreVersion {
   std::uint64_t era = 0;     ///< Raised by each restoration; 0 if unknown.
   std::uint64_t number = 0;  ///< Raised by each write of the era.
-  auto operator<=>(const StoreVersion&) const = default;
+
+  friend bool operator==(const StoreVersion&, const StoreVersion&) = default;
+  friend bool operator<(const StoreVersion& a, const StoreVersion& b) {
+    return std::tie(a.era, a.number) < std::tie(b.era, b.number);
+  }
+  friend bool operator>(const StoreVersion& a, const StoreVersion& b) {
+    return b < a;
+  }
+  friend bool operator<=(const StoreVersion& a, const StoreVersion& b) {
+    return !(b < a);
+  }
 };
 
 }  // namespace dandelionscale
--- a/tests/dispatch_router_test.cc
+++ b/tests/dispatch_router_test.cc
@@ -80,13 +80,13 @@
     RuntimeClock::Pause();
     const auto port = this->engine.Listen(Loopback(0)).value().port();
     this->store->tables[StoreTable::kConfiguration] = {
-        {{"config", std::string(kConfiguration), 1, false}}, 2};
+        {{"config", std::string(kConfiguration), 1, false}}, {0, 2}};
     this->store->tables[StoreTable::kEngines] = {
         {{"e1",
           R"({"service":"plain","address":"127.0.0.1:)" + std::to_string(port) +
               R"(","zone":"z","max_slots":4,"state":"ready"})",
           1, false}},
-        2};
+        {0, 2}};
     DispatchOptions options;
     options.name = "router";
     options.client_address = Loopback(18901);
--- a/tests/endless_response_test.cc
+++ b/tests/endless_response_test.cc
@@ -64,7 +64,7 @@
   emulator::ScriptMaker script;
 };
 
-const std::string kBlock(8192, 'x');
+std::string Block() { return std::string(8192, 'x'); }
 
 // Each part of a response that may have no end.
 std::vector<EndlessPart> EndlessParts() {
@@ -72,7 +72,7 @@
       {"header field",
        [](const HttpRequest&) {
          return Script{SendBytes{"HTTP/1.1 200 OK\r\nX: "},
-                       SendEndlessly{kBlock}};
+                       SendEndlessly{Block()}};
        }},
       {"header fields",
        [](const HttpRequest&) {
@@ -80,7 +80,7 @@
                        SendEndlessly{"X-Field: value\r\n"}};
        }},
       {"status line",
-       [](const HttpRequest&) { return Script{SendEndlessly{kBlock}}; }},
+       [](const HttpRequest&) { return Script{SendEndlessly{Block()}}; }},
       {"interim responses",
        [](const HttpRequest&) {
          return Script{SendEndlessly{"HTTP/1.1 102 Processing\r\n\r\n"}};
@@ -88,25 +88,25 @@
       {"body without a length",
        [](const HttpRequest& request) {
          return Script{SendBytes{MakeHead(request, "Connection: close")},
-                       SendEndlessly{kBlock}};
+                       SendEndlessly{Block()}};
        }},
       {"body with a length",
        [](const HttpRequest& request) {
          return Script{
              SendBytes{MakeHead(request, "Content-Length: 999999999999")},
-             SendEndlessly{kBlock}};
+             SendEndlessly{Block()}};
        }},
       {"chunk extension",
        [](const HttpRequest& request) {
          return Script{
              SendBytes{MakeHead(request, "Transfer-Encoding: chunked") + "5;"},
-             SendEndlessly{kBlock}};
+             SendEndlessly{Block()}};
        }},
       {"response to another request",
        [](const HttpRequest&) {
          return Script{SendBytes{"HTTP/1.1 200 OK\r\nRequest-Id: other\r\n"
                                  "Response-Seal: seal\r\n\r\n"},
-                       SendEndlessly{kBlock}};
+                       SendEndlessly{Block()}};
        }},
   };
 }
@@ -145,7 +145,7 @@
   const int stream = 0;
   fleet.SetScript(stream, [](const HttpRequest& request) {
     return Script{SendBytes{MakeStreamHead(request) + MakeEventChunk(1)},
-                  SendEndlessly{"2000\r\n" + kBlock + "\r\n"}};
+                  SendEndlessly{"2000\r\n" + Block() + "\r\n"}};
   });
   const std::string response = fleet.Exchange(
       1, MakeClientRequest("GET", "/stream/", "id1"), kReadIdleTimeout);
