--- a/emulator/store_service.h
+++ b/emulator/store_service.h
@@ -42,9 +42,9 @@
   void SetMode(StoreMode mode);
   /// \brief Copies the content, for a later `Restore()`.
   void TakeCopy();
-  /// \brief Replaces the content by the last copy, as a drill does: version
-  /// numbers continue from the copy's, the era rises, and watches after a
-  /// version that does not exist yet get status 410.
+  /// \brief Replaces the content by the last copy, like a restored backup:
+  /// version numbers continue from the copy's, the era rises, and watches after
+  /// a version that does not exist yet get status 410.
   void Restore();
   /// \returns the request targets of all calls so far, in order of arrival.
   const std::vector<std::string>& Calls() const { return this->calls; }
--- a/tests/dispatch_store_test.cc
+++ b/tests/dispatch_store_test.cc
@@ -322,7 +322,7 @@
   CHECK(IsServed(fleet, 1, "/any/"));
 }
 
-// Load pattern: a drill in which the store comes back from a copy that is some
+// Load pattern: the store is restored from a backup, a copy that is some
 // seconds old, while a key is revoked, an engine drains and leaves, and a
 // router restarts.
 TEST_CASE("a restored store does not undo what routers know") {
@@ -385,8 +385,7 @@
   CHECK(fleet.Requests(staying).size() + fleet.Requests(added).size() >= 24);
 }
 
-TEST_CASE(
-    "a router that the store refuses in a drill learns of it from peers") {
+TEST_CASE("a router that is frozen while the store is restored catches up") {
   constexpr int kRouters = 5;
   PlatformFleet fleet(kRouters);
   fleet.PutConfiguration(3, OnlyRoute("/three/"));
@@ -397,7 +396,8 @@
   for (int n = 1; n <= kRouters; ++n) {
     Eventually([&] { return IsServed(fleet, n, "/four/"); });
   }
-  // Frozen over the drill, the router returns with the versions of the old era.
+  // Frozen over the restoration, the router returns with the versions of the
+  // old era.
   fleet.Signal(1, SIGSTOP);
   fleet.RunOnLoop([&] { fleet.Store().Restore(); });
   const int added = fleet.AddEngine("plain", AnswerOk);
--- a/tests/engine_directory_test.cc
+++ b/tests/engine_directory_test.cc
@@ -163,7 +163,7 @@
   CHECK(directory.Find("plain").size() == 1);
 }
 
-// Load pattern of the next cases: a drill in which the store comes back from a
+// Load pattern of the next cases: the store is restored from a backup, a
 // copy that is some seconds old, while engines start, drain and leave.
 TEST_CASE("a list of a new era is applied although its number is lower") {
   EngineDirectory directory;
