Log how an engine's response was framed and what followed its last whole event

A stream that an engine broke off could not be told from one that ended without framing: the line of a finished request said 'answered' in both cases. No logic changed.

--- a/src/dispatch/engine_exchange.cc
+++ b/src/dispatch/engine_exchange.cc
@@ -46,6 +46,18 @@
 
 }  // namespace
 
+std::string_view ToString(BodyFraming framing) {
+  switch (framing) {
+    case BodyFraming::kLength:
+      return "length";
+    case BodyFraming::kChunked:
+      return "chunked";
+    case BodyFraming::kUntilClose:
+      return "until_close";
+  }
+  return "length";
+}
+
 Awaitable<std::optional<AttemptFailure>> EngineExchange::Open(
     const HttpRequest& request, const HttpHeaders& headers,
     std::string_view request_id, ReusePolicy policy) {
@@ -156,6 +168,12 @@
       headers.Find("Content-Type").starts_with("text/event-stream");
 }
 
+BodyFraming EngineExchange::Framing() const {
+  if (this->parser->chunked()) return BodyFraming::kChunked;
+  return this->parser->need_eof() ? BodyFraming::kUntilClose
+                                  : BodyFraming::kLength;
+}
+
 Awaitable<Result<std::string>> EngineExchange::ReadBodyFragment() {
   while (!this->parser->is_done()) {
     if (this->cancelled) co_return Fault{FaultKind::kCancelled, "cancelled"};
--- a/src/dispatch/engine_exchange.h
+++ b/src/dispatch/engine_exchange.h
@@ -16,6 +16,16 @@
 
 namespace dandelionscale::internal {
 
+/// \brief How the end of a response's body is marked.
+enum class BodyFraming {
+  kLength,     ///< Content-Length, or a response that has no body.
+  kChunked,    ///< Chunks, of which the last one is empty.
+  kUntilClose  ///< By nothing but the end of the connection.
+};
+
+/// \returns the name used in logs.
+std::string_view ToString(BodyFraming framing);
+
 /// \brief Sends a request on one connection and reads the response.
 ///
 /// A late response to an earlier request on a reused connection is recognized
@@ -48,6 +58,8 @@
 
   const EngineResponse& Response() const { return this->response; }
   bool IsEventStream() const { return this->event_stream; }
+  /// \returns the framing of the response whose head was read last.
+  BodyFraming Framing() const;
   /// \returns true if any byte of the request was written to the socket.
   bool WasSent() const { return this->sent; }
 
--- a/src/dispatch/event_splitter.h
+++ b/src/dispatch/event_splitter.h
@@ -29,6 +29,9 @@
   std::string Flush();
   /// \brief Another engine continues the stream; discards an incomplete event.
   void OnResumed();
+  /// \returns the number of received bytes that belong to no complete event
+  /// yet.
+  std::size_t UnfinishedBytes() const { return this->pending.size(); }
   /// \returns the id of the last event that had one; empty if none had.
   const std::string& LastId() const { return this->last_id; }
   /// \returns the number of events returned so far.
--- a/src/dispatch/request_dispatch.cc
+++ b/src/dispatch/request_dispatch.cc
@@ -176,6 +176,7 @@
 Awaitable<std::optional<AttemptFailure>> RequestDispatch::RelayResponse() {
   const EngineResponse& response = this->exchange->Response();
   this->status = response.status;
+  this->framing = this->exchange->Framing();
   if (response.wrong_engine) co_return AttemptFailure::kWrongEngine;
   if (response.not_run) co_return AttemptFailure::kRefused;
   const bool is_stream = this->route->kind == RouteKind::kStreaming &&
@@ -218,6 +219,7 @@
   if (this->stream_started) this->events.OnResumed();
   while (true) {
     auto data = co_await this->exchange->ReadBodyFragment();
+    this->unfinished_bytes = this->events.UnfinishedBytes();
     if (data.has_error()) {
       co_return this->stream_started ? AttemptFailure::kStreamBroken
                                      : AttemptFailure::kNoAnswer;
--- a/src/dispatch/request_dispatch.h
+++ b/src/dispatch/request_dispatch.h
@@ -128,9 +128,12 @@
   /// Address of the engine whose prompt cache the chosen engine may copy from.
   std::string cache_source_address;
   std::vector<std::uint64_t> tried_engine_keys;  ///< Engines attempted so far.
-  std::uint32_t sends = 0;      ///< Attempts that sent at least one byte.
-  std::uint32_t attempt = 0;    ///< `sends` + 1 at the start of the attempt.
-  unsigned status = 0;          ///< Of the last engine response.
+  std::uint32_t sends = 0;    ///< Attempts that sent at least one byte.
+  std::uint32_t attempt = 0;  ///< `sends` + 1 at the start of the attempt.
+  unsigned status = 0;        ///< Of the last engine response.
+  std::optional<BodyFraming> framing;  ///< Of the last engine response.
+  /// Bytes after the last whole event when the last event stream ended.
+  std::size_t unfinished_bytes = 0;
   bool may_have_run = false;    ///< An engine may have run the request.
   bool stream_started = false;  ///< The response head was sent.
   EventSplitter events;
--- a/src/dispatch/request_ending.cc
+++ b/src/dispatch/request_ending.cc
@@ -87,7 +87,10 @@
                                         : std::string_view(this->route->name)},
        {"took_ms", ToMilliseconds(age)},
        {"sends", static_cast<std::int64_t>(this->sends)},
-       {"events", static_cast<std::int64_t>(this->events.EventCount())}});
+       {"events", static_cast<std::int64_t>(this->events.EventCount())},
+       {"framing", this->framing ? ToString(*this->framing) : ""},
+       {"unfinished_bytes",
+        static_cast<std::int64_t>(this->unfinished_bytes)}});
 }
 
 }  // namespace dandelionscale::internal
