Treat a stream that ends inside an event as broken off

Cause: at the end of the connection the relay sent the bytes after the last whole event and then the last chunk. Where the response has no length and no chunks, every end of the connection looked regular, since the only sign that it isn't, an unfinished event, was passed on instead of being read. Class: the end of a transport taken for the end of the message that it carries.

Fix: a stream may end only between events, whatever its framing; otherwise it is resumed, or ends for the client as its failure. Every line end that the format of event streams allows now ends an event, since an event whose end is not seen would break a sound stream; the splitter's old check of the flushed rest of an event is replaced by checks that it counts as unfinished.

--- a/src/dispatch/event_splitter.cc
+++ b/src/dispatch/event_splitter.cc
@@ -7,35 +7,43 @@
 namespace dandelionscale::internal {
 namespace {
 
-// Length of the longest line ending that terminates an event.
+constexpr std::string_view kLineEndCharacters = "\r\n";
+
+// Length of the longest pair of line ends, which terminates an event.
 constexpr std::size_t kMaxTerminatorBytes = 4;
 
+// Returns the size of the line end (LF, CR or CRLF) at `position`; 0 if there
+// is none.
+std::size_t LineEndSize(std::string_view text, std::size_t position) {
+  const std::string_view rest = text.substr(position);
+  if (rest.starts_with("\r\n")) return 2;
+  return rest.starts_with('\r') || rest.starts_with('\n') ? 1 : 0;
+}
+
 // Returns the size of the first event in `text`, including its terminating
 // empty line; 0 if it is incomplete. The first `searched` bytes are known not
 // to contain its end.
 std::size_t FindEventEnd(std::string_view text, std::size_t searched) {
-  const std::size_t from =
-      searched - std::min(searched, kMaxTerminatorBytes - 1);
-  const auto lf_end = text.find("\n\n", from);
-  const auto crlf_end = text.find("\r\n\r\n", from);
-  if (lf_end == std::string_view::npos && crlf_end == std::string_view::npos) {
-    return 0;
+  std::size_t position = searched - std::min(searched, kMaxTerminatorBytes - 1);
+  while (true) {
+    position = text.find_first_of(kLineEndCharacters, position);
+    if (position == std::string_view::npos) return 0;
+    position += LineEndSize(text, position);
+    const std::size_t empty_line = LineEndSize(text, position);
+    if (empty_line > 0) return position + empty_line;
   }
-  if (crlf_end < lf_end) return crlf_end + 4;
-  return lf_end + 2;
 }
 
 // Returns the value of the event's `id` field; empty if it has none.
 std::string_view ParseEventId(std::string_view event) {
   constexpr std::string_view kField = "id:";
   while (!event.empty()) {
-    const auto end = event.find('\n');
+    const auto end = event.find_first_of(kLineEndCharacters);
     std::string_view line = event.substr(0, end);
     event.remove_prefix(end == std::string_view::npos ? event.size() : end + 1);
     if (!line.starts_with(kField)) continue;
     line.remove_prefix(kField.size());
     if (line.starts_with(' ')) line.remove_prefix(1);
-    if (line.ends_with('\r')) line.remove_suffix(1);
     return line;
   }
   return {};
@@ -75,6 +83,11 @@
   return complete_events;
 }
 
+bool EventSplitter::IsInsideEvent() const {
+  return this->pending.find_first_not_of(kLineEndCharacters) !=
+         std::string::npos;
+}
+
 std::string EventSplitter::Flush() {
   this->searched = 0;
   return std::exchange(this->pending, std::string());
--- a/src/dispatch/event_splitter.h
+++ b/src/dispatch/event_splitter.h
@@ -12,6 +12,8 @@
 
 /// \brief Returns complete events byte for byte and records the last event id.
 ///
+/// An event ends with an empty line; a line ends with LF, CR or CRLF.
+///
 /// After a resumption at another engine, discards the events that were already
 /// returned before.
 class EventSplitter {
@@ -24,8 +26,11 @@
   std::string Feed(std::string_view bytes);
   /// \returns true if the incomplete event at the end exceeds the limit.
   bool IsEventTooLong() const { return this->pending.size() > kMaxEventBytes; }
-  /// \brief The stream ended regularly.
-  /// \returns the remaining bytes, which have no terminating empty line.
+  /// \returns true if the bytes after the last complete event begin another
+  ///          one. A stream that ends here was broken off.
+  bool IsInsideEvent() const;
+  /// \brief The stream ended outside of an event.
+  /// \returns the remaining bytes, which are empty lines.
   std::string Flush();
   /// \brief Another engine continues the stream; discards an incomplete event.
   void OnResumed();
--- a/src/dispatch/request_dispatch.cc
+++ b/src/dispatch/request_dispatch.cc
@@ -220,11 +220,11 @@
   while (true) {
     auto data = co_await this->exchange->ReadBodyFragment();
     this->unfinished_bytes = this->events.UnfinishedBytes();
-    if (data.has_error()) {
+    const bool at_end = data.has_value() && data.value().empty();
+    if (data.has_error() || (at_end && this->events.IsInsideEvent())) {
       co_return this->stream_started ? AttemptFailure::kStreamBroken
                                      : AttemptFailure::kNoAnswer;
     }
-    const bool at_end = data.value().empty();
     const std::string events_text =
         at_end ? this->events.Flush() : this->events.Feed(data.value());
     if (!events_text.empty() || (at_end && !this->stream_started)) {
