Recognize event streams by their media type, whatever its spelling

The same class as the stream that ended inside an event: a response of type 'Text/Event-Stream' was buffered instead of split, so that an unframed one cut inside an event got a Content-Length and looked complete; the older path did so for any type with parameters. Found while the cause was looked for elsewhere; seen in no record. One function decides now, for both paths and the load tool. The new case of unframed_response_test failed before (the first spelling).

--- a/load/chat_client.cc
+++ b/load/chat_client.cc
@@ -2,6 +2,7 @@
 
 #include <boost/json.hpp>
 
+#include "dandelionscale/transport/http_fields.h"
 #include "dandelionscale/transport/sse.h"
 
 namespace dandelionscale::load {
@@ -103,8 +104,7 @@
   answer.request_id = stream->Headers().Find("X-Request-Id");
   answer.engine = stream->Headers().Find("X-Engine");
   answer.placement = stream->Headers().Find("X-Placement");
-  const bool events =
-      stream->Headers().Find("Content-Type") == "text/event-stream";
+  const bool events = IsEventStreamType(stream->Headers().Find("Content-Type"));
   SseReader reader;
   std::string body;
   TimePoint last_token = started;
--- a/src/dispatch/engine_exchange.cc
+++ b/src/dispatch/engine_exchange.cc
@@ -164,8 +164,7 @@
       this->state.codec->DecodeResponse(message.result_int(), headers);
   this->state.OnEngineResponse(*this->engine, this->response);
   this->keep_alive_timeout = ParseKeepAliveTimeout(headers.Find("Keep-Alive"));
-  this->event_stream =
-      headers.Find("Content-Type").starts_with("text/event-stream");
+  this->event_stream = IsEventStreamType(headers.Find("Content-Type"));
 }
 
 BodyFraming EngineExchange::Framing() const {
--- a/src/router/owner_service.cc
+++ b/src/router/owner_service.cc
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include "dandelionscale/runtime/logger.h"
+#include "dandelionscale/transport/http_fields.h"
 
 namespace dandelionscale::internal {
 namespace {
@@ -281,7 +282,7 @@
     co_await this->SendRefusal(job, RefusalReason::kEngineBroke,
                                RequestOutcome::kUnknown, Duration{});
   } else if (http->Status() == kStatusOk &&
-             http->Headers().Find("Content-Type") == "text/event-stream") {
+             IsEventStreamType(http->Headers().Find("Content-Type"))) {
     co_await this->RelayEventStream(job, http);
   } else {
     co_await this->RelayBody(job, http);
--- a/src/transport/http_fields.cc
+++ b/src/transport/http_fields.cc
@@ -42,6 +42,12 @@
   return items;
 }
 
+bool IsEventStreamType(std::string_view content_type) {
+  const std::string_view type =
+      content_type.substr(0, content_type.find_first_of("; \t"));
+  return EqualsIgnoringCase(type, "text/event-stream");
+}
+
 bool HasAmbiguousFraming(const HttpHeaders& headers) {
   int lengths = 0;
   int encodings = 0;
--- a/tests/unframed_response_test.cc
+++ b/tests/unframed_response_test.cc
@@ -131,6 +131,25 @@
   CHECK(plain.starts_with("HTTP/1.1 502"));
 }
 
+TEST_CASE("an event stream is recognized however its type is spelled") {
+  Fleet fleet;
+  for (const std::string_view type :
+       {"Text/Event-Stream", "text/event-stream;charset=utf-8",
+        "text/event-stream ; charset=utf-8"}) {
+    CAPTURE(type);
+    const std::string response =
+        fleet.ResponseOf("/stream/", [&](const HttpRequest& request) {
+          const std::string head = UnframedHead(request, type);
+          const std::string events = fmt::format("{}id: 3\nda", kTwoEvents);
+          return Script{SendBytes{head + events}, CloseConnection{}};
+        });
+    CHECK(response.find("data: b") != std::string::npos);
+    CHECK(response.find("id: 3\nda") == std::string::npos);
+    CHECK(response.find("Content-Length") == std::string::npos);
+    CHECK_FALSE(response.ends_with(kLastChunk));
+  }
+}
+
 TEST_CASE("a chunked stream that ends inside an event is not complete") {
   Fleet fleet;
   const std::string response =
