Log the parts of the prompt with a failed send

Tells the hypotheses on crashing prompts apart: whether the requests that break before they begin share a part, which neither requests that began nor the answered ones have. On failures only. No logic changed.

--- a/include/dandelionscale/core/prefix_index.h
+++ b/include/dandelionscale/core/prefix_index.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <deque>
 #include <span>
+#include <string>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
@@ -39,6 +40,10 @@
 /// \returns the sum of the tokens of all parts of `prefix`.
 std::uint32_t TotalTokens(std::span<const PrefixPart> prefix);
 
+/// \returns the keys of all parts in hexadecimal, separated by spaces, for
+/// logs.
+std::string FormatPartKeys(std::span<const PrefixPart> prefix);
+
 /// \brief Report that an engine has cached or reused a prompt part, or has
 ///        evicted it.
 struct PrefixUpdate {
--- a/src/core/prefix_index.cc
+++ b/src/core/prefix_index.cc
@@ -1,6 +1,9 @@
 #include "dandelionscale/core/prefix_index.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
+#include <iterator>
 
 #include "dandelionscale/core/hash.h"
 
@@ -38,6 +41,15 @@
   return tokens;
 }
 
+std::string FormatPartKeys(std::span<const PrefixPart> prefix) {
+  std::string text;
+  for (const PrefixPart& part : prefix) {
+    if (!text.empty()) text += ' ';
+    fmt::format_to(std::back_inserter(text), "{:x}", part.key);
+  }
+  return text;
+}
+
 std::uint32_t MatchedTokens(std::span<const PrefixMatch> matches,
                             std::uint64_t engine_key) {
   for (const PrefixMatch& match : matches) {
--- a/src/dispatch/request_dispatch.cc
+++ b/src/dispatch/request_dispatch.cc
@@ -286,7 +286,8 @@
        {"sends", static_cast<std::int64_t>(this->sends)},
        {"failure_rate", engine.health.FailureRate()},
        {"time_left_ms", ToMilliseconds(this->Deadline() - now)},
-       {"events", static_cast<std::int64_t>(this->events.EventCount())}});
+       {"events", static_cast<std::int64_t>(this->events.EventCount())},
+       {"parts", FormatPartKeys(this->decoded.prefix)}});
 }
 
 void RequestDispatch::RecordFailure(Engine& engine, AttemptFailure failure) {
