--- a/src/core/prompt_quarantine.cc
+++ b/src/core/prompt_quarantine.cc
@@ -19,8 +19,8 @@
 constexpr Duration kBurstWindow = std::chrono::milliseconds(20);
 // A lost send counts only after this time, and after this many answers of the
 // service to this router. By then, answers to its sound parts are known.
-constexpr Duration kSettleTime = std::chrono::milliseconds(800);
-constexpr std::uint64_t kSettleAnswers = 5;
+constexpr Duration kSettleTime = std::chrono::milliseconds(700);
+constexpr std::uint64_t kSettleAnswers = 3;
 
 // Time in which the weight of an observation halves in the loss rate.
 constexpr std::chrono::duration<double> kTrafficHalfLife =
--- a/tests/prompt_quarantine_test.cc
+++ b/tests/prompt_quarantine_test.cc
@@ -269,9 +269,10 @@
 }
 
 TEST_CASE("the same, whatever else the requests hold and however many") {
-  for (double share : {0.004, 0.03, 0.06, 0.1}) {
+  for (double share : {0.004, 0.03, 0.06, 0.1, 0.15}) {
     for (bool one_subject : {true, false}) {
-      for (unsigned seed = 1; seed <= 8; ++seed) {
+      // On seed 36, nearly all engines crash within the first second.
+      for (unsigned seed : {1U, 2U, 3U, 4U, 5U, 6U, 7U, 36U}) {
         CAPTURE(share, one_subject, seed);
         Load load;
         load.crashing_share = share;
