Remember one lost send per engine and parts; demand one crash more

A second send with the same parts lost at the same engine says nothing new and is no longer kept, the memory holds 128, and a full one keeps what is younger than 5 s.

--- a/src/core/prompt_quarantine.cc
+++ b/src/core/prompt_quarantine.cc
@@ -11,9 +11,9 @@
 
 // Probability with which chance alone may explain the crashes that lead to a
 // quarantine.
-constexpr double kMaxChance = 1e-5;
+constexpr double kMaxChance = 1e-6;
 constexpr std::size_t kMinCrashes = 3;
-constexpr std::size_t kMaxCrashes = 10;
+constexpr std::size_t kMaxCrashes = 14;
 // Engines that different requests lose within this time count once: a rack or a
 // link may have failed.
 constexpr Duration kBurstWindow = std::chrono::milliseconds(20);
@@ -31,8 +31,10 @@
 
 // Lost sends and their memory. A part that is lost less often than once in this
 // time is not found.
-constexpr std::size_t kMaxLostSends = 64;
+constexpr std::size_t kMaxLostSends = 128;
 constexpr Duration kLostSendMemory = std::chrono::minutes(5);
+// A full memory keeps sends that are younger, since they may not have settled.
+constexpr Duration kMinLostSendMemory = std::chrono::seconds(5);
 // Answers and explained engines are kept for longer than a report of an earlier
 // loss can be on its way.
 constexpr Duration kAnswerMemory = std::chrono::seconds(30);
@@ -415,19 +417,24 @@
                   [&](const Entry& entry) {
                     return IsSubset(entry.quarantined.parts, send.parts);
                   });
+  // A second request with the same parts adds nothing to the engine's crash.
   const bool is_known =
       std::any_of(this->lost_sends.begin(), this->lost_sends.end(),
                   [&](const Suspicion& known) {
-                    return known.send.request_key == send.request_key &&
-                           known.send.engine == send.engine;
+                    return known.send.engine == send.engine &&
+                           (known.send.request_key == send.request_key ||
+                            IsSubset(send.parts, known.send.parts));
                   });
   const bool is_old = now - send.at > kLostSendMemory;
   if (send.parts.empty() || is_explained || is_known || is_old) return;
+  if (this->lost_sends.size() >= kMaxLostSends) {
+    if (now - this->lost_sends.front().send.at < kMinLostSendMemory) return;
+    this->lost_sends.pop_front();
+  }
   const std::uint64_t answered_before =
       this->TrafficOf(now, send.service).total_answered;
   this->lost_sends.push_back(
       {std::move(send), is_own, answered_before, kDigestsPerItem});
-  if (this->lost_sends.size() > kMaxLostSends) this->lost_sends.pop_front();
   // Peers relay what they receive in their regular digests.
   this->urgent = this->urgent || is_own;
 }
