Keep quarantines of prompt parts in the store

A restart of all routers lost what they knew, since no host has a disk: then each request with a crashing part reached engines again until enough had crashed anew (crashing_prompt_test, new case: 4 within 12 requests, allowed 3). The same for a router that reaches the store but no peer.

One row of the routers' own table holds all quarantines. A router that found, narrowed, prolonged or released one writes it 0.4 to 0.6 s later, again until it succeeds. Routers read it with the list of peers when they start, and once a second while they reach no peer; after a restoration of the store one writes it again. Ages are told by the writer's wall clock: a clock that is ahead makes a quarantine younger, never longer than its first length.

The case failed before; so did 3 new ones of store_watcher_test (they need the row).

--- a/include/dandelionscale/dispatch/table_store.h
+++ b/include/dandelionscale/dispatch/table_store.h
@@ -31,7 +31,8 @@
 enum class StoreTable {
   kConfiguration,  ///< Written by operators; a single row.
   kEngines,        ///< Each engine writes its own row.
-  kRouters,        ///< Each router writes its peer address.
+  /// Each router writes its peer address; one row holds the quarantine.
+  kRouters,
 };
 
 /// \brief Client interface of the versioned store that all routers share.
@@ -58,13 +59,16 @@
                                              StoreVersion version,
                                              Duration wait) = 0;
   /// \brief Writes a row of `kRouters` unconditionally.
-  virtual Awaitable<Result<void>> WriteRouter(std::string key,
-                                              std::string value,
-                                              Duration timeout) = 0;
+  virtual Awaitable<Result<void>> WriteRow(std::string key, std::string value,
+                                           Duration timeout) = 0;
 };
 
 /// \brief Key of the single row in `kConfiguration`.
 inline constexpr std::string_view kConfigurationRowKey = "config";
+/// \brief Key of the row of `kRouters` with the prompt parts that crash
+/// engines.
+///        Names of routers have no slash.
+inline constexpr std::string_view kQuarantineRowKey = "/quarantine";
 
 }  // namespace dandelionscale
 
--- a/src/dispatch/dispatch_state.cc
+++ b/src/dispatch/dispatch_state.cc
@@ -35,6 +35,7 @@
       watcher_election(HashText(ToText(this->options.peer_address))),
       state_changed(executor),
       store_restored(executor),
+      quarantine_changed(executor),
       prefixes(kMaxPrefixEntries),
       response_memory(this->options.memory_bytes / kResponseMemoryDivisor),
       random(HashText(this->options.name) ^
@@ -134,6 +135,12 @@
   if (this->quarantine.TakeUrgency()) this->state_changed.NotifyAll();
 }
 
+void DispatchState::OnOwnQuarantineChanges(
+    const std::vector<QuarantineChange>& changes, std::string_view source) {
+  this->OnQuarantineChanges(changes, source);
+  if (!changes.empty()) this->quarantine_changed.NotifyAll();
+}
+
 void DispatchState::OnLoopCheck(TimePoint now) {
   const Duration since_check = now - this->loop_checked_at;
   if (since_check > kMaxLoopLag) {
--- a/src/dispatch/dispatch_state.h
+++ b/src/dispatch/dispatch_state.h
@@ -73,6 +73,10 @@
   /// \param source origin of the changes, for the log.
   void OnQuarantineChanges(const std::vector<QuarantineChange>& changes,
                            std::string_view source);
+  /// \brief The same for changes that this router has found itself, which are
+  ///        also written to the store.
+  void OnOwnQuarantineChanges(const std::vector<QuarantineChange>& changes,
+                              std::string_view source);
   /// \brief Records that the event loop runs; called every
   ///        `kLoopCheckInterval`.
   void OnLoopCheck(TimePoint now);
@@ -132,7 +136,8 @@
   Event state_changed;
   std::optional<std::uint64_t> store_era;  ///< Newest known era of the store.
   Event store_restored;                    ///< Signals that the era has risen.
-  PrefixIndex prefixes;              ///< Prompt parts that engines have cached.
+  Event quarantine_changed;  ///< Signals that the store's row is to be written.
+  PrefixIndex prefixes;      ///< Prompt parts that engines have cached.
   PrefixUpdateQueue prefix_updates;  ///< Prefix changes to send in digests.
   PromptQuarantine quarantine;       ///< Prompt parts that crash engines.
   std::set<std::string> peers;       ///< Addresses of other routers, IP:PORT.
--- a/src/dispatch/peer_messages.cc
+++ b/src/dispatch/peer_messages.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 
+#include "dandelionscale/runtime/logger.h"
 #include "dandelionscale/runtime/trace.h"
 
 namespace dandelionscale::internal {
@@ -105,6 +106,34 @@
   return update;
 }
 
+QuarantineUpdate ToQuarantineUpdate(const std::string& row, TimePoint now,
+                                    std::int64_t unix_ms) {
+  QuarantineUpdate update;
+  wire::QuarantineRow message;
+  if (!message.ParseFromString(row)) {
+    Logger::Warning("quarantine_row_malformed", {});
+    return update;
+  }
+  // The writer's clock may be ahead of this one.
+  const std::int64_t row_age_ms =
+      std::max<std::int64_t>(unix_ms - message.written_unix_ms(), 0);
+  const TimePoint written_at = now - std::chrono::milliseconds(row_age_ms);
+  for (const wire::QuarantineReport& report : message.quarantines()) {
+    update.quarantined.push_back(ToQuarantinedParts(report, written_at));
+  }
+  return update;
+}
+
+std::string FormatQuarantineRow(std::span<const QuarantinedParts> quarantines,
+                                TimePoint now, std::int64_t unix_ms) {
+  wire::QuarantineRow message;
+  message.set_written_unix_ms(unix_ms);
+  for (const QuarantinedParts& quarantined : quarantines) {
+    FillReport(quarantined, now, *message.add_quarantines());
+  }
+  return message.SerializeAsString();
+}
+
 void FillReport(const QuarantinedParts& quarantined, TimePoint now,
                 wire::QuarantineReport& report) {
   report.mutable_parts()->Add(quarantined.parts.begin(),
--- a/src/dispatch/peer_messages.h
+++ b/src/dispatch/peer_messages.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <span>
+#include <string>
 
 #include "dandelionscale/core/engine_directory.h"
 #include "dandelionscale/core/prompt_quarantine.h"
@@ -35,6 +36,13 @@
 /// \returns the quarantines of a snapshot.
 QuarantineUpdate ToQuarantineUpdate(const wire::BeliefSnapshot& snapshot,
                                     TimePoint now);
+/// \returns the quarantines of the store's row; none if it is malformed.
+/// \param unix_ms the wall clock at `now`.
+QuarantineUpdate ToQuarantineUpdate(const std::string& row, TimePoint now,
+                                    std::int64_t unix_ms);
+/// \returns the store's row for the quarantines.
+std::string FormatQuarantineRow(std::span<const QuarantinedParts> quarantines,
+                                TimePoint now, std::int64_t unix_ms);
 /// \brief Writes the quarantine to an empty report.
 void FillReport(const QuarantinedParts& quarantined, TimePoint now,
                 wire::QuarantineReport& report);
--- a/src/dispatch/request_dispatch.cc
+++ b/src/dispatch/request_dispatch.cc
@@ -263,7 +263,7 @@
 void RequestDispatch::OnAnswerBegun() {
   if (this->answer_begun || this->decoded.prefix.empty()) return;
   this->answer_begun = true;
-  this->state.OnQuarantineChanges(
+  this->state.OnOwnQuarantineChanges(
       this->state.quarantine.OnAnswered(RuntimeClock::now(), this->service,
                                         this->decoded.prefix),
       "answer");
@@ -274,7 +274,7 @@
   send.request_key = this->request_key;
   send.engine = ShortKey(engine.key);
   send.parts = PartKeys(this->decoded.prefix);
-  this->state.OnQuarantineChanges(
+  this->state.OnOwnQuarantineChanges(
       this->state.quarantine.OnLost(RuntimeClock::now(), this->service,
                                     std::move(send)),
       "loss");
--- a/src/dispatch/store_watcher.cc
+++ b/src/dispatch/store_watcher.cc
@@ -8,6 +8,7 @@
 #include "dandelionscale/runtime/logger.h"
 #include "dandelionscale/runtime/trace.h"
 #include "dandelionscale/transport/address.h"
+#include "dispatch/peer_messages.h"
 
 namespace dandelionscale::internal {
 
@@ -15,6 +16,11 @@
 
 namespace {
 
+std::int64_t UnixMilliseconds() {
+  constexpr std::int64_t kNanosecondsPerMillisecond = 1'000'000;
+  return UnixNanoseconds() / kNanosecondsPerMillisecond;
+}
+
 constexpr Duration kReadTimeout = std::chrono::milliseconds(1200);
 // Longest wait of one watch call. The store can stop sending changes without
 // closing the watch, so the call is repeated after this time.
@@ -30,6 +36,12 @@
 // while digests were lost. Until the router's own row is written and after a
 // failed read, the calls are repeated after `kMaxRetryDelay` instead.
 constexpr Duration kRouterReadInterval = std::chrono::seconds(60);
+// A router that reaches none of its peers reads the table this often, since it
+// may also hold what they know of prompts that crash engines.
+constexpr Duration kIsolatedReadInterval = std::chrono::seconds(1);
+// Delay before the quarantine is written, within which other changes follow and
+// peers agree on it.
+constexpr Duration kQuarantineWriteDelay = std::chrono::milliseconds(600);
 // Within this time after a restoration of the store, routers check whether
 // their rows are still there.
 constexpr std::chrono::duration<double> kReregistrationSpread =
@@ -59,6 +71,7 @@
                  asio::detached);
   asio::co_spawn(this->state.executor, this->RegisterAndFindPeers(),
                  asio::detached);
+  asio::co_spawn(this->state.executor, this->WriteQuarantine(), asio::detached);
   asio::co_spawn(this->state.executor, this->ChooseRole(), asio::detached);
 }
 
@@ -191,8 +204,8 @@
     // start at the same time, at least the later writer reads the row of the
     // other, which then receives its digests.
     if (!written) {
-      auto result = co_await this->store->WriteRouter(this->state.options.name,
-                                                      address, kReadTimeout);
+      auto result = co_await this->store->WriteRow(this->state.options.name,
+                                                   address, kReadTimeout);
       written = result.has_value();
     }
     auto rows = co_await this->store->Read(StoreTable::kRouters, kReadTimeout);
@@ -202,8 +215,13 @@
     const bool is_registered = written && rows.has_value();
     const Duration pause = is_registered ? kRouterReadInterval : kMaxRetryDelay;
     const Duration jittered = WithJitter(pause, this->state.Random());
-    const bool restored = co_await this->state.store_restored.WaitFor(jittered);
+    const bool restored = co_await this->WaitForNextRead(jittered);
     if (restored) {
+      // One router writes the quarantine again, if there is any.
+      if (!this->state.quarantine.Quarantined().empty() &&
+          this->state.RankAmongPeers(0) == 0) {
+        this->state.quarantine_changed.NotifyAll();
+      }
       const auto spread = std::chrono::duration_cast<Duration>(
           kReregistrationSpread * this->state.Random());
       co_await SleepFor(spread);
@@ -211,6 +229,40 @@
   }
 }
 
+Awaitable<bool> StoreWatcher::WaitForNextRead(Duration interval) {
+  const TimePoint end = RuntimeClock::now() + interval;
+  while (true) {
+    const Duration left = end - RuntimeClock::now();
+    if (left <= Duration::zero()) co_return false;
+    const Duration step = std::min(left, kIsolatedReadInterval);
+    if (co_await this->state.store_restored.WaitFor(step)) co_return true;
+    if (this->IsIsolated()) co_return false;
+  }
+}
+
+bool StoreWatcher::IsIsolated() const {
+  return !this->state.peers.empty() && this->state.live_peers.empty();
+}
+
+Awaitable<void> StoreWatcher::WriteQuarantine() {
+  while (true) {
+    co_await this->state.quarantine_changed.Wait();
+    Result<void> written = Fault{FaultKind::kNotSent, "not written yet"};
+    Duration pause = kQuarantineWriteDelay;
+    while (written.has_error()) {
+      const Duration jittered = WithJitter(pause, this->state.Random());
+      co_await SleepFor(jittered);
+      const TimePoint now = RuntimeClock::now();
+      std::string row = FormatQuarantineRow(
+          this->state.quarantine.Quarantined(), now, UnixMilliseconds());
+      written = co_await this->store->WriteRow(std::string(kQuarantineRowKey),
+                                               std::move(row), kReadTimeout);
+      this->state.metrics.Add("store_calls_total");
+      pause = kMaxRetryDelay;
+    }
+  }
+}
+
 bool StoreWatcher::HasOwnRow(const StoreRows& rows) const {
   return std::any_of(rows.rows.begin(), rows.rows.end(),
                      [this](const StoreRow& row) {
@@ -220,6 +272,10 @@
 
 void StoreWatcher::OnRouterRows(const StoreRows& rows) {
   for (const StoreRow& row : rows.rows) {
+    if (row.key == kQuarantineRowKey && !row.removed) {
+      this->OnQuarantineRow(row);
+      continue;
+    }
     const bool is_other = row.key != this->state.options.name && !row.removed;
     if (!is_other || ParseEndpoint(row.value).has_error()) continue;
     if (!this->state.peers.insert(row.value).second) continue;
@@ -231,6 +287,14 @@
   }
 }
 
+void StoreWatcher::OnQuarantineRow(const StoreRow& row) {
+  const TimePoint now = RuntimeClock::now();
+  this->state.OnQuarantineChanges(
+      this->state.quarantine.Apply(
+          now, ToQuarantineUpdate(row.value, now, UnixMilliseconds())),
+      "store");
+}
+
 void StoreWatcher::OnConfigurationRows(const StoreRows& rows) {
   for (const StoreRow& row : rows.rows) {
     if (row.key != kConfigurationRowKey || row.removed) continue;
--- a/src/dispatch/store_watcher.h
+++ b/src/dispatch/store_watcher.h
@@ -34,8 +34,16 @@
   void OnTableCallFailed(StoreTable table, const Fault& fault);
   Awaitable<void> WatchTable(StoreTable table);
   Awaitable<void> RegisterAndFindPeers();
+  // Waits until the table of routers should be read again. Returns true if the
+  // store has been restored.
+  Awaitable<bool> WaitForNextRead(Duration interval);
+  // Returns true if peers are listed, but none is reached.
+  bool IsIsolated() const;
+  // Writes the quarantine to its row after each change found by this router.
+  Awaitable<void> WriteQuarantine();
   bool HasOwnRow(const StoreRows& rows) const;
   void OnRouterRows(const StoreRows& rows);
+  void OnQuarantineRow(const StoreRow& row);
   void OnConfigurationRows(const StoreRows& rows);
   void OnEngineRows(const StoreRows& rows, bool is_whole_table);
   bool DecodeEngineRow(const StoreRow& row, EngineUpdate& update);
--- a/tests/crashing_prompt_test.cc
+++ b/tests/crashing_prompt_test.cc
@@ -136,20 +136,37 @@
   }
 }
 
-TEST_CASE("a router that restarts learns which part crashes engines") {
-  Fleet fleet(3);
-  fleet.CrashUntilKnown();
-  fleet.Signal(2, SIGKILL);
-  fleet.WaitForExit(2);
-  fleet.StartRouter(2);
-  fleet.WaitUntilReady(2);
+// Sends requests with the part through all routers, after the time within which
+// they must know of it. Returns how many reached engines.
+std::size_t LaterCrashes(Fleet& fleet) {
   std::this_thread::sleep_for(kContactTime);
   const std::size_t before = fleet.Crashes();
   for (int n = 0; n < 12; ++n) {
     fleet.SendCrashing();
     if (fleet.Crashes() > before + kMaxLaterSends) break;
   }
-  CHECK(fleet.Crashes() <= before + kMaxLaterSends);
+  return fleet.Crashes() - before;
+}
+
+void Restart(Fleet& fleet, const std::vector<int>& routers) {
+  for (int router : routers) fleet.Signal(router, SIGKILL);
+  for (int router : routers) fleet.WaitForExit(router);
+  for (int router : routers) fleet.StartRouter(router);
+  for (int router : routers) fleet.WaitUntilReady(router);
+}
+
+TEST_CASE("a router that restarts learns which part crashes engines") {
+  Fleet fleet(3);
+  fleet.CrashUntilKnown();
+  Restart(fleet, {2});
+  CHECK(LaterCrashes(fleet) <= kMaxLaterSends);
+}
+
+TEST_CASE("routers that all restart know which part crashes engines") {
+  Fleet fleet(3);
+  fleet.CrashUntilKnown();
+  Restart(fleet, {1, 2, 3});
+  CHECK(LaterCrashes(fleet) <= kMaxLaterSends);
 }
 
 }  // namespace
--- a/tests/dispatch_router_test.cc
+++ b/tests/dispatch_router_test.cc
@@ -46,8 +46,8 @@
     nothing.version = this->tables[table].version;
     co_return nothing;
   }
-  Awaitable<Result<void>> WriteRouter(std::string, std::string,
-                                      Duration) override {
+  Awaitable<Result<void>> WriteRow(std::string, std::string,
+                                   Duration) override {
     co_return Result<void>();
   }
 
--- a/tests/store_watcher_test.cc
+++ b/tests/store_watcher_test.cc
@@ -2,10 +2,12 @@
 // clock is paused and advanced by the tests.
 #include "dispatch/store_watcher.h"
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
 #include <map>
 
+#include "dispatch/peer_messages.h"
 #include "platform/platform_codec.h"
 
 namespace dandelionscale::internal {
@@ -32,8 +34,8 @@
     if (this->watch_rows.contains(table)) co_return this->watch_rows[table];
     co_return this->watch_fault;
   }
-  Awaitable<Result<void>> WriteRouter(std::string key, std::string value,
-                                      Duration) override {
+  Awaitable<Result<void>> WriteRow(std::string key, std::string value,
+                                   Duration) override {
     ++this->writes;
     this->tables[StoreTable::kRouters].rows.push_back(
         {std::move(key), std::move(value), 1, false});
@@ -192,5 +194,63 @@
   CHECK(fixture.store->tables[StoreTable::kRouters].rows.size() == 1);
 }
 
+constexpr std::uint64_t kCrashingPart = 0xdead;
+
+bool IsBlocked(const DispatchState& state) {
+  const PrefixPart part{kCrashingPart, 100};
+  return state.quarantine.Find(std::span(&part, 1)) != nullptr;
+}
+
+TEST_CASE("what crashes engines is kept in the store and read at the start") {
+  StoreRows rows;
+  {
+    WatcherFixture finder;
+    finder.Advance(kStartUpTime);
+    const TimePoint now = RuntimeClock::now();
+    finder.state.OnOwnQuarantineChanges(
+        finder.state.quarantine.Apply(now, {{}, {}, {{{kCrashingPart}, now}}}),
+        "test");
+    finder.Advance(std::chrono::seconds(1));
+    rows = finder.store->tables[StoreTable::kRouters];
+  }
+  WatcherFixture starter;
+  starter.store->tables[StoreTable::kRouters] = rows;
+  starter.Advance(milliseconds(200));
+  CHECK(IsBlocked(starter.state));
+  // The row names no router.
+  CHECK(starter.state.peers.empty());
+}
+
+// Load pattern: a router is cut off from all others, but not from the store,
+// while these find a part that crashes engines.
+TEST_CASE("a router that reaches no peer reads what crashes engines") {
+  WatcherFixture fixture;
+  auto& rows = fixture.store->tables[StoreTable::kRouters].rows;
+  rows.push_back({"router-2", "10.0.0.2:1000", 1, false});
+  fixture.Advance(kStartUpTime);
+  REQUIRE(fixture.state.peers.size() == 1);
+  fixture.state.live_peers.clear();
+  const TimePoint now = RuntimeClock::now();
+  const QuarantinedParts found{{kCrashingPart}, now};
+  rows.push_back({std::string(kQuarantineRowKey),
+                  FormatQuarantineRow(std::span(&found, 1), now, 0), 2, false});
+  fixture.Advance(std::chrono::seconds(3));
+  CHECK(IsBlocked(fixture.state));
+}
+
+TEST_CASE("a quarantine that a restoration has lost is written again") {
+  WatcherFixture fixture;
+  fixture.Advance(kStartUpTime);
+  const TimePoint now = RuntimeClock::now();
+  fixture.state.quarantine.Apply(now, {{}, {}, {{{kCrashingPart}, now}}});
+  fixture.state.OnStoreEra(1);
+  fixture.state.OnStoreEra(2);
+  fixture.Advance(std::chrono::seconds(4));
+  const auto& rows = fixture.store->tables[StoreTable::kRouters].rows;
+  CHECK(std::any_of(rows.begin(), rows.end(), [](const StoreRow& row) {
+    return row.key == kQuarantineRowKey && !row.value.empty();
+  }));
+}
+
 }  // namespace
 }  // namespace dandelionscale::internal
