Do not blame popular parts in large fleets

Cause: 0.7 s is shorter than two hops of digests take among 74 routers (one for the loss, one for the answers after it), a router counted answers only if it knew of the loss when they came, and a digest told the answers of eight parts by the order of their keys. The model test of crashes of other causes had 8 routers.

Now: the time until a loss counts follows the size of the fleet; each router remembers for 5 s which parts it was answered, so that a report is cleared when it arrives; a router that was answered all parts of a set within 2 s neither quarantines nor adopts it; parts that are suspected most often are told first; the bound on chance is shared by all routers that decide.

--- a/include/dandelionscale/core/prompt_quarantine.h
+++ b/include/dandelionscale/core/prompt_quarantine.h
@@ -8,6 +8,7 @@
 #include <set>
 #include <span>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 #include "dandelionscale/core/prefix_index.h"
@@ -71,8 +72,8 @@
 std::string_view ToString(QuarantineChange::Kind kind);
 
 /// \returns the number of crashes that are too many for chance if a share
-///          `loss_rate` of all sends is lost.
-std::size_t RequiredCrashes(double loss_rate);
+///          `loss_rate` of all sends is lost and each of `routers` decides.
+std::size_t RequiredCrashes(double loss_rate, std::size_t routers);
 
 /// \brief Finds parts of prompts at which engines crash, and keeps requests
 ///        with such parts off engines (a "query of death").
@@ -106,7 +107,9 @@
   std::vector<QuarantineChange> Apply(TimePoint now,
                                       const QuarantineUpdate& update);
   /// \brief Decides on new quarantines and ends old ones; to be called often.
-  std::vector<QuarantineChange> Evaluate(TimePoint now);
+  /// \param peers number of other routers, on which it depends how long reports
+  ///        take to reach this one.
+  std::vector<QuarantineChange> Evaluate(TimePoint now, std::size_t peers);
 
   /// \returns the quarantine that blocks a request, or null.
   const QuarantinedParts* Find(std::span<const PrefixPart> prefix) const;
@@ -147,6 +150,7 @@
   struct Answer {
     TimePoint at{};
     int digests_left = 0;
+    std::size_t cleared_sends = 0;  ///< Lost sends that it showed to be sound.
   };
   struct Entry {
     QuarantinedParts quarantined;
@@ -162,13 +166,20 @@
   };
 
   Traffic& TrafficOf(TimePoint now, std::uint32_t service);
+  // Returns when an answer to the part began last, as far as is known.
+  TimePoint AnsweredAt(std::uint64_t part) const;
+  // Returns true if this router has just received answers to all of the parts.
+  // They are not blocked then, whatever is said of them.
+  bool IsProvenSound(TimePoint now, const PartKeySet& parts) const;
   bool IsSettled(TimePoint now, const Suspicion& suspicion);
   Group MakeGroup(TimePoint now, std::uint64_t part);
   std::optional<Group> FindGuilty(TimePoint now);
-  // Removes what an answer to the part proves wrong. Returns true if it was
+  // The suspected parts that peers should be told of next.
+  std::vector<std::uint64_t> AnswersToTell() const;
+  // Removes what an answer to the part proves wrong. Returns how often it was
   // suspected.
-  bool Exonerate(TimePoint answered_at, std::uint64_t part,
-                 std::vector<QuarantineChange>& changes);
+  std::size_t Exonerate(TimePoint answered_at, std::uint64_t part,
+                        std::vector<QuarantineChange>& changes);
   void AddSuspicion(TimePoint now, LostSend send, bool is_own);
   void AddQuarantine(TimePoint now, QuarantinedParts quarantined,
                      const std::set<std::uint32_t>& engines);
@@ -181,10 +192,14 @@
   std::map<std::uint32_t, Traffic> traffic;  ///< By service.
   std::deque<Suspicion> lost_sends;          ///< Oldest first.
   std::map<std::uint64_t, Answer> answers;   ///< Of suspected parts.
+  /// When this router last received an answer to a part, suspected or not.
+  std::unordered_map<std::uint64_t, TimePoint> own_answers;
   /// Engines whose crash a quarantine explains, and when that was found.
   std::map<std::uint32_t, TimePoint> explained_engines;
   std::vector<Entry> entries;
   std::size_t next_repeated = 0;  ///< Rotates through `entries`.
+  std::size_t routers = 1;        ///< Known at the last evaluation.
+  Duration settle_time{};         ///< Age from which a lost send counts.
   bool urgent = false;
 };
 
--- a/src/core/prompt_quarantine.cc
+++ b/src/core/prompt_quarantine.cc
@@ -4,23 +4,30 @@
 #include <cmath>
 #include <iterator>
 
+#include "dandelionscale/core/digest_schedule.h"
 #include "dandelionscale/core/hash.h"
 
 namespace dandelionscale {
 namespace {
 
 // Probability with which chance alone may explain the crashes that lead to a
-// quarantine.
-constexpr double kMaxChance = 1e-6;
+// quarantine, for all routers together: each decides for itself.
+constexpr double kMaxChance = 1e-5;
 constexpr std::size_t kMinCrashes = 3;
 constexpr std::size_t kMaxCrashes = 14;
 // Engines that different requests lose within this time count once: a rack or a
 // link may have failed.
 constexpr Duration kBurstWindow = std::chrono::milliseconds(20);
-// A lost send counts only after this time, and after this many answers of the
-// service to this router. By then, answers to its sound parts are known.
-constexpr Duration kSettleTime = std::chrono::milliseconds(700);
+// A lost send counts only after this time, during which the report of it and
+// then those of answers to its sound parts reach all routers, and after this
+// many answers of the service to this router.
+constexpr Duration kSettleMargin = std::chrono::milliseconds(200);
+constexpr int kSettlePropagations = 2;
 constexpr std::uint64_t kSettleAnswers = 3;
+// Parts that this router has received answers to within this time are sound.
+constexpr Duration kSoundTime = std::chrono::seconds(2);
+constexpr Duration kOwnAnswerMemory = std::chrono::seconds(5);
+constexpr std::size_t kMaxOwnAnswers = 4096;
 
 // Time in which the weight of an observation halves in the loss rate.
 constexpr std::chrono::duration<double> kTrafficHalfLife =
@@ -111,11 +118,13 @@
   return "expired";
 }
 
-std::size_t RequiredCrashes(double loss_rate) {
+std::size_t RequiredCrashes(double loss_rate, std::size_t routers) {
   constexpr double kMinRate = 1e-6;
   if (loss_rate >= 1) return kMaxCrashes;
+  const double chance =
+      kMaxChance / static_cast<double>(std::max<std::size_t>(routers, 1));
   const double crashes =
-      std::log(kMaxChance) / std::log(std::max(loss_rate, kMinRate));
+      std::log(chance) / std::log(std::max(loss_rate, kMinRate));
   if (crashes >= static_cast<double>(kMaxCrashes)) return kMaxCrashes;
   return std::max(kMinCrashes, static_cast<std::size_t>(std::ceil(crashes)));
 }
@@ -126,11 +135,16 @@
   Traffic& own_traffic = this->TrafficOf(now, ServiceKey(service));
   own_traffic.answered += 1;
   ++own_traffic.total_answered;
+  if (this->own_answers.size() < kMaxOwnAnswers) {
+    for (const PrefixPart& part : prefix) this->own_answers[part.key] = now;
+  }
   std::vector<QuarantineChange> changes;
   if (this->lost_sends.empty() && this->entries.empty()) return changes;
   for (const PrefixPart& part : prefix) {
-    if (!this->Exonerate(now, part.key, changes)) continue;
-    this->answers[part.key] = {now, kDigestsPerItem};
+    const std::size_t cleared = this->Exonerate(now, part.key, changes);
+    if (cleared == 0) continue;
+    Answer& answer = this->answers[part.key];
+    answer = {now, kDigestsPerItem, answer.cleared_sends + cleared};
   }
   return changes;
 }
@@ -171,18 +185,17 @@
     Answer& answer = this->answers[answered.part];
     if (answered.at <= answer.at) continue;
     answer.at = answered.at;
-    if (this->Exonerate(answered.at, answered.part, changes)) {
-      answer.digests_left = kDigestsPerItem;
-    }
+    const std::size_t cleared =
+        this->Exonerate(answered.at, answered.part, changes);
+    answer.cleared_sends += cleared;
+    if (cleared > 0) answer.digests_left = kDigestsPerItem;
   }
   for (const QuarantinedParts& received : update.quarantined) {
     QuarantinedParts quarantined = received;
     std::erase_if(quarantined.parts, [&](std::uint64_t part) {
-      auto answer = this->answers.find(part);
-      return answer != this->answers.end() &&
-             answer->second.at > quarantined.since;
+      return this->AnsweredAt(part) > quarantined.since;
     });
-    if (quarantined.parts.empty()) continue;
+    if (this->IsProvenSound(now, quarantined.parts)) continue;
     auto known = std::find_if(
         this->entries.begin(), this->entries.end(), [&](const Entry& entry) {
           return IsSubset(entry.quarantined.parts, quarantined.parts);
@@ -205,7 +218,11 @@
   return changes;
 }
 
-std::vector<QuarantineChange> PromptQuarantine::Evaluate(TimePoint now) {
+std::vector<QuarantineChange> PromptQuarantine::Evaluate(TimePoint now,
+                                                         std::size_t peers) {
+  this->routers = peers + 1;
+  this->settle_time =
+      kSettleMargin + DigestPropagationTime(peers) * kSettlePropagations;
   std::vector<QuarantineChange> changes;
   while (auto guilty = this->FindGuilty(now)) {
     QuarantinedParts quarantined = {guilty->common, now, 0};
@@ -274,9 +291,8 @@
     --suspicion->digests_left;
     update.lost_sends.push_back(suspicion->send);
   }
-  for (auto& [part, answer] : this->answers) {
-    if (update.answered.size() >= kMaxAnswersPerDigest) break;
-    if (answer.digests_left <= 0) continue;
+  for (std::uint64_t part : this->AnswersToTell()) {
+    Answer& answer = this->answers[part];
     --answer.digests_left;
     update.answered.push_back({part, answer.at});
   }
@@ -295,6 +311,19 @@
   return update;
 }
 
+std::vector<std::uint64_t> PromptQuarantine::AnswersToTell() const {
+  std::vector<std::pair<std::size_t, std::uint64_t>> parts;
+  for (const auto& [part, answer] : this->answers) {
+    if (answer.digests_left > 0) parts.emplace_back(answer.cleared_sends, part);
+  }
+  // If there are many, those that are suspected most often go first.
+  std::sort(parts.rbegin(), parts.rend());
+  if (parts.size() > kMaxAnswersPerDigest) parts.resize(kMaxAnswersPerDigest);
+  std::vector<std::uint64_t> keys;
+  for (const auto& [cleared_sends, part] : parts) keys.push_back(part);
+  return keys;
+}
+
 std::vector<QuarantinedParts> PromptQuarantine::Quarantined() const {
   std::vector<QuarantinedParts> all;
   for (const Entry& entry : this->entries) all.push_back(entry.quarantined);
@@ -316,11 +345,28 @@
   return own_traffic;
 }
 
+TimePoint PromptQuarantine::AnsweredAt(std::uint64_t part) const {
+  const auto own = this->own_answers.find(part);
+  const auto told = this->answers.find(part);
+  return std::max(
+      own == this->own_answers.end() ? TimePoint::min() : own->second,
+      told == this->answers.end() ? TimePoint::min() : told->second.at);
+}
+
+bool PromptQuarantine::IsProvenSound(TimePoint now,
+                                     const PartKeySet& parts) const {
+  return std::all_of(parts.begin(), parts.end(), [&](std::uint64_t part) {
+    const auto own = this->own_answers.find(part);
+    return own != this->own_answers.end() && now - own->second < kSoundTime;
+  });
+}
+
 bool PromptQuarantine::IsSettled(TimePoint now, const Suspicion& suspicion) {
   const std::uint64_t answers =
       this->TrafficOf(now, suspicion.send.service).total_answered -
       suspicion.answered_before;
-  return now - suspicion.send.at >= kSettleTime && answers >= kSettleAnswers;
+  return now - suspicion.send.at >= this->settle_time &&
+         answers >= kSettleAnswers;
 }
 
 PromptQuarantine::Group PromptQuarantine::MakeGroup(TimePoint now,
@@ -367,7 +413,9 @@
   std::optional<Group> guilty;
   for (std::uint64_t part : parts) {
     Group group = this->MakeGroup(now, part);
-    if (group.crashes < RequiredCrashes(group.loss_rate)) continue;
+    if (group.crashes < RequiredCrashes(group.loss_rate, this->routers))
+      continue;
+    if (this->IsProvenSound(now, group.common)) continue;
     // Of several explanations, the one that blocks fewest requests.
     const bool is_better = !guilty ||
                            group.common.size() > guilty->common.size() ||
@@ -378,12 +426,13 @@
   return guilty;
 }
 
-bool PromptQuarantine::Exonerate(TimePoint answered_at, std::uint64_t part,
-                                 std::vector<QuarantineChange>& changes) {
-  bool was_suspected = false;
+std::size_t PromptQuarantine::Exonerate(
+    TimePoint answered_at, std::uint64_t part,
+    std::vector<QuarantineChange>& changes) {
+  std::size_t cleared = 0;
   for (Suspicion& suspicion : this->lost_sends) {
     if (suspicion.send.at >= answered_at) continue;
-    was_suspected = std::erase(suspicion.send.parts, part) > 0 || was_suspected;
+    cleared += std::erase(suspicion.send.parts, part);
   }
   std::erase_if(this->lost_sends, [](const Suspicion& suspicion) {
     return suspicion.send.parts.empty();
@@ -392,7 +441,7 @@
     QuarantinedParts& quarantined = entry.quarantined;
     if (quarantined.since >= answered_at) continue;
     if (std::erase(quarantined.parts, part) == 0) continue;
-    was_suspected = true;
+    ++cleared;
     const bool is_empty = quarantined.parts.empty();
     changes.push_back({is_empty ? QuarantineChange::Kind::kReleased
                                 : QuarantineChange::Kind::kNarrowed,
@@ -403,13 +452,20 @@
   std::erase_if(this->entries, [](const Entry& entry) {
     return entry.quarantined.parts.empty();
   });
-  return was_suspected;
+  return cleared;
 }
 
 void PromptQuarantine::AddSuspicion(TimePoint now, LostSend send, bool is_own) {
   std::erase_if(send.parts, [&](std::uint64_t part) {
-    auto answer = this->answers.find(part);
-    return answer != this->answers.end() && answer->second.at > send.at;
+    const TimePoint answered_at = this->AnsweredAt(part);
+    if (answered_at <= send.at) return false;
+    // The peers are told unless they know an answer that clears this send.
+    Answer& told = this->answers[part];
+    ++told.cleared_sends;
+    if (told.at > send.at) return true;
+    told.at = answered_at;
+    told.digests_left = kDigestsPerItem;
+    return true;
   });
   const bool is_explained =
       this->explained_engines.contains(send.engine) ||
@@ -483,6 +539,9 @@
                                            return a.second.at < b.second.at;
                                          }));
   }
+  std::erase_if(this->own_answers, [now](const auto& entry) {
+    return now - entry.second > kOwnAnswerMemory;
+  });
   std::erase_if(this->explained_engines, [now](const auto& entry) {
     return now - entry.second > kAnswerMemory;
   });
--- a/src/dispatch/dispatch_router.cc
+++ b/src/dispatch/dispatch_router.cc
@@ -176,8 +176,9 @@
 
 void DispatchRouter::Impl::RunHousekeeping(TimePoint now) {
   this->pool.Purge(now);
-  this->state.OnOwnQuarantineChanges(this->state.quarantine.Evaluate(now),
-                                     "evidence");
+  this->state.OnOwnQuarantineChanges(
+      this->state.quarantine.Evaluate(now, this->state.peers.size()),
+      "evidence");
   const bool ready = this->state.IsReady();
   if (ready != this->was_ready) {
     this->was_ready = ready;
