Tidy the quarantine of prompts: unused parameter and declaration, cheaper search

The search looks only at parts that were lost often enough; the parts of a send are cut to 16 after those that were answered are left out, so that the one to blame is not cut off by sound ones; a full memory of own answers still updates what it has.

--- a/include/dandelionscale/core/prompt_quarantine.h
+++ b/include/dandelionscale/core/prompt_quarantine.h
@@ -124,7 +124,7 @@
                      std::size_t rank);
 
   /// \returns what the next digest to the peers should hold.
-  QuarantineUpdate TakeForDigest(TimePoint now);
+  QuarantineUpdate TakeForDigest();
   /// \returns all quarantines, for a router that has just started.
   std::vector<QuarantinedParts> Quarantined() const;
   /// \returns true if peers should hear of a change at once.
@@ -187,7 +187,6 @@
   void RemoveExplained(TimePoint now, const PartKeySet& parts,
                        std::set<std::uint32_t> engines);
   void Forget(TimePoint now);
-  std::vector<Entry>::iterator FindEntry(std::span<const PrefixPart> prefix);
 
   std::map<std::uint32_t, Traffic> traffic;  ///< By service.
   std::deque<Suspicion> lost_sends;          ///< Oldest first.
--- a/src/core/prompt_quarantine.cc
+++ b/src/core/prompt_quarantine.cc
@@ -47,7 +47,7 @@
 constexpr Duration kAnswerMemory = std::chrono::seconds(30);
 constexpr std::size_t kMaxAnswers = 256;
 constexpr std::size_t kMaxExplainedEngines = 256;
-// Parts of a prompt beyond these are not examined.
+// Suspected parts of one prompt beyond these are not examined.
 constexpr std::size_t kMaxParts = 16;
 
 constexpr std::size_t kMaxQuarantines = 64;
@@ -135,8 +135,10 @@
   Traffic& own_traffic = this->TrafficOf(now, ServiceKey(service));
   own_traffic.answered += 1;
   ++own_traffic.total_answered;
-  if (this->own_answers.size() < kMaxOwnAnswers) {
-    for (const PrefixPart& part : prefix) this->own_answers[part.key] = now;
+  for (const PrefixPart& part : prefix) {
+    const bool has_room = this->own_answers.size() < kMaxOwnAnswers ||
+                          this->own_answers.contains(part.key);
+    if (has_room) this->own_answers[part.key] = now;
   }
   std::vector<QuarantineChange> changes;
   if (this->lost_sends.empty() && this->entries.empty()) return changes;
@@ -157,7 +159,6 @@
   std::sort(send.parts.begin(), send.parts.end());
   send.parts.erase(std::unique(send.parts.begin(), send.parts.end()),
                    send.parts.end());
-  if (send.parts.size() > kMaxParts) send.parts.resize(kMaxParts);
   this->TrafficOf(now, send.service).lost += 1;
   std::vector<QuarantineChange> changes;
   for (Entry& entry : this->entries) {
@@ -282,7 +283,7 @@
   return true;
 }
 
-QuarantineUpdate PromptQuarantine::TakeForDigest(TimePoint) {
+QuarantineUpdate PromptQuarantine::TakeForDigest() {
   QuarantineUpdate update;
   for (auto suspicion = this->lost_sends.rbegin();
        suspicion != this->lost_sends.rend(); ++suspicion) {
@@ -406,12 +407,13 @@
 std::optional<PromptQuarantine::Group> PromptQuarantine::FindGuilty(
     TimePoint now) {
   if (this->lost_sends.size() < kMinCrashes) return std::nullopt;
-  std::set<std::uint64_t> parts;
+  std::map<std::uint64_t, std::size_t> losses;
   for (const Suspicion& suspicion : this->lost_sends) {
-    parts.insert(suspicion.send.parts.begin(), suspicion.send.parts.end());
+    for (std::uint64_t part : suspicion.send.parts) ++losses[part];
   }
   std::optional<Group> guilty;
-  for (std::uint64_t part : parts) {
+  for (const auto& [part, count] : losses) {
+    if (count < kMinCrashes) continue;
     Group group = this->MakeGroup(now, part);
     if (group.crashes < RequiredCrashes(group.loss_rate, this->routers))
       continue;
@@ -467,6 +469,7 @@
     told.digests_left = kDigestsPerItem;
     return true;
   });
+  if (send.parts.size() > kMaxParts) send.parts.resize(kMaxParts);
   const bool is_explained =
       this->explained_engines.contains(send.engine) ||
       std::any_of(this->entries.begin(), this->entries.end(),
--- a/src/dispatch/peer_exchange.cc
+++ b/src/dispatch/peer_exchange.cc
@@ -120,7 +120,7 @@
   }
   const TimePoint now = RuntimeClock::now();
   this->FillPlacements(digest);
-  FillQuarantineUpdate(this->state.quarantine.TakeForDigest(now), now, digest);
+  FillQuarantineUpdate(this->state.quarantine.TakeForDigest(), now, digest);
   FillWatchReport(this->state.watcher_election.Report(now), digest);
   const std::string bytes = digest.SerializeAsString();
   const std::vector<std::string> peers(this->state.peers.begin(),
--- a/tests/event_splitter_test.cc
+++ b/tests/event_splitter_test.cc
@@ -25,7 +25,7 @@
 TEST_CASE("a stream may end after an event and empty lines only") {
   EventSplitter splitter;
   CHECK_FALSE(splitter.IsInsideEvent());
-  CHECK(splitter.Feed("id: 1\n") == "");
+  CHECK(splitter.Feed("id: 1\n").empty());
   CHECK(splitter.IsInsideEvent());
   CHECK(splitter.Feed("\n\n") == "id: 1\n\n");
   CHECK_FALSE(splitter.IsInsideEvent());
--- a/tests/prompt_quarantine_test.cc
+++ b/tests/prompt_quarantine_test.cc
@@ -218,8 +218,7 @@
   }
 
   void SendDigest(std::size_t sender) {
-    const QuarantineUpdate update =
-        this->routers[sender].TakeForDigest(this->now);
+    const QuarantineUpdate update = this->routers[sender].TakeForDigest();
     const std::size_t peers = this->routers.size() - 1;
     for (std::size_t n = 0; n < std::min(kDigestFanout, peers); ++n) {
       std::size_t peer = this->next_peer[sender]++ % this->routers.size();
@@ -445,7 +444,7 @@
   QuarantineUpdate first;
   first.quarantined = {{blocked->parts, now - seconds(61), 0}};
   peer.Apply(now, first);
-  peer.Apply(now, router.TakeForDigest(now));
+  peer.Apply(now, router.TakeForDigest());
   const QuarantinedParts* learned = peer.Find(prompt);
   REQUIRE(learned != nullptr);
   CHECK(learned->failed_trials == 1);
@@ -469,7 +468,7 @@
   }
   router.Apply(now, update);
   CHECK(router.Quarantined().size() <= 64);
-  const QuarantineUpdate digest = router.TakeForDigest(now);
+  const QuarantineUpdate digest = router.TakeForDigest();
   CHECK(digest.lost_sends.size() + digest.answered.size() +
             digest.quarantined.size() <=
         16);
