--- a/include/dandelionscale/core/engine_directory.h
+++ b/include/dandelionscale/core/engine_directory.h
@@ -14,6 +14,7 @@
 
 #include "dandelionscale/core/engine_health.h"
 #include "dandelionscale/core/engine_pause.h"
+#include "dandelionscale/core/engine_rate_limit.h"
 #include "dandelionscale/core/store_version.h"
 #include "dandelionscale/runtime/runtime_clock.h"
 
@@ -47,7 +48,8 @@
   /// Removed from the directory or replaced by a new incarnation.
   bool gone = false;
   EngineHealth health;
-  EnginePause pause;  ///< Requested by the engine from this router.
+  EnginePause pause;           ///< Requested by the engine from this router.
+  EngineRateLimit rate_limit;  ///< Stated by the engine for all routers.
 };
 
 /// \brief A change of the directory, for logs and metrics.
--- /dev/null
+++ b/include/dandelionscale/core/engine_rate_limit.h
@@ -0,0 +1,40 @@
+#ifndef DANDELIONSCALE_CORE_ENGINE_RATE_LIMIT_H_
+#define DANDELIONSCALE_CORE_ENGINE_RATE_LIMIT_H_
+
+#include <optional>
+
+#include "dandelionscale/runtime/runtime_clock.h"
+
+namespace dandelionscale {
+
+/// \brief The rate limit that an engine has stated last: how many requests a
+///        second it takes from all routers together.
+class EngineRateLimit {
+ public:
+  /// \brief Records that a response states a limit.
+  /// \param rate in requests per second.
+  /// \returns true if the engine stated none before.
+  bool OnStated(TimePoint now, double rate);
+  /// \brief Records that a response states no limit.
+  /// \param sent_at when its request was sent. A response to a request that
+  ///        was sent before the limit was stated may be older than the
+  ///        statement; it proves nothing.
+  /// \returns true if there was a limit, which has ended.
+  bool OnNotStated(TimePoint now, TimePoint sent_at);
+
+  /// \returns true if the engine limits its rate.
+  bool IsActive() const { return this->rate.has_value(); }
+  /// \returns the limit in requests per second; 0 if there is none.
+  double Rate() const { return this->rate.value_or(0); }
+  /// \returns the time since the last statement, of a limit or of its end; zero
+  ///          before the first.
+  Duration Age(TimePoint now) const;
+
+ private:
+  std::optional<double> rate;
+  TimePoint stated_at{};
+};
+
+}  // namespace dandelionscale
+
+#endif  // DANDELIONSCALE_CORE_ENGINE_RATE_LIMIT_H_
--- a/include/dandelionscale/dispatch/protocol_codec.h
+++ b/include/dandelionscale/dispatch/protocol_codec.h
@@ -65,7 +65,11 @@
   /// The engine wants no requests from this router for this time.
   std::optional<Duration> requested_pause;
   bool has_malformed_pause = false;  ///< The requested time is not a number.
-  HttpHeaders end_to_end;            ///< Header fields to forward unchanged.
+  /// Requests per second that the engine takes from all routers together; none
+  /// if it does not limit them.
+  std::optional<double> rate_limit;
+  bool has_malformed_rate_limit = false;  ///< It is stated, but is no number.
+  HttpHeaders end_to_end;  ///< Header fields to forward unchanged.
 };
 
 /// \brief An engine has added a prompt part to its cache, or evicted it.
--- /dev/null
+++ b/src/core/engine_rate_limit.cc
@@ -0,0 +1,24 @@
+#include "dandelionscale/core/engine_rate_limit.h"
+
+namespace dandelionscale {
+
+bool EngineRateLimit::OnStated(TimePoint now, double new_rate) {
+  const bool is_new = !this->rate.has_value();
+  this->rate = new_rate;
+  this->stated_at = now;
+  return is_new;
+}
+
+bool EngineRateLimit::OnNotStated(TimePoint now, TimePoint sent_at) {
+  if (!this->rate || sent_at <= this->stated_at) return false;
+  this->rate.reset();
+  this->stated_at = now;
+  return true;
+}
+
+Duration EngineRateLimit::Age(TimePoint now) const {
+  const bool is_stated = this->stated_at != TimePoint{};
+  return is_stated ? now - this->stated_at : Duration::zero();
+}
+
+}  // namespace dandelionscale
--- a/src/dispatch/dispatch_state.cc
+++ b/src/dispatch/dispatch_state.cc
@@ -190,6 +190,35 @@
   }
 }
 
+void DispatchState::OnRateLimitAnswer(Engine& engine,
+                                      const EngineResponse& response,
+                                      TimePoint sent_at) {
+  if (response.wrong_engine) return;
+  if (response.has_malformed_rate_limit) {
+    if (this->logged_malformed_rate_limits.insert(engine.record.id).second) {
+      Logger::Warning("engine_rate_limit_malformed",
+                      {{"engine", engine.record.id}});
+    }
+    return;
+  }
+  const TimePoint now = RuntimeClock::now();
+  const Duration age = engine.rate_limit.Age(now);
+  const double rate_before = engine.rate_limit.Rate();
+  const bool has_changed =
+      response.rate_limit
+          ? engine.rate_limit.OnStated(now, *response.rate_limit)
+          : engine.rate_limit.OnNotStated(now, sent_at);
+  if (!has_changed) return;
+  this->metrics.Add("engine_rate_limit_changes_total");
+  Logger::Info("engine_rate_limit", {{"engine", engine.record.id},
+                                     {"service", engine.record.service},
+                                     {"limited", engine.rate_limit.IsActive()},
+                                     {"per_second", engine.rate_limit.Rate()},
+                                     {"before", rate_before},
+                                     {"age_ms", ToMilliseconds(age)},
+                                     {"source", "engine"}});
+}
+
 void DispatchState::OnStoreAnswered(std::string_view store_table) {
   if (this->unreachable_tables.erase(std::string(store_table)) == 0) return;
   Logger::Info("store_regained", {{"table", store_table}});
--- a/src/dispatch/dispatch_state.h
+++ b/src/dispatch/dispatch_state.h
@@ -89,6 +89,11 @@
   /// \brief Applies what an engine states about itself in a response head: that
   ///        it is shutting down, or that it wants no requests for some time.
   void OnEngineResponse(Engine& engine, const EngineResponse& response);
+  /// \brief Applies what the response to a request says of the engine's rate
+  ///        limit.
+  /// \param sent_at when the request was sent.
+  void OnRateLimitAnswer(Engine& engine, const EngineResponse& response,
+                         TimePoint sent_at);
   /// \brief Records a successful store call; logs the end of an outage.
   void OnStoreAnswered(std::string_view store_table);
   /// \brief Records a failed store call; logs the start of an outage.
@@ -165,6 +170,7 @@
   /// Ids of engines whose malformed pause requests have been logged; each is
   /// logged once.
   std::set<std::string> logged_malformed_pauses;
+  std::set<std::string> logged_malformed_rate_limits;  ///< Likewise.
   std::mt19937_64 random;
   TimePoint loop_checked_at;
   Duration last_stall{};  ///< Length of the last pause of the event loop.
--- a/src/dispatch/engine_exchange.cc
+++ b/src/dispatch/engine_exchange.cc
@@ -79,6 +79,7 @@
                                      const HttpHeaders& headers) {
   auto text = std::make_shared<std::string>(FormatRequest(request, headers));
   error_code error;
+  this->sent_at = RuntimeClock::now();
   const std::size_t written =
       this->connection->socket.write_some(asio::buffer(*text), error);
   this->sent = written > 0;
@@ -108,6 +109,8 @@
         http_status::IsBelowRedirection(this->response.status);
     if (echoed.empty() && is_success) co_return AttemptFailure::kBadAnswer;
     if (echoed.empty() || echoed == request_id) {
+      this->state.OnRateLimitAnswer(*this->engine, this->response,
+                                    this->sent_at);
       const bool bad = is_success && (!this->response.is_signed ||
                                       this->response.has_content_encoding);
       if (bad) co_return AttemptFailure::kBadAnswer;
--- a/src/dispatch/engine_exchange.h
+++ b/src/dispatch/engine_exchange.h
@@ -89,6 +89,7 @@
   std::shared_ptr<EngineConnection> connection;
   std::unique_ptr<Parser> parser;
   EngineResponse response;
+  TimePoint sent_at{};            ///< When the first byte was written.
   Duration keep_alive_timeout{};  ///< From the Keep-Alive field; 0 if absent.
   /// False while the rest of the request is written in the background, and
   /// after a failure of that. Shared with the write handler, which may outlive
--- a/tests/platform_translation_test.cc
+++ b/tests/platform_translation_test.cc
@@ -176,6 +176,15 @@
   const PlatformCodec codec;
   CHECK(codec.DecodeResponse(200, {{"Server-Leaving", "1"}}).leaving);
   CHECK_FALSE(codec.DecodeResponse(200, {{"Server-Leaving", "0"}}).leaving);
+  CHECK(codec.DecodeResponse(200, {{"Server-Limit", "4.25"}}).rate_limit ==
+        4.25);
+  CHECK_FALSE(codec.DecodeResponse(200, {}).rate_limit);
+  for (const char* malformed : {"some", "-1", "nan", "inf", "4 a second"}) {
+    const auto limited =
+        codec.DecodeResponse(200, {{"Server-Limit", malformed}});
+    CHECK_FALSE(limited.rate_limit);
+    CHECK(limited.has_malformed_rate_limit);
+  }
   const auto busy = codec.DecodeResponse(503, {{"Retry-After", "1.5"}});
   CHECK(busy.requested_pause == Duration(std::chrono::milliseconds(1500)));
   CHECK_FALSE(
