Take the mean load over engines that do not limit their rate

What callers saw: prompts were read or copied anew at engines that did not hold them. Cause: engines that keep their rate low pull the mean down to 7 requests while the others serve 14 to 19; the bound of twice the mean then turns away even the holder of a prompt (1,827 of 3,785 placements spilled).

--- a/include/dandelionscale/core/placement.h
+++ b/include/dandelionscale/core/placement.h
@@ -20,6 +20,9 @@
   bool usable = true;
   bool reachable = true;   ///< Other engines can copy from its cache.
   bool same_zone = false;  ///< In the router's availability zone.
+  /// Takes only a limited rate of requests. It can't take its share of the
+  /// load, so the mean that bounds the others is taken without it.
+  bool limits_rate = false;
 };
 
 /// \brief All inputs of one placement decision.
@@ -34,8 +37,9 @@
   /// An engine's load bound is this factor times the mean load, plus 3
   /// requests.
   double load_factor = 2.0;
-  /// Mean of `in_flight` over all engines of the service. If absent, it is
-  /// computed from `candidates`, which must then be all engines of the service.
+  /// Mean of `in_flight` over the engines of the service that do not limit
+  /// their rate, or over all if each does. If absent, it is computed from
+  /// `candidates`, which must then be all engines of the service.
   std::optional<double> mean_in_flight{};
 };
 
--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -37,10 +37,18 @@
 }
 
 double MeanInFlight(std::span<const Candidate> candidates) {
+  const bool all_limited =
+      std::all_of(candidates.begin(), candidates.end(),
+                  [](const Candidate& one) { return one.limits_rate; });
   std::uint64_t sum = 0;
-  for (const Candidate& candidate : candidates) sum += candidate.in_flight;
-  if (candidates.empty()) return 0;
-  return static_cast<double>(sum) / static_cast<double>(candidates.size());
+  std::size_t count = 0;
+  for (const Candidate& candidate : candidates) {
+    if (candidate.limits_rate && !all_limited) continue;
+    sum += candidate.in_flight;
+    ++count;
+  }
+  if (count == 0) return 0;
+  return static_cast<double>(sum) / static_cast<double>(count);
 }
 
 // Selects the engine with the lowest utilisation after the request is added.
--- a/src/core/placement_record.cc
+++ b/src/core/placement_record.cc
@@ -40,6 +40,7 @@
   candidate.usable = text.find('u') != std::string_view::npos;
   candidate.reachable = text.find('r') != std::string_view::npos;
   candidate.same_zone = text.find('z') != std::string_view::npos;
+  candidate.limits_rate = text.find('l') != std::string_view::npos;
   return candidate;
 }
 
@@ -79,12 +80,12 @@
 std::string FormatCandidates(std::span<const Candidate> candidates) {
   std::string text;
   for (const Candidate& candidate : candidates) {
-    fmt::format_to(std::back_inserter(text), "{}{:x}:{}/{}/{}/{}{}{}",
-                   text.empty() ? "" : " ", candidate.engine_key,
-                   candidate.in_flight, candidate.max_slots,
-                   candidate.cached_tokens, candidate.usable ? "u" : "",
-                   candidate.reachable ? "r" : "",
-                   candidate.same_zone ? "z" : "");
+    fmt::format_to(
+        std::back_inserter(text), "{}{:x}:{}/{}/{}/{}{}{}{}",
+        text.empty() ? "" : " ", candidate.engine_key, candidate.in_flight,
+        candidate.max_slots, candidate.cached_tokens,
+        candidate.usable ? "u" : "", candidate.reachable ? "r" : "",
+        candidate.same_zone ? "z" : "", candidate.limits_rate ? "l" : "");
   }
   return text;
 }
--- a/src/dispatch/request_placement.cc
+++ b/src/dispatch/request_placement.cc
@@ -111,6 +111,7 @@
     candidate.cached_tokens = MatchedTokens(matches, engine->key);
     candidate.same_zone = engine->record.availability_zone ==
                           this->state.options.availability_zone;
+    candidate.limits_rate = engine->rate_limit.IsActive();
     const bool was_tried = this->WasTried(*engine);
     const bool ejected = engine->health.IsEjected(now, failure_rate);
     const bool probe_in_flight =
--- a/tests/placement_test.cc
+++ b/tests/placement_test.cc
@@ -48,6 +48,31 @@
   CHECK(decision->basis == PlacementBasis::kHoldsPrefix);
 }
 
+// Two of six engines are free, the others limit their rate: the free ones must
+// take nearly all requests and still be chosen for the prompts they hold.
+TEST_CASE(
+    "engines that limit their rate do not lower the bound of the others") {
+  auto candidates = Candidates({1, 1, 1, 1, 9, 9});
+  for (std::size_t n = 0; n < 4; ++n) {
+    candidates[n].limits_rate = true;
+    candidates[n].usable = false;
+  }
+  candidates[4].cached_tokens = 1000;
+  PlacementInputs inputs{candidates, 1000, 7, 1, 2.0};
+  const auto decision = ChooseEngine(inputs);
+  REQUIRE(decision);
+  CHECK(decision->index == 4);
+  CHECK(decision->basis == PlacementBasis::kHoldsPrefix);
+  CHECK(decision->mean_in_flight == 9);
+}
+
+TEST_CASE("if all engines limit their rate, the mean is over all") {
+  auto candidates = Candidates({2, 4});
+  for (PlacementCandidate& candidate : candidates) candidate.limits_rate = true;
+  PlacementInputs inputs{candidates, 0, 0, 1, 2.0};
+  CHECK(ChooseEngine(inputs)->mean_in_flight == 3);
+}
+
 TEST_CASE(
     "a holder above the load bound is not chosen but serves as copy source") {
   auto candidates = Candidates({9, 0, 0, 0});
