--- a/src/dispatch/peer_exchange.cc
+++ b/src/dispatch/peer_exchange.cc
@@ -9,8 +9,8 @@
 #include "dandelionscale/runtime/logger.h"
 #include "dandelionscale/runtime/trace.h"
 #include "dandelionscale/transport/address.h"
-#include "dandelionscale/transport/http_status.h"
 #include "dispatch/peer_messages.h"
+#include "dispatch/peer_reports.h"
 #include "dispatch/permit_exchange.h"
 #include "transport/socket_helpers.h"
 
@@ -22,33 +22,17 @@
 
 namespace {
 
-// A router that watches the store fetches from a peer only after it has been
-// behind for this long; normally its own watch returns the change sooner.
-constexpr Duration kWatcherFetchDelay = std::chrono::milliseconds(120);
-constexpr Duration kFetchTimeout = std::chrono::milliseconds(600);
-// Snapshot responses that a router sends at the same time; further requests get
-// status 503. A refused router fetches from the sender of a later digest, which
-// is often a router that has fetched a snapshot in the meantime. This keeps the
-// network link of a host from overload when many routers are behind.
-constexpr int kMaxSnapshotsServed = 4;
 // Minimum time between two digests. Changes within it go into one digest.
 constexpr Duration kMinDigestInterval = std::chrono::milliseconds(30);
 // Keeps a digest within a few kilobytes.
 constexpr std::size_t kMaxUpdatesPerDigest = 250;
-// Each entry of the prefix index takes 12 bytes of the snapshot.
-constexpr std::size_t kMaxPrefixesPerSnapshot = 20'000;
-constexpr std::string_view kSnapshotPath = "/snapshot";
 
 }  // namespace
 
 PeerExchange::PeerExchange(DispatchState& state)
     : state(state),
       socket(state.executor),
-      server(state.executor, HttpServerLimits(),
-             [this](HttpExchange& exchange) {
-               return this->ServeSnapshot(exchange);
-             }),
-      client(state.executor, nullptr),
+      snapshots(state),
       // Only the order of incarnations matters. The wall clock of a host seldom
       // goes back across a restart.
       incarnation(static_cast<std::uint64_t>(UnixNanoseconds())),
@@ -68,8 +52,8 @@
   if (!error) this->socket.bind(endpoint, error);
   if (error) return Fault{FaultKind::kConnectFailed, error.message()};
   this->socket.non_blocking(true, error);
-  auto bound = this->server.Listen(own);
-  if (bound.has_error()) return bound.error();
+  auto serving = this->snapshots.Start();
+  if (serving.has_error()) return serving.error();
   asio::co_spawn(this->state.executor, this->ReceiveDigests(), asio::detached);
   asio::co_spawn(this->state.executor, this->SendDigests(), asio::detached);
   return {};
@@ -144,26 +128,6 @@
                        ignored);
 }
 
-template <typename Message>
-std::uint64_t PeerExchange::EraOf(const Message& message) const {
-  return message.has_store_era() ? message.store_era()
-                                 : this->state.engines.InitialEra();
-}
-
-StoreVersion PeerExchange::VersionOf(const wire::RouterDigest& digest) const {
-  return {this->EraOf(digest), digest.engines_changed()};
-}
-
-StoreVersion PeerExchange::VersionOf(
-    const wire::SnapshotRequest& request) const {
-  return {this->EraOf(request), request.engines_version()};
-}
-
-StoreVersion PeerExchange::VersionOf(
-    const wire::BeliefSnapshot& snapshot) const {
-  return {this->EraOf(snapshot), snapshot.engines_version()};
-}
-
 void PeerExchange::FillPlacements(wire::RouterDigest& digest) {
   const std::size_t rotation = DigestsPerRotation(this->state.peers.size());
   for (const PrefixUpdate& update : this->state.prefix_updates.TakeForDigest(
@@ -236,28 +200,16 @@
                                  digest.sequence(), loads);
   this->state.watcher_election.OnDigest(now, sender, HashText(sender),
                                         ToWatchReport(digest));
-  this->ApplyPlacements(ToSpan(digest.placed_parts()),
-                        ToSpan(digest.placed_engines()), false);
-  this->ApplyPlacements(ToSpan(digest.dropped_parts()),
-                        ToSpan(digest.dropped_engines()), true);
+  ApplyPlacements(this->state, ToSpan(digest.placed_parts()),
+                  ToSpan(digest.placed_engines()), false);
+  ApplyPlacements(this->state, ToSpan(digest.dropped_parts()),
+                  ToSpan(digest.dropped_engines()), true);
   this->ApplyLeavingEngines(ToSpan(digest.leaving_engines()), sender);
   this->state.OnQuarantineChanges(
       this->state.quarantine.Apply(now, ToQuarantineUpdate(digest, now)),
       sender);
-  this->ApplyRateLimits(digest.rate_limits(), sender);
-  this->FetchIfBehind(digest, sender);
-}
-
-void PeerExchange::ApplyRateLimits(
-    const google::protobuf::RepeatedPtrField<wire::RateLimitReport>& reports,
-    const std::string& sender) {
-  const TimePoint now = RuntimeClock::now();
-  for (const wire::RateLimitReport& report : reports) {
-    const auto engine = this->state.engines.FindByShortKey(report.engine());
-    if (engine == nullptr) continue;
-    this->state.OnRateLimitReported(*engine, ToRateLimit(report),
-                                    StatedAt(report, now), sender);
-  }
+  ApplyRateLimits(this->state, digest.rate_limits(), sender);
+  this->snapshots.OnDigest(digest, sender);
 }
 
 void PeerExchange::ApplyLeavingEngines(
@@ -269,183 +221,4 @@
   }
 }
 
-bool PeerExchange::UpdateNewestVersions(const wire::RouterDigest& digest) {
-  const StoreVersion engines_changed = this->VersionOf(digest);
-  if (engines_changed.number > 0) this->state.OnStoreEra(engines_changed.era);
-  this->newest_configuration =
-      std::max(this->newest_configuration, digest.configuration_version());
-  this->newest_engines = std::max(this->newest_engines, engines_changed);
-  const bool behind =
-      this->newest_configuration > this->state.ConfigurationVersion() ||
-      this->newest_engines > this->state.engines.Version();
-  this->state.start_up.OnDigest(behind);
-  if (!behind) {
-    this->behind_since.reset();
-    this->state.watcher_election.OnCaughtUp();
-    return false;
-  }
-  if (!this->behind_since) this->behind_since = RuntimeClock::now();
-  this->state.watcher_election.OnLagDetected(*this->behind_since);
-  return digest.configuration_version() > this->state.ConfigurationVersion() ||
-         engines_changed > this->state.engines.Version();
-}
-
-void PeerExchange::FetchIfBehind(const wire::RouterDigest& digest,
-                                 const std::string& sender) {
-  const bool sender_is_newer = this->UpdateNewestVersions(digest);
-  // Digests carry only changes of the prefix index, so a newly started router
-  // fetches the earlier entries once. It does so after it has received the
-  // engines, because entries of unknown engines are discarded.
-  const bool needs_prefixes = !this->has_prefixes && this->state.engines_known;
-  if (!sender_is_newer && !needs_prefixes) return;
-  const bool watches = WatchesStore(this->state.watcher_election.Role());
-  const bool waits_for_store =
-      watches && this->state.routing_table != nullptr &&
-      this->state.unreachable_tables.empty() && this->behind_since &&
-      RuntimeClock::now() - *this->behind_since < kWatcherFetchDelay;
-  if (waits_for_store || this->fetching) return;
-  this->fetching = true;
-  asio::co_spawn(this->state.executor, this->FetchSnapshot(sender),
-                 asio::detached);
-}
-
-Awaitable<void> PeerExchange::FetchSnapshot(std::string peer) {
-  auto endpoint = ParseEndpoint(peer);
-  wire::SnapshotRequest snapshot_request;
-  snapshot_request.set_configuration_version(
-      this->state.ConfigurationVersion());
-  snapshot_request.set_engines_version(this->state.engines.Version().number);
-  snapshot_request.set_store_era(this->state.engines.Version().era);
-  snapshot_request.set_without_placements(this->has_prefixes);
-  HttpRequest request;
-  request.method = "POST";
-  request.target = kSnapshotPath;
-  request.body = snapshot_request.SerializeAsString();
-  auto response =
-      co_await this->client.Fetch(endpoint.value(), std::move(request),
-                                  ConnectionUse::kFresh, kFetchTimeout);
-  this->fetching = false;
-  wire::BeliefSnapshot snapshot;
-  const bool is_answered = response.has_value() &&
-                           response->status == http_status::kOk &&
-                           snapshot.ParseFromString(response->body);
-  if (!is_answered) {
-    Logger::Info("peer_snapshot_failed",
-                 {{"peer", peer},
-                  {"status", response.has_value()
-                                 ? static_cast<std::int64_t>(response->status)
-                                 : std::int64_t{0}}});
-    co_return;
-  }
-  this->ApplySnapshot(snapshot, peer);
-}
-
-void PeerExchange::ApplySnapshot(const wire::BeliefSnapshot& snapshot,
-                                 const std::string& peer) {
-  this->state.metrics.Add("peer_snapshots_total");
-  this->has_prefixes = this->has_prefixes || this->state.engines_known;
-  for (const std::string& router : snapshot.routers()) {
-    if (ParseEndpoint(router).has_value()) this->state.peers.insert(router);
-  }
-  this->state.peers.erase(ToText(this->state.options.peer_address));
-  if (!snapshot.configuration().empty()) {
-    this->state.ApplyConfiguration(snapshot.configuration(), peer);
-  }
-  this->ApplyEngines(snapshot, peer);
-  const TimePoint now = RuntimeClock::now();
-  this->state.OnQuarantineChanges(
-      this->state.quarantine.Apply(now, ToQuarantineUpdate(snapshot, now)),
-      peer);
-  this->ApplyRateLimits(snapshot.rate_limits(), peer);
-  this->ApplyPlacements(ToSpan(snapshot.placed_parts()),
-                        ToSpan(snapshot.placed_engines()), false);
-}
-
-void PeerExchange::ApplyPlacements(std::span<const std::uint64_t> parts,
-                                   std::span<const std::uint32_t> short_keys,
-                                   bool dropped) {
-  const TimePoint now = RuntimeClock::now();
-  const std::size_t count = std::min(parts.size(), short_keys.size());
-  for (std::size_t n = 0; n < count; ++n) {
-    const auto engine = this->state.engines.FindByShortKey(short_keys[n]);
-    if (engine == nullptr) continue;
-    this->state.prefixes.Apply(now, {parts[n], engine->key, dropped});
-  }
-}
-
-void PeerExchange::ApplyEngines(const wire::BeliefSnapshot& snapshot,
-                                const std::string& peer) {
-  const StoreVersion version = this->VersionOf(snapshot);
-  if (version.number == 0 || version <= this->state.engines.Version()) return;
-  std::vector<EngineRecord> records;
-  for (const wire::EngineEntry& entry : snapshot.engines()) {
-    records.push_back(ToRecord(entry));
-  }
-  this->state.engines_known = true;
-  const auto changes =
-      this->state.engines.OnSnapshot(RuntimeClock::now(), version, records);
-  this->state.newest_engine_version =
-      std::max(this->state.newest_engine_version, version);
-  this->state.OnEngineChanges(changes, peer);
-}
-
-Awaitable<void> PeerExchange::ServeSnapshot(HttpExchange& exchange) {
-  wire::SnapshotRequest snapshot_request;
-  HttpResponse response;
-  if (!snapshot_request.ParseFromString(exchange.Request().body)) {
-    response.status = http_status::kBadRequest;
-    co_await exchange.Respond(std::move(response));
-    co_return;
-  }
-  if (this->serving >= kMaxSnapshotsServed) {
-    response.status = http_status::kServiceUnavailable;
-    co_await exchange.Respond(std::move(response));
-    co_return;
-  }
-  wire::BeliefSnapshot snapshot;
-  snapshot.set_configuration_version(this->state.ConfigurationVersion());
-  if (this->state.ConfigurationVersion() >
-      snapshot_request.configuration_version()) {
-    snapshot.set_configuration(this->state.routing_table_text);
-  }
-  if (this->state.engines.Version() > this->VersionOf(snapshot_request)) {
-    this->FillEngines(snapshot);
-  }
-  if (!snapshot_request.without_placements())
-    this->FillPeersAndPrefixes(snapshot);
-  response.headers.Add("Content-Type", "application/octet-stream");
-  response.body = snapshot.SerializeAsString();
-  ++this->serving;
-  co_await exchange.Respond(std::move(response));
-  --this->serving;
-}
-
-void PeerExchange::FillEngines(wire::BeliefSnapshot& snapshot) const {
-  snapshot.set_engines_version(this->state.engines.Version().number);
-  snapshot.set_store_era(this->state.engines.Version().era);
-  for (const EngineRecord& record : this->state.engines.Listed()) {
-    FillEntry(record, *snapshot.add_engines());
-  }
-}
-
-void PeerExchange::FillPeersAndPrefixes(wire::BeliefSnapshot& snapshot) const {
-  for (const std::string& peer : this->state.peers) {
-    snapshot.add_routers(peer);
-  }
-  const TimePoint now = RuntimeClock::now();
-  for (const QuarantinedParts& quarantined :
-       this->state.quarantine.Quarantined()) {
-    FillReport(quarantined, now, *snapshot.add_quarantines());
-  }
-  for (const auto& [id, engine] : this->state.engines.Engines()) {
-    if (!engine->rate_limit.IsActive()) continue;
-    FillRateLimit(*engine, now, *snapshot.add_rate_limits());
-  }
-  for (const PrefixUpdate& update :
-       this->state.prefixes.Snapshot(now, kMaxPrefixesPerSnapshot)) {
-    snapshot.add_placed_parts(update.part_key);
-    snapshot.add_placed_engines(ShortKey(update.engine_key));
-  }
-}
-
 }  // namespace dandelionscale::internal
--- a/tests/engine_rate_limit_test.cc
+++ b/tests/engine_rate_limit_test.cc
@@ -20,7 +20,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr milliseconds kReadIdleTimeout(50);
 // The users' rule: in each window of this length from `kContactTime` after the
 // first statement, an engine gets at most 1.5 times what its limit allows, and
 // 5 requests.
