Split the quarantine by job, and the relay out of the attempts; the field's names

Court words give way to the field's: evidence, candidate, blocklist, probe. Log lines and messages keep their names.

--- /dev/null
+++ b/include/dandelionscale/core/crash_report.h
@@ -0,0 +1,80 @@
+#ifndef DANDELIONSCALE_CORE_CRASH_REPORT_H_
+#define DANDELIONSCALE_CORE_CRASH_REPORT_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+#include <vector>
+
+#include "dandelionscale/runtime/runtime_clock.h"
+
+namespace dandelionscale {
+
+/// Sorted, distinct keys of what a request shares with others; see `PartKey()`.
+using RequestKeySet = std::vector<std::uint64_t>;
+
+/// \returns true if all keys of `keys` are in `whole`.
+bool IsSubset(const RequestKeySet& keys, const RequestKeySet& whole);
+
+/// \returns the number by which routers name a service to each other.
+std::uint32_t ServiceKey(std::string_view service);
+
+/// \brief A request that was sent to an engine whose connection was lost before
+///        the engine began its answer: the engine may have crashed at it.
+struct LostSend {
+  std::uint64_t request_key = 0;  ///< Hash of the request id.
+  std::uint32_t engine = 0;       ///< `ShortKey()` of the incarnation.
+  std::uint32_t service = 0;      ///< Low half of the hash of its name.
+  TimePoint at{};                 ///< When the connection was lost.
+  /// Keys of the request that may have caused it. Those that engines have
+  /// answered since are left out.
+  RequestKeySet keys;
+};
+
+/// \brief An engine has begun to answer a request with this key.
+struct AnsweredKey {
+  std::uint64_t key = 0;
+  TimePoint at{};
+};
+
+/// \brief Requests that have all of these keys are not sent to engines.
+struct BlockedKeys {
+  RequestKeySet keys;
+  TimePoint since{};
+  /// How often a probe has failed since they were blocked first.
+  std::uint32_t failed_probes = 0;
+};
+
+/// \brief What routers tell each other.
+struct QuarantineUpdate {
+  std::vector<LostSend> lost_sends;
+  std::vector<AnsweredKey> answered;
+  std::vector<BlockedKeys> blocked;
+};
+
+/// \brief A change of what is blocked, for logs and metrics.
+struct QuarantineChange {
+  enum class Kind {
+    kBlocked,    ///< Found by this router.
+    kLearned,    ///< Received from a peer or the store.
+    kNarrowed,   ///< A key was answered, so it isn't the cause.
+    kProlonged,  ///< A probe was lost.
+    kReleased,   ///< A request with these keys was answered.
+    kExpired     ///< No request came for a probe.
+  };
+  Kind kind = Kind::kBlocked;
+  BlockedKeys blocked;
+  std::size_t crashes = 0;  ///< Counted for `kBlocked`.
+  double loss_rate = 0;     ///< Of other sends, for `kBlocked`.
+};
+
+/// \returns the name used in logs.
+std::string_view ToString(QuarantineChange::Kind kind);
+
+/// Digests in which a router repeats something new. Each goes to other peers,
+/// which do the same.
+inline constexpr int kDigestsPerReport = 2;
+
+}  // namespace dandelionscale
+
+#endif  // DANDELIONSCALE_CORE_CRASH_REPORT_H_
--- a/src/dispatch/dispatch_state.cc
+++ b/src/dispatch/dispatch_state.cc
@@ -128,18 +128,18 @@
 void DispatchState::OnQuarantineChanges(
     const std::vector<QuarantineChange>& changes, std::string_view source) {
   for (const QuarantineChange& change : changes) {
-    const QuarantinedParts& quarantined = change.quarantined;
+    const BlockedKeys& blocked = change.blocked;
     this->metrics.Add(
         fmt::format("prompt_quarantine_changes_total{{change=\"{}\"}}",
                     ToString(change.kind)));
-    Logger::Warning("prompt_quarantine",
-                    {{"change", ToString(change.kind)},
-                     {"parts", FormatPartKeys(quarantined.parts)},
-                     {"crashes", static_cast<std::int64_t>(change.crashes)},
-                     {"loss_rate", change.loss_rate},
-                     {"failed_trials",
-                      static_cast<std::int64_t>(quarantined.failed_trials)},
-                     {"source", source}});
+    Logger::Warning(
+        "prompt_quarantine",
+        {{"change", ToString(change.kind)},
+         {"parts", FormatPartKeys(blocked.keys)},
+         {"crashes", static_cast<std::int64_t>(change.crashes)},
+         {"loss_rate", change.loss_rate},
+         {"failed_trials", static_cast<std::int64_t>(blocked.failed_probes)},
+         {"source", source}});
   }
   if (this->quarantine.TakeUrgency()) this->state_changed.NotifyAll();
 }
--- a/src/dispatch/dispatch_state.h
+++ b/src/dispatch/dispatch_state.h
@@ -19,8 +19,8 @@
 #include "dandelionscale/core/peer_load.h"
 #include "dandelionscale/core/prefix_index.h"
 #include "dandelionscale/core/prefix_update_queue.h"
-#include "dandelionscale/core/prompt_quarantine.h"
 #include "dandelionscale/core/rate_limit_news.h"
+#include "dandelionscale/core/request_quarantine.h"
 #include "dandelionscale/core/routing_table.h"
 #include "dandelionscale/core/start_up_check.h"
 #include "dandelionscale/core/watcher_election.h"
@@ -70,10 +70,9 @@
   /// \param source origin of the changes, for the log.
   void OnEngineChanges(const std::vector<EngineChange>& changes,
                        std::string_view source);
-  /// \brief Logs and counts changes of the quarantine of prompts, and triggers
-  /// a
-  ///        digest to the peers if they should know at once. To be called after
-  ///        each event that is passed to `quarantine`.
+  /// \brief Logs and counts changes of the quarantine, and triggers a digest to
+  ///        the peers if they should know at once. To be called after each
+  ///        event that is passed to `quarantine`.
   /// \param source origin of the changes, for the log.
   void OnQuarantineChanges(const std::vector<QuarantineChange>& changes,
                            std::string_view source);
@@ -159,7 +158,7 @@
   Event quarantine_changed;  ///< Signals that the store's row is to be written.
   PrefixIndex prefixes;      ///< Prompt parts that engines have cached.
   PrefixUpdateQueue prefix_updates;  ///< Prefix changes to send in digests.
-  PromptQuarantine quarantine;       ///< Prompt parts that crash engines.
+  RequestQuarantine quarantine;      ///< Requests that crash engines.
   RateLimitNews rate_limit_news;     ///< Limits to report in digests.
   /// Permits for engines that limit their rate; never null.
   std::unique_ptr<PermitExchange> permits;
--- a/src/dispatch/peer_messages.cc
+++ b/src/dispatch/peer_messages.cc
@@ -24,17 +24,16 @@
 
 // The keys in ascending order, without duplicates, as the quarantine needs
 // them.
-PartKeySet ToPartKeySet(
+RequestKeySet ToRequestKeySet(
     const google::protobuf::RepeatedField<std::uint64_t>& parts) {
-  PartKeySet keys(parts.begin(), parts.end());
+  RequestKeySet keys(parts.begin(), parts.end());
   std::sort(keys.begin(), keys.end());
   keys.erase(std::unique(keys.begin(), keys.end()), keys.end());
   return keys;
 }
 
-QuarantinedParts ToQuarantinedParts(const wire::QuarantineReport& report,
-                                    TimePoint now) {
-  return {ToPartKeySet(report.parts()), FromAgeMs(now, report.age_ms()),
+BlockedKeys ToBlockedKeys(const wire::QuarantineReport& report, TimePoint now) {
+  return {ToRequestKeySet(report.parts()), FromAgeMs(now, report.age_ms()),
           report.failed_trials()};
 }
 
@@ -67,13 +66,13 @@
   for (const wire::LostSendReport& report : digest.lost_sends()) {
     update.lost_sends.push_back(
         {report.request(), report.engine(), report.service(),
-         FromAgeMs(now, report.age_ms()), ToPartKeySet(report.parts())});
+         FromAgeMs(now, report.age_ms()), ToRequestKeySet(report.parts())});
   }
   for (const wire::AnsweredPartReport& report : digest.answered_parts()) {
     update.answered.push_back({report.part(), FromAgeMs(now, report.age_ms())});
   }
   for (const wire::QuarantineReport& report : digest.quarantines()) {
-    update.quarantined.push_back(ToQuarantinedParts(report, now));
+    update.blocked.push_back(ToBlockedKeys(report, now));
   }
   return update;
 }
@@ -86,15 +85,15 @@
     report.set_engine(send.engine);
     report.set_service(send.service);
     report.set_age_ms(ToAgeMs(now - send.at));
-    report.mutable_parts()->Add(send.parts.begin(), send.parts.end());
+    report.mutable_parts()->Add(send.keys.begin(), send.keys.end());
   }
-  for (const AnsweredPart& answered : update.answered) {
+  for (const AnsweredKey& answered : update.answered) {
     wire::AnsweredPartReport& report = *digest.add_answered_parts();
-    report.set_part(answered.part);
+    report.set_part(answered.key);
     report.set_age_ms(ToAgeMs(now - answered.at));
   }
-  for (const QuarantinedParts& quarantined : update.quarantined) {
-    FillReport(quarantined, now, *digest.add_quarantines());
+  for (const BlockedKeys& blocked : update.blocked) {
+    FillReport(blocked, now, *digest.add_quarantines());
   }
 }
 
@@ -102,7 +101,7 @@
                                     TimePoint now) {
   QuarantineUpdate update;
   for (const wire::QuarantineReport& report : snapshot.quarantines()) {
-    update.quarantined.push_back(ToQuarantinedParts(report, now));
+    update.blocked.push_back(ToBlockedKeys(report, now));
   }
   return update;
 }
@@ -120,27 +119,26 @@
       std::max<std::int64_t>(unix_ms - message.written_unix_ms(), 0);
   const TimePoint written_at = now - std::chrono::milliseconds(row_age_ms);
   for (const wire::QuarantineReport& report : message.quarantines()) {
-    update.quarantined.push_back(ToQuarantinedParts(report, written_at));
+    update.blocked.push_back(ToBlockedKeys(report, written_at));
   }
   return update;
 }
 
-std::string FormatQuarantineRow(std::span<const QuarantinedParts> quarantines,
+std::string FormatQuarantineRow(std::span<const BlockedKeys> entries,
                                 TimePoint now, std::int64_t unix_ms) {
   wire::QuarantineRow message;
   message.set_written_unix_ms(unix_ms);
-  for (const QuarantinedParts& quarantined : quarantines) {
-    FillReport(quarantined, now, *message.add_quarantines());
+  for (const BlockedKeys& blocked : entries) {
+    FillReport(blocked, now, *message.add_quarantines());
   }
   return message.SerializeAsString();
 }
 
-void FillReport(const QuarantinedParts& quarantined, TimePoint now,
+void FillReport(const BlockedKeys& blocked, TimePoint now,
                 wire::QuarantineReport& report) {
-  report.mutable_parts()->Add(quarantined.parts.begin(),
-                              quarantined.parts.end());
-  report.set_age_ms(ToAgeMs(now - quarantined.since));
-  report.set_failed_trials(quarantined.failed_trials);
+  report.mutable_parts()->Add(blocked.keys.begin(), blocked.keys.end());
+  report.set_age_ms(ToAgeMs(now - blocked.since));
+  report.set_failed_trials(blocked.failed_probes);
 }
 
 std::optional<double> ToRateLimit(const wire::RateLimitReport& report) {
--- a/src/dispatch/peer_messages.h
+++ b/src/dispatch/peer_messages.h
@@ -8,8 +8,8 @@
 #include <span>
 #include <string>
 
+#include "dandelionscale/core/crash_report.h"
 #include "dandelionscale/core/engine_directory.h"
-#include "dandelionscale/core/prompt_quarantine.h"
 #include "dandelionscale/core/watcher_election.h"
 #include "dispatch_peer.pb.h"
 
@@ -42,10 +42,10 @@
 QuarantineUpdate ToQuarantineUpdate(const std::string& row, TimePoint now,
                                     std::int64_t unix_ms);
 /// \returns the store's row for the quarantines.
-std::string FormatQuarantineRow(std::span<const QuarantinedParts> quarantines,
+std::string FormatQuarantineRow(std::span<const BlockedKeys> blocked,
                                 TimePoint now, std::int64_t unix_ms);
 /// \brief Writes the quarantine to an empty report.
-void FillReport(const QuarantinedParts& quarantined, TimePoint now,
+void FillReport(const BlockedKeys& blocked, TimePoint now,
                 wire::QuarantineReport& report);
 
 /// \returns the rate limit of a report, in requests per second; none if the
--- a/src/dispatch/request_dispatch.cc
+++ b/src/dispatch/request_dispatch.cc
@@ -27,8 +27,6 @@
 // A router that has just started loads its configuration within this time.
 // Waiting is faster for the client than a refusal and a retry.
 constexpr Duration kMaxConfigurationWait = std::chrono::milliseconds(200);
-// Limit for a response that is buffered before it is relayed.
-constexpr std::size_t kMaxBufferedBytes = 16 * 1024 * 1024;
 
 std::int64_t ToInt64(std::size_t number) {
   return static_cast<std::int64_t>(number);
@@ -139,6 +137,7 @@
   this->request_key = HashText(this->decoded.id);
   if (!this->decoded.prefix.empty()) {
     this->affinity_key = this->decoded.prefix.back().key;
+    this->quarantine_keys = PartKeys(this->decoded.prefix);
   }
   this->service =
       ChooseService(*this->route, this->affinity_key != 0 ? this->affinity_key
@@ -174,106 +173,11 @@
   co_return failure;
 }
 
-Awaitable<std::optional<AttemptFailure>> RequestDispatch::RelayResponse() {
-  const EngineResponse& response = this->exchange->Response();
-  this->status = response.status;
-  this->framing = this->exchange->Framing();
-  if (response.wrong_engine) co_return AttemptFailure::kWrongEngine;
-  if (response.not_run) co_return AttemptFailure::kRefused;
-  const bool is_stream = this->route->kind == RouteKind::kStreaming &&
-                         this->exchange->IsEventStream() &&
-                         http_status::IsBelowRedirection(response.status);
-  if (is_stream) co_return co_await this->RelayEventStream();
-  co_return co_await this->RelayBufferedResponse();
-}
-
-Awaitable<std::optional<AttemptFailure>>
-RequestDispatch::RelayBufferedResponse() {
-  std::string body;
-  MemoryBudget::Share memory(this->state.response_memory);
-  while (true) {
-    auto data = co_await this->exchange->ReadBodyFragment();
-    if (data.has_error()) co_return AttemptFailure::kNoAnswer;
-    if (data.value().empty()) break;
-    body += data.value();
-    if (body.size() > kMaxBufferedBytes || !memory.Resize(body.capacity())) {
-      this->exchange->OnExcessiveBytes("body");
-      co_return AttemptFailure::kBadAnswer;
-    }
-  }
-  const EngineResponse response = this->exchange->Response();
-  this->exchange.reset();
-  const bool failed = http_status::IsServerError(response.status);
-  // A response that is not an event stream can't continue a started stream.
-  if (failed || this->stream_started) {
-    this->error_response = response;
-    this->error_response_body = std::move(body);
-    co_return AttemptFailure::kEngineError;
-  }
-  this->stall_deadline = TimePoint::max();
-  this->OnAnswerBegun();
-  co_await this->client.SendResponse(response.status, response.end_to_end,
-                                     body);
-  co_return std::nullopt;
-}
-
-Awaitable<std::optional<AttemptFailure>> RequestDispatch::RelayEventStream() {
-  if (this->stream_started) this->events.OnResumed();
-  while (true) {
-    auto data = co_await this->exchange->ReadBodyFragment();
-    this->unfinished_bytes = this->events.UnfinishedBytes();
-    const bool at_end = data.has_value() && data.value().empty();
-    if (data.has_error() || (at_end && this->events.IsInsideEvent())) {
-      co_return this->stream_started ? AttemptFailure::kStreamBroken
-                                     : AttemptFailure::kNoAnswer;
-    }
-    const std::string events_text =
-        at_end ? this->events.Flush() : this->events.Feed(data.value());
-    if (!events_text.empty()) this->OnAnswerBegun();
-    if (!events_text.empty() || (at_end && !this->stream_started)) {
-      if (!co_await this->DeliverEvents(events_text)) {
-        this->Interrupt(Interruption::kClientGone);
-        co_return AttemptFailure::kStreamBroken;
-      }
-    }
-    if (at_end) break;
-    if (this->events.IsEventTooLong()) {
-      this->exchange->OnExcessiveBytes("event");
-      co_return this->stream_started ? AttemptFailure::kStreamBroken
-                                     : AttemptFailure::kBadAnswer;
-    }
-    // Bytes of an event that is never completed are no progress.
-    if (!events_text.empty()) this->ArmStallTimeout();
-  }
-  this->exchange.reset();
-  co_await this->client.EndStream();
-  co_return std::nullopt;
-}
-
-Awaitable<bool> RequestDispatch::DeliverEvents(const std::string& events) {
-  if (this->stream_started) co_return co_await this->client.SendData(events);
-  this->stream_started = true;
-  this->state.metrics.ObserveLatency("first_event_seconds",
-                                     RuntimeClock::now() - this->arrived_at);
-  co_return co_await this->client.StartStream(
-      this->exchange->Response().status, this->exchange->Response().end_to_end,
-      events);
-}
-
-void RequestDispatch::OnAnswerBegun() {
-  if (this->answer_begun || this->decoded.prefix.empty()) return;
-  this->answer_begun = true;
-  this->state.OnOwnQuarantineChanges(
-      this->state.quarantine.OnAnswered(RuntimeClock::now(), this->service,
-                                        this->decoded.prefix),
-      "answer");
-}
-
 void RequestDispatch::OnLostBeforeAnswer(const Engine& engine) {
   LostSend send;
   send.request_key = this->request_key;
   send.engine = ShortKey(engine.key);
-  send.parts = PartKeys(this->decoded.prefix);
+  send.keys = this->quarantine_keys;
   this->state.OnOwnQuarantineChanges(
       this->state.quarantine.OnLost(RuntimeClock::now(), this->service,
                                     std::move(send)),
@@ -297,7 +201,8 @@
   }
   if (ended_by_client_or_deadline) return;
   if (!withheld) this->RecordFailure(engine, *failure);
-  if (connection_lost && !this->answer_begun && !this->decoded.prefix.empty()) {
+  if (connection_lost && !this->answer_begun &&
+      !this->quarantine_keys.empty()) {
     this->OnLostBeforeAnswer(engine);
   }
   if (*failure == AttemptFailure::kWrongEngine) {
@@ -316,7 +221,7 @@
        {"failure_rate", engine.health.FailureRate()},
        {"time_left_ms", ToMilliseconds(this->Deadline() - now)},
        {"events", static_cast<std::int64_t>(this->events.EventCount())},
-       {"parts", FormatPartKeys(PartKeys(this->decoded.prefix))}});
+       {"parts", FormatPartKeys(this->quarantine_keys)}});
 }
 
 void RequestDispatch::RecordFailure(Engine& engine, AttemptFailure failure) {
--- a/src/dispatch/request_dispatch.h
+++ b/src/dispatch/request_dispatch.h
@@ -20,9 +20,9 @@
 /// \brief Admits one request, chooses an engine, sends the request, retries it
 /// after failures and relays the response.
 ///
-/// The implementation is divided into `request_dispatch.cc` (attempts and
-/// relay), `request_placement.cc` (choice of the engine and waiting) and
-/// `request_ending.cc` (final responses).
+/// The implementation is divided into `request_dispatch.cc` (attempts),
+/// `request_placement.cc` (choice of the engine and waiting),
+/// `response_relay.cc` and `request_ending.cc` (final responses).
 class RequestDispatch : public std::enable_shared_from_this<RequestDispatch> {
  public:
   RequestDispatch(DispatchState& state, EngineConnectionPool& pool,
@@ -70,11 +70,11 @@
   // Waits in the admission queue of the service for an engine with capacity.
   Awaitable<std::shared_ptr<Engine>> WaitForEngine();
   void LogWait(std::string_view event, const WaitInputs& inputs) const;
-  // Returns true if the prompt has parts that crash engines and the request may
-  // not be sent as a trial.
+  // Returns true if such requests crash engines and the request may
+  // not be sent as a probe.
   bool IsQuarantined();
   // Time until such a request may be tried; zero if none blocks this one.
-  Duration TimeUntilTrial() const;
+  Duration TimeUntilProbe() const;
   bool WasTried(const Engine& engine) const;
   bool HasUntriedEngine() const;
   // Time until one of the engines that may be tried wants requests; zero if one
@@ -136,6 +136,8 @@
   std::string service;
   std::uint64_t affinity_key = 0;  ///< Of the last prompt part; 0 for none.
   std::uint64_t request_key = 0;   ///< Hash of the request id.
+  /// Keys by which the quarantine knows requests as alike.
+  RequestKeySet quarantine_keys;
 
   TimePoint arrived_at;
   TimePoint client_deadline;
@@ -160,7 +162,7 @@
   bool stream_started = false;  ///< The response head was sent.
   bool answer_begun = false;    ///< In the current attempt.
   /// Sent to find out whether its prompt still crashes engines.
-  bool is_trial = false;
+  bool is_probe = false;
   EventSplitter events;
   std::unique_ptr<EngineExchange> exchange;
   std::optional<EngineResponse> error_response;  ///< Of the last engine that
--- a/src/dispatch/request_ending.cc
+++ b/src/dispatch/request_ending.cc
@@ -48,7 +48,7 @@
         queue.RetryAfter(HashText(this->workspace), this->state.Random()),
         this->TimeUntilUsableEngine());
   }
-  retry_after = std::max(retry_after, this->TimeUntilTrial());
+  retry_after = std::max(retry_after, this->TimeUntilProbe());
   co_await this->SendErrorResponse(status, reason, retry_after);
 }
 
--- a/src/dispatch/request_placement.cc
+++ b/src/dispatch/request_placement.cc
@@ -209,26 +209,25 @@
 }
 
 bool RequestDispatch::IsQuarantined() {
-  PromptQuarantine& quarantine = this->state.quarantine;
-  const QuarantinedParts* found = quarantine.Find(this->decoded.prefix);
+  RequestQuarantine& quarantine = this->state.quarantine;
+  const BlockedKeys* found = quarantine.Find(this->quarantine_keys);
   if (found == nullptr) return false;
-  // A trial is a single send.
+  // A probe is a single send.
   if (this->sends > 0) return true;
-  if (this->is_trial) return false;
-  const std::size_t rank = this->state.RankAmongPeers(found->parts.front());
-  this->is_trial = quarantine.TryStartTrial(RuntimeClock::now(), *found, rank);
-  if (this->is_trial) {
+  if (this->is_probe) return false;
+  const std::size_t rank = this->state.RankAmongPeers(found->keys.front());
+  this->is_probe = quarantine.TryStartProbe(RuntimeClock::now(), *found, rank);
+  if (this->is_probe) {
     Logger::Info("quarantine_trial", {{"request", this->decoded.id},
-                                      {"parts", FormatPartKeys(found->parts)}});
+                                      {"parts", FormatPartKeys(found->keys)}});
   }
-  return !this->is_trial;
+  return !this->is_probe;
 }
 
-Duration RequestDispatch::TimeUntilTrial() const {
-  const QuarantinedParts* found =
-      this->state.quarantine.Find(this->decoded.prefix);
+Duration RequestDispatch::TimeUntilProbe() const {
+  const BlockedKeys* found = this->state.quarantine.Find(this->quarantine_keys);
   if (found == nullptr) return Duration::zero();
-  return PromptQuarantine::TimeUntilTrial(RuntimeClock::now(), *found);
+  return CrashBlocklist::TimeUntilProbe(RuntimeClock::now(), *found);
 }
 
 void RequestDispatch::LogWait(std::string_view event,
--- a/src/dispatch/snapshot_exchange.cc
+++ b/src/dispatch/snapshot_exchange.cc
@@ -219,9 +219,8 @@
     snapshot.add_routers(peer);
   }
   const TimePoint now = RuntimeClock::now();
-  for (const QuarantinedParts& quarantined :
-       this->state.quarantine.Quarantined()) {
-    FillReport(quarantined, now, *snapshot.add_quarantines());
+  for (const BlockedKeys& blocked : this->state.quarantine.Blocked()) {
+    FillReport(blocked, now, *snapshot.add_quarantines());
   }
   for (const auto& [id, engine] : this->state.engines.Engines()) {
     if (!engine->rate_limit.IsActive()) continue;
--- a/src/dispatch/store_watcher.cc
+++ b/src/dispatch/store_watcher.cc
@@ -218,7 +218,7 @@
     const bool restored = co_await this->WaitForNextRead(jittered);
     if (restored) {
       // One router writes the quarantine again, if there is any.
-      if (!this->state.quarantine.Quarantined().empty() &&
+      if (!this->state.quarantine.Blocked().empty() &&
           this->state.IsFirstAmongPeers(0)) {
         this->state.quarantine_changed.NotifyAll();
       }
@@ -253,8 +253,8 @@
       const Duration jittered = WithJitter(pause, this->state.Random());
       co_await SleepFor(jittered);
       const TimePoint now = RuntimeClock::now();
-      std::string row = FormatQuarantineRow(
-          this->state.quarantine.Quarantined(), now, UnixMilliseconds());
+      std::string row = FormatQuarantineRow(this->state.quarantine.Blocked(),
+                                            now, UnixMilliseconds());
       written = co_await this->store->WriteRow(std::string(kQuarantineRowKey),
                                                std::move(row), kReadTimeout);
       this->state.metrics.Add("store_calls_total");
--- a/tests/request_quarantine_test.cc
+++ b/tests/request_quarantine_test.cc
@@ -1,7 +1,7 @@
 // Which prompt parts are taken to crash engines, in a model of a fleet whose
 // routers exchange reports: how soon all routers know, what sound requests
 // lose, and that crashes of other causes blame no part.
-#include "dandelionscale/core/prompt_quarantine.h"
+#include "dandelionscale/core/request_quarantine.h"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
@@ -23,12 +23,6 @@
 // know of it.
 constexpr int kMaxLaterSends = 3;
 
-std::vector<PrefixPart> MakePrefix(const std::vector<std::uint64_t>& keys) {
-  std::vector<PrefixPart> prefix;
-  for (std::uint64_t key : keys) prefix.push_back({key, 100});
-  return prefix;
-}
-
 struct Load {
   std::size_t routers = 8;
   std::uint32_t engines = 18;
@@ -81,7 +75,7 @@
   }
 
   void RestartRouter(std::size_t router) {
-    this->routers[router] = PromptQuarantine();
+    this->routers[router] = RequestQuarantine();
   }
   void CutOff(std::size_t router) { this->cut_off = router; }
   void Reconnect() { this->cut_off.reset(); }
@@ -106,7 +100,7 @@
   Load load;
   std::mt19937 random;
   TimePoint now = TimePoint(seconds(1000));
-  std::vector<PromptQuarantine> routers;
+  std::vector<RequestQuarantine> routers;
   std::vector<Engine> engines;
   std::vector<Send> sends;
   bool poisoned = false;  ///< Requests with the crashing part arrive.
@@ -149,7 +143,7 @@
     if (send.is_crashing) send.parts.push_back(kCrashingPart);
     const bool shares_subject = !send.is_crashing && send.parts[1] == 140;
     const bool is_blocked =
-        this->routers[send.router].Find(MakePrefix(send.parts)) != nullptr;
+        this->routers[send.router].Find(send.parts) != nullptr;
     const bool is_late = this->now > this->known_at;
     if (shares_subject && is_late) ++this->sound_asked;
     if (shares_subject && is_late && is_blocked) ++this->sound_blocked;
@@ -191,17 +185,16 @@
       } else if (send.is_reset) {
         this->OnLost(send);
       } else {
-        this->routers[send.router].OnAnswered(this->now, kService,
-                                              MakePrefix(send.parts));
+        this->routers[send.router].OnAnswered(this->now, kService, send.parts);
       }
     }
   }
 
   void OnLost(const Send& send) {
-    PromptQuarantine& router = this->routers[send.router];
+    RequestQuarantine& router = this->routers[send.router];
     router.OnLost(this->now, kService,
                   {send.request, send.engine_key, 0, {}, send.parts});
-    if (send.is_repeat || router.Find(MakePrefix(send.parts)) != nullptr) {
+    if (send.is_repeat || router.Find(send.parts) != nullptr) {
       return;
     }
     Send repeat = send;
@@ -234,7 +227,7 @@
   }
 
   void EvaluateAll() {
-    for (PromptQuarantine& router : this->routers) {
+    for (RequestQuarantine& router : this->routers) {
       router.Evaluate(this->now, this->routers.size() - 1);
     }
   }
@@ -300,8 +293,8 @@
     fleet.Reconnect();
     fleet.RestartRouter(3);
     fleet.Run(seconds(2));
-    const std::vector<PrefixPart> prompt = MakePrefix({1, 140, kCrashingPart});
-    for (const PromptQuarantine& router : fleet.routers) {
+    const RequestKeySet prompt = {1, 140, kCrashingPart};
+    for (const RequestQuarantine& router : fleet.routers) {
       REQUIRE(router.Find(prompt) != nullptr);
     }
     fleet.Run(seconds(10));
@@ -366,7 +359,7 @@
 
 // Loses requests with the part at `crashes` engines, with answers to others
 // between, and lets the router decide.
-void Poison(PromptQuarantine& router, TimePoint& now, int crashes) {
+void Poison(RequestQuarantine& router, TimePoint& now, int crashes) {
   static std::uint64_t request = 0;
   static std::uint32_t engine = 0;
   for (int n = 0; n < crashes; ++n) {
@@ -376,40 +369,40 @@
   }
   now += seconds(1);
   for (int n = 0; n < 5; ++n) {
-    router.OnAnswered(now, kService, MakePrefix({1, 50}));
+    router.OnAnswered(now, kService, RequestKeySet{1, 50});
   }
   router.Evaluate(now, 7);
 }
 
 TEST_CASE("a sound part is released as soon as it is answered") {
-  PromptQuarantine router;
+  RequestQuarantine router;
   TimePoint now = TimePoint(seconds(1000));
   Poison(router, now, 5);
   // Nothing tells the two apart yet: only requests with both are blocked.
-  CHECK(router.Find(MakePrefix({1, 140, kCrashingPart})) != nullptr);
-  CHECK(router.Find(MakePrefix({1, 140})) == nullptr);
-  CHECK(router.Find(MakePrefix({1, 50, kCrashingPart})) == nullptr);
+  CHECK(router.Find(RequestKeySet{1, 140, kCrashingPart}) != nullptr);
+  CHECK(router.Find(RequestKeySet{1, 140}) == nullptr);
+  CHECK(router.Find(RequestKeySet{1, 50, kCrashingPart}) == nullptr);
   now += seconds(1);
-  router.OnAnswered(now, kService, MakePrefix({1, 140}));
-  CHECK(router.Find(MakePrefix({1, 140})) == nullptr);
-  CHECK(router.Find(MakePrefix({1, 50, kCrashingPart})) != nullptr);
+  router.OnAnswered(now, kService, RequestKeySet{1, 140});
+  CHECK(router.Find(RequestKeySet{1, 140}) == nullptr);
+  CHECK(router.Find(RequestKeySet{1, 50, kCrashingPart}) != nullptr);
 }
 
 TEST_CASE("a quarantine ends by a trial that is answered") {
-  PromptQuarantine router;
+  RequestQuarantine router;
   TimePoint now = TimePoint(seconds(1000));
   Poison(router, now, 5);
-  const std::vector<PrefixPart> prompt = MakePrefix({1, 140, kCrashingPart});
-  const QuarantinedParts* blocked = router.Find(prompt);
+  const RequestKeySet prompt = {1, 140, kCrashingPart};
+  const BlockedKeys* blocked = router.Find(prompt);
   REQUIRE(blocked != nullptr);
-  CHECK(PromptQuarantine::TimeUntilTrial(now, *blocked) > seconds(30));
-  CHECK_FALSE(router.TryStartTrial(now, *blocked, 0));
+  CHECK(CrashBlocklist::TimeUntilProbe(now, *blocked) > seconds(30));
+  CHECK_FALSE(router.TryStartProbe(now, *blocked, 0));
   now += seconds(61);
   // Another router has the first turn.
-  CHECK_FALSE(router.TryStartTrial(now, *blocked, 5));
-  CHECK(router.TryStartTrial(now, *blocked, 0));
+  CHECK_FALSE(router.TryStartProbe(now, *blocked, 5));
+  CHECK(router.TryStartProbe(now, *blocked, 0));
   // One trial at a time.
-  CHECK_FALSE(router.TryStartTrial(now, *blocked, 0));
+  CHECK_FALSE(router.TryStartProbe(now, *blocked, 0));
   now += milliseconds(80);
   const auto changes = router.OnAnswered(now, kService, prompt);
   CHECK(router.Find(prompt) == nullptr);
@@ -417,20 +410,20 @@
   CHECK(changes.back().kind == QuarantineChange::Kind::kReleased);
   // A peer that has not heard of it yet does not bring it back.
   QuarantineUpdate late;
-  late.quarantined = {{{140, kCrashingPart}, now - seconds(61), 0}};
+  late.blocked = {{{140, kCrashingPart}, now - seconds(61), 0}};
   router.Apply(now + milliseconds(10), late);
   CHECK(router.Find(prompt) == nullptr);
 }
 
 TEST_CASE("a trial that crashes an engine prolongs the quarantine") {
-  PromptQuarantine router;
+  RequestQuarantine router;
   TimePoint now = TimePoint(seconds(1000));
   Poison(router, now, 5);
-  const std::vector<PrefixPart> prompt = MakePrefix({1, 140, kCrashingPart});
-  const QuarantinedParts* blocked = router.Find(prompt);
+  const RequestKeySet prompt = {1, 140, kCrashingPart};
+  const BlockedKeys* blocked = router.Find(prompt);
   REQUIRE(blocked != nullptr);
   now += seconds(61);
-  REQUIRE(router.TryStartTrial(now, *blocked, 0));
+  REQUIRE(router.TryStartProbe(now, *blocked, 0));
   now += milliseconds(80);
   const auto changes = router.OnLost(
       now, kService, {9'999, 9'999, 0, {}, {1, 140, kCrashingPart}});
@@ -438,21 +431,21 @@
   CHECK(changes[0].kind == QuarantineChange::Kind::kProlonged);
   blocked = router.Find(prompt);
   REQUIRE(blocked != nullptr);
-  CHECK(PromptQuarantine::TimeUntilTrial(now, *blocked) > seconds(100));
+  CHECK(CrashBlocklist::TimeUntilProbe(now, *blocked) > seconds(100));
   // A peer learns the new time.
-  PromptQuarantine peer;
+  RequestQuarantine peer;
   QuarantineUpdate first;
-  first.quarantined = {{blocked->parts, now - seconds(61), 0}};
+  first.blocked = {{blocked->keys, now - seconds(61), 0}};
   peer.Apply(now, first);
   peer.Apply(now, router.TakeForDigest());
-  const QuarantinedParts* learned = peer.Find(prompt);
+  const BlockedKeys* learned = peer.Find(prompt);
   REQUIRE(learned != nullptr);
-  CHECK(learned->failed_trials == 1);
-  CHECK(PromptQuarantine::TimeUntilTrial(now, *learned) > seconds(100));
+  CHECK(learned->failed_probes == 1);
+  CHECK(CrashBlocklist::TimeUntilProbe(now, *learned) > seconds(100));
 }
 
 TEST_CASE("memory is bounded, and what is not used is forgotten") {
-  PromptQuarantine router;
+  RequestQuarantine router;
   TimePoint now = TimePoint(seconds(1000));
   for (std::uint64_t n = 0; n < 5'000; ++n) {
     now += milliseconds(5);
@@ -463,18 +456,18 @@
   CHECK(router.LostSendCount() <= 128);
   QuarantineUpdate update;
   for (std::uint64_t n = 0; n < 500; ++n) {
-    update.quarantined.push_back({{1'000'000 + n}, now, 0});
+    update.blocked.push_back({{1'000'000 + n}, now, 0});
     update.answered.push_back({2'000'000 + n, now});
   }
   router.Apply(now, update);
-  CHECK(router.Quarantined().size() <= 64);
+  CHECK(router.Blocked().size() <= 64);
   const QuarantineUpdate digest = router.TakeForDigest();
   CHECK(digest.lost_sends.size() + digest.answered.size() +
-            digest.quarantined.size() <=
+            digest.blocked.size() <=
         16);
   now += std::chrono::hours(3);
   router.Evaluate(now, 7);
-  CHECK(router.Quarantined().empty());
+  CHECK(router.Blocked().empty());
   CHECK(router.LostSendCount() == 0);
 }
 
--- a/tests/store_watcher_test.cc
+++ b/tests/store_watcher_test.cc
@@ -197,8 +197,7 @@
 constexpr std::uint64_t kCrashingPart = 0xdead;
 
 bool IsBlocked(const DispatchState& state) {
-  const PrefixPart part{kCrashingPart, 100};
-  return state.quarantine.Find(std::span(&part, 1)) != nullptr;
+  return state.quarantine.Find(std::span(&kCrashingPart, 1)) != nullptr;
 }
 
 TEST_CASE("what crashes engines is kept in the store and read at the start") {
@@ -231,7 +230,7 @@
   REQUIRE(fixture.state.peers.size() == 1);
   fixture.state.live_peers.clear();
   const TimePoint now = RuntimeClock::now();
-  const QuarantinedParts found{{kCrashingPart}, now};
+  const BlockedKeys found{{kCrashingPart}, now};
   rows.push_back({std::string(kQuarantineRowKey),
                   FormatQuarantineRow(std::span(&found, 1), now, 0), 2, false});
   fixture.Advance(std::chrono::seconds(3));
