--- a/include/dandelionscale/dispatch/protocol_codec.h
+++ b/include/dandelionscale/dispatch/protocol_codec.h
@@ -25,6 +25,9 @@
   std::string key;  ///< API key of a workspace; empty if absent.
   /// Leading parts of the prompt that other requests may share.
   std::vector<PrefixPart> prefix;
+  /// Hash of model and all prompt parts, the last one included; 0 if there is
+  /// no prompt.
+  std::uint64_t prompt_key = 0;
   /// Id of the last stream event that the client has received.
   std::string resume_after;
   HttpHeaders end_to_end;  ///< Header fields to forward unchanged.
--- a/src/dispatch/request_dispatch.cc
+++ b/src/dispatch/request_dispatch.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 
 #include "dandelionscale/core/hash.h"
+#include "dandelionscale/core/request_fingerprint.h"
 #include "dandelionscale/runtime/logger.h"
 #include "dandelionscale/transport/http_status.h"
 #include "transport/socket_helpers.h"
@@ -139,6 +140,9 @@
     this->affinity_key = this->decoded.prefix.back().key;
     this->quarantine_keys = PartKeys(this->decoded.prefix);
   }
+  this->fingerprint = Fingerprint(
+      {this->workspace, this->request.method, this->decoded.host,
+       this->request.target, this->request.body, this->decoded.prompt_key});
   this->service =
       ChooseService(*this->route, this->affinity_key != 0 ? this->affinity_key
                                                           : this->request_key);
@@ -221,7 +225,8 @@
        {"failure_rate", engine.health.FailureRate()},
        {"time_left_ms", ToMilliseconds(this->Deadline() - now)},
        {"events", static_cast<std::int64_t>(this->events.EventCount())},
-       {"parts", FormatPartKeys(this->quarantine_keys)}});
+       {"parts", FormatPartKeys(this->quarantine_keys)},
+       {"fingerprint", fmt::format("{:x}", this->fingerprint)}});
 }
 
 void RequestDispatch::RecordFailure(Engine& engine, AttemptFailure failure) {
--- a/src/dispatch/request_dispatch.h
+++ b/src/dispatch/request_dispatch.h
@@ -138,6 +138,7 @@
   std::uint64_t request_key = 0;   ///< Hash of the request id.
   /// Keys by which the quarantine knows requests as alike.
   RequestKeySet quarantine_keys;
+  std::uint64_t fingerprint = 0;  ///< See `Fingerprint()`.
 
   TimePoint arrived_at;
   TimePoint client_deadline;
--- a/src/dispatch/request_ending.cc
+++ b/src/dispatch/request_ending.cc
@@ -86,6 +86,7 @@
        {"reason", reason},
        {"route", this->route == nullptr ? std::string_view()
                                         : std::string_view(this->route->name)},
+       {"fingerprint", fmt::format("{:x}", this->fingerprint)},
        {"took_ms", ToMilliseconds(age)},
        {"sends", static_cast<std::int64_t>(this->sends)},
        {"events", static_cast<std::int64_t>(this->events.EventCount())},
