Keep a request off engines that crashes them and comes again

What callers saw: bookings and look-ups of job status refused or failed for seconds at a time, since one request of one caller ended all four engines as often as they were back. Cause: losses were compared by the parts of prompts. A plain request has none, and each attempt has an id of its own, so two of them could not be known as alike. The class: identity by a name that the sender makes anew. Ruled out: collapse under load (the engines served two seconds of all requests between the waves, and end within 0.1 s of beginning one request). Fix: a fingerprint of caller, method, host, path, query, body and prompt. Not one more key of their evidence: that asks for as many crashes as chance explains at the rate of losses, here up to 9 of 4 engines, and a set with a fingerprint would hide the part that many requests share. Since few losses are enough, the first probe goes at once, at one router after the other.

--- a/include/dandelionscale/core/crash_blocklist.h
+++ b/include/dandelionscale/core/crash_blocklist.h
@@ -24,11 +24,11 @@
   /// \returns the time from `now` until the next probe; zero if it is due.
   static Duration TimeUntilProbe(TimePoint now, const BlockedKeys& blocked);
   /// \brief Asks whether a blocked request may be sent as the probe.
-  /// \param rank position of this router in an order of all routers. Routers
+  /// \param rank position of this router in an order of all `routers`. Routers
   ///        may start probes one after the other, so that normally only one
   ///        does.
   bool TryStartProbe(TimePoint now, const BlockedKeys& blocked,
-                     std::size_t rank);
+                     std::size_t rank, std::size_t routers);
 
   /// \brief Adds a set of keys; removes the sets that it includes.
   void Add(BlockedKeys blocked);
--- a/include/dandelionscale/core/crash_evidence.h
+++ b/include/dandelionscale/core/crash_evidence.h
@@ -69,6 +69,9 @@
   /// \brief Sets the number of other routers, on which it depends how long
   ///        reports take to reach this one.
   void SetPeerCount(std::size_t peers);
+  /// \returns the age from which a lost send counts: answers that clear it are
+  ///          known by then.
+  Duration SettleTime() const { return this->settle_time; }
   /// \returns the keys that crash engines, or nothing.
   std::optional<CrashCandidate> FindCandidate(TimePoint now);
   /// \returns true if this router has just received answers to all of the keys.
--- a/include/dandelionscale/core/crash_report.h
+++ b/include/dandelionscale/core/crash_report.h
@@ -10,7 +10,8 @@
 
 namespace dandelionscale {
 
-/// Sorted, distinct keys of what a request shares with others; see `PartKey()`.
+/// Sorted, distinct keys of what a request shares with others, `PartKey()`, and
+/// of the whole request, `Fingerprint()`.
 using RequestKeySet = std::vector<std::uint64_t>;
 
 /// \returns true if all keys of `keys` are in `whole`.
@@ -31,6 +32,21 @@
   RequestKeySet keys;
 };
 
+/// \brief The same, for one whole request instead of what it shares with
+///        others.
+struct LostRequest {
+  std::uint64_t fingerprint = 0;  ///< See `Fingerprint()`.
+  std::uint64_t request_key = 0;  ///< Hash of the request id.
+  std::uint32_t engine = 0;       ///< `ShortKey()` of the incarnation.
+  TimePoint at{};                 ///< When the connection was lost.
+};
+
+/// \brief A request at which engines crash one after the other.
+struct CrashingRequest {
+  std::uint64_t fingerprint = 0;
+  std::size_t crashes = 0;
+};
+
 /// \brief An engine has begun to answer a request with this key.
 struct AnsweredKey {
   std::uint64_t key = 0;
@@ -43,6 +59,9 @@
   TimePoint since{};
   /// How often a probe has failed since they were blocked first.
   std::uint32_t failed_probes = 0;
+  /// The only key is a fingerprint: one request is blocked. It is probed at
+  /// once, since few losses are enough to block it.
+  bool is_single_request = false;
 };
 
 /// \brief What routers tell each other.
@@ -50,6 +69,7 @@
   std::vector<LostSend> lost_sends;
   std::vector<AnsweredKey> answered;
   std::vector<BlockedKeys> blocked;
+  std::vector<LostRequest> lost_requests;
 };
 
 /// \brief A change of what is blocked, for logs and metrics.
--- a/include/dandelionscale/core/request_quarantine.h
+++ b/include/dandelionscale/core/request_quarantine.h
@@ -9,18 +9,20 @@
 #include "dandelionscale/core/crash_blocklist.h"
 #include "dandelionscale/core/crash_evidence.h"
 #include "dandelionscale/core/crash_report.h"
+#include "dandelionscale/core/lost_requests.h"
 
 namespace dandelionscale {
 
 /// \brief Finds requests at which engines crash (a "query of death"), and keeps
 ///        them off engines.
 ///
-/// Joins `CrashEvidence` and `CrashBlocklist`. Keys are blocked once more
-/// engines than chance explains were lost with them, one after the other, while
-/// the service went on answering other requests. All keys that these sends have
-/// in common are blocked together, so that a sound key that always comes with
-/// the crashing one is not blocked by itself; a key that is answered leaves the
-/// set.
+/// Joins `CrashEvidence`, `LostRequests` and `CrashBlocklist`. Keys are blocked
+/// once more engines than chance explains were lost with them, one after the
+/// other, while the service went on answering other requests. All keys that
+/// these sends have in common are blocked together, so that a sound key that
+/// always comes with the crashing one is not blocked by itself; a key that is
+/// answered leaves the set. A request that is lost at one engine after the
+/// other is blocked by itself.
 class RequestQuarantine {
  public:
   /// \brief Records that an engine has begun its answer to a request.
@@ -30,8 +32,10 @@
   /// \brief Records that an engine's connection was lost before it began its
   ///        answer.
   /// \param send the service may be left out, and keys be in any order.
+  /// \param fingerprint of the whole request.
   std::vector<QuarantineChange> OnLost(TimePoint now, std::string_view service,
-                                       LostSend send);
+                                       LostSend send,
+                                       std::uint64_t fingerprint = 0);
   /// \brief Applies what a peer has sent, or what is kept in the store.
   std::vector<QuarantineChange> Apply(TimePoint now,
                                       const QuarantineUpdate& update);
@@ -45,8 +49,8 @@
   }
   /// \brief As `CrashBlocklist::TryStartProbe()`.
   bool TryStartProbe(TimePoint now, const BlockedKeys& blocked,
-                     std::size_t rank) {
-    return this->blocklist.TryStartProbe(now, blocked, rank);
+                     std::size_t rank, std::size_t routers) {
+    return this->blocklist.TryStartProbe(now, blocked, rank, routers);
   }
 
   /// \returns what the next digest to the peers should hold.
@@ -63,13 +67,20 @@
   // reports and entries that had it.
   std::size_t Clear(TimePoint answered_at, std::uint64_t key,
                     std::vector<QuarantineChange>& changes);
+  void OnRequestLost(TimePoint now, const LostRequest& lost,
+                     std::vector<QuarantineChange>& changes);
   void AddLoss(TimePoint now, LostSend send, bool is_own);
   void ApplyAnswer(const AnsweredKey& answered,
                    std::vector<QuarantineChange>& changes);
   void ApplyBlocked(TimePoint now, BlockedKeys blocked,
                     std::vector<QuarantineChange>& changes);
 
+  // Blocks single requests that crash engines.
+  void BlockCrashingRequests(TimePoint now,
+                             std::vector<QuarantineChange>& changes);
+
   CrashEvidence evidence;
+  LostRequests lost_requests;
   CrashBlocklist blocklist;
   bool urgent = false;
 };
--- a/src/core/crash_blocklist.cc
+++ b/src/core/crash_blocklist.cc
@@ -11,17 +11,25 @@
 constexpr Duration kMaxProbeDelay = std::chrono::hours(1);
 // Routers may start a probe this long after each other.
 constexpr Duration kProbeStagger = std::chrono::seconds(2);
+// The last router may start the first probe of a single request this long after
+// the first router.
+constexpr Duration kFirstProbeSpread = std::chrono::seconds(16);
 // A router sends no second probe within this time.
 constexpr Duration kProbeTimeout = std::chrono::seconds(15);
 // An entry for which no request came ends this long after its probe was due.
 constexpr Duration kUnusedLifetime = std::chrono::hours(1);
 constexpr std::size_t kMaxEntriesPerDigest = 4;
 
-Duration ProbeDelay(std::uint32_t failed_probes) {
+bool IsProbedAtOnce(const BlockedKeys& blocked) {
+  return blocked.is_single_request && blocked.failed_probes == 0;
+}
+
+Duration ProbeDelay(const BlockedKeys& blocked) {
   // Enough doublings to reach the maximum.
   constexpr std::uint32_t kMaxDoublings = 6;
+  if (IsProbedAtOnce(blocked)) return Duration::zero();
   return std::min(
-      kFirstProbeDelay * (1 << std::min(failed_probes, kMaxDoublings)),
+      kFirstProbeDelay * (1 << std::min(blocked.failed_probes, kMaxDoublings)),
       kMaxProbeDelay);
 }
 
@@ -45,14 +53,16 @@
 
 Duration CrashBlocklist::TimeUntilProbe(TimePoint now,
                                         const BlockedKeys& blocked) {
-  const TimePoint probe_at = blocked.since + ProbeDelay(blocked.failed_probes);
+  const TimePoint probe_at = blocked.since + ProbeDelay(blocked);
   return std::max(probe_at - now, Duration::zero());
 }
 
 bool CrashBlocklist::TryStartProbe(TimePoint now, const BlockedKeys& blocked,
-                                   std::size_t rank) {
-  const TimePoint probe_at =
-      blocked.since + ProbeDelay(blocked.failed_probes) + kProbeStagger * rank;
+                                   std::size_t rank, std::size_t routers) {
+  const Duration stagger = IsProbedAtOnce(blocked)
+                               ? kFirstProbeSpread * rank / routers
+                               : kProbeStagger * rank;
+  const TimePoint probe_at = blocked.since + ProbeDelay(blocked) + stagger;
   auto entry = std::find_if(
       this->entries.begin(), this->entries.end(),
       [&](const Entry& candidate) { return &candidate.blocked == &blocked; });
@@ -138,8 +148,7 @@
                             std::vector<QuarantineChange>& changes) {
   std::erase_if(this->entries, [&](const Entry& entry) {
     const bool is_unused =
-        now - entry.blocked.since >
-        ProbeDelay(entry.blocked.failed_probes) + kUnusedLifetime;
+        now - entry.blocked.since > ProbeDelay(entry.blocked) + kUnusedLifetime;
     if (is_unused) {
       changes.push_back({QuarantineChange::Kind::kExpired, entry.blocked});
     }
--- a/src/core/request_quarantine.cc
+++ b/src/core/request_quarantine.cc
@@ -10,9 +10,9 @@
     std::span<const std::uint64_t> keys) {
   this->evidence.OnOwnAnswer(now, service, keys);
   std::vector<QuarantineChange> changes;
-  if (this->evidence.LostSendCount() == 0 && this->blocklist.IsEmpty()) {
-    return changes;
-  }
+  const bool has_reports =
+      this->evidence.LostSendCount() > 0 || this->lost_requests.Size() > 0;
+  if (!has_reports && this->blocklist.IsEmpty()) return changes;
   for (std::uint64_t key : keys) {
     const std::size_t cleared = this->Clear(now, key, changes);
     if (cleared > 0) this->evidence.ReportAnswer(now, key, cleared);
@@ -21,7 +21,9 @@
 }
 
 std::vector<QuarantineChange> RequestQuarantine::OnLost(
-    TimePoint now, std::string_view service, LostSend send) {
+    TimePoint now, std::string_view service, LostSend send,
+    std::uint64_t fingerprint) {
+  const LostRequest lost = {fingerprint, send.request_key, send.engine, now};
   send.service = ServiceKey(service);
   send.at = now;
   std::sort(send.keys.begin(), send.keys.end());
@@ -29,6 +31,7 @@
                   send.keys.end());
   this->evidence.OnOwnLoss(now, service);
   std::vector<QuarantineChange> changes;
+  if (fingerprint != 0) this->OnRequestLost(now, lost, changes);
   bool prolonged = false;
   const BlockedKeys* blocked =
       this->blocklist.OnLost(now, send.keys, prolonged);
@@ -44,6 +47,19 @@
   return changes;
 }
 
+void RequestQuarantine::OnRequestLost(TimePoint now, const LostRequest& lost,
+                                      std::vector<QuarantineChange>& changes) {
+  bool prolonged = false;
+  const BlockedKeys* blocked =
+      this->blocklist.OnLost(now, {lost.fingerprint}, prolonged);
+  if (prolonged) {
+    this->urgent = true;
+    changes.push_back({QuarantineChange::Kind::kProlonged, *blocked});
+  }
+  if (blocked != nullptr) return;
+  if (this->lost_requests.Add(now, lost)) this->urgent = true;
+}
+
 std::vector<QuarantineChange> RequestQuarantine::Apply(
     TimePoint now, const QuarantineUpdate& update) {
   std::vector<QuarantineChange> changes;
@@ -56,6 +72,14 @@
   for (const LostSend& send : update.lost_sends) {
     this->AddLoss(now, send, false);
   }
+  for (const LostRequest& lost : update.lost_requests) {
+    const TimePoint answered_at = this->evidence.AnsweredAt(lost.fingerprint);
+    if (answered_at > lost.at) {
+      this->evidence.ReportAnswer(answered_at, lost.fingerprint, 1);
+    } else {
+      this->lost_requests.Add(now, lost);
+    }
+  }
   return changes;
 }
 
@@ -74,7 +98,9 @@
   });
   if (this->evidence.WereJustAnswered(now, blocked.keys)) return;
   if (this->blocklist.Merge(blocked)) return;
-  this->evidence.Account(now, blocked.keys, {});
+  if (!blocked.is_single_request) {
+    this->evidence.Account(now, blocked.keys, {});
+  }
   this->blocklist.Add(blocked);
   changes.push_back({QuarantineChange::Kind::kLearned, std::move(blocked)});
 }
@@ -91,13 +117,29 @@
     this->blocklist.Add(std::move(blocked));
     this->urgent = true;
   }
+  this->BlockCrashingRequests(now, changes);
   this->evidence.Expire(now);
+  this->lost_requests.Expire(now);
   this->blocklist.Expire(now, changes);
   return changes;
 }
 
+void RequestQuarantine::BlockCrashingRequests(
+    TimePoint now, std::vector<QuarantineChange>& changes) {
+  for (const CrashingRequest& request :
+       this->lost_requests.FindCrashing(now, this->evidence.SettleTime())) {
+    BlockedKeys blocked = {{request.fingerprint}, now, 0, true};
+    if (this->blocklist.Find(blocked.keys) != nullptr) continue;
+    changes.push_back(
+        {QuarantineChange::Kind::kBlocked, blocked, request.crashes, 0});
+    this->blocklist.Add(std::move(blocked));
+    this->urgent = true;
+  }
+}
+
 QuarantineUpdate RequestQuarantine::TakeForDigest() {
   QuarantineUpdate update;
+  update.lost_requests = this->lost_requests.TakeForDigest();
   this->evidence.TakeForDigest(update);
   update.blocked = this->blocklist.TakeForDigest();
   return update;
@@ -110,6 +152,7 @@
 std::size_t RequestQuarantine::Clear(TimePoint answered_at, std::uint64_t key,
                                      std::vector<QuarantineChange>& changes) {
   return this->evidence.Clear(answered_at, key) +
+         this->lost_requests.OnAnswered(answered_at, key) +
          this->blocklist.OnAnswered(answered_at, key, changes);
 }
 
--- a/src/dispatch/peer_messages.cc
+++ b/src/dispatch/peer_messages.cc
@@ -34,7 +34,7 @@
 
 BlockedKeys ToBlockedKeys(const wire::QuarantineReport& report, TimePoint now) {
   return {ToRequestKeySet(report.parts()), FromAgeMs(now, report.age_ms()),
-          report.failed_trials()};
+          report.failed_trials(), report.single_request()};
 }
 
 }  // namespace
@@ -68,6 +68,11 @@
         {report.request(), report.engine(), report.service(),
          FromAgeMs(now, report.age_ms()), ToRequestKeySet(report.parts())});
   }
+  for (const wire::LostRequestReport& report : digest.lost_requests()) {
+    update.lost_requests.push_back({report.fingerprint(), report.request(),
+                                    report.engine(),
+                                    FromAgeMs(now, report.age_ms())});
+  }
   for (const wire::AnsweredPartReport& report : digest.answered_parts()) {
     update.answered.push_back({report.part(), FromAgeMs(now, report.age_ms())});
   }
@@ -87,6 +92,13 @@
     report.set_age_ms(ToAgeMs(now - send.at));
     report.mutable_parts()->Add(send.keys.begin(), send.keys.end());
   }
+  for (const LostRequest& lost : update.lost_requests) {
+    wire::LostRequestReport& report = *digest.add_lost_requests();
+    report.set_fingerprint(lost.fingerprint);
+    report.set_request(lost.request_key);
+    report.set_engine(lost.engine);
+    report.set_age_ms(ToAgeMs(now - lost.at));
+  }
   for (const AnsweredKey& answered : update.answered) {
     wire::AnsweredPartReport& report = *digest.add_answered_parts();
     report.set_part(answered.key);
@@ -139,6 +151,7 @@
   report.mutable_parts()->Add(blocked.keys.begin(), blocked.keys.end());
   report.set_age_ms(ToAgeMs(now - blocked.since));
   report.set_failed_trials(blocked.failed_probes);
+  report.set_single_request(blocked.is_single_request);
 }
 
 std::optional<double> ToRateLimit(const wire::RateLimitReport& report) {
--- a/src/dispatch/request_dispatch.cc
+++ b/src/dispatch/request_dispatch.cc
@@ -138,11 +138,12 @@
   this->request_key = HashText(this->decoded.id);
   if (!this->decoded.prefix.empty()) {
     this->affinity_key = this->decoded.prefix.back().key;
-    this->quarantine_keys = PartKeys(this->decoded.prefix);
   }
   this->fingerprint = Fingerprint(
       {this->workspace, this->request.method, this->decoded.host,
        this->request.target, this->request.body, this->decoded.prompt_key});
+  this->quarantine_keys = PartKeys(this->decoded.prefix);
+  this->quarantine_keys.push_back(this->fingerprint);
   this->service =
       ChooseService(*this->route, this->affinity_key != 0 ? this->affinity_key
                                                           : this->request_key);
@@ -181,10 +182,10 @@
   LostSend send;
   send.request_key = this->request_key;
   send.engine = ShortKey(engine.key);
-  send.keys = this->quarantine_keys;
+  send.keys = PartKeys(this->decoded.prefix);
   this->state.OnOwnQuarantineChanges(
       this->state.quarantine.OnLost(RuntimeClock::now(), this->service,
-                                    std::move(send)),
+                                    std::move(send), this->fingerprint),
       "loss");
 }
 
@@ -205,8 +206,7 @@
   }
   if (ended_by_client_or_deadline) return;
   if (!withheld) this->RecordFailure(engine, *failure);
-  if (connection_lost && !this->answer_begun &&
-      !this->quarantine_keys.empty()) {
+  if (connection_lost && !this->answer_begun) {
     this->OnLostBeforeAnswer(engine);
   }
   if (*failure == AttemptFailure::kWrongEngine) {
@@ -225,7 +225,7 @@
        {"failure_rate", engine.health.FailureRate()},
        {"time_left_ms", ToMilliseconds(this->Deadline() - now)},
        {"events", static_cast<std::int64_t>(this->events.EventCount())},
-       {"parts", FormatPartKeys(this->quarantine_keys)},
+       {"parts", FormatPartKeys(PartKeys(this->decoded.prefix))},
        {"fingerprint", fmt::format("{:x}", this->fingerprint)}});
 }
 
--- a/src/dispatch/request_placement.cc
+++ b/src/dispatch/request_placement.cc
@@ -216,7 +216,8 @@
   if (this->sends > 0) return true;
   if (this->is_probe) return false;
   const std::size_t rank = this->state.RankAmongPeers(found->keys.front());
-  this->is_probe = quarantine.TryStartProbe(RuntimeClock::now(), *found, rank);
+  this->is_probe = quarantine.TryStartProbe(RuntimeClock::now(), *found, rank,
+                                            this->state.RouterCount());
   if (this->is_probe) {
     Logger::Info("quarantine_trial", {{"request", this->decoded.id},
                                       {"parts", FormatPartKeys(found->keys)}});
--- a/src/dispatch/response_relay.cc
+++ b/src/dispatch/response_relay.cc
@@ -98,7 +98,7 @@
 }
 
 void RequestDispatch::OnAnswerBegun() {
-  if (this->answer_begun || this->quarantine_keys.empty()) return;
+  if (this->answer_begun) return;
   this->answer_begun = true;
   this->state.OnOwnQuarantineChanges(
       this->state.quarantine.OnAnswered(RuntimeClock::now(), this->service,
--- a/tests/request_quarantine_test.cc
+++ b/tests/request_quarantine_test.cc
@@ -1,6 +1,6 @@
-// Which prompt parts are taken to crash engines, in a model of a fleet whose
-// routers exchange reports: how soon all routers know, what sound requests
-// lose, and that crashes of other causes blame no part.
+// Which prompt parts and requests are taken to crash engines, in a model of a
+// fleet whose routers exchange reports: how soon all routers know, what sound
+// requests lose, and that crashes of other causes blame none.
 #include "dandelionscale/core/request_quarantine.h"
 
 #include <algorithm>
@@ -32,6 +32,10 @@
   bool one_subject = true;  ///< Crashing requests have one second part.
   Duration contact = seconds(3);
   double reset_share = 0;  ///< Of the sends, broken by engines that stay up.
+  /// Requests have no prompt; the crashing one comes again and again.
+  bool is_plain = false;
+  double polled_share = 0;  ///< Of plain requests, that one client repeats.
+  int known_crashes = kKnownCrashes;
 };
 
 // A fleet in steps of 10 ms. Requests reach routers and engines at random.
@@ -90,9 +94,10 @@
     std::uint32_t engine = 0;
     std::uint32_t engine_key = 0;
     TimePoint begins_at;
-    std::vector<std::uint64_t> parts;
+    RequestKeySet parts;
+    std::uint64_t fingerprint = 0;
     bool is_crashing = false;
-    bool is_repeat = false;
+    int repeats = 0;
     bool is_reset = false;
   };
 
@@ -141,6 +146,11 @@
       send.parts = {1 + route, 10'000 * route + subject};
     }
     if (send.is_crashing) send.parts.push_back(kCrashingPart);
+    send.fingerprint = this->FingerprintOf(send);
+    if (this->load.is_plain) {
+      this->ArrivePlain(std::move(send));
+      return;
+    }
     const bool shares_subject = !send.is_crashing && send.parts[1] == 140;
     const bool is_blocked =
         this->routers[send.router].Find(send.parts) != nullptr;
@@ -151,6 +161,26 @@
     if (!is_blocked) this->SendToEngine(std::move(send));
   }
 
+  std::uint64_t FingerprintOf(const Send& send) {
+    constexpr std::uint64_t kFirstFingerprint = 1'000'000;
+    constexpr std::uint64_t kPolledFingerprint = 7;
+    if (!this->load.is_plain) return kFirstFingerprint + send.request;
+    if (send.is_crashing) return kCrashingPart;
+    if (this->Uniform() < this->load.polled_share) return kPolledFingerprint;
+    return kFirstFingerprint + send.request;
+  }
+  // As the router does: a blocked request is refused, or sent as the probe.
+  void ArrivePlain(Send send) {
+    send.parts = {};
+    RequestQuarantine& router = this->routers[send.router];
+    const BlockedKeys* blocked = router.Find(RequestKeySet{send.fingerprint});
+    const bool may_send = blocked == nullptr ||
+                          router.TryStartProbe(this->now, *blocked, send.router,
+                                               this->routers.size());
+    if (!may_send && !send.is_crashing) ++this->any_blocked;
+    if (may_send) this->SendToEngine(std::move(send));
+  }
+
   void SendToEngine(Send send) {
     for (int attempt = 0; attempt < 50; ++attempt) {
       send.engine =
@@ -177,7 +207,7 @@
       if (send.engine_key != this->engines[send.engine].key) continue;
       if (send.is_crashing) {
         ++this->crashes;
-        if (this->crashes == kKnownCrashes) {
+        if (this->crashes == this->load.known_crashes) {
           this->known_at = this->now + this->load.contact;
         }
         this->OnLost(send);
@@ -185,7 +215,9 @@
       } else if (send.is_reset) {
         this->OnLost(send);
       } else {
-        this->routers[send.router].OnAnswered(this->now, kService, send.parts);
+        RequestKeySet keys = send.parts;
+        keys.push_back(send.fingerprint);
+        this->routers[send.router].OnAnswered(this->now, kService, keys);
       }
     }
   }
@@ -193,12 +225,30 @@
   void OnLost(const Send& send) {
     RequestQuarantine& router = this->routers[send.router];
     router.OnLost(this->now, kService,
-                  {send.request, send.engine_key, 0, {}, send.parts});
-    if (send.is_repeat || router.Find(send.parts) != nullptr) {
+                  {send.request, send.engine_key, 0, {}, send.parts},
+                  send.fingerprint);
+    Send repeat = send;
+    ++repeat.repeats;
+    if (this->load.is_plain) {
+      this->RepeatPlain(std::move(repeat));
       return;
     }
-    Send repeat = send;
-    repeat.is_repeat = true;
+    if (send.repeats > 0 || router.Find(send.parts) != nullptr) return;
+    this->SendToEngine(std::move(repeat));
+  }
+  // The router repeats once; then the client repeats once, under a new id and
+  // at another router.
+  void RepeatPlain(Send repeat) {
+    constexpr int kMaxRepeats = 3;
+    if (repeat.repeats > kMaxRepeats) return;
+    if (repeat.repeats == 2) {
+      repeat.request = ++this->last_request;
+      repeat.router = this->random() % this->routers.size();
+      this->ArrivePlain(std::move(repeat));
+      return;
+    }
+    const RequestKeySet keys = {repeat.fingerprint};
+    if (this->routers[repeat.router].Find(keys) != nullptr) return;
     this->SendToEngine(std::move(repeat));
   }
 
@@ -357,6 +407,56 @@
   CHECK(fleet.any_blocked == 0);
 }
 
+Load PlainLoad(std::size_t routers) {
+  Load load;
+  load.is_plain = true;
+  load.routers = routers;
+  load.engines = routers > 100 ? 6 : 4;
+  load.requests_per_second = routers > 100 ? 442 : 60;
+  load.crashing_share = 2.0 / load.requests_per_second;
+  load.polled_share = 0.03;
+  load.known_crashes = 3;
+  load.contact = seconds(routers > 100 ? 5 : 3);
+  return load;
+}
+
+// Load pattern: all engines of a small service end within a second, are back
+// after four, and the request comes again.
+TEST_CASE("a request that crashes engines is kept off them by all routers") {
+  for (std::size_t routers : {8U, 74U, 295U}) {
+    const unsigned seeds = routers > 8 ? 1 : 6;
+    for (unsigned seed = 1; seed <= seeds; ++seed) {
+      CAPTURE(routers, seed);
+      FleetModel fleet(PlainLoad(routers), seed);
+      fleet.Run(seconds(4));
+      fleet.poisoned = true;
+      fleet.Run(seconds(40));
+      CHECK(fleet.crashes >= 3);
+      CHECK(fleet.later_sends <= kMaxLaterSends);
+      CHECK(fleet.any_blocked == 0);
+    }
+  }
+}
+
+TEST_CASE("crashes of other causes block no request that is repeated") {
+  for (std::size_t routers : {8U, 295U}) {
+    const unsigned seeds = routers > 8 ? 1 : 6;
+    for (unsigned seed = 1; seed <= seeds; ++seed) {
+      CAPTURE(routers, seed);
+      FleetModel fleet(PlainLoad(routers), seed);
+      fleet.Run(seconds(4));
+      for (int wave = 0; wave < 8; ++wave) {
+        for (std::uint32_t n = 0; n < fleet.load.engines; ++n) {
+          fleet.CrashEngine(n);
+          fleet.Run(milliseconds(200));
+        }
+        fleet.Run(seconds(3));
+      }
+      CHECK(fleet.any_blocked == 0);
+    }
+  }
+}
+
 // Loses requests with the part at `crashes` engines, with answers to others
 // between, and lets the router decide.
 void Poison(RequestQuarantine& router, TimePoint& now, int crashes) {
@@ -396,13 +496,13 @@
   const BlockedKeys* blocked = router.Find(prompt);
   REQUIRE(blocked != nullptr);
   CHECK(CrashBlocklist::TimeUntilProbe(now, *blocked) > seconds(30));
-  CHECK_FALSE(router.TryStartProbe(now, *blocked, 0));
+  CHECK_FALSE(router.TryStartProbe(now, *blocked, 0, 8));
   now += seconds(61);
   // Another router has the first turn.
-  CHECK_FALSE(router.TryStartProbe(now, *blocked, 5));
-  CHECK(router.TryStartProbe(now, *blocked, 0));
+  CHECK_FALSE(router.TryStartProbe(now, *blocked, 5, 8));
+  CHECK(router.TryStartProbe(now, *blocked, 0, 8));
   // One trial at a time.
-  CHECK_FALSE(router.TryStartProbe(now, *blocked, 0));
+  CHECK_FALSE(router.TryStartProbe(now, *blocked, 0, 8));
   now += milliseconds(80);
   const auto changes = router.OnAnswered(now, kService, prompt);
   CHECK(router.Find(prompt) == nullptr);
@@ -423,7 +523,7 @@
   const BlockedKeys* blocked = router.Find(prompt);
   REQUIRE(blocked != nullptr);
   now += seconds(61);
-  REQUIRE(router.TryStartProbe(now, *blocked, 0));
+  REQUIRE(router.TryStartProbe(now, *blocked, 0, 8));
   now += milliseconds(80);
   const auto changes = router.OnLost(
       now, kService, {9'999, 9'999, 0, {}, {1, 140, kCrashingPart}});
--- a/tests/store_watcher_test.cc
+++ b/tests/store_watcher_test.cc
@@ -207,7 +207,8 @@
     finder.Advance(kStartUpTime);
     const TimePoint now = RuntimeClock::now();
     finder.state.OnOwnQuarantineChanges(
-        finder.state.quarantine.Apply(now, {{}, {}, {{{kCrashingPart}, now}}}),
+        finder.state.quarantine.Apply(now,
+                                      {{}, {}, {{{kCrashingPart}, now}}, {}}),
         "test");
     finder.Advance(std::chrono::seconds(1));
     rows = finder.store->tables[StoreTable::kRouters];
@@ -241,7 +242,7 @@
   WatcherFixture fixture;
   fixture.Advance(kStartUpTime);
   const TimePoint now = RuntimeClock::now();
-  fixture.state.quarantine.Apply(now, {{}, {}, {{{kCrashingPart}, now}}});
+  fixture.state.quarantine.Apply(now, {{}, {}, {{{kCrashingPart}, now}}, {}});
   fixture.state.OnStoreEra(1);
   fixture.state.OnStoreEra(2);
   fixture.Advance(std::chrono::seconds(4));
