--- a/include/dandelionscale/core/crash_blocklist.h
+++ b/include/dandelionscale/core/crash_blocklist.h
@@ -39,11 +39,11 @@
   /// \returns the number of entries that it was removed from.
   std::size_t OnAnswered(TimePoint answered_at, std::uint64_t key,
                          std::vector<QuarantineChange>& changes);
-  /// \brief Records the loss of a request with these keys.
-  /// \param[out] prolonged true if it was a probe, so that peers should know.
+  /// \brief Records the loss of a request with these keys, which may have been
+  ///        a probe.
   /// \returns the entry that blocks such requests, or null.
   const BlockedKeys* OnLost(TimePoint now, const RequestKeySet& keys,
-                            bool& prolonged);
+                            std::vector<QuarantineChange>& changes);
   /// \brief Removes entries for which no request came.
   void Expire(TimePoint now, std::vector<QuarantineChange>& changes);
 
--- a/include/dandelionscale/core/crash_report.h
+++ b/include/dandelionscale/core/crash_report.h
@@ -41,6 +41,24 @@
   TimePoint at{};                 ///< When the connection was lost.
 };
 
+/// \brief What of a loss counts as a crash.
+struct EngineLoss {
+  std::uint64_t request_key = 0;  ///< Hash of the request id.
+  std::uint32_t engine = 0;       ///< `ShortKey()` of the incarnation.
+  TimePoint at{};                 ///< When the connection was lost.
+};
+
+/// Crashes below which nothing is blocked.
+inline constexpr std::size_t kMinCrashes = 3;
+/// Time for which a loss is remembered. What is lost less often than once in
+/// this time is not found.
+inline constexpr Duration kLossMemory = std::chrono::minutes(5);
+
+/// \returns the number of engines that were lost one after the other. Engines
+///          that different requests lose at the same moment count once: a rack
+///          or a link may have failed.
+std::size_t CountCrashes(std::vector<EngineLoss> losses);
+
 /// \brief A request at which engines crash one after the other.
 struct CrashingRequest {
   std::uint64_t fingerprint = 0;
@@ -91,10 +109,6 @@
 /// \returns the name used in logs.
 std::string_view ToString(QuarantineChange::Kind kind);
 
-/// Digests in which a router repeats something new. Each goes to other peers,
-/// which do the same.
-inline constexpr int kDigestsPerReport = 2;
-
 }  // namespace dandelionscale
 
 #endif  // DANDELIONSCALE_CORE_CRASH_REPORT_H_
--- a/include/dandelionscale/core/digest_schedule.h
+++ b/include/dandelionscale/core/digest_schedule.h
@@ -14,6 +14,10 @@
 /// Peers that each digest is sent to; more peers are served in rotation.
 inline constexpr std::size_t kDigestFanout = 12;
 
+/// Digests in which a router reports something new. Each goes to other peers,
+/// which do the same.
+inline constexpr int kDigestsPerReport = 2;
+
 /// \returns the number of digests that a router sends until each of its peers
 ///          has been sent one.
 std::size_t DigestsPerRotation(std::size_t peers);
@@ -21,7 +25,10 @@
 /// \returns the time within which a router sends a digest to each of its peers.
 Duration DigestRotationPeriod(std::size_t peers);
 
-/// \returns the time without a digest after which a peer counts as lost.
+/// \returns the time without a digest after which a peer counts as lost:
+/// several
+///          rotations, in each of which the peer sends one digest to this
+///          router.
 Duration PeerTimeout(std::size_t peers);
 
 /// \returns the time within which a change that every router forwards in its
--- a/include/dandelionscale/core/lost_requests.h
+++ b/include/dandelionscale/core/lost_requests.h
@@ -42,9 +42,6 @@
     int digests_left = 0;
   };
 
-  // Number of engines that were lost one after the other.
-  static std::size_t CountCrashes(const std::vector<Loss>& losses,
-                                  TimePoint latest);
   void EvictOldest();
 
   /// Losses of each request by its fingerprint, in the order of their arrival.
--- a/include/dandelionscale/core/rate_permits.h
+++ b/include/dandelionscale/core/rate_permits.h
@@ -29,8 +29,9 @@
 /// Routers may disagree for a while about who is alive, so that two of them
 /// issue permits. The first in order permits the whole rate; the second, which
 /// is asked if the first does not respond, and one that has just become the
-/// first, permit a part of it. A router that reaches fewer than half of the
-/// others may be the one that is cut off; it takes only its own share.
+/// first, permit a part of it. A router to which no more than half of all are
+/// alive, itself included, may be the one that is cut off; it takes only its
+/// own share.
 double IssuerShare(const IssuerView& view);
 
 /// \brief The response to a request for permission.
@@ -56,8 +57,6 @@
                         double share);
   /// \brief Forgets engines for which nobody has asked for some time.
   void Expire(TimePoint now);
-  /// \returns the number of engines with a token bucket.
-  std::size_t Size() const { return this->buckets.size(); }
 
  private:
   struct Bucket {
--- a/include/dandelionscale/dispatch/table_store.h
+++ b/include/dandelionscale/dispatch/table_store.h
@@ -65,9 +65,8 @@
 
 /// \brief Key of the single row in `kConfiguration`.
 inline constexpr std::string_view kConfigurationRowKey = "config";
-/// \brief Key of the row of `kRouters` with the prompt parts that crash
-/// engines.
-///        Names of routers have no slash.
+/// \brief Key of the row of `kRouters` with what crashes engines. Names of
+///        routers have no slash.
 inline constexpr std::string_view kQuarantineRowKey = "/quarantine";
 
 }  // namespace dandelionscale
--- a/src/core/crash_blocklist.cc
+++ b/src/core/crash_blocklist.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "dandelionscale/core/digest_schedule.h"
+
 namespace dandelionscale {
 namespace {
 
@@ -126,18 +128,18 @@
   return count;
 }
 
-const BlockedKeys* CrashBlocklist::OnLost(TimePoint now,
-                                          const RequestKeySet& keys,
-                                          bool& prolonged) {
-  prolonged = false;
+const BlockedKeys* CrashBlocklist::OnLost(
+    TimePoint now, const RequestKeySet& keys,
+    std::vector<QuarantineChange>& changes) {
   for (Entry& entry : this->entries) {
     BlockedKeys& blocked = entry.blocked;
     if (!IsSubset(blocked.keys, keys)) continue;
-    prolonged = entry.probe_started_at > blocked.since;
-    if (prolonged) {
+    const bool was_probe = entry.probe_started_at > blocked.since;
+    if (was_probe) {
       blocked.since = now;
       ++blocked.failed_probes;
       entry.digests_left = kDigestsPerReport;
+      changes.push_back({QuarantineChange::Kind::kProlonged, blocked});
     }
     return &blocked;
   }
--- a/src/core/crash_evidence.cc
+++ b/src/core/crash_evidence.cc
@@ -12,11 +12,7 @@
 // Probability with which chance alone may explain the crashes for which keys
 // are blocked, for all routers together: each decides for itself.
 constexpr double kMaxChance = 1e-5;
-constexpr std::size_t kMinCrashes = 3;
 constexpr std::size_t kMaxCrashes = 14;
-// Engines that different requests lose within this time count once: a rack or a
-// link may have failed.
-constexpr Duration kBurstWindow = std::chrono::milliseconds(20);
 // A lost send counts only after this time, during which the report of it and
 // then those of answers to its sound keys reach all routers, and after this
 // many answers of the service to this router.
@@ -35,10 +31,7 @@
 constexpr double kPriorSends = 20;
 constexpr double kPriorLossRate = 0.03;
 
-// Lost sends and their memory. A key that is lost less often than once in this
-// time is not found.
 constexpr std::size_t kMaxLosses = 128;
-constexpr Duration kLossMemory = std::chrono::minutes(5);
 // A full memory keeps sends that are younger, since they may not have settled.
 constexpr Duration kMinLossMemory = std::chrono::seconds(5);
 // Answers and engines that are accounted for are kept for longer than a report
@@ -291,7 +284,7 @@
   CrashCandidate candidate;
   double own_losses = 0;
   std::uint32_t service = 0;
-  std::vector<const LostSend*> sends;
+  std::vector<EngineLoss> sends;
   for (const Loss& loss : this->losses) {
     const RequestKeySet& keys = loss.send.keys;
     if (!std::binary_search(keys.begin(), keys.end(), key)) continue;
@@ -299,20 +292,10 @@
     candidate.keys = sends.empty() ? keys : Intersection(candidate.keys, keys);
     if (loss.is_own) own_losses += 1;
     service = loss.send.service;
-    sends.push_back(&loss.send);
-  }
-  std::sort(sends.begin(), sends.end(),
-            [](const LostSend* a, const LostSend* b) { return a->at < b->at; });
-  const LostSend* counted = nullptr;
-  for (const LostSend* send : sends) {
-    const bool is_new = candidate.engines.insert(send->engine).second;
-    const bool in_burst = counted != nullptr &&
-                          send->request_key != counted->request_key &&
-                          send->at - counted->at < kBurstWindow;
-    if (!is_new || in_burst) continue;
-    counted = send;
-    ++candidate.crashes;
+    candidate.engines.insert(loss.send.engine);
+    sends.push_back({loss.send.request_key, loss.send.engine, loss.send.at});
   }
+  candidate.crashes = CountCrashes(std::move(sends));
   const Traffic& own_traffic = this->TrafficOf(now, service);
   const double other_losses = std::max(0.0, own_traffic.lost - own_losses);
   candidate.loss_rate = (other_losses + kPriorSends * kPriorLossRate) /
--- a/src/core/lost_requests.cc
+++ b/src/core/lost_requests.cc
@@ -1,25 +1,22 @@
 #include "dandelionscale/core/lost_requests.h"
 
 #include <algorithm>
+#include <utility>
+
+#include "dandelionscale/core/digest_schedule.h"
 
 namespace dandelionscale {
 namespace {
 
-// Engines at which a request must have been lost.
-constexpr std::size_t kMinCrashes = 3;
-// Engines that attempts with different ids lose within this time count once: a
-// rack or a link may have failed.
-constexpr Duration kBurstWindow = std::chrono::milliseconds(20);
 constexpr std::size_t kMaxRequests = 256;
 // Further losses of one request add nothing.
 constexpr std::size_t kMaxLossesOfRequest = 8;
-constexpr Duration kMemory = std::chrono::minutes(5);
 constexpr std::size_t kMaxLossesPerDigest = 8;
 
 }  // namespace
 
 bool LostRequests::Add(TimePoint now, const LostRequest& loss) {
-  if (now - loss.at > kMemory) return false;
+  if (now - loss.at > kLossMemory) return false;
   const auto known = this->requests.find(loss.fingerprint);
   const bool is_first = known == this->requests.end();
   if (!is_first) {
@@ -50,38 +47,22 @@
     TimePoint now, Duration settle_time) const {
   std::vector<CrashingRequest> crashing;
   for (const auto& [fingerprint, losses] : this->requests) {
-    const std::size_t crashes = CountCrashes(losses, now - settle_time);
+    std::vector<EngineLoss> settled;
+    for (const Loss& loss : losses) {
+      const LostRequest& report = loss.report;
+      if (now - report.at < settle_time) continue;
+      settled.push_back({report.request_key, report.engine, report.at});
+    }
+    const std::size_t crashes = CountCrashes(std::move(settled));
     if (crashes >= kMinCrashes) crashing.push_back({fingerprint, crashes});
   }
   return crashing;
 }
 
-std::size_t LostRequests::CountCrashes(const std::vector<Loss>& losses,
-                                       TimePoint latest) {
-  std::vector<const LostRequest*> settled;
-  for (const Loss& loss : losses) {
-    if (loss.report.at <= latest) settled.push_back(&loss.report);
-  }
-  std::sort(
-      settled.begin(), settled.end(),
-      [](const LostRequest* a, const LostRequest* b) { return a->at < b->at; });
-  std::size_t crashes = 0;
-  const LostRequest* counted = nullptr;
-  for (const LostRequest* loss : settled) {
-    const bool in_burst = counted != nullptr &&
-                          loss->request_key != counted->request_key &&
-                          loss->at - counted->at < kBurstWindow;
-    if (in_burst) continue;
-    counted = loss;
-    ++crashes;
-  }
-  return crashes;
-}
-
 void LostRequests::Expire(TimePoint now) {
   for (auto& [fingerprint, losses] : this->requests) {
     std::erase_if(losses, [now](const Loss& loss) {
-      return now - loss.report.at > kMemory;
+      return now - loss.report.at > kLossMemory;
     });
   }
   std::erase_if(this->requests,
--- a/src/core/rate_limit_news.cc
+++ b/src/core/rate_limit_news.cc
@@ -1,17 +1,17 @@
 #include "dandelionscale/core/rate_limit_news.h"
 
+#include "dandelionscale/core/digest_schedule.h"
+
 namespace dandelionscale {
 namespace {
 
-// Digests that report a change. Each goes to other peers.
-constexpr int kDigestsPerChange = 2;
 // Keeps a digest within a few kilobytes.
 constexpr std::size_t kMaxChangesPerDigest = 64;
 
 }  // namespace
 
 void RateLimitNews::Add(std::uint64_t engine_key) {
-  this->digests_left[engine_key] = kDigestsPerChange;
+  this->digests_left[engine_key] = kDigestsPerReport;
 }
 
 std::vector<std::uint64_t> RateLimitNews::TakeForDigest() {
--- a/src/core/rate_permits.cc
+++ b/src/core/rate_permits.cc
@@ -36,9 +36,8 @@
                                    double rate, double share) {
   if (share <= 0) return {false, FromSeconds(1 / kMinRate)};
   const double permitted_rate = std::max(rate, kMinRate) * share;
-  const auto [entry, is_new] =
-      this->buckets.try_emplace(engine_key, Bucket{1, now});
-  Bucket& bucket = entry->second;
+  Bucket& bucket =
+      this->buckets.try_emplace(engine_key, Bucket{1, now}).first->second;
   const std::chrono::duration<double> elapsed = now - bucket.updated_at;
   const double capacity = 1 + share + permitted_rate * kBurstSeconds;
   bucket.tokens =
--- a/src/core/request_quarantine.cc
+++ b/src/core/request_quarantine.cc
@@ -32,31 +32,21 @@
   this->evidence.OnOwnLoss(now, service);
   std::vector<QuarantineChange> changes;
   if (fingerprint != 0) this->OnRequestLost(now, lost, changes);
-  bool prolonged = false;
-  const BlockedKeys* blocked =
-      this->blocklist.OnLost(now, send.keys, prolonged);
+  const BlockedKeys* blocked = this->blocklist.OnLost(now, send.keys, changes);
   if (blocked == nullptr) {
     this->AddLoss(now, std::move(send), true);
-    return changes;
-  }
-  this->evidence.Account(now, blocked->keys, {send.engine});
-  if (prolonged) {
-    this->urgent = true;
-    changes.push_back({QuarantineChange::Kind::kProlonged, *blocked});
+  } else {
+    this->evidence.Account(now, blocked->keys, {send.engine});
   }
+  if (!changes.empty()) this->urgent = true;
   return changes;
 }
 
 void RequestQuarantine::OnRequestLost(TimePoint now, const LostRequest& lost,
                                       std::vector<QuarantineChange>& changes) {
-  bool prolonged = false;
-  const BlockedKeys* blocked =
-      this->blocklist.OnLost(now, {lost.fingerprint}, prolonged);
-  if (prolonged) {
-    this->urgent = true;
-    changes.push_back({QuarantineChange::Kind::kProlonged, *blocked});
+  if (this->blocklist.OnLost(now, {lost.fingerprint}, changes) != nullptr) {
+    return;
   }
-  if (blocked != nullptr) return;
   if (this->lost_requests.Add(now, lost)) this->urgent = true;
 }
 
--- a/src/dispatch/dispatch_router.cc
+++ b/src/dispatch/dispatch_router.cc
@@ -84,7 +84,6 @@
   HttpServer ready_server;
   HttpServer metrics_server;
   std::set<std::shared_ptr<ClientConnection>> clients;
-  TimePoint started_at = RuntimeClock::now();
   TimePoint last_housekeeping_at{};
   bool was_ready = false;
 };
@@ -242,7 +241,7 @@
   co_await SleepFor(linger);
   const auto digest_bytes = static_cast<std::int64_t>(
       this->state.metrics.Counter("peer_digest_bytes_sent_total"));
-  const Duration uptime = RuntimeClock::now() - this->started_at;
+  const Duration uptime = RuntimeClock::now() - this->state.started_at;
   Logger::Info(
       "stopped",
       {{"unfinished", static_cast<std::int64_t>(this->state.requests.size())},
--- a/src/dispatch/dispatch_state.cc
+++ b/src/dispatch/dispatch_state.cc
@@ -33,9 +33,10 @@
                              DispatchOptions options,
                              std::shared_ptr<const ProtocolCodec> codec)
     : executor(executor),
+      started_at(RuntimeClock::now()),
       options(std::move(options)),
       codec(std::move(codec)),
-      start_up(RuntimeClock::now()),
+      start_up(this->started_at),
       watcher_election(HashText(ToText(this->options.peer_address))),
       state_changed(executor),
       store_restored(executor),
@@ -44,8 +45,7 @@
       response_memory(this->options.memory_bytes / kResponseMemoryDivisor),
       random(HashText(this->options.name) ^
              static_cast<std::uint64_t>(
-                 RuntimeClock::now().time_since_epoch().count())),
-      started_at(RuntimeClock::now()),
+                 this->started_at.time_since_epoch().count())),
       loop_checked_at(this->started_at) {
   this->permits = std::make_unique<PermitExchange>(*this);
 }
@@ -201,9 +201,8 @@
                   {"service", engine.record.service},
                   {"pause_ms", ToMilliseconds(*response.requested_pause)}});
   }
-  if (response.has_malformed_pause &&
-      this->logged_malformed_pauses.insert(engine.record.id).second) {
-    Logger::Warning("engine_pause_malformed", {{"engine", engine.record.id}});
+  if (response.has_malformed_pause) {
+    this->WarnOnce("engine_pause_malformed", engine);
   }
 }
 
@@ -212,48 +211,49 @@
                                       TimePoint sent_at) {
   if (response.wrong_engine) return;
   if (response.has_malformed_rate_limit) {
-    if (this->logged_malformed_rate_limits.insert(engine.record.id).second) {
-      Logger::Warning("engine_rate_limit_malformed",
-                      {{"engine", engine.record.id}});
-    }
+    this->WarnOnce("engine_rate_limit_malformed", engine);
     return;
   }
   const TimePoint now = RuntimeClock::now();
-  const Duration age_before = engine.rate_limit.Age(now);
-  const double rate_before = engine.rate_limit.Rate();
+  const EngineRateLimit before = engine.rate_limit;
   const bool has_changed =
       response.rate_limit
           ? engine.rate_limit.OnStated(now, *response.rate_limit)
           : engine.rate_limit.OnNotStated(now, sent_at);
-  if (!has_changed) return;
-  this->OnRateLimitChanged(engine, rate_before, age_before, "engine");
+  if (has_changed) this->OnRateLimitChanged(engine, before, "engine");
 }
 
 void DispatchState::OnRateLimitReported(Engine& engine,
                                         std::optional<double> rate,
                                         TimePoint stated_at,
                                         std::string_view source) {
-  const Duration age_before = engine.rate_limit.Age(RuntimeClock::now());
-  const double rate_before = engine.rate_limit.Rate();
+  const EngineRateLimit before = engine.rate_limit;
   if (!engine.rate_limit.OnReported(rate, stated_at)) return;
-  this->OnRateLimitChanged(engine, rate_before, age_before, source);
+  this->OnRateLimitChanged(engine, before, source);
 }
 
-void DispatchState::OnRateLimitChanged(const Engine& engine, double rate_before,
-                                       Duration age_before,
+void DispatchState::OnRateLimitChanged(const Engine& engine,
+                                       const EngineRateLimit& before,
                                        std::string_view source) {
+  const Duration age_before = before.Age(RuntimeClock::now());
   this->metrics.Add("engine_rate_limit_changes_total");
   Logger::Info("engine_rate_limit", {{"engine", engine.record.id},
                                      {"service", engine.record.service},
                                      {"limited", engine.rate_limit.IsActive()},
                                      {"per_second", engine.rate_limit.Rate()},
-                                     {"before", rate_before},
+                                     {"before", before.Rate()},
                                      {"age_ms", ToMilliseconds(age_before)},
                                      {"source", source}});
   this->rate_limit_news.Add(engine.key);
   this->state_changed.NotifyAll();
 }
 
+void DispatchState::WarnOnce(std::string_view event, const Engine& engine) {
+  const bool is_new =
+      this->logged_warnings.emplace(event, engine.record.id).second;
+  if (is_new) Logger::Warning(event, {{"engine", engine.record.id}});
+}
+
 void DispatchState::OnStoreAnswered(std::string_view store_table) {
   if (this->unreachable_tables.erase(std::string(store_table)) == 0) return;
   Logger::Info("store_regained", {{"table", store_table}});
@@ -293,22 +293,24 @@
 
 std::size_t DispatchState::RankAmongPeers(std::uint64_t key) const {
   const auto comes_first = this->ComesBeforeThisRouter(key);
-  return static_cast<std::size_t>(std::count_if(
-      this->live_peers.begin(), this->live_peers.end(), comes_first));
+  return static_cast<std::size_t>(
+      std::count_if(this->live_peers.begin(), this->live_peers.end(),
+                    [&](const auto& peer) { return comes_first(peer.first); }));
 }
 
 bool DispatchState::IsFirstAmongPeers(std::uint64_t key) const {
   const auto comes_first = this->ComesBeforeThisRouter(key);
-  return std::none_of(this->live_peers.begin(), this->live_peers.end(),
-                      comes_first);
+  return std::none_of(
+      this->live_peers.begin(), this->live_peers.end(),
+      [&](const auto& peer) { return comes_first(peer.first); });
 }
 
-std::function<bool(const std::pair<const std::string, PeerContact>&)>
-DispatchState::ComesBeforeThisRouter(std::uint64_t key) const {
+std::function<bool(std::string_view)> DispatchState::ComesBeforeThisRouter(
+    std::uint64_t key) const {
   const std::uint64_t own_weight =
       RendezvousWeight(HashText(ToText(this->options.peer_address)), key);
-  return [own_weight, key](const auto& peer) {
-    return RendezvousWeight(HashText(peer.first), key) > own_weight;
+  return [own_weight, key](std::string_view peer) {
+    return RendezvousWeight(HashText(peer), key) > own_weight;
   };
 }
 
--- a/src/dispatch/dispatch_state.h
+++ b/src/dispatch/dispatch_state.h
@@ -10,6 +10,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "dandelionscale/core/admission_queue.h"
@@ -120,8 +121,12 @@
   /// \returns the number of listed routers, reachable or not, including this
   ///          one; a fixed assumption until a peer is discovered.
   std::size_t RouterCount() const;
-  /// \returns the position of this router in an order of it and its live peers
-  ///          that depends on `key` only, from 0.
+  /// \returns a function that tells whether the peer with an address comes
+  ///          before this router in an order that depends on `key` only.
+  std::function<bool(std::string_view)> ComesBeforeThisRouter(
+      std::uint64_t key) const;
+  /// \returns the position of this router in that order among its live peers,
+  ///          from 0.
   std::size_t RankAmongPeers(std::uint64_t key) const;
   /// \returns true if that position is the first; stops at the first peer that
   ///          comes before this router.
@@ -132,6 +137,7 @@
   double Random();
 
   boost::asio::any_io_executor executor;
+  TimePoint started_at;  ///< When this router was created.
   DispatchOptions options;
   std::shared_ptr<const ProtocolCodec> codec;
   Metrics metrics;
@@ -175,19 +181,15 @@
   bool draining = false;         ///< The router is shutting down.
 
  private:
-  void OnRateLimitChanged(const Engine& engine, double rate_before,
-                          Duration age_before, std::string_view source);
-  // Returns whether a peer comes before this router in the order for `key`.
-  std::function<bool(const std::pair<const std::string, PeerContact>&)>
-  ComesBeforeThisRouter(std::uint64_t key) const;
+  void OnRateLimitChanged(const Engine& engine, const EngineRateLimit& before,
+                          std::string_view source);
+  // Logs a warning that concerns an engine, once for each engine and event.
+  void WarnOnce(std::string_view event, const Engine& engine);
 
   std::map<std::string, std::unique_ptr<ServiceState>, std::less<>> services;
-  /// Ids of engines whose malformed pause requests have been logged; each is
-  /// logged once.
-  std::set<std::string> logged_malformed_pauses;
-  std::set<std::string> logged_malformed_rate_limits;  ///< Likewise.
+  /// Events and ids of the engines that `WarnOnce()` has logged.
+  std::set<std::pair<std::string, std::string>> logged_warnings;
   std::mt19937_64 random;
-  TimePoint started_at;
   TimePoint loop_checked_at;
   Duration last_stall{};  ///< Length of the last pause of the event loop.
   TimePoint last_stall_end{};
--- a/src/dispatch/engine_exchange.h
+++ b/src/dispatch/engine_exchange.h
@@ -74,11 +74,11 @@
   bool WasLost() const { return this->lost && this->sent && !this->cancelled; }
 
  private:
-  // Returns false if the engine no longer wants the request.
-  bool MaySend() const;
   using Parser =
       boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
+  // Returns false if the engine no longer wants the request.
+  bool MaySend() const;
   // Returns false if the connection failed. A part of the request that the
   // socket doesn't take at once is written in the background.
   Awaitable<bool> Send(const HttpRequest& request, const HttpHeaders& headers);
--- a/src/dispatch/peer_exchange.h
+++ b/src/dispatch/peer_exchange.h
@@ -5,6 +5,7 @@
 
 #include <array>
 #include <boost/asio/ip/udp.hpp>
+#include <cstddef>
 #include <span>
 #include <string>
 
@@ -17,6 +18,9 @@
 
 namespace dandelionscale::internal {
 
+/// Size of the buffer for a received datagram; UDP carries no larger one.
+inline constexpr std::size_t kMaxDatagramBytes = 64 * 1024;
+
 /// \brief Sends and receives digests over UDP.
 ///
 /// A digest carries this router's load, changes of its prefix index, the
@@ -47,7 +51,7 @@
 
   DispatchState& state;
   boost::asio::ip::udp::socket socket;
-  std::array<char, 64 * 1024> datagram{};
+  std::array<char, kMaxDatagramBytes> datagram{};
   SnapshotExchange snapshots;
   std::uint64_t incarnation;
   std::uint64_t sequence = 0;
--- a/src/dispatch/peer_messages.h
+++ b/src/dispatch/peer_messages.h
@@ -27,7 +27,7 @@
 /// \brief Writes the report to its fields of the digest; ages are capped.
 void FillWatchReport(const WatchReport& report, wire::RouterDigest& digest);
 
-/// \returns the reports of a digest on prompts that crash engines.
+/// \returns the reports of a digest on requests that crash engines.
 /// \param now when the digest was received.
 QuarantineUpdate ToQuarantineUpdate(const wire::RouterDigest& digest,
                                     TimePoint now);
@@ -42,7 +42,7 @@
 QuarantineUpdate ToQuarantineUpdate(const std::string& row, TimePoint now,
                                     std::int64_t unix_ms);
 /// \returns the store's row for the quarantines.
-std::string FormatQuarantineRow(std::span<const BlockedKeys> blocked,
+std::string FormatQuarantineRow(std::span<const BlockedKeys> entries,
                                 TimePoint now, std::int64_t unix_ms);
 /// \brief Writes the quarantine to an empty report.
 void FillReport(const BlockedKeys& blocked, TimePoint now,
--- a/src/dispatch/permit_exchange.cc
+++ b/src/dispatch/permit_exchange.cc
@@ -114,14 +114,12 @@
 
 IssuerView PermitExchange::ViewOf(TimePoint now,
                                   std::uint64_t engine_key) const {
-  const std::uint64_t own_weight = RendezvousWeight(
-      HashText(ToText(this->state.options.peer_address)), engine_key);
+  const auto comes_first = this->state.ComesBeforeThisRouter(engine_key);
   IssuerView view;
   view.live_before = this->state.RankAmongPeers(engine_key);
-  view.lost_before = static_cast<std::size_t>(std::count_if(
-      this->lost_peers.begin(), this->lost_peers.end(), [&](const auto& entry) {
-        return RendezvousWeight(HashText(entry.first), engine_key) > own_weight;
-      }));
+  view.lost_before = static_cast<std::size_t>(
+      std::count_if(this->lost_peers.begin(), this->lost_peers.end(),
+                    [&](const auto& peer) { return comes_first(peer.first); }));
   view.live_routers = this->state.live_peers.size() + 1;
   view.known_routers = this->state.peers.size() + 1;
   view.has_just_resumed = this->state.HasJustResumed(now);
--- a/tests/crashing_prompt_test.cc
+++ b/tests/crashing_prompt_test.cc
@@ -3,13 +3,10 @@
 // requests that share their other parts and their caller must be served.
 #include <fmt/format.h>
 
-#include <algorithm>
 #include <catch2/catch.hpp>
-#include <map>
 #include <thread>
 
-#include "tests/support/platform_fleet.h"
-#include "tests/support/process_fleet.h"
+#include "tests/support/crashing_fleet.h"
 
 namespace dandelionscale::tests {
 namespace {
@@ -21,7 +18,6 @@
 using emulator::SendBytes;
 using std::chrono::milliseconds;
 
-constexpr milliseconds kReadIdleTimeout(50);
 // The users' bound on what a fleet must know; see docs/proof.md.
 constexpr std::chrono::seconds kContactTime(3);
 constexpr int kEngines = 6;
@@ -44,13 +40,9 @@
                     std::string(emulator::kStreamEnd)}};
 }
 
-struct Fleet : PlatformFleet {
-  explicit Fleet(int routers) : PlatformFleet(routers), routers(routers) {
-    this->PutConfiguration(3);
-    for (int n = 0; n < kEngines; ++n) this->AddEngine("chat", CrashAtPart);
-    for (int router = 1; router <= routers; ++router) {
-      this->WaitUntilReady(router);
-    }
+struct Fleet : CrashingFleet {
+  explicit Fleet(int routers)
+      : CrashingFleet(routers, kEngines, "chat", CrashAtPart, HasCrashingPart) {
   }
 
   // Sends a request through each router in turn. Each has a last part of its
@@ -61,38 +53,19 @@
         "Model: m\r\nToken-Count: 900,40\r\nPrompt-Prefix: "
         "{},{:x}:100\r\n",
         shared_parts, 4096 + this->sent);
-    return this->Exchange(
-        1 + this->sent % this->routers,
-        MakeClientRequest("POST", "/stream/", fmt::format("id{}", this->sent),
-                          prefix, "x"),
-        kReadIdleTimeout);
+    return this->SendInTurn(MakeClientRequest(
+        "POST", "/stream/", fmt::format("id{}", this->sent), prefix, "x"));
   }
   // Sends a request with the crashing part. Engines that crash start again.
   std::string SendCrashing() {
     const std::string response = this->Send("aaaa:400,bbbb:200,dead:300");
-    for (int n = 0; n < kEngines; ++n) {
-      const std::size_t crashes = this->CrashesOf(n);
-      if (crashes > this->seen_crashes[n]) this->RestartEngine(n);
-      this->seen_crashes[n] = crashes;
-    }
+    this->RestartCrashedEngines();
     return response;
   }
   bool IsSoundServed() {
     return this->Send("aaaa:400,bbbb:200").starts_with("HTTP/1.1 200");
   }
 
-  // Requests with the crashing part that an engine has received.
-  std::size_t CrashesOf(int engine) {
-    const std::vector<HttpRequest> received = this->Requests(engine);
-    return static_cast<std::size_t>(
-        std::count_if(received.begin(), received.end(), HasCrashingPart));
-  }
-  std::size_t Crashes() {
-    std::size_t count = 0;
-    for (int n = 0; n < kEngines; ++n) count += this->CrashesOf(n);
-    return count;
-  }
-
   // Sends crashing requests, with sound ones between, until they have crashed
   // engines often enough to be known; then waits until all routers must know.
   void CrashUntilKnown() {
@@ -107,9 +80,7 @@
     }
   }
 
-  int routers;
   int sent = 0;
-  std::map<int, std::size_t> seen_crashes;  ///< By engine.
 };
 
 TEST_CASE("requests with a part that crashes engines are kept off engines") {
@@ -148,24 +119,17 @@
   return fleet.Crashes() - before;
 }
 
-void Restart(Fleet& fleet, const std::vector<int>& routers) {
-  for (int router : routers) fleet.Signal(router, SIGKILL);
-  for (int router : routers) fleet.WaitForExit(router);
-  for (int router : routers) fleet.StartRouter(router);
-  for (int router : routers) fleet.WaitUntilReady(router);
-}
-
 TEST_CASE("a router that restarts learns which part crashes engines") {
   Fleet fleet(3);
   fleet.CrashUntilKnown();
-  Restart(fleet, {2});
+  fleet.RestartRouters({2});
   CHECK(LaterCrashes(fleet) <= kMaxLaterSends);
 }
 
 TEST_CASE("routers that all restart know which part crashes engines") {
   Fleet fleet(3);
   fleet.CrashUntilKnown();
-  Restart(fleet, {1, 2, 3});
+  fleet.RestartRouters({1, 2, 3});
   CHECK(LaterCrashes(fleet) <= kMaxLaterSends);
 }
 
--- a/tests/crashing_request_test.cc
+++ b/tests/crashing_request_test.cc
@@ -3,13 +3,10 @@
 // routers, and other requests of the same caller must be served.
 #include <fmt/format.h>
 
-#include <algorithm>
 #include <catch2/catch.hpp>
-#include <map>
 #include <thread>
 
-#include "tests/support/platform_fleet.h"
-#include "tests/support/process_fleet.h"
+#include "tests/support/crashing_fleet.h"
 
 namespace dandelionscale::tests {
 namespace {
@@ -20,7 +17,6 @@
 using emulator::SendBytes;
 using std::chrono::milliseconds;
 
-constexpr milliseconds kReadIdleTimeout(50);
 // The users' bound: routers must know this long after the third crash.
 constexpr std::chrono::seconds kContactTime(3);
 constexpr std::size_t kKnownCrashes = 3;
@@ -30,38 +26,32 @@
 
 constexpr std::string_view kCrashingBody = "order 66";
 
+bool HasCrashingBody(const HttpRequest& request) {
+  return request.body == kCrashingBody;
+}
+
 // An engine that breaks off before it has begun to answer.
 Script CrashAtBody(const HttpRequest& request) {
-  if (request.body == kCrashingBody) return {ResetConnection{}};
+  if (HasCrashingBody(request)) return {ResetConnection{}};
   return {SendBytes{MakeResponse(request, 200, "done")}};
 }
 
-struct Fleet : PlatformFleet {
-  explicit Fleet(int routers) : PlatformFleet(routers), routers(routers) {
-    this->PutConfiguration(3);
-    for (int n = 0; n < kEngines; ++n) this->AddEngine("plain", CrashAtBody);
-    for (int router = 1; router <= routers; ++router) {
-      this->WaitUntilReady(router);
-    }
-  }
+struct Fleet : CrashingFleet {
+  explicit Fleet(int routers)
+      : CrashingFleet(routers, kEngines, "plain", CrashAtBody,
+                      HasCrashingBody) {}
 
   // Sends a request through each router in turn, under an id of its own.
   std::string Send(const std::string& target, std::string_view body) {
     ++this->sent;
-    return this->Exchange(
-        1 + this->sent % this->routers,
-        MakeClientRequest("POST", target, fmt::format("id{}", this->sent), "",
-                          std::string(body)),
-        kReadIdleTimeout);
+    return this->SendInTurn(MakeClientRequest("POST", target,
+                                              fmt::format("id{}", this->sent),
+                                              "", std::string(body)));
   }
   // Sends the crashing request. Engines that crash start again.
   std::string SendCrashing(const std::string& target = "/any/x") {
     const std::string response = this->Send(target, kCrashingBody);
-    for (int n = 0; n < kEngines; ++n) {
-      const std::size_t crashes = this->CrashesOf(n);
-      if (crashes > this->seen_crashes[n]) this->RestartEngine(n);
-      this->seen_crashes[n] = crashes;
-    }
+    this->RestartCrashedEngines();
     return response;
   }
   // The same caller and path with another body.
@@ -70,19 +60,6 @@
         .starts_with("HTTP/1.1 200");
   }
 
-  std::size_t CrashesOf(int engine) {
-    const std::vector<HttpRequest> received = this->Requests(engine);
-    return static_cast<std::size_t>(std::count_if(
-        received.begin(), received.end(), [](const HttpRequest& request) {
-          return request.body == kCrashingBody;
-        }));
-  }
-  std::size_t Crashes() {
-    std::size_t count = 0;
-    for (int n = 0; n < kEngines; ++n) count += this->CrashesOf(n);
-    return count;
-  }
-
   // Sends the crashing request, with sound ones between, until it has crashed
   // engines often enough to be known; then waits until all routers must know.
   void CrashUntilKnown(const std::string& target = "/any/x") {
@@ -108,9 +85,7 @@
     return this->Crashes() - before;
   }
 
-  int routers;
   int sent = 0;
-  std::map<int, std::size_t> seen_crashes;  ///< By engine.
 };
 
 TEST_CASE("a request that crashes engines is kept off engines") {
@@ -135,10 +110,7 @@
   fleet.CrashUntilKnown();
   fleet.LaterSends();
   const std::size_t before = fleet.Crashes();
-  fleet.Signal(2, SIGKILL);
-  fleet.WaitForExit(2);
-  fleet.StartRouter(2);
-  fleet.WaitUntilReady(2);
+  fleet.RestartRouters({2});
   std::this_thread::sleep_for(kContactTime);
   for (int n = 0; n < 9; ++n) fleet.SendCrashing();
   CHECK(fleet.Crashes() <= before + kMaxLaterSends);
--- a/tests/dispatch_store_test.cc
+++ b/tests/dispatch_store_test.cc
@@ -358,12 +358,9 @@
     CHECK(IsServed(fleet, n, "/four/"));
     CHECK_FALSE(IsServed(fleet, n, "/three/"));
   }
-  fleet.Signal(2, SIGKILL);
-  fleet.WaitForExit(2);
-  fleet.StartRouter(2);
   // The restored store lists the engine as ready. The restarted router learns
   // from its peers that it has left.
-  fleet.WaitUntilReady(2);
+  fleet.RestartRouters({2});
   Eventually([&] {
     const std::string log = fleet.Log(2);
     return log.find(R"("change":"draining")",
--- a/tests/engine_rate_limit_test.cc
+++ b/tests/engine_rate_limit_test.cc
@@ -10,6 +10,7 @@
 
 #include "tests/support/platform_fleet.h"
 #include "tests/support/process_fleet.h"
+#include "tests/support/rate_limit_rule.h"
 
 namespace dandelionscale::tests {
 namespace {
@@ -20,13 +21,8 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-// The users' rule: in each window of this length from `kContactTime` after the
-// first statement, an engine gets at most 1.5 times what its limit allows, and
-// 5 requests.
-constexpr seconds kWindow(4);
+// The users' rule holds from this time after the first statement.
 constexpr seconds kContactTime(3);
-constexpr double kToleratedFactor = 1.5;
-constexpr double kToleratedRequests = 5;
 // A router waits for an engine with room for at most half of the latency
 // target, which is 300 ms. The rest allows for a busy host.
 constexpr milliseconds kMaxRefusalTime(1000);
@@ -41,15 +37,7 @@
   // Most arrivals in a window that begins at `from` or later.
   std::size_t MostInWindow(TimePoint from) const {
     const std::lock_guard lock(this->mutex);
-    std::size_t most = 0;
-    for (auto first = this->times.begin(); first != this->times.end();
-         ++first) {
-      if (*first < from) continue;
-      const auto end = std::upper_bound(first, this->times.end(),
-                                        *first + Duration(kWindow));
-      most = std::max(most, static_cast<std::size_t>(end - first));
-    }
-    return most;
+    return tests::MostInWindow(this->times, from);
   }
 
  private:
@@ -128,9 +116,9 @@
   Duration longest{};  ///< Time until a response.
 };
 
+// The most arrivals in a window, which are whole.
 constexpr std::size_t Allowed(double rate) {
-  return static_cast<std::size_t>(kToleratedFactor * rate * kWindow.count() +
-                                  kToleratedRequests);
+  return static_cast<std::size_t>(ToleratedInWindow(rate));
 }
 
 TEST_CASE("routers together keep to the rate that an engine states") {
@@ -142,7 +130,7 @@
   fleet.SendFor(seconds(6), 40);
   CHECK(fleet.MostInWindow(0, bound_from) <= Allowed(kRate));
   // The limited engine is used, and the other one serves the rest.
-  CHECK(fleet.MostInWindow(0, bound_from) >= kRate * kWindow.count() / 2);
+  CHECK(fleet.MostInWindow(0, bound_from) >= kRate * kRateWindow.count() / 2);
   CHECK(fleet.served == fleet.sent);
 }
 
@@ -167,10 +155,7 @@
   Fleet fleet(3, 2);
   fleet.Limit(0, kRate);
   fleet.SendFor(kContactTime, 40);
-  fleet.Signal(2, SIGKILL);
-  fleet.WaitForExit(2);
-  fleet.StartRouter(2);
-  fleet.WaitUntilReady(2);
+  fleet.RestartRouters({2});
   const TimePoint bound_from = RuntimeClock::now();
   fleet.SendFor(seconds(6), 40);
   CHECK(fleet.MostInWindow(0, bound_from) <= Allowed(kRate));
@@ -183,7 +168,7 @@
   fleet.EndLimit(0);
   fleet.SendFor(kContactTime, 40);
   const TimePoint free_from = RuntimeClock::now();
-  fleet.SendFor(kWindow, 40);
+  fleet.SendFor(kRateWindow, 40);
   CHECK(fleet.MostInWindow(0, free_from) > Allowed(2));
   CHECK(fleet.served == fleet.sent);
 }
--- a/tests/rate_permits_test.cc
+++ b/tests/rate_permits_test.cc
@@ -11,6 +11,7 @@
 
 #include "dandelionscale/core/digest_schedule.h"
 #include "dandelionscale/core/engine_rate_limit.h"
+#include "tests/support/rate_limit_rule.h"
 
 namespace dandelionscale {
 namespace {
@@ -18,11 +19,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-// The users' rule: in each window an engine gets at most 1.5 times what its
-// limit allows, and 5 requests.
-constexpr seconds kWindow(4);
-constexpr double kToleratedFactor = 1.5;
-constexpr double kToleratedRequests = 5;
 // The maintainers' aim: the part of the rate that is used while there is work.
 constexpr double kMinUse = 0.9;
 
@@ -74,17 +70,8 @@
                        DigestRotationPeriod(this->routers.size() - 1));
   }
 
-  // Most requests in a window that begins at `from` or later.
   std::size_t MostInWindow(TimePoint from) const {
-    std::size_t most = 0;
-    for (auto first = this->sends.begin(); first != this->sends.end();
-         ++first) {
-      if (*first < from) continue;
-      const auto end = std::upper_bound(first, this->sends.end(),
-                                        *first + Duration(kWindow));
-      most = std::max(most, static_cast<std::size_t>(end - first));
-    }
-    return most;
+    return tests::MostInWindow(this->sends, from);
   }
   double SentSince(TimePoint from) const {
     return static_cast<double>(
@@ -235,10 +222,6 @@
   std::uint64_t last_id = 0;
 };
 
-double Allowed(double rate) {
-  return kToleratedFactor * rate * kWindow.count() + kToleratedRequests;
-}
-
 struct Fleet {
   std::size_t routers = 8;
   double rate = 4.3;
@@ -254,7 +237,7 @@
       model.Run(seconds(30));
       const TimePoint from = model.now;
       model.Run(seconds(60));
-      CHECK(model.MostInWindow(from) <= Allowed(fleet.rate));
+      CHECK(model.MostInWindow(from) <= tests::ToleratedInWindow(fleet.rate));
       CHECK(model.SentSince(from) >= kMinUse * fleet.rate * 60);
     }
   }
@@ -282,7 +265,7 @@
       model.Run(milliseconds(1200));
       model.Resume(0);
       model.Run(seconds(20));
-      CHECK(model.MostInWindow(from) <= Allowed(fleet.rate));
+      CHECK(model.MostInWindow(from) <= tests::ToleratedInWindow(fleet.rate));
     }
   }
 }
--- a/tests/support/platform_fleet.cc
+++ b/tests/support/platform_fleet.cc
@@ -234,6 +234,13 @@
   this->processes[router] = pid;
 }
 
+void PlatformFleet::RestartRouters(const std::vector<int>& routers) {
+  for (int router : routers) this->Signal(router, SIGKILL);
+  for (int router : routers) this->WaitForExit(router);
+  for (int router : routers) this->StartRouter(router);
+  for (int router : routers) this->WaitUntilReady(router);
+}
+
 void PlatformFleet::AppendSettings(int router, const std::string& lines) {
   std::ofstream(this->SettingsPath(router), std::ios::app) << lines;
 }
--- a/tests/support/platform_fleet.h
+++ b/tests/support/platform_fleet.h
@@ -59,6 +59,9 @@
   void SetStoreMode(emulator::StoreMode mode);
 
   void StartRouter(int router);
+  /// \brief Kills routers, all before one of them starts again, and waits until
+  ///        they are ready.
+  void RestartRouters(const std::vector<int>& routers);
   /// \brief Appends lines to the router's settings file. Of several lines of
   /// a setting, the last applies.
   void AppendSettings(int router, const std::string& lines);
