Move the splitter of event streams to a folder of its own

What decides which of an engine's bytes are the answer gets a room apart from relay, pool, peers and store (src/engine_response). No behaviour changes.

--- a/src/dispatch/request_dispatch.h
+++ b/src/dispatch/request_dispatch.h
@@ -13,7 +13,7 @@
 #include "dispatch/client_connection.h"
 #include "dispatch/dispatch_state.h"
 #include "dispatch/engine_exchange.h"
-#include "dispatch/event_splitter.h"
+#include "engine_response/event_splitter.h"
 
 namespace dandelionscale::internal {
 
--- a/src/dispatch/event_splitter.cc
+++ b/src/engine_response/event_splitter.cc
@@ -1,4 +1,4 @@
-#include "dispatch/event_splitter.h"
+#include "engine_response/event_splitter.h"
 
 #include <algorithm>
 #include <charconv>
--- a/src/dispatch/event_splitter.h
+++ b/src/engine_response/event_splitter.h
@@ -1,7 +1,7 @@
 /// \file
 /// \brief Splits a server-sent event stream into events.
-#ifndef DANDELIONSCALE_SRC_DISPATCH_EVENT_SPLITTER_H_
-#define DANDELIONSCALE_SRC_DISPATCH_EVENT_SPLITTER_H_
+#ifndef DANDELIONSCALE_SRC_ENGINE_RESPONSE_EVENT_SPLITTER_H_
+#define DANDELIONSCALE_SRC_ENGINE_RESPONSE_EVENT_SPLITTER_H_
 
 #include <cstdint>
 #include <optional>
@@ -56,4 +56,4 @@
 
 }  // namespace dandelionscale::internal
 
-#endif  // DANDELIONSCALE_SRC_DISPATCH_EVENT_SPLITTER_H_
+#endif  // DANDELIONSCALE_SRC_ENGINE_RESPONSE_EVENT_SPLITTER_H_
--- a/tests/event_splitter_test.cc
+++ b/tests/event_splitter_test.cc
@@ -1,5 +1,5 @@
 // Splitting of an event stream into complete events.
-#include "dispatch/event_splitter.h"
+#include "engine_response/event_splitter.h"
 
 #include <rapidcheck.h>
 
