--- a/src/dispatch/engine_connection_pool.h
+++ b/src/dispatch/engine_connection_pool.h
@@ -5,6 +5,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <cstdint>
 #include <memory>
 #include <unordered_map>
 #include <vector>
@@ -25,6 +26,7 @@
       : socket(executor), buffer(kMaxBufferedBytes) {}
   boost::asio::ip::tcp::socket socket;
   boost::beast::flat_buffer buffer;
+  std::uint32_t requests_sent = 0;
   TimePoint idle_since{};
   Duration idle_lifetime{};  ///< Time in the pool after which it expires.
 };
--- a/src/dispatch/engine_exchange.cc
+++ b/src/dispatch/engine_exchange.cc
@@ -89,6 +89,7 @@
   auto text = std::make_shared<std::string>(FormatRequest(request, headers));
   error_code error;
   this->sent_at = RuntimeClock::now();
+  ++this->connection->requests_sent;
   const std::size_t written =
       this->connection->socket.write_some(asio::buffer(*text), error);
   this->sent = written > 0;
@@ -116,6 +117,7 @@
     const std::string& echoed = this->response.request_id;
     const bool is_success =
         http_status::IsBelowRedirection(this->response.status);
+    if (echoed.empty()) this->LogResponseWithoutId(request_id);
     if (echoed.empty() && is_success) co_return AttemptFailure::kBadAnswer;
     if (echoed.empty() || echoed == request_id) {
       this->state.OnRateLimitAnswer(*this->engine, this->response,
@@ -162,6 +164,16 @@
   co_return false;
 }
 
+void EngineExchange::LogResponseWithoutId(std::string_view request_id) const {
+  Logger::Info("answer_without_id",
+               {{"request", request_id},
+                {"engine", this->engine->record.id},
+                {"status", static_cast<std::int64_t>(this->response.status)},
+                {"not_run", this->response.not_run},
+                {"connection_requests",
+                 static_cast<std::int64_t>(this->connection->requests_sent)}});
+}
+
 void EngineExchange::OnExcessiveBytes(std::string_view part) {
   this->state.metrics.Add(
       fmt::format("engine_responses_too_long_total{{part=\"{}\"}}", part));
@@ -235,8 +247,19 @@
                       this->keep_alive_timeout);
     return;
   }
+  this->LogUnreadBytes();
   error_code ignored;
   this->connection->socket.close(ignored);
 }
 
+void EngineExchange::LogUnreadBytes() const {
+  const std::size_t bytes = this->connection->buffer.size();
+  const bool complete = this->parser != nullptr && this->parser->is_done();
+  if (bytes == 0 || !complete) return;
+  Logger::Info("bytes_after_answer",
+               {{"engine", this->engine->record.id},
+                {"framing", ToString(this->Framing())},
+                {"bytes", static_cast<std::int64_t>(bytes)}});
+}
+
 }  // namespace dandelionscale::internal
--- a/src/dispatch/engine_exchange.h
+++ b/src/dispatch/engine_exchange.h
@@ -89,6 +89,9 @@
   // the exchange was cancelled.
   Awaitable<bool> ReadFinalHead(std::string_view method);
   void DecodeHead();
+  void LogResponseWithoutId(std::string_view request_id) const;
+  // Logs bytes that were received behind the end of a complete response.
+  void LogUnreadBytes() const;
   AttemptFailure FailureOnLostConnection() const;
   void Release();
 
--- a/src/dispatch/request_ending.cc
+++ b/src/dispatch/request_ending.cc
@@ -90,6 +90,8 @@
        {"took_ms", ToMilliseconds(age)},
        {"sends", static_cast<std::int64_t>(this->sends)},
        {"events", static_cast<std::int64_t>(this->events.EventCount())},
+       {"malformed_events",
+        static_cast<std::int64_t>(this->events.MalformedEventCount())},
        {"framing", this->framing ? ToString(*this->framing) : ""},
        {"unfinished_bytes",
         static_cast<std::int64_t>(this->unfinished_bytes)}});
--- a/src/engine_response/event_splitter.cc
+++ b/src/engine_response/event_splitter.cc
@@ -34,13 +34,21 @@
   }
 }
 
+// Removes the first line from `text` and returns it without its line end.
+std::string_view TakeLine(std::string_view& text) {
+  const auto end = text.find_first_of(kLineEndCharacters);
+  const std::string_view line = text.substr(0, end);
+  text.remove_prefix(end == std::string_view::npos
+                         ? text.size()
+                         : end + LineEndSize(text, end));
+  return line;
+}
+
 // Returns the value of the event's `id` field; empty if it has none.
 std::string_view ParseEventId(std::string_view event) {
   constexpr std::string_view kField = "id:";
   while (!event.empty()) {
-    const auto end = event.find_first_of(kLineEndCharacters);
-    std::string_view line = event.substr(0, end);
-    event.remove_prefix(end == std::string_view::npos ? event.size() : end + 1);
+    std::string_view line = TakeLine(event);
     if (!line.starts_with(kField)) continue;
     line.remove_prefix(kField.size());
     if (line.starts_with(' ')) line.remove_prefix(1);
@@ -57,6 +65,16 @@
   return value;
 }
 
+// Names of fields are lowercase; clients ignore those that they don't know. A
+// line without a name is a comment.
+bool IsEventField(std::string_view line) {
+  const std::string_view name = line.substr(0, line.find(':'));
+  return std::all_of(name.begin(), name.end(), [](char c) {
+    return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '-' ||
+           c == '_';
+  });
+}
+
 }  // namespace
 
 std::string EventSplitter::Feed(std::string_view bytes) {
@@ -70,6 +88,7 @@
     if (size == 0) break;
     this->searched = 0;
     const std::string_view event = rest.substr(0, size);
+    if (!this->IsWellFormed(event)) ++this->malformed_events;
     std::string id;
     if (!this->IsDuplicate(event, id)) {
       complete_events += event;
@@ -97,6 +116,18 @@
   this->pending.clear();
   this->searched = 0;
   this->resumed = true;
+  this->previous_number.reset();
+}
+
+bool EventSplitter::IsWellFormed(std::string_view event) {
+  const auto number = ParseNumber(ParseEventId(event));
+  const bool is_in_order =
+      !number || !this->previous_number || *number > *this->previous_number;
+  if (number) this->previous_number = number;
+  while (!event.empty()) {
+    if (!IsEventField(TakeLine(event))) return false;
+  }
+  return is_in_order;
 }
 
 bool EventSplitter::IsDuplicate(std::string_view event, std::string& id) const {
--- a/src/engine_response/event_splitter.h
+++ b/src/engine_response/event_splitter.h
@@ -41,16 +41,24 @@
   const std::string& LastId() const { return this->last_id; }
   /// \returns the number of events returned so far.
   std::uint64_t EventCount() const { return this->events; }
+  /// \returns the number of events that have a line that is no field of an
+  ///          event stream, or an id that is not above the one before.
+  std::uint64_t MalformedEventCount() const { return this->malformed_events; }
 
  private:
   // Sets `id` to the id of `event`. Ids are compared as numbers; an event
   // without a numeric id is never a duplicate.
   bool IsDuplicate(std::string_view event, std::string& id) const;
+  // Returns false if `event` can't be the next event of the current response.
+  bool IsWellFormed(std::string_view event);
 
   std::string pending;
   std::size_t searched = 0;  ///< Bytes of `pending` without an event's end.
   std::string last_id;
   std::uint64_t events = 0;
+  std::uint64_t malformed_events = 0;
+  /// Id of the last event of the current response, if it was a number.
+  std::optional<std::uint64_t> previous_number;
   bool resumed = false;
 };
 
