End an unframed stream where another response begins

Callers saw pieces that were not of their request. Cause: a stream that only the end of its connection ends has no other end, so the head and the events of a second answer were relayed as more of the first. Such a stream now ends where a response begins behind its last event; a head inside an event, or a line that is no field, breaks it off. Ids that do not increase break any stream off: what follows may be of another run. Delimited streams may hold unknown lines as before.

Ruled out: resuming after a clean end to make sure that it was one (it costs a second run and the shared retry budget).

--- a/src/dispatch/engine_exchange.cc
+++ b/src/dispatch/engine_exchange.cc
@@ -47,18 +47,6 @@
 
 }  // namespace
 
-std::string_view ToString(BodyFraming framing) {
-  switch (framing) {
-    case BodyFraming::kLength:
-      return "length";
-    case BodyFraming::kChunked:
-      return "chunked";
-    case BodyFraming::kUntilClose:
-      return "until_close";
-  }
-  return "length";
-}
-
 Awaitable<std::optional<AttemptFailure>> EngineExchange::Open(
     const HttpRequest& request, const HttpHeaders& headers,
     std::string_view request_id, ReusePolicy policy) {
--- a/src/dispatch/engine_exchange.h
+++ b/src/dispatch/engine_exchange.h
@@ -13,19 +13,10 @@
 #include "dandelionscale/transport/http_types.h"
 #include "dispatch/dispatch_state.h"
 #include "dispatch/engine_connection_pool.h"
+#include "engine_response/body_framing.h"
 
 namespace dandelionscale::internal {
 
-/// \brief How the end of a response's body is marked.
-enum class BodyFraming {
-  kLength,     ///< Content-Length, or a response that has no body.
-  kChunked,    ///< Chunks, of which the last one is empty.
-  kUntilClose  ///< By nothing but the end of the connection.
-};
-
-/// \returns the name used in logs.
-std::string_view ToString(BodyFraming framing);
-
 /// \brief Sends a request on one connection and reads the response.
 ///
 /// A late response to an earlier request on a reused connection is recognized
--- a/src/dispatch/response_relay.cc
+++ b/src/dispatch/response_relay.cc
@@ -55,7 +55,7 @@
 }
 
 Awaitable<std::optional<AttemptFailure>> RequestDispatch::RelayEventStream() {
-  if (this->stream_started) this->events.OnResumed();
+  this->events.OnResponse(this->exchange->Framing());
   while (true) {
     auto data = co_await this->exchange->ReadBodyFragment();
     this->unfinished_bytes = this->events.UnfinishedBytes();
@@ -66,14 +66,20 @@
     }
     const std::string events_text =
         at_end ? this->events.Flush() : this->events.Feed(data.value());
+    const bool ends = at_end || this->events.State() == StreamState::kFollowed;
     if (!events_text.empty()) this->OnAnswerBegun();
-    if (!events_text.empty() || (at_end && !this->stream_started)) {
+    if (!events_text.empty() || (ends && !this->stream_started)) {
       if (!co_await this->DeliverEvents(events_text)) {
         this->Interrupt(Interruption::kClientGone);
         co_return AttemptFailure::kStreamBroken;
       }
     }
-    if (at_end) break;
+    if (ends) break;
+    if (this->events.State() == StreamState::kMalformed) {
+      this->exchange->Cancel();
+      co_return this->stream_started ? AttemptFailure::kStreamBroken
+                                     : AttemptFailure::kBadAnswer;
+    }
     if (this->events.IsEventTooLong()) {
       this->exchange->OnExcessiveBytes("event");
       co_return this->stream_started ? AttemptFailure::kStreamBroken
--- a/src/engine_response/event_splitter.cc
+++ b/src/engine_response/event_splitter.cc
@@ -1,6 +1,7 @@
 #include "engine_response/event_splitter.h"
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <utility>
 
@@ -65,6 +66,14 @@
   return value;
 }
 
+// Returns true if a response begins at the start of `text`, behind line ends.
+// No field of an event stream begins like that.
+bool BeginsResponse(std::string_view text) {
+  const auto begin = text.find_first_not_of(kLineEndCharacters);
+  return begin != std::string_view::npos &&
+         text.substr(begin).starts_with("HTTP/");
+}
+
 // Names of fields are lowercase; clients ignore those that they don't know. A
 // line without a name is a comment.
 bool IsEventField(std::string_view line) {
@@ -75,9 +84,54 @@
   });
 }
 
+// Returns true if a header field of a response may look like `line`, but no
+// line of an event behind its data.
+bool MayBeHeaderField(std::string_view line) {
+  constexpr std::array<std::string_view, 4> kEventFields = {"data", "event",
+                                                            "id", "retry"};
+  const std::string_view name = line.substr(0, line.find(':'));
+  return !name.empty() && std::find(kEventFields.begin(), kEventFields.end(),
+                                    name) == kEventFields.end();
+}
+
+// Returns true if `event` has a line that is no field, or a head of a response
+// that begins in the middle of a line.
+bool HasForeignLine(std::string_view event) {
+  bool has_status_line = false;
+  while (!event.empty()) {
+    const std::string_view line = TakeLine(event);
+    if (!IsEventField(line)) return true;
+    if (has_status_line && MayBeHeaderField(line)) return true;
+    has_status_line = line.find("HTTP/") != std::string_view::npos;
+  }
+  return false;
+}
+
 }  // namespace
 
+std::string_view ToString(StreamState state) {
+  switch (state) {
+    case StreamState::kOpen:
+      return "open";
+    case StreamState::kFollowed:
+      return "followed";
+    case StreamState::kMalformed:
+      return "malformed";
+  }
+  return "open";
+}
+
+void EventSplitter::OnResponse(BodyFraming framing) {
+  this->resumed = this->events > 0;
+  this->framing = framing;
+  this->state = StreamState::kOpen;
+  this->previous_number.reset();
+  this->pending.clear();
+  this->searched = 0;
+}
+
 std::string EventSplitter::Feed(std::string_view bytes) {
+  if (this->state != StreamState::kOpen) return {};
   this->pending += bytes;
   std::string complete_events;
   std::size_t position = 0;
@@ -85,10 +139,14 @@
     const std::string_view rest =
         std::string_view(this->pending).substr(position);
     const std::size_t size = FindEventEnd(rest, this->searched);
-    if (size == 0) break;
-    this->searched = 0;
     const std::string_view event = rest.substr(0, size);
-    if (!this->IsWellFormed(event)) ++this->malformed_events;
+    this->state = size == 0 ? this->JudgeUnfinished(rest) : this->Judge(event);
+    if (size == 0 || this->state != StreamState::kOpen) break;
+    this->searched = 0;
+    if (!this->IsInOrder(event)) {
+      this->state = StreamState::kMalformed;
+      break;
+    }
     std::string id;
     if (!this->IsDuplicate(event, id)) {
       complete_events += event;
@@ -102,6 +160,21 @@
   return complete_events;
 }
 
+StreamState EventSplitter::Judge(std::string_view event) const {
+  if (this->JudgeUnfinished(event) == StreamState::kFollowed) {
+    return StreamState::kFollowed;
+  }
+  const bool is_foreign =
+      this->framing == BodyFraming::kUntilClose && HasForeignLine(event);
+  return is_foreign ? StreamState::kMalformed : StreamState::kOpen;
+}
+
+StreamState EventSplitter::JudgeUnfinished(std::string_view text) const {
+  const bool is_followed =
+      this->framing == BodyFraming::kUntilClose && BeginsResponse(text);
+  return is_followed ? StreamState::kFollowed : StreamState::kOpen;
+}
+
 bool EventSplitter::IsInsideEvent() const {
   return this->pending.find_first_not_of(kLineEndCharacters) !=
          std::string::npos;
@@ -112,21 +185,12 @@
   return std::exchange(this->pending, std::string());
 }
 
-void EventSplitter::OnResumed() {
-  this->pending.clear();
-  this->searched = 0;
-  this->resumed = true;
-  this->previous_number.reset();
-}
-
-bool EventSplitter::IsWellFormed(std::string_view event) {
+bool EventSplitter::IsInOrder(std::string_view event) {
   const auto number = ParseNumber(ParseEventId(event));
+  if (!number) return true;
   const bool is_in_order =
-      !number || !this->previous_number || *number > *this->previous_number;
-  if (number) this->previous_number = number;
-  while (!event.empty()) {
-    if (!IsEventField(TakeLine(event))) return false;
-  }
+      !this->previous_number || *number > *this->previous_number;
+  this->previous_number = number;
   return is_in_order;
 }
 
--- a/src/engine_response/event_splitter.h
+++ b/src/engine_response/event_splitter.h
@@ -8,11 +8,28 @@
 #include <string>
 #include <string_view>
 
+#include "engine_response/body_framing.h"
+
 namespace dandelionscale::internal {
 
+/// \brief What follows the events that a response has brought so far.
+enum class StreamState {
+  kOpen,      ///< More of its events may follow.
+  kFollowed,  ///< Another response has begun behind its last event.
+  kMalformed  ///< What followed can't be its next event.
+};
+
+/// \returns the name used in logs.
+std::string_view ToString(StreamState state);
+
 /// \brief Returns complete events byte for byte and records the last event id.
 ///
-/// An event ends with an empty line; a line ends with LF, CR or CRLF.
+/// An event ends with an empty line; a line ends with LF, CR or CRLF. Ids that
+/// are numbers increase within one response.
+///
+/// If only the end of the connection ends the body, an engine that sends a
+/// second response sends it as part of the first body. Only there, lines that
+/// are no fields of an event end the stream.
 ///
 /// After a resumption at another engine, discards the events that were already
 /// returned before.
@@ -21,9 +38,15 @@
   /// Limit of one event. The stream is malformed if an event exceeds it.
   static constexpr std::size_t kMaxEventBytes = 1024 * 1024;
 
+  /// \brief A response begins; each one after the first resumes the stream, and
+  ///        an incomplete event of the one before is discarded.
+  /// \param framing how the end of the response's body is marked.
+  void OnResponse(BodyFraming framing);
   /// \brief Appends received bytes.
-  /// \returns all events that are complete now, concatenated.
+  /// \returns all events that are complete now, concatenated. Once the state is
+  ///          not `kOpen`, further bytes are ignored.
   std::string Feed(std::string_view bytes);
+  StreamState State() const { return this->state; }
   /// \returns true if the incomplete event at the end exceeds the limit.
   bool IsEventTooLong() const { return this->pending.size() > kMaxEventBytes; }
   /// \returns true if the bytes after the last complete event begin another
@@ -32,8 +55,6 @@
   /// \brief The stream ended outside of an event.
   /// \returns the remaining bytes, which are empty lines.
   std::string Flush();
-  /// \brief Another engine continues the stream; discards an incomplete event.
-  void OnResumed();
   /// \returns the number of received bytes that belong to no complete event
   /// yet.
   std::size_t UnfinishedBytes() const { return this->pending.size(); }
@@ -41,24 +62,26 @@
   const std::string& LastId() const { return this->last_id; }
   /// \returns the number of events returned so far.
   std::uint64_t EventCount() const { return this->events; }
-  /// \returns the number of events that have a line that is no field of an
-  ///          event stream, or an id that is not above the one before.
-  std::uint64_t MalformedEventCount() const { return this->malformed_events; }
 
  private:
   // Sets `id` to the id of `event`. Ids are compared as numbers; an event
   // without a numeric id is never a duplicate.
   bool IsDuplicate(std::string_view event, std::string& id) const;
-  // Returns false if `event` can't be the next event of the current response.
-  bool IsWellFormed(std::string_view event);
+  // Returns what a whole event, or the beginning of one, shows.
+  StreamState Judge(std::string_view event) const;
+  StreamState JudgeUnfinished(std::string_view text) const;
+  // Returns false if the id of `event` is a number that is not above the one
+  // before.
+  bool IsInOrder(std::string_view event);
 
   std::string pending;
   std::size_t searched = 0;  ///< Bytes of `pending` without an event's end.
   std::string last_id;
   std::uint64_t events = 0;
-  std::uint64_t malformed_events = 0;
   /// Id of the last event of the current response, if it was a number.
   std::optional<std::uint64_t> previous_number;
+  StreamState state = StreamState::kOpen;
+  BodyFraming framing = BodyFraming::kChunked;
   bool resumed = false;
 };
 
--- a/tests/event_splitter_test.cc
+++ b/tests/event_splitter_test.cc
@@ -54,7 +54,7 @@
 TEST_CASE("after a resumption incomplete and duplicate events are discarded") {
   EventSplitter splitter;
   splitter.Feed(Event(1) + Event(2) + "id: 3\ndata: cut");
-  splitter.OnResumed();
+  splitter.OnResponse(BodyFraming::kChunked);
   CHECK(splitter.Feed(Event(2) + Event(3) + Event(4)) == Event(3) + Event(4));
   CHECK(splitter.LastId() == "4");
   CHECK(splitter.EventCount() == 4);
@@ -67,6 +67,107 @@
   CHECK(splitter.LastId() == "9");
 }
 
+std::string ResponseHead() {
+  return "HTTP/1.1 200 OK\r\nRequest-Id: b\r\nResponse-Seal: seal\r\n\r\n";
+}
+
+TEST_CASE("a response behind the last event ends an unframed stream") {
+  EventSplitter splitter;
+  splitter.OnResponse(BodyFraming::kUntilClose);
+  CHECK(splitter.Feed(Event(1) + Event(2) + "HTT") == Event(1) + Event(2));
+  CHECK(splitter.State() == StreamState::kOpen);
+  CHECK(splitter.Feed("P/1.1").empty());
+  CHECK(splitter.State() == StreamState::kFollowed);
+  CHECK(splitter.Feed(" 200 OK\r\n\r\n" + Event(3)).empty());
+  CHECK(splitter.EventCount() == 2);
+}
+
+TEST_CASE("a response inside an event breaks an unframed stream") {
+  for (const std::string_view begun :
+       {"id: 3\n", "id: 3\nda", "id: 3\ndata: x"}) {
+    for (const std::string_view head :
+         {"HTTP/1.1 200 OK\r\nRequest-Id: b\r\n\r\n",
+          "HTTP/1.1 200 OK\r\nrequest-id: b\r\n\r\n"}) {
+      CAPTURE(begun, head);
+      EventSplitter splitter;
+      splitter.OnResponse(BodyFraming::kUntilClose);
+      CHECK(splitter.Feed(Event(1) + std::string(begun) + std::string(head) +
+                          Event(4)) == Event(1));
+      CHECK(splitter.State() == StreamState::kMalformed);
+    }
+  }
+}
+
+TEST_CASE("the text of an event may quote a response") {
+  EventSplitter splitter;
+  splitter.OnResponse(BodyFraming::kUntilClose);
+  const std::string events =
+      ": a comment\n\nid: 1\ndata: HTTP/1.1 200 OK\ndata: Request-Id: b\n\n";
+  CHECK(splitter.Feed(events) == events);
+  CHECK(splitter.State() == StreamState::kOpen);
+}
+
+TEST_CASE("ids increase within a response") {
+  for (const BodyFraming framing :
+       {BodyFraming::kChunked, BodyFraming::kUntilClose}) {
+    for (const int repeated : {1, 2}) {
+      EventSplitter splitter;
+      splitter.OnResponse(framing);
+      CHECK(splitter.Feed(Event(1) + Event(2) + Event(repeated) + Event(3)) ==
+            Event(1) + Event(2));
+      CHECK(splitter.State() == StreamState::kMalformed);
+    }
+  }
+}
+
+// A first answer, whole or cut, and a second one, in any fragments: only events
+// of the first are returned, in their order.
+TEST_CASE("no byte of a second response is returned") {
+  rc::check([] {
+    const int events = *rc::gen::inRange(0, 5);
+    std::string own;
+    for (int id = 1; id <= events; ++id) own += Event(id);
+    const std::string next = Event(events + 1);
+    const std::size_t cut = *rc::gen::inRange<std::size_t>(0, next.size());
+    const std::string second =
+        ResponseHead() + "id: " + std::to_string(events + 2) + "\ndata: b\n\n";
+    const std::size_t sent =
+        *rc::gen::inRange<std::size_t>(0, second.size() + 1);
+    const std::string bytes =
+        own + next.substr(0, cut) + second.substr(0, sent);
+    EventSplitter splitter;
+    splitter.OnResponse(BodyFraming::kUntilClose);
+    std::string taken;
+    for (std::size_t position = 0; position < bytes.size();) {
+      const std::size_t size =
+          *rc::gen::inRange<std::size_t>(1, bytes.size() - position + 1);
+      taken += splitter.Feed(std::string_view(bytes).substr(position, size));
+      position += size;
+    }
+    RC_ASSERT(taken == own);
+    // An answer that was cut inside an event must not look whole.
+    const bool looks_whole =
+        splitter.State() == StreamState::kFollowed ||
+        (splitter.State() == StreamState::kOpen && !splitter.IsInsideEvent());
+    RC_ASSERT(cut == 0 || !looks_whole);
+  });
+}
+
+TEST_CASE("broken bytes never return more than was fed") {
+  rc::check([](const std::vector<std::string>& fragments) {
+    EventSplitter splitter;
+    splitter.OnResponse(*rc::gen::element(
+        BodyFraming::kLength, BodyFraming::kChunked, BodyFraming::kUntilClose));
+    std::string fed;
+    std::string taken;
+    for (const std::string& fragment : fragments) {
+      fed += fragment;
+      taken += splitter.Feed(fragment);
+    }
+    RC_ASSERT(fed.starts_with(taken));
+  });
+}
+
 TEST_CASE("any fragmentation of the bytes gives the same events") {
   rc::check([] {
     std::string text;
