Cut a second response off a body that ends with its connection

Callers got another answer's head and body behind their own. Cause: as for streams; a body without a length or chunks is all that comes before the close. It now ends where a head begins that bears an engine's id, signature or refusal field. Heads without such a field may be quoted in a body.

--- a/src/dispatch/engine_exchange.h
+++ b/src/dispatch/engine_exchange.h
@@ -52,6 +52,7 @@
   void OnExcessiveBytes(std::string_view part);
 
   const EngineResponse& Response() const { return this->response; }
+  const std::string& EngineId() const { return this->engine->record.id; }
   bool IsEventStream() const { return this->event_stream; }
   /// \returns the framing of the response whose head was read last.
   BodyFraming Framing() const;
--- a/src/dispatch/request_dispatch.h
+++ b/src/dispatch/request_dispatch.h
@@ -88,6 +88,9 @@
       std::shared_ptr<Engine> engine);
   Awaitable<std::optional<AttemptFailure>> RelayResponse();
   Awaitable<std::optional<AttemptFailure>> RelayBufferedResponse();
+  // If another response begins in a body that ends with the connection, cuts it
+  // off and returns true. `new_bytes` at the end were not searched yet.
+  bool EndAtFollowingResponse(std::string& body, std::size_t new_bytes);
   Awaitable<std::optional<AttemptFailure>> RelayEventStream();
   // Returns false if the client has disconnected.
   Awaitable<bool> DeliverEvents(const std::string& events);
--- a/src/dispatch/response_relay.cc
+++ b/src/dispatch/response_relay.cc
@@ -1,6 +1,10 @@
 // RequestDispatch: relay of an engine's response to the client.
+#include <algorithm>
+
+#include "dandelionscale/runtime/logger.h"
 #include "dandelionscale/transport/http_status.h"
 #include "dispatch/request_dispatch.h"
+#include "engine_response/following_response.h"
 
 namespace dandelionscale::internal {
 
@@ -33,6 +37,7 @@
     if (data.has_error()) co_return AttemptFailure::kNoAnswer;
     if (data.value().empty()) break;
     body += data.value();
+    if (this->EndAtFollowingResponse(body, data.value().size())) break;
     if (body.size() > kMaxBufferedBytes || !memory.Resize(body.capacity())) {
       this->exchange->OnExcessiveBytes("body");
       co_return AttemptFailure::kBadAnswer;
@@ -54,6 +59,21 @@
   co_return std::nullopt;
 }
 
+bool RequestDispatch::EndAtFollowingResponse(std::string& body,
+                                             std::size_t new_bytes) {
+  if (this->framing != BodyFraming::kUntilClose) return false;
+  // A head may have begun in the bytes that were searched before.
+  const std::size_t searched = body.size() - new_bytes;
+  const auto found = FindFollowingResponse(
+      body, searched - std::min(searched, kMaxFollowingHeadBytes),
+      *this->state.codec);
+  if (!found) return false;
+  Logger::Warning("second_answer", {{"request", this->decoded.id},
+                                    {"engine", this->exchange->EngineId()}});
+  body.resize(*found);
+  return true;
+}
+
 Awaitable<std::optional<AttemptFailure>> RequestDispatch::RelayEventStream() {
   this->events.OnResponse(this->exchange->Framing());
   while (true) {
--- /dev/null
+++ b/src/engine_response/following_response.h
@@ -0,0 +1,28 @@
+#ifndef DANDELIONSCALE_SRC_ENGINE_RESPONSE_FOLLOWING_RESPONSE_H_
+#define DANDELIONSCALE_SRC_ENGINE_RESPONSE_FOLLOWING_RESPONSE_H_
+
+#include <optional>
+#include <string_view>
+
+#include "dandelionscale/dispatch/protocol_codec.h"
+
+namespace dandelionscale::internal {
+
+/// \brief Finds a further response of an engine in a body that is ended by
+///        nothing but the end of the connection.
+///
+/// An engine that sends a second response on such a connection sends it, by
+/// HTTP's rules, as part of the first body. A head counts only with a field by
+/// which engines mark their responses, so that a body may quote other heads.
+/// \param from position at which the search begins.
+/// \returns the position of its status line.
+std::optional<std::size_t> FindFollowingResponse(std::string_view body,
+                                                 std::size_t from,
+                                                 const ProtocolCodec& codec);
+
+/// \brief Bytes of a head behind which such a field is not looked for.
+inline constexpr std::size_t kMaxFollowingHeadBytes = 8 * 1024;
+
+}  // namespace dandelionscale::internal
+
+#endif  // DANDELIONSCALE_SRC_ENGINE_RESPONSE_FOLLOWING_RESPONSE_H_
