Attribute a response without an id only on a fresh connection

Clients were told 'not run' for requests that ran, or these ran at a second engine: on a kept connection a refusal, 421 or success without an id was taken for the answer to the request sent last, though it may be a second one to an earlier request. It is passed over now, and the answer with the id is waited for. One rule decides (MatchResponse), apart from I/O.

Ruled out: answering 502 at once, which would lose the request's own answer.

--- a/src/dispatch/engine_exchange.cc
+++ b/src/dispatch/engine_exchange.cc
@@ -7,9 +7,9 @@
 
 #include "dandelionscale/runtime/logger.h"
 #include "dandelionscale/transport/http_fields.h"
-#include "dandelionscale/transport/http_status.h"
 #include "dispatch/http_text.h"
 #include "dispatch/permit_exchange.h"
+#include "engine_response/response_match.h"
 #include "transport/socket_helpers.h"
 
 namespace dandelionscale::internal {
@@ -103,17 +103,17 @@
       co_return this->FailureOnLostConnection();
     this->DecodeHead();
     const std::string& echoed = this->response.request_id;
-    const bool is_success =
-        http_status::IsBelowRedirection(this->response.status);
     if (echoed.empty()) this->LogResponseWithoutId(request_id);
-    if (echoed.empty() && is_success) co_return AttemptFailure::kBadAnswer;
-    if (echoed.empty() || echoed == request_id) {
-      this->state.OnRateLimitAnswer(*this->engine, this->response,
-                                    this->sent_at);
-      const bool bad = is_success && (!this->response.is_signed ||
-                                      this->response.has_content_encoding);
-      if (bad) co_return AttemptFailure::kBadAnswer;
-      co_return std::nullopt;
+    switch (MatchResponse(this->response, request_id,
+                          this->connection->requests_sent)) {
+      case ResponseMatch::kOwn:
+        this->state.OnRateLimitAnswer(*this->engine, this->response,
+                                      this->sent_at);
+        co_return std::nullopt;
+      case ResponseMatch::kInvalid:
+        co_return AttemptFailure::kBadAnswer;
+      case ResponseMatch::kForeign:
+        break;
     }
     Logger::Warning("foreign_answer", {{"request", request_id},
                                        {"engine", this->engine->record.id},
