Take a response with several different ids for no request's

The first of several Request-Id fields decided, so that an answer which also bears another request's id was relayed.

--- a/include/dandelionscale/dispatch/protocol_codec.h
+++ b/include/dandelionscale/dispatch/protocol_codec.h
@@ -56,8 +56,9 @@
 struct EngineResponse {
   unsigned status = 0;
   std::string request_id;  ///< As echoed by the engine; empty if absent.
-  bool is_signed = false;  ///< Has the engine's signature field.
-  bool not_run = false;    ///< The engine reports that it did not run it.
+  bool has_conflicting_ids = false;  ///< It echoes several different ids.
+  bool is_signed = false;            ///< Has the engine's signature field.
+  bool not_run = false;  ///< The engine reports that it did not run it.
   /// The request reached a different engine than the addressed one.
   bool wrong_engine = false;
   /// The body has a content encoding, so it is not the bytes that the engine
--- a/src/engine_response/response_match.cc
+++ b/src/engine_response/response_match.cc
@@ -7,6 +7,7 @@
 ResponseMatch MatchResponse(const EngineResponse& response,
                             std::string_view request_id,
                             std::uint32_t requests_sent) {
+  if (response.has_conflicting_ids) return ResponseMatch::kForeign;
   const bool has_id = !response.request_id.empty();
   const bool is_first = requests_sent <= 1;
   if (has_id && response.request_id != request_id) {
