Keep a connection only after a response that bears the request's id

Where a response had no id, a second copy of it on the kept connection could not be told from the next answer. One rule (MayReuseConnection), apart from I/O, says when a connection may carry another request.

--- a/src/dispatch/engine_exchange.cc
+++ b/src/dispatch/engine_exchange.cc
@@ -9,6 +9,7 @@
 #include "dandelionscale/transport/http_fields.h"
 #include "dispatch/http_text.h"
 #include "dispatch/permit_exchange.h"
+#include "engine_response/connection_reuse.h"
 #include "engine_response/response_match.h"
 #include "transport/socket_helpers.h"
 
@@ -224,13 +225,16 @@
 
 void EngineExchange::Release() {
   if (this->connection == nullptr || this->cancelled) return;
-  const bool is_reusable =
-      this->parser != nullptr && this->parser->is_done() &&
-      this->parser->get().keep_alive() && *this->write_done &&
-      this->connection->buffer.size() == 0 &&
-      !this->received_mismatched_response && !this->engine->draining &&
-      this->connection->socket.is_open();
-  if (is_reusable) {
+  ExchangeEnd end;
+  end.request_written = *this->write_done;
+  end.response_complete = this->parser != nullptr && this->parser->is_done();
+  end.keep_alive = end.response_complete && this->parser->get().keep_alive();
+  end.has_id = !this->response.request_id.empty();
+  end.has_foreign_response = this->received_mismatched_response;
+  end.unread_bytes = this->connection->buffer.size();
+  end.is_open = this->connection->socket.is_open();
+  end.engine_draining = this->engine->draining;
+  if (MayReuseConnection(end)) {
     this->pool.Return(*this->engine, std::move(this->connection),
                       this->keep_alive_timeout);
     return;
--- a/src/engine_response/response_match.h
+++ b/src/engine_response/response_match.h
@@ -13,7 +13,7 @@
   kOwn,      ///< It does.
   kForeign,  ///< It doesn't, or nothing shows that it does. The own response
              ///< may follow.
-  kInvalid  ///< It would, but is no valid response.
+  kInvalid   ///< It would, but is no valid response.
 };
 
 /// \brief Decides to which request a response belongs.
