Do not send a call on an idle connection that has received bytes

Idle connections are checked now, as those to engines were.

Not covered: a second response that arrives between that check and the answer; versions of the store and epochs of cache events bound what it can do.

--- a/src/dispatch/engine_connection_pool.cc
+++ b/src/dispatch/engine_connection_pool.cc
@@ -28,16 +28,6 @@
 // idle lifetime.
 constexpr int kRecentLifetimeDivisor = 3;
 
-// Returns false if the engine has closed the connection or has sent unsolicited
-// data.
-bool IsIdle(asio::ip::tcp::socket& socket) {
-  char byte = 0;
-  error_code error;
-  socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek,
-                 error);
-  return error == asio::error::would_block;
-}
-
 }  // namespace
 
 Awaitable<Result<std::shared_ptr<EngineConnection>>>
--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -58,10 +58,12 @@
     while (!pooled.empty() && pooled.front()->idle_since < oldest) {
       pooled.pop_front();
     }
-    if (pooled.empty()) return nullptr;
-    auto connection = std::move(pooled.back());
-    pooled.pop_back();
-    return connection;
+    while (!pooled.empty()) {
+      auto connection = std::move(pooled.back());
+      pooled.pop_back();
+      if (internal::IsIdle(connection->stream.socket())) return connection;
+    }
+    return nullptr;
   }
 
   void ReturnIdle(const Endpoint& endpoint,
--- a/src/transport/socket_helpers.cc
+++ b/src/transport/socket_helpers.cc
@@ -2,6 +2,18 @@
 
 namespace dandelionscale::internal {
 
+namespace asio = boost::asio;
+
+bool IsIdle(asio::ip::tcp::socket& socket) {
+  char byte = 0;
+  boost::system::error_code error;
+  socket.non_blocking(true, error);
+  if (error) return false;
+  socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek,
+                 error);
+  return error == asio::error::would_block;
+}
+
 Result<Endpoint> OpenAcceptor(boost::asio::ip::tcp::acceptor& acceptor,
                               const Endpoint& endpoint) {
   try {
--- a/src/transport/socket_helpers.h
+++ b/src/transport/socket_helpers.h
@@ -16,6 +16,10 @@
   return boost::asio::redirect_error(boost::asio::use_awaitable, error);
 }
 
+/// \returns false if the peer has closed an idle connection or has sent bytes
+///          that nothing asked for, such as a second response.
+bool IsIdle(boost::asio::ip::tcp::socket& socket);
+
 /// \brief Binds `acceptor` and starts listening.
 /// \returns the bound endpoint; fault: `kConnectFailed`.
 Result<Endpoint> OpenAcceptor(boost::asio::ip::tcp::acceptor& acceptor,
--- a/tests/transport_test.cc
+++ b/tests/transport_test.cc
@@ -194,5 +194,59 @@
   CHECK(bodies == std::vector<std::string>{"/a", "/b"});
 }
 
+TEST_CASE("a late second response is not taken for that to the next request") {
+  asio::io_context loop(1);
+  asio::ip::tcp::acceptor acceptor(loop, AnyPort());
+  const Endpoint endpoint = acceptor.local_endpoint();
+  // Each connection gets its number as the body of every response, and the
+  // first one is sent again after a pause.
+  auto serve = [](asio::ip::tcp::socket socket, int number) -> Awaitable<void> {
+    const std::string body = std::to_string(number);
+    const std::string response =
+        "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n" + body;
+    const Duration pause = std::chrono::milliseconds(20);
+    std::string request(4096, ' ');
+    co_await socket.async_read_some(asio::buffer(request), asio::use_awaitable);
+    for (int n = 0; n < 2; ++n) {
+      co_await asio::async_write(socket, asio::buffer(response),
+                                 asio::use_awaitable);
+      co_await SleepFor(pause);
+    }
+    const Duration open_time = std::chrono::seconds(1);
+    co_await SleepFor(open_time);
+  };
+  asio::co_spawn(
+      loop,
+      [&]() -> Awaitable<void> {
+        for (int number = 1;; ++number) {
+          auto socket = co_await acceptor.async_accept(asio::use_awaitable);
+          asio::co_spawn(loop, serve(std::move(socket), number),
+                         asio::detached);
+        }
+      },
+      asio::detached);
+  HttpClient client(loop.get_executor(), nullptr);
+  std::vector<std::string> bodies;
+  asio::co_spawn(
+      loop,
+      [&]() -> Awaitable<void> {
+        HttpRequest request;
+        request.method = "GET";
+        request.target = "/";
+        for (int n = 0; n < 2; ++n) {
+          auto response =
+              co_await client.Fetch(endpoint, request, ConnectionUse::kReuse,
+                                    std::chrono::seconds(5));
+          bodies.push_back(response.value().body);
+          const Duration pause = std::chrono::milliseconds(60);
+          co_await SleepFor(pause);
+        }
+        loop.stop();
+      },
+      asio::detached);
+  loop.run();
+  CHECK(bodies == std::vector<std::string>{"1", "2"});
+}
+
 }  // namespace
 }  // namespace dandelionscale
