Do not take a second answer inside an answer for its end

An earlier answer that is repeated while an unframed one is sent ended the latter: the client got part of it as complete (or an empty stream). On a connection that has carried another request the following head must bear the id of this one, or the answer is given up: 502, or resumed where the route allows it. Also: a body that ends inside a head is given up, since it may be a second answer's; a quoted 421 no longer cuts a body; an anonymous failure behind a foreign answer is not taken for the own; the search for heads is bounded.

--- a/src/dispatch/engine_exchange.cc
+++ b/src/dispatch/engine_exchange.cc
@@ -105,8 +105,7 @@
     this->DecodeHead();
     const std::string& echoed = this->response.request_id;
     if (echoed.empty()) this->LogResponseWithoutId(request_id);
-    switch (MatchResponse(this->response, request_id,
-                          this->connection->requests_sent)) {
+    switch (MatchResponse(this->response, request_id, this->IsOnlyRequest())) {
       case ResponseMatch::kOwn:
         this->state.OnRateLimitAnswer(*this->engine, this->response,
                                       this->sent_at);
--- a/src/dispatch/engine_exchange.h
+++ b/src/dispatch/engine_exchange.h
@@ -52,6 +52,12 @@
   void OnExcessiveBytes(std::string_view part);
 
   const EngineResponse& Response() const { return this->response; }
+  /// \returns true if the connection has carried no other request, so that no
+  ///          response on it can be a second one to another request.
+  bool IsOnlyRequest() const {
+    return this->connection->requests_sent <= 1 &&
+           !this->received_mismatched_response;
+  }
   const std::string& EngineId() const { return this->engine->record.id; }
   bool IsEventStream() const { return this->event_stream; }
   /// \returns the framing of the response whose head was read last.
--- a/src/dispatch/request_dispatch.h
+++ b/src/dispatch/request_dispatch.h
@@ -88,9 +88,20 @@
       std::shared_ptr<Engine> engine);
   Awaitable<std::optional<AttemptFailure>> RelayResponse();
   Awaitable<std::optional<AttemptFailure>> RelayBufferedResponse();
-  // If another response begins in a body that ends with the connection, cuts it
-  // off and returns true. `new_bytes` at the end were not searched yet.
-  bool EndAtFollowingResponse(std::string& body, std::size_t new_bytes);
+  // Whether the end of the own response's body has been found.
+  enum class BodyEnd {
+    kOpen,
+    kReached,
+    kUncertain  ///< What followed does not show where it is.
+  };
+  // Cuts off another response that begins in a body that ends with the
+  // connection. `new_bytes` at the end were not searched yet; none at the end.
+  BodyEnd FindBodyEnd(std::string& body, std::size_t new_bytes) const;
+  BodyEnd FindStreamEnd(bool at_end) const;
+  // A response that was sent in the middle of the own one is told from one
+  // behind it by its id, unless the connection carried this request only.
+  BodyEnd JudgeFollowing(std::string_view following, bool at_end) const;
+  AttemptFailure FailureOfStream() const;
   Awaitable<std::optional<AttemptFailure>> RelayEventStream();
   // Returns false if the client has disconnected.
   Awaitable<bool> DeliverEvents(const std::string& events);
--- a/src/dispatch/response_relay.cc
+++ b/src/dispatch/response_relay.cc
@@ -32,17 +32,21 @@
 RequestDispatch::RelayBufferedResponse() {
   std::string body;
   MemoryBudget::Share memory(this->state.response_memory);
-  while (true) {
+  BodyEnd end = BodyEnd::kOpen;
+  while (end == BodyEnd::kOpen) {
     auto data = co_await this->exchange->ReadBodyFragment();
     if (data.has_error()) co_return AttemptFailure::kNoAnswer;
-    if (data.value().empty()) break;
     body += data.value();
-    if (this->EndAtFollowingResponse(body, data.value().size())) break;
+    end = this->FindBodyEnd(body, data.value().size());
     if (body.size() > kMaxBufferedBytes || !memory.Resize(body.capacity())) {
       this->exchange->OnExcessiveBytes("body");
       co_return AttemptFailure::kBadAnswer;
     }
   }
+  if (end == BodyEnd::kUncertain) {
+    this->exchange->Cancel();
+    co_return AttemptFailure::kNoAnswer;
+  }
   const EngineResponse response = this->exchange->Response();
   this->exchange.reset();
   const bool failed = http_status::IsServerError(response.status);
@@ -59,60 +63,100 @@
   co_return std::nullopt;
 }
 
-bool RequestDispatch::EndAtFollowingResponse(std::string& body,
-                                             std::size_t new_bytes) {
-  if (this->framing != BodyFraming::kUntilClose) return false;
+RequestDispatch::BodyEnd RequestDispatch::FindBodyEnd(
+    std::string& body, std::size_t new_bytes) const {
+  const bool at_end = new_bytes == 0;
+  if (this->framing != BodyFraming::kUntilClose) {
+    return at_end ? BodyEnd::kReached : BodyEnd::kOpen;
+  }
   // A head may have begun in the bytes that were searched before.
   const std::size_t searched = body.size() - new_bytes;
   const auto found = FindFollowingResponse(
       body, searched - std::min(searched, kMaxFollowingHeadBytes),
       *this->state.codec);
-  if (!found) return false;
-  Logger::Warning("second_answer", {{"request", this->decoded.id},
-                                    {"engine", this->exchange->EngineId()}});
-  body.resize(*found);
-  return true;
+  if (!found) {
+    if (!at_end) return BodyEnd::kOpen;
+    return EndsInsideHead(body) ? BodyEnd::kUncertain : BodyEnd::kReached;
+  }
+  const BodyEnd end =
+      this->JudgeFollowing(std::string_view(body).substr(*found), at_end);
+  if (end == BodyEnd::kReached) body.resize(*found);
+  return end;
+}
+
+RequestDispatch::BodyEnd RequestDispatch::JudgeFollowing(
+    std::string_view following, bool at_end) const {
+  const FollowingOwner owner =
+      FindOwner(following, this->decoded.id, *this->state.codec);
+  BodyEnd end = at_end ? BodyEnd::kUncertain : BodyEnd::kOpen;
+  if (this->exchange->IsOnlyRequest() ||
+      owner == FollowingOwner::kSameRequest) {
+    end = BodyEnd::kReached;
+  } else if (owner == FollowingOwner::kOther) {
+    end = BodyEnd::kUncertain;
+  }
+  if (end != BodyEnd::kOpen) {
+    Logger::Warning("second_answer", {{"request", this->decoded.id},
+                                      {"engine", this->exchange->EngineId()},
+                                      {"cut", end == BodyEnd::kReached}});
+  }
+  return end;
 }
 
 Awaitable<std::optional<AttemptFailure>> RequestDispatch::RelayEventStream() {
   this->events.OnResponse(this->exchange->Framing());
-  while (true) {
+  BodyEnd end = BodyEnd::kOpen;
+  while (end == BodyEnd::kOpen) {
     auto data = co_await this->exchange->ReadBodyFragment();
     this->unfinished_bytes = this->events.UnfinishedBytes();
-    const bool at_end = data.has_value() && data.value().empty();
-    if (data.has_error() || (at_end && this->events.IsInsideEvent())) {
-      co_return this->stream_started ? AttemptFailure::kStreamBroken
-                                     : AttemptFailure::kNoAnswer;
-    }
-    const std::string events_text =
-        at_end ? this->events.Flush() : this->events.Feed(data.value());
-    const bool ends = at_end || this->events.State() == StreamState::kFollowed;
+    if (data.has_error()) co_return this->FailureOfStream();
+    const bool at_end = data.value().empty();
+    std::string events_text = this->events.Feed(data.value());
+    end = this->FindStreamEnd(at_end);
+    if (at_end && end == BodyEnd::kReached) events_text += this->events.Flush();
     if (!events_text.empty()) this->OnAnswerBegun();
-    if (!events_text.empty() || (ends && !this->stream_started)) {
+    const bool is_empty_stream =
+        end == BodyEnd::kReached && !this->stream_started;
+    if (!events_text.empty() || is_empty_stream) {
       if (!co_await this->DeliverEvents(events_text)) {
         this->Interrupt(Interruption::kClientGone);
         co_return AttemptFailure::kStreamBroken;
       }
     }
-    if (ends) break;
-    if (this->events.State() == StreamState::kMalformed) {
-      this->exchange->Cancel();
-      co_return this->stream_started ? AttemptFailure::kStreamBroken
-                                     : AttemptFailure::kBadAnswer;
-    }
     if (this->events.IsEventTooLong()) {
       this->exchange->OnExcessiveBytes("event");
-      co_return this->stream_started ? AttemptFailure::kStreamBroken
-                                     : AttemptFailure::kBadAnswer;
+      end = BodyEnd::kUncertain;
     }
     // Bytes of an event that is never completed are no progress.
     if (!events_text.empty()) this->ArmStallTimeout();
   }
+  if (end == BodyEnd::kUncertain) {
+    this->exchange->Cancel();
+    co_return this->FailureOfStream();
+  }
   this->exchange.reset();
   co_await this->client.EndStream();
   co_return std::nullopt;
 }
 
+AttemptFailure RequestDispatch::FailureOfStream() const {
+  return this->stream_started ? AttemptFailure::kStreamBroken
+                              : AttemptFailure::kNoAnswer;
+}
+
+RequestDispatch::BodyEnd RequestDispatch::FindStreamEnd(bool at_end) const {
+  switch (this->events.State()) {
+    case StreamState::kMalformed:
+      return BodyEnd::kUncertain;
+    case StreamState::kFollowed:
+      return this->JudgeFollowing(this->events.Following(), at_end);
+    case StreamState::kOpen:
+      break;
+  }
+  if (!at_end) return BodyEnd::kOpen;
+  return this->events.IsInsideEvent() ? BodyEnd::kUncertain : BodyEnd::kReached;
+}
+
 Awaitable<bool> RequestDispatch::DeliverEvents(const std::string& events) {
   if (this->stream_started) co_return co_await this->client.SendData(events);
   this->stream_started = true;
--- a/src/engine_response/event_splitter.cc
+++ b/src/engine_response/event_splitter.cc
@@ -5,6 +5,8 @@
 #include <charconv>
 #include <utility>
 
+#include "engine_response/following_response.h"
+
 namespace dandelionscale::internal {
 namespace {
 
@@ -131,8 +133,11 @@
 }
 
 std::string EventSplitter::Feed(std::string_view bytes) {
-  if (this->state != StreamState::kOpen) return {};
-  this->pending += bytes;
+  const bool is_open = this->state == StreamState::kOpen;
+  if (is_open || this->pending.size() < kMaxFollowingHeadBytes) {
+    this->pending += bytes;
+  }
+  if (!is_open) return {};
   std::string complete_events;
   std::size_t position = 0;
   while (true) {
@@ -160,6 +165,13 @@
   return complete_events;
 }
 
+std::string_view EventSplitter::Following() const {
+  const std::string_view text = this->pending;
+  const auto begin = text.find_first_not_of(kLineEndCharacters);
+  return begin == std::string_view::npos ? std::string_view()
+                                         : text.substr(begin);
+}
+
 StreamState EventSplitter::Judge(std::string_view event) const {
   if (this->JudgeUnfinished(event) == StreamState::kFollowed) {
     return StreamState::kFollowed;
--- a/src/engine_response/event_splitter.h
+++ b/src/engine_response/event_splitter.h
@@ -43,10 +43,14 @@
   /// \param framing how the end of the response's body is marked.
   void OnResponse(BodyFraming framing);
   /// \brief Appends received bytes.
-  /// \returns all events that are complete now, concatenated. Once the state is
-  ///          not `kOpen`, further bytes are ignored.
+  /// \returns all events that are complete now, concatenated; none once the
+  /// state
+  ///          is not `kOpen`.
   std::string Feed(std::string_view bytes);
   StreamState State() const { return this->state; }
+  /// \returns the response that has begun behind the last event, as far as its
+  ///          head has arrived.
+  std::string_view Following() const;
   /// \returns true if the incomplete event at the end exceeds the limit.
   bool IsEventTooLong() const { return this->pending.size() > kMaxEventBytes; }
   /// \returns true if the bytes after the last complete event begin another
--- a/src/engine_response/following_response.cc
+++ b/src/engine_response/following_response.cc
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr std::string_view kVersionPrefix = "HTTP/1.";
+// Places in one fragment of a body at which a head is looked for.
+constexpr int kMaxCandidates = 64;
 
 // Removes the first line from `text` and returns it without its line end.
 // Returns nothing if the line has no end yet.
@@ -29,33 +31,64 @@
   unsigned status = 0;
   const auto [end, error] =
       std::from_chars(digits.data(), digits.data() + digits.size(), status);
-  const bool is_number =
-      error == std::errc{} && end == digits.data() + digits.size();
+  const std::string_view rest = line.substr(kStatusBegin + kStatusDigits);
+  const bool is_number = error == std::errc{} &&
+                         end == digits.data() + digits.size() &&
+                         (rest.empty() || rest.starts_with(' '));
   return is_number ? std::optional<unsigned>(status) : std::nullopt;
 }
 
-// Returns the fields up to the empty line or the end of `text`.
-HttpHeaders ParseFields(std::string_view text) {
+// A head of a response, as far as it has arrived.
+struct PartialHead {
+  unsigned status = 0;
   HttpHeaders headers;
+  bool is_whole = false;  ///< The empty line has arrived.
+  bool is_header = true;  ///< All lines are header fields.
+};
+
+void ParseFields(std::string_view text, PartialHead& head) {
   while (const auto line = TakeWholeLine(text)) {
+    head.is_whole = line->empty();
     const auto colon = line->find(':');
-    if (colon == std::string_view::npos) break;
+    head.is_header = head.is_whole || colon != std::string_view::npos;
+    if (head.is_whole || !head.is_header) return;
     std::string_view value = line->substr(colon + 1);
     value.remove_prefix(std::min(value.find_first_not_of(" \t"), value.size()));
-    headers.Add(line->substr(0, colon), value);
+    head.headers.Add(line->substr(0, colon), value);
   }
-  return headers;
 }
 
-bool BeginsEngineResponse(std::string_view text, const ProtocolCodec& codec) {
+// Returns nothing if `text` does not begin with a whole status line.
+std::optional<PartialHead> ParseHead(std::string_view text) {
   text = text.substr(0, kMaxFollowingHeadBytes);
   const auto status_line = TakeWholeLine(text);
-  if (!status_line) return false;
+  if (!status_line) return std::nullopt;
   const auto status = ParseStatusLine(*status_line);
-  if (!status) return false;
+  if (!status) return std::nullopt;
+  PartialHead head;
+  head.status = *status;
+  ParseFields(text, head);
+  return head;
+}
+
+bool BeginsEngineResponse(std::string_view text, const ProtocolCodec& codec) {
+  const auto head = ParseHead(text);
+  if (!head) return false;
   const EngineResponse response =
-      codec.DecodeResponse(*status, ParseFields(text));
-  return !response.request_id.empty() || response.is_signed || response.not_run;
+      codec.DecodeResponse(head->status, head->headers);
+  const bool states_refusal = response.not_run && !response.wrong_engine;
+  return !response.request_id.empty() || response.is_signed || states_refusal;
+}
+
+// Returns true if `text` is a status line without its end.
+bool IsCutStatusLine(std::string_view text) {
+  constexpr std::size_t kStatusBegin = std::string_view("HTTP/1.1 ").size();
+  if (text.size() <= kStatusBegin || text[kStatusBegin - 1] != ' ') {
+    return false;
+  }
+  const char digit = text[kStatusBegin];
+  return digit >= '1' && digit <= '5' &&
+         text.find('\n') == std::string_view::npos;
 }
 
 }  // namespace
@@ -63,11 +96,39 @@
 std::optional<std::size_t> FindFollowingResponse(std::string_view body,
                                                  std::size_t from,
                                                  const ProtocolCodec& codec) {
-  for (auto at = body.find(kVersionPrefix, from); at != std::string_view::npos;
-       at = body.find(kVersionPrefix, at + 1)) {
+  auto at = body.find(kVersionPrefix, from);
+  for (int n = 0; n < kMaxCandidates && at != std::string_view::npos; ++n) {
     if (BeginsEngineResponse(body.substr(at), codec)) return at;
+    at = body.find(kVersionPrefix, at + 1);
   }
   return std::nullopt;
 }
 
+FollowingOwner FindOwner(std::string_view text, std::string_view request_id,
+                         const ProtocolCodec& codec) {
+  const auto head = ParseHead(text);
+  const bool may_be_cut = text.size() < kMaxFollowingHeadBytes;
+  if (!head && may_be_cut) return FollowingOwner::kUnknownYet;
+  if (!head) return FollowingOwner::kOther;
+  const EngineResponse response =
+      codec.DecodeResponse(head->status, head->headers);
+  if (response.request_id.empty()) {
+    const bool more_may_come = !head->is_whole && head->is_header && may_be_cut;
+    return more_may_come ? FollowingOwner::kUnknownYet : FollowingOwner::kOther;
+  }
+  const bool is_same =
+      response.request_id == request_id && !response.has_conflicting_ids;
+  return is_same ? FollowingOwner::kSameRequest : FollowingOwner::kOther;
+}
+
+bool EndsInsideHead(std::string_view body) {
+  const std::size_t from =
+      body.size() - std::min(body.size(), kMaxFollowingHeadBytes);
+  const auto at = body.rfind(kVersionPrefix);
+  if (at == std::string_view::npos || at < from) return false;
+  const std::string_view text = body.substr(at);
+  const auto head = ParseHead(text);
+  return head ? !head->is_whole && head->is_header : IsCutStatusLine(text);
+}
+
 }  // namespace dandelionscale::internal
--- a/src/engine_response/following_response.h
+++ b/src/engine_response/following_response.h
@@ -23,6 +23,22 @@
 /// \brief Bytes of a head behind which such a field is not looked for.
 inline constexpr std::size_t kMaxFollowingHeadBytes = 8 * 1024;
 
+/// \brief Whose response follows in the body of another one.
+enum class FollowingOwner {
+  kUnknownYet,   ///< Its head has not shown that yet.
+  kSameRequest,  ///< It echoes the same request id.
+  kOther
+};
+
+/// \param text the response from its status line on, as far as it has arrived.
+/// \returns whose response begins at the start of `text`.
+FollowingOwner FindOwner(std::string_view text, std::string_view request_id,
+                         const ProtocolCodec& codec);
+
+/// \returns true if a body ends inside the head of a response, so that it can't
+///          be told whether that belongs to the body.
+bool EndsInsideHead(std::string_view body);
+
 }  // namespace dandelionscale::internal
 
 #endif  // DANDELIONSCALE_SRC_ENGINE_RESPONSE_FOLLOWING_RESPONSE_H_
--- a/src/engine_response/response_match.h
+++ b/src/engine_response/response_match.h
@@ -1,7 +1,6 @@
 #ifndef DANDELIONSCALE_SRC_ENGINE_RESPONSE_RESPONSE_MATCH_H_
 #define DANDELIONSCALE_SRC_ENGINE_RESPONSE_RESPONSE_MATCH_H_
 
-#include <cstdint>
 #include <string_view>
 
 #include "dandelionscale/dispatch/protocol_codec.h"
@@ -22,11 +21,10 @@
 /// attributed if the connection has carried no other request: else it may be a
 /// second response to an earlier one.
 /// \param request_id id of the request that was sent last.
-/// \param requests_sent requests that the connection has carried, with this
-///        one.
+/// \param is_only_request true if the connection has carried no other request
+///        and no response to one.
 ResponseMatch MatchResponse(const EngineResponse& response,
-                            std::string_view request_id,
-                            std::uint32_t requests_sent);
+                            std::string_view request_id, bool is_only_request);
 
 }  // namespace dandelionscale::internal
 
--- a/tests/engine_response_test.cc
+++ b/tests/engine_response_test.cc
@@ -22,36 +22,36 @@
 
 TEST_CASE("a response belongs to the request whose id it echoes") {
   for (const unsigned status : {200U, 421U, 500U, 503U}) {
-    CHECK(MatchResponse(MakeResponse(status, "a"), "a", 1) ==
+    CHECK(MatchResponse(MakeResponse(status, "a"), "a", true) ==
           ResponseMatch::kOwn);
-    CHECK(MatchResponse(MakeResponse(status, "a"), "a", 7) ==
+    CHECK(MatchResponse(MakeResponse(status, "a"), "a", false) ==
           ResponseMatch::kOwn);
-    CHECK(MatchResponse(MakeResponse(status, "b"), "a", 1) ==
+    CHECK(MatchResponse(MakeResponse(status, "b"), "a", true) ==
           ResponseMatch::kForeign);
-    CHECK(MatchResponse(MakeResponse(status, ""), "a", 2) ==
+    CHECK(MatchResponse(MakeResponse(status, ""), "a", false) ==
           ResponseMatch::kForeign);
   }
 }
 
 TEST_CASE("a failure without an id is of the only request of a connection") {
-  CHECK(MatchResponse(MakeResponse(503, ""), "a", 1) == ResponseMatch::kOwn);
-  CHECK(MatchResponse(MakeResponse(200, ""), "a", 1) ==
+  CHECK(MatchResponse(MakeResponse(503, ""), "a", true) == ResponseMatch::kOwn);
+  CHECK(MatchResponse(MakeResponse(200, ""), "a", true) ==
         ResponseMatch::kInvalid);
 }
 
 TEST_CASE("a success needs a signature and no encoding") {
   EngineResponse response = MakeResponse(200, "a");
   response.is_signed = false;
-  CHECK(MatchResponse(response, "a", 1) == ResponseMatch::kInvalid);
+  CHECK(MatchResponse(response, "a", true) == ResponseMatch::kInvalid);
   response = MakeResponse(200, "a");
   response.has_content_encoding = true;
-  CHECK(MatchResponse(response, "a", 1) == ResponseMatch::kInvalid);
+  CHECK(MatchResponse(response, "a", true) == ResponseMatch::kInvalid);
 }
 
 TEST_CASE("a response with conflicting ids is of no request") {
   EngineResponse response = MakeResponse(503, "a");
   response.has_conflicting_ids = true;
-  CHECK(MatchResponse(response, "a", 1) == ResponseMatch::kForeign);
+  CHECK(MatchResponse(response, "a", true) == ResponseMatch::kForeign);
 }
 
 ExchangeEnd CleanEnd() {
--- a/tests/second_answer_test.cc
+++ b/tests/second_answer_test.cc
@@ -85,7 +85,7 @@
 // A connection is kept after its first request, and `later` answers all others.
 ScriptMaker AnswerThen(const ScriptMaker& later) {
   return [later](const HttpRequest& request) {
-    if (IdOf(request) != "first") return later(request);
+    if (!IdOf(request).starts_with("first")) return later(request);
     return Script{SendBytes{MakeResponse(request, 200, "hello")}};
   };
 }
@@ -225,11 +225,73 @@
   CHECK(fleet.TotalRequests() == 1);
 }
 
+// The late answer comes while the own one is being sent.
+TEST_CASE("a second answer inside an unframed answer does not end it") {
+  Fleet fleet;
+  const std::string late = GENERATE(
+      StreamHead("first") + Events(1, 1, "other"),
+      std::string("HTTP/1.1 200 OK\r\nRequest-Id: first\r\nContent-Length: "
+                  "2\r\n\r\nno"),
+      std::string(kAnonymousRefusal));
+  CAPTURE(late);
+  SECTION("a stream") {
+    fleet.AddEngines("chat", 2, AnswerThen([late](const HttpRequest& request) {
+                       const std::string head = StreamHead(IdOf(request));
+                       if (request.headers.Find("Last-Event-Id") == "2") {
+                         return Script{SendBytes{head + Events(3, 4, "own")},
+                                       CloseConnection{}};
+                       }
+                       return Script{SendBytes{head + Events(1, 2, "own")},
+                                     SendBytes{late + Events(3, 4, "own")},
+                                     CloseConnection{}};
+                     }));
+    for (int n = 0; n < 8; ++n) {
+      CHECK(
+          fleet.Send("/stream/", fmt::format("first{}", n)).ends_with("hello"));
+    }
+    REQUIRE_FALSE(fleet.Requests(0).empty());
+    REQUIRE_FALSE(fleet.Requests(1).empty());
+    CheckWholeStream(fleet.Send("/stream/", "a"), 4);
+  }
+  SECTION("a body") {
+    fleet.AddEngines(
+        "plain", 1, AnswerThen([late](const HttpRequest& request) {
+          const std::string head = UnframedHead(IdOf(request), "text/plain");
+          return Script{SendBytes{head + "own "}, SendBytes{late + "rest"},
+                        CloseConnection{}};
+        }));
+    CHECK(fleet.Send("/once/", "first").ends_with("hello"));
+    CHECK(fleet.Send("/once/", "a").starts_with("HTTP/1.1 502"));
+  }
+}
+
+TEST_CASE("a second answer that is cut anywhere is not relayed") {
+  Fleet fleet;
+  const std::string second =
+      "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n"
+      "Request-Id: b\r\n\r\nother";
+  std::size_t cut = 0;
+  fleet.AddEngines("plain", 1, [&](const HttpRequest& request) {
+    return Script{SendBytes{UnframedHead(IdOf(request), "text/plain") +
+                            "hello" + second.substr(0, cut)},
+                  CloseConnection{}};
+  });
+  for (cut = std::string_view("HTTP/1.1 2").size(); cut <= second.size();
+       ++cut) {
+    CAPTURE(cut);
+    const std::string response = fleet.Send("/once/", "a");
+    const bool is_own = response.ends_with("\r\n\r\nhello");
+    CHECK((is_own || response.starts_with("HTTP/1.1 502")));
+  }
+}
+
 TEST_CASE("an unframed body may quote a response") {
   Fleet fleet;
-  const std::string_view body =
+  const std::string_view body = GENERATE(
       "To check, send GET / and expect\r\nHTTP/1.1 200 OK\r\n"
-      "Content-Type: text/plain\r\n\r\nwith a body.";
+      "Content-Type: text/plain\r\n\r\nwith a body.",
+      "HTTP/1.1 421 Misdirected Request\r\nX: y\r\n\r\n is no failure.",
+      "It speaks HTTP/1.1 and\r\nHTTP/1.1 4217 Request-Id: x\r\n");
   fleet.AddEngines("plain", 1, [body](const HttpRequest&) {
     return Script{
         SendBytes{UnframedHead("a", "text/plain") + std::string(body)},
@@ -264,9 +326,11 @@
                                    Pause{kLate}, CloseConnection{}};
                    }));
   // Both engines have a kept connection.
-  for (int n = 0; n < 8 && fleet.Requests(1).empty(); ++n) {
-    CHECK(fleet.Send("/once/", "first").ends_with("hello"));
+  for (int n = 0; n < 8; ++n) {
+    CHECK(fleet.Send("/once/", fmt::format("first{}", n)).ends_with("hello"));
   }
+  REQUIRE_FALSE(fleet.Requests(0).empty());
+  REQUIRE_FALSE(fleet.Requests(1).empty());
   const std::size_t before = fleet.TotalRequests();
   CHECK(fleet.Send("/once/", "a").starts_with("HTTP/1.1 502"));
   CHECK(fleet.TotalRequests() == before + 1);
