Break a delimited stream off at a response's head inside it

An engine that begins another answer inside a chunk had its head relayed as an event. Lines that are no field stay allowed there; a byte order mark may precede an unframed stream.

--- a/src/engine_response/event_splitter.cc
+++ b/src/engine_response/event_splitter.cc
@@ -79,6 +79,8 @@
 // Names of fields are lowercase; clients ignore those that they don't know. A
 // line without a name is a comment.
 bool IsEventField(std::string_view line) {
+  // A byte order mark may precede the first line.
+  if (line.starts_with("\xEF\xBB\xBF")) line.remove_prefix(3);
   const std::string_view name = line.substr(0, line.find(':'));
   return std::all_of(name.begin(), name.end(), [](char c) {
     return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '-' ||
@@ -96,19 +98,26 @@
                                     name) == kEventFields.end();
 }
 
-// Returns true if `event` has a line that is no field, or a head of a response
-// that begins in the middle of a line.
-bool HasForeignLine(std::string_view event) {
+// Returns true if a head of a response begins in `event`, be it in the middle
+// of a line.
+bool HoldsHead(std::string_view event) {
   bool has_status_line = false;
   while (!event.empty()) {
     const std::string_view line = TakeLine(event);
-    if (!IsEventField(line)) return true;
+    if (line.starts_with("HTTP/")) return true;
     if (has_status_line && MayBeHeaderField(line)) return true;
     has_status_line = line.find("HTTP/") != std::string_view::npos;
   }
   return false;
 }
 
+bool HasForeignLine(std::string_view event) {
+  while (!event.empty()) {
+    if (!IsEventField(TakeLine(event))) return true;
+  }
+  return false;
+}
+
 }  // namespace
 
 std::string_view ToString(StreamState state) {
@@ -176,8 +185,11 @@
   if (this->JudgeUnfinished(event) == StreamState::kFollowed) {
     return StreamState::kFollowed;
   }
+  // Clients ignore unknown lines; in a delimited body they are the engine's
+  // own.
   const bool is_foreign =
-      this->framing == BodyFraming::kUntilClose && HasForeignLine(event);
+      HoldsHead(event) ||
+      (this->framing == BodyFraming::kUntilClose && HasForeignLine(event));
   return is_foreign ? StreamState::kMalformed : StreamState::kOpen;
 }
 
--- a/tests/event_splitter_test.cc
+++ b/tests/event_splitter_test.cc
@@ -98,6 +98,24 @@
   }
 }
 
+TEST_CASE("a response inside a chunked stream breaks it") {
+  for (const std::string_view begun : {"", "id: 2\n", "id: 2\ndata: x"}) {
+    CAPTURE(begun);
+    EventSplitter splitter;
+    splitter.OnResponse(BodyFraming::kChunked);
+    CHECK(splitter.Feed(Event(1) + std::string(begun) + ResponseHead() +
+                        Event(3)) == Event(1));
+    CHECK(splitter.State() == StreamState::kMalformed);
+  }
+}
+
+TEST_CASE("a byte order mark may precede an unframed stream") {
+  EventSplitter splitter;
+  splitter.OnResponse(BodyFraming::kUntilClose);
+  const std::string events = "\xEF\xBB\xBF" + Event(1) + Event(2);
+  CHECK(splitter.Feed(events) == events);
+}
+
 TEST_CASE("the text of an event may quote a response") {
   EventSplitter splitter;
   splitter.OnResponse(BodyFraming::kUntilClose);
