Do not pass on a refusal that does not say that nothing has run

408, 429 and 503 promise to clients that the request has not run. An engine's own answer with such a status, without its statement, was passed on. It is 502 now, or sent again where the route allows it. Found by the review; the case in second_answer_test shows it.

--- a/include/dandelionscale/transport/http_status.h
+++ b/include/dandelionscale/transport/http_status.h
@@ -25,6 +25,12 @@
 inline constexpr bool IsBelowRedirection(unsigned status) {
   return status < 300;
 }
+/// \returns true if the status may say that the request was not processed and
+///          can be sent again.
+inline constexpr bool IsRefusal(unsigned status) {
+  return status == kRequestTimeout || status == kMisdirectedRequest ||
+         status == kTooManyRequests || status == kServiceUnavailable;
+}
 /// \returns true if the server reports that it has failed (5xx).
 inline constexpr bool IsServerError(unsigned status) { return status >= 500; }
 
--- a/src/dispatch/response_relay.cc
+++ b/src/dispatch/response_relay.cc
@@ -21,6 +21,10 @@
   this->framing = this->exchange->Framing();
   if (response.wrong_engine) co_return AttemptFailure::kWrongEngine;
   if (response.not_run) co_return AttemptFailure::kRefused;
+  // To a client this status would say that the request has not run.
+  if (http_status::IsRefusal(response.status)) {
+    co_return AttemptFailure::kBadAnswer;
+  }
   const bool is_stream = this->route->kind == RouteKind::kStreaming &&
                          this->exchange->IsEventStream() &&
                          http_status::IsBelowRedirection(response.status);
--- a/tests/second_answer_test.cc
+++ b/tests/second_answer_test.cc
@@ -374,6 +374,18 @@
   fleet.RunOnLoop([&] { CHECK(fleet.Engine(0).Connections() >= 2); });
 }
 
+TEST_CASE("a refusal that does not say that the request has not run gets 502") {
+  Fleet fleet;
+  const int status = GENERATE(408, 429, 503);
+  CAPTURE(status);
+  fleet.AddEngines("plain", 2, [status](const HttpRequest& request) {
+    return Script{SendBytes{
+        MakeResponse(request, static_cast<unsigned>(status), "later")}};
+  });
+  CHECK(fleet.Send("/once/", "a").starts_with("HTTP/1.1 502"));
+  CHECK(fleet.TotalRequests() == 1);
+}
+
 TEST_CASE("a refusal that is sent twice concerns its own request only") {
   Fleet fleet;
   fleet.AddEngines("plain", 1, [](const HttpRequest& request) {
