--- a/src/dispatch/engine_exchange.cc
+++ b/src/dispatch/engine_exchange.cc
@@ -107,6 +107,7 @@
     if (echoed.empty()) this->LogResponseWithoutId(request_id);
     switch (MatchResponse(this->response, request_id, this->IsOnlyRequest())) {
       case ResponseMatch::kOwn:
+        this->state.OnEngineResponse(*this->engine, this->response);
         this->state.OnRateLimitAnswer(*this->engine, this->response,
                                       this->sent_at);
         co_return std::nullopt;
@@ -175,7 +176,6 @@
   const HttpHeaders headers = CopyHeaders(message);
   this->response =
       this->state.codec->DecodeResponse(message.result_int(), headers);
-  this->state.OnEngineResponse(*this->engine, this->response);
   this->keep_alive_timeout = ParseKeepAliveTimeout(headers.Find("Keep-Alive"));
   this->event_stream = IsEventStreamType(headers.Find("Content-Type"));
 }
--- a/tests/second_answer_test.cc
+++ b/tests/second_answer_test.cc
@@ -361,6 +361,21 @@
   CHECK(fleet.Send("/once/", "a").ends_with("own"));
 }
 
+TEST_CASE("an earlier request for a pause does not begin anew") {
+  Fleet fleet;
+  fleet.AddEngines(
+      "plain", 1, AnswerThen([](const HttpRequest& request) {
+        return Script{
+            SendBytes{
+                "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nRequest-Id: b\r\n"
+                "Retry-After: 5\r\nContent-Length: 0\r\n\r\n"},
+            SendBytes{MakeResponse(request, 200, "own")}};
+      }));
+  CHECK(fleet.Send("/once/", "first").ends_with("hello"));
+  CHECK(fleet.Send("/once/", "a").ends_with("own"));
+  CHECK(fleet.Send("/once/", "first").ends_with("hello"));
+}
+
 TEST_CASE("a connection is kept only after an answer with an id") {
   Fleet fleet;
   fleet.AddEngines("plain", 1, [](const HttpRequest& request) {
