--- a/src/dispatch/response_relay.cc
+++ b/src/dispatch/response_relay.cc
@@ -149,16 +149,24 @@
 }
 
 RequestDispatch::BodyEnd RequestDispatch::FindStreamEnd(bool at_end) const {
+  BodyEnd end = BodyEnd::kOpen;
   switch (this->events.State()) {
     case StreamState::kMalformed:
       return BodyEnd::kUncertain;
     case StreamState::kFollowed:
-      return this->JudgeFollowing(this->events.Following(), at_end);
+      end = this->JudgeFollowing(this->events.Following(), at_end);
+      break;
     case StreamState::kOpen:
+      if (!at_end) return BodyEnd::kOpen;
+      end = this->events.IsInsideEvent() ? BodyEnd::kUncertain
+                                         : BodyEnd::kReached;
       break;
   }
-  if (!at_end) return BodyEnd::kOpen;
-  return this->events.IsInsideEvent() ? BodyEnd::kUncertain : BodyEnd::kReached;
+  // An engine that crashes may close its connection before the first event.
+  const bool has_nothing = this->framing == BodyFraming::kUntilClose &&
+                           this->events.EventCount() == 0 &&
+                           this->decoded.resume_after.empty();
+  return end == BodyEnd::kReached && has_nothing ? BodyEnd::kUncertain : end;
 }
 
 Awaitable<bool> RequestDispatch::DeliverEvents(const std::string& events) {
--- a/tests/second_answer_test.cc
+++ b/tests/second_answer_test.cc
@@ -137,6 +137,17 @@
   CHECK(fleet.TotalRequests() == 1);
 }
 
+TEST_CASE("an unframed stream without an event is not complete") {
+  Fleet fleet;
+  const std::string second =
+      GENERATE(std::string(), StreamHead("b") + Events(1, 2, "other"));
+  fleet.AddEngines("chat", 1, [second](const HttpRequest& request) {
+    return Script{SendBytes{StreamHead(IdOf(request)) + second},
+                  CloseConnection{}};
+  });
+  CHECK(fleet.Send("/stream/", "a").starts_with("HTTP/1.1 502"));
+}
+
 TEST_CASE("an unframed stream ends where a second answer begins") {
   Fleet fleet;
   // The engine keeps its connection open after the second answer.
