--- a/src/dispatch/request_dispatch.cc
+++ b/src/dispatch/request_dispatch.cc
@@ -50,6 +50,7 @@
                       this->decoded.time_left.value_or(kDefaultClientTimeout)),
       timeout_guard(state.watchdog, [this] { this->OnTimeout(); }) {
   state.requests.insert(this);
+  this->events.SkipThrough(this->decoded.resume_after);
 }
 
 RequestDispatch::~RequestDispatch() { this->state.requests.erase(this); }
@@ -160,7 +161,8 @@
   this->tried_engine_keys.push_back(engine->key);
   this->exchange = std::make_unique<EngineExchange>(this->state, this->pool,
                                                     engine, this->permitted_at);
-  const std::string resume_after = this->events.LastId();
+  const std::string resume_after =
+      this->events.EventCount() > 0 ? this->events.LastId() : std::string();
   const HttpHeaders headers = this->state.codec->EncodeEngineRequest(
       this->decoded, {engine->record.id, this->Deadline() - RuntimeClock::now(),
                       this->workspace, this->priority, resume_after,
--- a/src/engine_response/event_splitter.cc
+++ b/src/engine_response/event_splitter.cc
@@ -133,7 +133,7 @@
 }
 
 void EventSplitter::OnResponse(BodyFraming framing) {
-  this->resumed = this->events > 0;
+  this->resumed = !this->last_id.empty();
   this->framing = framing;
   this->state = StreamState::kOpen;
   this->previous_number.reset();
--- a/src/engine_response/event_splitter.h
+++ b/src/engine_response/event_splitter.h
@@ -38,6 +38,8 @@
   /// Limit of one event. The stream is malformed if an event exceeds it.
   static constexpr std::size_t kMaxEventBytes = 1024 * 1024;
 
+  /// \brief The client resumes the stream after the event with this id.
+  void SkipThrough(std::string_view id) { this->last_id = id; }
   /// \brief A response begins; each one after the first resumes the stream, and
   ///        an incomplete event of the one before is discarded.
   /// \param framing how the end of the response's body is marked.
--- a/tests/second_answer_test.cc
+++ b/tests/second_answer_test.cc
@@ -200,6 +200,21 @@
   CheckWholeStream(fleet.Send("/stream/", "a"), 4);
 }
 
+TEST_CASE("a client that resumes a stream gets no event twice") {
+  Fleet fleet;
+  fleet.AddEngines("chat", 1, [](const HttpRequest& request) {
+    return Script{SendBytes{StreamHead(IdOf(request)) + Events(1, 4, "own")},
+                  CloseConnection{}};
+  });
+  const std::string response = fleet.Exchange(
+      1,
+      MakeClientRequest("POST", "/stream/", "a", "Last-Event-Id: 2\r\n", "x"),
+      kReadIdleTimeout);
+  CHECK(Occurrences(response, "id: ") == 2);
+  CHECK(Occurrences(response, "id: 3\n") == 1);
+  CHECK(response.ends_with(kLastChunk));
+}
+
 TEST_CASE("a second answer behind an unframed body is not relayed") {
   Fleet fleet;
   Script second;
