Failing tests of odd entries among those of the engines

Another operator reports that one odd entry of another writer, very deeply nested, with a number too large or a port out of range, ended the machines that read the list, or stopped them from following it.

--- a/tests/store_watcher_test.cc
+++ b/tests/store_watcher_test.cc
@@ -168,6 +168,19 @@
   CHECK(fixture.state.engines.Engines().size() == 3);
 }
 
+TEST_CASE("an engine whose entry becomes malformed isn't used any more") {
+  WatcherFixture fixture;
+  fixture.Advance(kStartUpTime + milliseconds(200));
+  REQUIRE(fixture.state.engines.Engines().size() == 2);
+  StoreRows& rows = fixture.store->watch_rows[StoreTable::kEngines];
+  rows.rows = {{"e1", "[[[", 3, false}};
+  rows.version = {1, 3};
+  fixture.store->EndWatches();
+  fixture.Advance(milliseconds(200));
+  CHECK_FALSE(fixture.state.engines.Engines().contains("e1"));
+  CHECK(fixture.state.engines.Engines().contains("e2"));
+}
+
 // Load pattern: hundreds of routers start together, and each has received the
 // digests of few. A router that counts only those as its peers takes itself for
 // the observer of most engines' caches.
