Leave out engine entries with values that no engine can have

Seen: an entry with slots (read as 0), 10^9 slots, port 0, address 0.0.0.0, bytes after a zero byte of the address or an id with a line end became an engine, and requests were placed there; id and address go into header fields.

Cause: the decoder checked types, but not ranges; slots were cut to 32 bits; Asio's address parser ignores what follows a zero byte or a scope.

Such an entry is left out, logged as before and counted in engine_entries_malformed_total.

--- a/include/dandelionscale/transport/http_fields.h
+++ b/include/dandelionscale/transport/http_fields.h
@@ -15,6 +15,10 @@
 ///          them; empty items are left out.
 std::vector<std::string_view> SplitList(std::string_view text);
 
+/// \returns true if `text` has no control character, so that it can't end the
+///          line of a header field.
+bool IsFieldValue(std::string_view text);
+
 /// \returns true if `content_type` is that of a stream of server-sent events,
 ///          with or without parameters.
 bool IsEventStreamType(std::string_view content_type);
--- a/src/dispatch/store_watcher.cc
+++ b/src/dispatch/store_watcher.cc
@@ -8,6 +8,7 @@
 #include "dandelionscale/runtime/logger.h"
 #include "dandelionscale/runtime/trace.h"
 #include "dandelionscale/transport/address.h"
+#include "dandelionscale/transport/remote_endpoint.h"
 #include "dispatch/peer_messages.h"
 
 namespace dandelionscale::internal {
@@ -282,7 +283,7 @@
       continue;
     }
     const bool is_other = row.key != this->state.options.name && !row.removed;
-    if (!is_other || ParseEndpoint(row.value).has_error()) continue;
+    if (!is_other || ParseRemoteEndpoint(row.value).has_error()) continue;
     if (!this->state.peers.insert(row.value).second) continue;
     const TimePoint now = RuntimeClock::now();
     this->state.watcher_election.OnPeerListed(now, row.value,
@@ -332,7 +333,8 @@
   update.id = row.key;
   update.removed = row.removed;
   if (row.removed) return true;
-  auto log_once = [&](std::string_view what) {
+  const auto leave_out = [&](std::string_view what) {
+    this->state.metrics.Add("engine_entries_malformed_total");
     if (!this->logged_malformed.insert(row.key).second) return;
     Logger::Warning("engine_entry_malformed",
                     {{"engine", row.key}, {"what", what}});
@@ -345,11 +347,11 @@
         return true;
       },
       [&](const DecodeFault& fault) {
-        log_once(fault.what);
+        leave_out(fault.what);
         return false;
       },
       [&] {
-        log_once("unknown");
+        leave_out("unknown");
         return false;
       });
 }
--- a/src/transport/http_fields.cc
+++ b/src/transport/http_fields.cc
@@ -42,6 +42,14 @@
   return items;
 }
 
+bool IsFieldValue(std::string_view text) {
+  constexpr unsigned char kFirstPrintable = 0x20;
+  constexpr unsigned char kDelete = 0x7f;
+  return std::none_of(text.begin(), text.end(), [](unsigned char character) {
+    return character < kFirstPrintable || character == kDelete;
+  });
+}
+
 bool IsEventStreamType(std::string_view content_type) {
   const std::string_view type =
       content_type.substr(0, content_type.find_first_of("; \t"));
