--- a/tests/odd_entry_test.cc
+++ b/tests/odd_entry_test.cc
@@ -142,6 +142,14 @@
   CHECK_FALSE(DecodeTable(R"({"version":-1,"routes":[],"services":[]})"));
 }
 
+TEST_CASE("a workspace whose name is no value of a header field is left out") {
+  const auto table = DecodeTable(R"({"version":7,"routes":[],"tenants":[
+    {"name":"t1\r\nX: y","api_keys":["k1"]},{"name":"t2","api_keys":["k2"]}]})");
+  REQUIRE(table);
+  CHECK(table->FindWorkspace("k1") == nullptr);
+  CHECK(table->FindWorkspace("k2") != nullptr);
+}
+
 TEST_CASE("odd numbers in a client's header fields don't wrap around") {
   const auto decode = [](std::string_view deadline) {
     HttpRequest request;
