Keep numbers of clients' requests within their types

Evidence: "odd numbers in a client's header fields don't wrap around" failed before and passes. Instance-Load, Retry-After and rate limits were bounded before.

--- a/src/core/prefix_index.cc
+++ b/src/core/prefix_index.cc
@@ -35,9 +35,11 @@
 }
 
 std::uint32_t TotalTokens(std::span<const PrefixPart> prefix) {
-  std::uint32_t tokens = 0;
+  // Beyond any prompt; further additions to it do not overflow.
+  constexpr std::uint64_t kMaxTokens = 1'000'000'000;
+  std::uint64_t tokens = 0;
   for (const PrefixPart& part : prefix) tokens += part.tokens;
-  return tokens;
+  return static_cast<std::uint32_t>(std::min(tokens, kMaxTokens));
 }
 
 std::vector<std::uint64_t> PartKeys(std::span<const PrefixPart> prefix) {
