Bound the age of the store's row of quarantines

Seen: a row with a time near the end of 64 bits overflowed (undefined behaviour sanitizer).

Evidence: "the time of a row of quarantines doesn't overflow" failed before and passes.

--- a/src/dispatch/peer_messages.cc
+++ b/src/dispatch/peer_messages.cc
@@ -126,9 +126,11 @@
     Logger::Warning("quarantine_row_malformed", {});
     return update;
   }
-  // The writer's clock may be ahead of this one.
+  // The writer's clock may be ahead of this one. A time before 1970 is none.
+  const std::int64_t written_unix_ms =
+      std::max<std::int64_t>(message.written_unix_ms(), 0);
   const std::int64_t row_age_ms =
-      std::max<std::int64_t>(unix_ms - message.written_unix_ms(), 0);
+      std::clamp<std::int64_t>(unix_ms - written_unix_ms, 0, kMaxAgeMs);
   const TimePoint written_at = now - std::chrono::milliseconds(row_age_ms);
   for (const wire::QuarantineReport& report : message.quarantines()) {
     update.blocked.push_back(ToBlockedKeys(report, written_at));
