Ignore a peer's report of a rate limit that is no number

Seen: a report of nan, infinity or a negative rate ended the limit in force, so that the engine got more than it takes.

Cause: ToRateLimit() gave the same value for "no limit" and "malformed". It returns a fault for the latter; the report is dropped and counted in peer_rate_limits_malformed_total.

Evidence: "a peer's report of a rate that is no number is ignored" failed before and passes; a report without a rate still ends the limit.

--- a/src/dispatch/peer_messages.cc
+++ b/src/dispatch/peer_messages.cc
@@ -156,11 +156,13 @@
   report.set_single_request(blocked.is_single_request);
 }
 
-std::optional<double> ToRateLimit(const wire::RateLimitReport& report) {
-  if (!report.has_per_second()) return std::nullopt;
+Result<std::optional<double>> ToRateLimit(const wire::RateLimitReport& report) {
+  if (!report.has_per_second()) return std::optional<double>();
   const double rate = report.per_second();
-  if (!std::isfinite(rate) || rate < 0) return std::nullopt;
-  return rate;
+  if (!std::isfinite(rate) || rate < 0) {
+    return Fault{FaultKind::kMalformedMessage, "rate limit is no rate"};
+  }
+  return std::optional<double>(rate);
 }
 
 TimePoint StatedAt(const wire::RateLimitReport& report, TimePoint now) {
--- a/src/dispatch/peer_messages.h
+++ b/src/dispatch/peer_messages.h
@@ -11,6 +11,7 @@
 #include "dandelionscale/core/crash_report.h"
 #include "dandelionscale/core/engine_directory.h"
 #include "dandelionscale/core/watcher_election.h"
+#include "dandelionscale/runtime/fault.h"
 #include "dispatch_peer.pb.h"
 
 namespace dandelionscale::internal {
@@ -49,8 +50,9 @@
                 wire::QuarantineReport& report);
 
 /// \returns the rate limit of a report, in requests per second; none if the
-///          engine has none or the value is no rate.
-std::optional<double> ToRateLimit(const wire::RateLimitReport& report);
+///          engine has none. Fault: `kMalformedMessage` if the value is no
+///          rate.
+Result<std::optional<double>> ToRateLimit(const wire::RateLimitReport& report);
 /// \returns when the engine stated it.
 /// \param now when the report was received.
 TimePoint StatedAt(const wire::RateLimitReport& report, TimePoint now);
--- a/src/dispatch/peer_reports.cc
+++ b/src/dispatch/peer_reports.cc
@@ -17,16 +17,26 @@
   }
 }
 
+void ApplyRateLimit(DispatchState& state, Engine& engine,
+                    const wire::RateLimitReport& report,
+                    const std::string& sender) {
+  const auto rate = ToRateLimit(report);
+  if (rate.has_error()) {
+    state.metrics.Add("peer_rate_limits_malformed_total");
+    return;
+  }
+  state.OnRateLimitReported(engine, rate.value(),
+                            StatedAt(report, RuntimeClock::now()), sender);
+}
+
 void ApplyRateLimits(
     DispatchState& state,
     const google::protobuf::RepeatedPtrField<wire::RateLimitReport>& reports,
     const std::string& sender) {
-  const TimePoint now = RuntimeClock::now();
   for (const wire::RateLimitReport& report : reports) {
     const auto engine = state.engines.FindByShortKey(report.engine());
     if (engine == nullptr) continue;
-    state.OnRateLimitReported(*engine, ToRateLimit(report),
-                              StatedAt(report, now), sender);
+    ApplyRateLimit(state, *engine, report, sender);
   }
 }
 
--- a/src/dispatch/permit_exchange.cc
+++ b/src/dispatch/permit_exchange.cc
@@ -8,6 +8,7 @@
 #include "dandelionscale/transport/address.h"
 #include "dispatch/dispatch_state.h"
 #include "dispatch/peer_messages.h"
+#include "dispatch/peer_reports.h"
 #include "transport/socket_helpers.h"
 
 namespace dandelionscale::internal {
@@ -163,8 +164,7 @@
       this->state.engines.FindByShortKey(request.rate_limit().engine());
   // The sender asks another router then.
   if (engine == nullptr) return;
-  this->state.OnRateLimitReported(*engine, ToRateLimit(request.rate_limit()),
-                                  StatedAt(request.rate_limit(), now), sender);
+  ApplyRateLimit(this->state, *engine, request.rate_limit(), sender);
   wire::PermitMessage message;
   wire::PermitResponse& response = *message.mutable_response();
   response.set_id(request.id());
@@ -184,9 +184,7 @@
   if (found == this->pending.end()) return;
   PendingRequest& request = *found->second;
   if (ShortKey(request.engine->key) != response.rate_limit().engine()) return;
-  this->state.OnRateLimitReported(
-      *request.engine, ToRateLimit(response.rate_limit()),
-      StatedAt(response.rate_limit(), RuntimeClock::now()), sender);
+  ApplyRateLimit(this->state, *request.engine, response.rate_limit(), sender);
   request.outcome =
       Outcome{{response.granted(),
                std::chrono::milliseconds(response.retry_after_ms())},
