--- a/src/dispatch/snapshot_exchange.cc
+++ b/src/dispatch/snapshot_exchange.cc
@@ -4,9 +4,11 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include "dandelionscale/core/engine_record_check.h"
 #include "dandelionscale/runtime/logger.h"
 #include "dandelionscale/transport/address.h"
 #include "dandelionscale/transport/http_status.h"
+#include "dandelionscale/transport/remote_endpoint.h"
 #include "dispatch/peer_messages.h"
 #include "dispatch/peer_reports.h"
 
@@ -142,7 +144,9 @@
   this->state.metrics.Add("peer_snapshots_total");
   this->has_prefixes = this->has_prefixes || this->state.engines_known;
   for (const std::string& router : snapshot.routers()) {
-    if (ParseEndpoint(router).has_value()) this->state.peers.insert(router);
+    if (ParseRemoteEndpoint(router).has_value()) {
+      this->state.peers.insert(router);
+    }
   }
   this->state.peers.erase(ToText(this->state.options.peer_address));
   if (!snapshot.configuration().empty()) {
@@ -164,7 +168,12 @@
   if (version.number == 0 || version <= this->state.engines.Version()) return;
   std::vector<EngineRecord> records;
   for (const wire::EngineEntry& entry : snapshot.engines()) {
-    records.push_back(ToRecord(entry));
+    EngineRecord record = ToRecord(entry);
+    if (!FindInvalidMember(record).empty()) {
+      this->state.metrics.Add("peer_engine_entries_malformed_total");
+      continue;
+    }
+    records.push_back(std::move(record));
   }
   this->state.engines_known = true;
   const auto changes =
