Stop using an engine whose entry becomes malformed

Seen: an entry that was sound and becomes malformed was passed over by the watch, so that the engine stayed in use, also after its row could no longer name it; a read of the whole table dropped it. Routers that watch and those that had just read disagreed.

An entry that can't be read names no engine to use, so that it counts as removed. A sound entry written again brings the engine back.

If many entries of a service become malformed at once, the directory keeps the engines for its grace period, as with removals.

--- a/src/dispatch/store_watcher.cc
+++ b/src/dispatch/store_watcher.cc
@@ -316,8 +316,7 @@
     this->state.newest_engine_version =
         std::max(this->state.newest_engine_version,
                  StoreVersion{rows.version.era, row.version});
-    EngineUpdate update;
-    if (!this->DecodeEngineRow(row, update)) continue;
+    EngineUpdate update = this->DecodeEngineRow(row);
     if (!update.removed) records.push_back(update.record);
     updates.push_back(std::move(update));
   }
@@ -329,31 +328,26 @@
   this->state.OnEngineChanges(changes, "store");
 }
 
-bool StoreWatcher::DecodeEngineRow(const StoreRow& row, EngineUpdate& update) {
-  update.id = row.key;
-  update.removed = row.removed;
-  if (row.removed) return true;
+EngineUpdate StoreWatcher::DecodeEngineRow(const StoreRow& row) {
+  EngineUpdate update{row.key, true, {}};
+  if (row.removed) return update;
   const auto leave_out = [&](std::string_view what) {
     this->state.metrics.Add("engine_entries_malformed_total");
     if (!this->logged_malformed.insert(row.key).second) return;
     Logger::Warning("engine_entry_malformed",
                     {{"engine", row.key}, {"what", what}});
   };
-  return boost::leaf::try_handle_all(
-      [&]() -> boost::leaf::result<bool> {
+  boost::leaf::try_handle_all(
+      [&]() -> boost::leaf::result<void> {
         BOOST_LEAF_AUTO(record,
                         this->state.codec->DecodeEngine(row.key, row.value));
         update.record = std::move(record);
-        return true;
+        update.removed = false;
+        return {};
       },
-      [&](const DecodeFault& fault) {
-        leave_out(fault.what);
-        return false;
-      },
-      [&] {
-        leave_out("unknown");
-        return false;
-      });
+      [&](const DecodeFault& fault) { leave_out(fault.what); },
+      [&] { leave_out("unknown"); });
+  return update;
 }
 
 }  // namespace dandelionscale::internal
--- a/src/dispatch/store_watcher.h
+++ b/src/dispatch/store_watcher.h
@@ -46,7 +46,8 @@
   void OnQuarantineRow(const StoreRow& row);
   void OnConfigurationRows(const StoreRows& rows);
   void OnEngineRows(const StoreRows& rows, bool is_whole_table);
-  bool DecodeEngineRow(const StoreRow& row, EngineUpdate& update);
+  // A malformed row counts as removed: it names no engine.
+  EngineUpdate DecodeEngineRow(const StoreRow& row);
 
   DispatchState& state;
   std::shared_ptr<TableStore> store;
