Read an engine's keep-alive timeout without atoi

atoi() is undefined for numbers beyond int. No harm was seen: glibc cuts the number, and a negative time counted as none. The new test of ParseKeepAliveTimeout() could not run before, as the function was private.

--- a/src/dispatch/engine_exchange.cc
+++ b/src/dispatch/engine_exchange.cc
@@ -30,17 +30,6 @@
 // Interim (1xx) responses that may precede a response.
 constexpr int kMaxInterimResponses = 8;
 
-// Parses `timeout=N` of a Keep-Alive field; zero if absent.
-Duration ParseKeepAliveTimeout(std::string_view keep_alive) {
-  constexpr std::string_view kTimeout = "timeout=";
-  for (std::string_view item : SplitList(keep_alive)) {
-    if (!item.starts_with(kTimeout)) continue;
-    return std::chrono::seconds(
-        std::atoi(std::string(item.substr(kTimeout.size())).c_str()));
-  }
-  return {};
-}
-
 bool IsTooLong(const error_code& error) {
   return error == http::error::header_limit ||
          error == http::error::buffer_overflow;
--- a/src/dispatch/http_text.cc
+++ b/src/dispatch/http_text.cc
@@ -3,8 +3,11 @@
 #include <fmt/format.h>
 
 #include <boost/beast/http/status.hpp>
+#include <charconv>
 #include <iterator>
 
+#include "dandelionscale/transport/http_fields.h"
+
 namespace dandelionscale::internal {
 namespace {
 
@@ -77,6 +80,21 @@
   return text;
 }
 
+Duration ParseKeepAliveTimeout(std::string_view keep_alive) {
+  constexpr std::string_view kTimeout = "timeout=";
+  for (std::string_view item : SplitList(keep_alive)) {
+    if (!item.starts_with(kTimeout)) continue;
+    item.remove_prefix(kTimeout.size());
+    std::uint32_t seconds = 0;
+    const auto [end, error] =
+        std::from_chars(item.data(), item.data() + item.size(), seconds);
+    const bool is_whole =
+        error == std::errc{} && end == item.data() + item.size();
+    return is_whole ? std::chrono::seconds(seconds) : Duration::zero();
+  }
+  return Duration::zero();
+}
+
 HttpHeaders CopyHeaders(const boost::beast::http::fields& fields) {
   HttpHeaders headers;
   for (const auto& field : fields) {
--- a/src/dispatch/http_text.h
+++ b/src/dispatch/http_text.h
@@ -1,10 +1,11 @@
 /// \file
-/// \brief Formats HTTP/1.1 messages; copies header fields from Boost.Beast.
+/// \brief Formats HTTP/1.1 messages; reads and copies their header fields.
 #ifndef DANDELIONSCALE_SRC_DISPATCH_HTTP_TEXT_H_
 #define DANDELIONSCALE_SRC_DISPATCH_HTTP_TEXT_H_
 
 #include <boost/beast/http/fields.hpp>
 #include <string>
+#include <string_view>
 
 #include "dandelionscale/runtime/runtime_clock.h"
 #include "dandelionscale/transport/http_types.h"
@@ -30,6 +31,10 @@
 /// \brief The last chunk of a chunked body.
 inline constexpr std::string_view kLastChunk = "0\r\n\r\n";
 
+/// \returns the time that the item `timeout` of a Keep-Alive field states in
+///          seconds; zero if it is absent or malformed.
+Duration ParseKeepAliveTimeout(std::string_view keep_alive);
+
 /// \returns a copy of all fields in the same order.
 HttpHeaders CopyHeaders(const boost::beast::http::fields& fields);
 
--- a/tests/odd_entry_test.cc
+++ b/tests/odd_entry_test.cc
@@ -11,6 +11,7 @@
 
 #include "dandelionscale/transport/http_server.h"
 #include "dispatch/dispatch_state.h"
+#include "dispatch/http_text.h"
 #include "dispatch/peer_messages.h"
 #include "dispatch/peer_reports.h"
 #include "dispatch/permit_exchange.h"
@@ -352,6 +353,17 @@
                       std::make_shared<platform::PlatformCodec>()};
 };
 
+TEST_CASE("an engine's keep-alive timeout is read only if it is a number") {
+  CHECK(ParseKeepAliveTimeout("timeout=5, max=3") == std::chrono::seconds(5));
+  CHECK(ParseKeepAliveTimeout("max=3") == Duration::zero());
+  for (std::string_view odd :
+       {"timeout=99999999999999999999", "timeout=-3", "timeout=", "timeout=5x",
+        "timeout=1e300", "timeout=inf"}) {
+    CAPTURE(odd);
+    CHECK(ParseKeepAliveTimeout(odd) == Duration::zero());
+  }
+}
+
 TEST_CASE("a peer's report of a rate that is no number is ignored") {
   StateFixture fixture;
   DispatchState& state = fixture.state;
