--- /dev/null
+++ b/tests/stream_version_test.cc
@@ -0,0 +1,226 @@
+// Router processes and engines of two software versions in one service: a
+// stream goes on only at the version that began it, whoever resumes it and
+// where.
+#include <fmt/format.h>
+#include <signal.h>
+
+#include <catch2/catch.hpp>
+#include <thread>
+
+#include "tests/support/platform_fleet.h"
+#include "tests/support/process_fleet.h"
+
+namespace dandelionscale::tests {
+namespace {
+
+using emulator::CloseConnection;
+using emulator::MakeStreamHead;
+using emulator::Script;
+using emulator::ScriptMaker;
+using emulator::SendBytes;
+using std::chrono::milliseconds;
+
+constexpr milliseconds kReadIdleTimeout(100);
+// Streams for each way of resuming one. If versions were ignored, some of so
+// many would go on at the other one.
+constexpr int kStreams = 8;
+// Within this time routers have written the versions to the store.
+constexpr milliseconds kRowTime(800);
+constexpr std::string_view kLastChunk = "\r\n0\r\n\r\n";
+
+std::string EventChunk(int id, std::string_view version) {
+  const std::string event = fmt::format("id: {}\ndata: {}\n\n", id, version);
+  return fmt::format("{:x}\r\n{}\r\n", event.size(), event);
+}
+
+// Answers with events 1 and 2 and breaks off; a request that resumes a stream
+// gets events 3 and 4 and the end.
+ScriptMaker BreakOffOnce(const std::string& version) {
+  return [version](const HttpRequest& request) {
+    const bool resumes = !request.headers.Find("Last-Event-Id").empty();
+    const int first = resumes ? 3 : 1;
+    const std::string events =
+        EventChunk(first, version) + EventChunk(first + 1, version);
+    Script script = {SendBytes{MakeStreamHead(request) + events}};
+    if (resumes) {
+      script.push_back(SendBytes{std::string(emulator::kStreamEnd)});
+    } else {
+      script.push_back(CloseConnection{});
+    }
+    return script;
+  };
+}
+
+struct Fleet : PlatformFleet {
+  explicit Fleet(int routers) : PlatformFleet(routers), routers(routers) {
+    this->PutConfiguration(3);
+  }
+
+  int AddVersion(const std::string& version) {
+    const int engine = this->AddEngine("chat", BreakOffOnce(version), version);
+    for (int n = 1; n <= this->routers; ++n) this->WaitUntilReady(n);
+    return engine;
+  }
+
+  std::string Begin(int router, const std::string& id) {
+    return this->Exchange(router,
+                          MakeClientRequest("POST", "/stream/", id, "", "x"),
+                          kReadIdleTimeout);
+  }
+
+  std::string Resume(int router, const std::string& first_id,
+                     const std::string& id) {
+    const std::string named =
+        first_id.empty() ? "" : fmt::format("Resumes: {}\r\n", first_id);
+    return this->Exchange(
+        router,
+        MakeClientRequest("POST", "/stream/", id,
+                          "Last-Event-Id: 2\r\n" + named, "x"),
+        kReadIdleTimeout);
+  }
+
+  // Returns the number of requests at an engine that resume a stream.
+  std::size_t Resumptions(int engine) {
+    std::size_t count = 0;
+    for (const HttpRequest& request : this->Requests(engine)) {
+      if (!request.headers.Find("Last-Event-Id").empty()) ++count;
+    }
+    return count;
+  }
+
+  int routers;
+};
+
+void CheckGoesOn(const std::string& response, std::string_view version) {
+  CAPTURE(response);
+  CHECK(response.starts_with("HTTP/1.1 200"));
+  CHECK(response.find(fmt::format("id: 3\ndata: {}\n", version)) !=
+        std::string::npos);
+  CHECK(response.ends_with(kLastChunk));
+}
+
+// The request has not run, and repeating it would not help.
+void CheckRefused(const std::string& response) {
+  CAPTURE(response);
+  CHECK(response.starts_with("HTTP/1.1 503"));
+  CHECK(response.find("Retry-After") == std::string::npos);
+  CHECK(response.find("cannot be resumed") != std::string::npos);
+}
+
+TEST_CASE("a stream is not continued at another version in one response") {
+  Fleet fleet(1);
+  const int old_engine = fleet.AddVersion("v1");
+  const int new_engine = fleet.AddVersion("v2");
+  for (int n = 0; n < kStreams; ++n) {
+    const std::string response = fleet.Begin(1, fmt::format("a{}", n));
+    const bool is_old = response.find("data: v1") != std::string::npos;
+    const bool is_new = response.find("data: v2") != std::string::npos;
+    CHECK(is_old != is_new);
+    CHECK_FALSE(response.ends_with(kLastChunk));
+  }
+  CHECK(fleet.Resumptions(old_engine) + fleet.Resumptions(new_engine) == 0);
+}
+
+TEST_CASE("a stream is continued in one response at the same version") {
+  Fleet fleet(1);
+  fleet.AddVersion("v1");
+  fleet.AddVersion("v1");
+  // An engine of the other version that breaks nothing off.
+  const int new_engine = fleet.AddEngine(
+      "chat",
+      [](const HttpRequest& request) {
+        return Script{SendBytes{MakeStreamHead(request) + EventChunk(1, "v2") +
+                                std::string(emulator::kStreamEnd)}};
+      },
+      "v2");
+  fleet.WaitUntilReady(1);
+  int begun_at_old = 0;
+  for (int n = 0; n < kStreams; ++n) {
+    const std::string response = fleet.Begin(1, fmt::format("a{}", n));
+    if (response.find("data: v1") == std::string::npos) continue;
+    ++begun_at_old;
+    CheckGoesOn(response, "v1");
+  }
+  CHECK(begun_at_old > 0);
+  CHECK(fleet.Resumptions(new_engine) == 0);
+}
+
+// Where the client resumes the stream, and what happens before.
+enum class Resumed { kSameRouter, kOtherRouter, kAfterKill };
+
+TEST_CASE("a client resumes a stream at the version that began it") {
+  const Resumed way = GENERATE(Resumed::kSameRouter, Resumed::kOtherRouter,
+                               Resumed::kAfterKill);
+  CAPTURE(static_cast<int>(way));
+  Fleet fleet(2);
+  fleet.AddVersion("v1");
+  for (int n = 0; n < kStreams; ++n) fleet.Begin(1, fmt::format("a{}", n));
+  const int new_engine = fleet.AddVersion("v2");
+  if (way == Resumed::kAfterKill) {
+    fleet.Signal(1, SIGKILL);
+    fleet.WaitForExit(1);
+  }
+  const int router = way == Resumed::kSameRouter ? 1 : 2;
+  for (int n = 0; n < kStreams; ++n) {
+    CheckGoesOn(
+        fleet.Resume(router, fmt::format("a{}", n), fmt::format("b{}", n)),
+        "v1");
+  }
+  CHECK(fleet.Resumptions(new_engine) == 0);
+}
+
+TEST_CASE("after all routers were killed, no version is guessed") {
+  Fleet fleet(2);
+  const int old_engine = fleet.AddVersion("v1");
+  fleet.Begin(1, "a");
+  const int new_engine = fleet.AddVersion("v2");
+  SECTION("both versions are in service") {}
+  SECTION("the old version has left") { fleet.DeregisterEngine(old_engine); }
+  std::this_thread::sleep_for(kRowTime);
+  fleet.RestartRouters({1, 2});
+  CheckRefused(fleet.Resume(2, "a", "b"));
+  CheckRefused(fleet.Resume(2, "", "c"));
+  CHECK(fleet.Resumptions(new_engine) == 0);
+  // It may begin anew.
+  CHECK(fleet.Begin(2, "d").starts_with("HTTP/1.1 200"));
+}
+
+TEST_CASE("after all routers were killed, the only version goes on") {
+  Fleet fleet(2);
+  fleet.AddVersion("v1");
+  fleet.Begin(1, "a");
+  std::this_thread::sleep_for(kRowTime);
+  fleet.RestartRouters({1, 2});
+  CheckGoesOn(fleet.Resume(2, "a", "b"), "v1");
+  CheckGoesOn(fleet.Resume(1, "", "c"), "v1");
+}
+
+TEST_CASE("a stream whose beginning nobody knows is refused at once") {
+  Fleet fleet(2);
+  fleet.AddVersion("v1");
+  fleet.AddVersion("v2");
+  const std::string endless(8000, 'x');
+  for (const std::string& first_id :
+       {std::string("never"), std::string(), endless}) {
+    const auto began = std::chrono::steady_clock::now();
+    CheckRefused(fleet.Resume(1, first_id, "b"));
+    CHECK(std::chrono::steady_clock::now() - began < milliseconds(1500));
+  }
+  CHECK(fleet.TotalRequests() == 0);
+}
+
+TEST_CASE("a stream whose version has left is refused") {
+  Fleet fleet(1);
+  const int old_engine = fleet.AddVersion("v1");
+  fleet.Begin(1, "a");
+  const int new_engine = fleet.AddVersion("v2");
+  fleet.RegisterEngine(old_engine, "draining");
+  Eventually([&] {
+    return fleet.Log(1).find(R"("change":"draining")") != std::string::npos;
+  });
+  CheckRefused(fleet.Resume(1, "a", "b"));
+  CHECK(fleet.Resumptions(new_engine) == 0);
+}
+
+}  // namespace
+}  // namespace dandelionscale::tests
--- a/tests/support/platform_fleet.cc
+++ b/tests/support/platform_fleet.cc
@@ -115,13 +115,15 @@
 }
 
 int PlatformFleet::AddEngine(const std::string& service,
-                             emulator::ScriptMaker maker) {
+                             emulator::ScriptMaker maker,
+                             const std::string& version) {
   this->RunOnLoop([&] {
     RegisteredEngine entry;
     entry.engine = std::make_unique<emulator::ScriptedEngine>(
         this->loop.get_executor(), std::move(maker));
     entry.port = entry.engine->Listen(Any()).value().port();
     entry.service = service;
+    entry.version = version;
     this->engines.push_back(std::move(entry));
   });
   const int number = static_cast<int>(this->engines.size()) - 1;
@@ -137,8 +139,9 @@
     this->store->Put(
         "servers", fmt::format("e{}", engine),
         fmt::format(
-            R"({{"service":"{}","address":"127.0.0.1:{}","zone":"north","version":"v1","max_slots":8,"state":"{}","cold_remaining_ms":0,"call_seq":1,"born":{}}})",
-            entry.service, entry.port, state, entry.born_unix_ms));
+            R"({{"service":"{}","address":"127.0.0.1:{}","zone":"north","version":"{}","max_slots":8,"state":"{}","cold_remaining_ms":0,"call_seq":1,"born":{}}})",
+            entry.service, entry.port, entry.version, state,
+            entry.born_unix_ms));
   });
 }
 
--- a/tests/support/platform_fleet.h
+++ b/tests/support/platform_fleet.h
@@ -36,8 +36,10 @@
   void RunOnLoop(const std::function<void()>& action);
 
   /// \brief Starts an engine and registers it in the store as ready.
+  /// \param version of its software.
   /// \returns its number, from 0; its id in the store is `eN`.
-  int AddEngine(const std::string& service, emulator::ScriptMaker maker);
+  int AddEngine(const std::string& service, emulator::ScriptMaker maker,
+                const std::string& version = "v1");
   /// \brief Writes the entry of an engine into the store.
   void RegisterEngine(int engine, const std::string& state = "ready");
   /// \brief Writes the entry of an engine that has crashed and started again.
@@ -103,6 +105,7 @@
   struct RegisteredEngine {
     std::unique_ptr<emulator::ScriptedEngine> engine;
     std::string service;
+    std::string version;
     std::uint16_t port = 0;
     std::int64_t born_unix_ms = 1'700'000'000'000;
   };
