Continue a stream only at the software version that began it

Cause: nothing read an engine's version or what a client resumes; a started stream was placed like a new request. Class: state that an answer depends on and that only its first engine knew.

A router resumes a stream within one response at the same version only. For a stream that a client resumes, the version is known from the router's own record, from the fact that the service has run no other (if the router's view is current), or from peers; then only engines of it are candidates. If nobody knows, or none is left, the client is refused at once (503, not run, no Retry-After, with a text that says to begin anew).

--- a/src/dispatch/engine_exchange.h
+++ b/src/dispatch/engine_exchange.h
@@ -58,7 +58,7 @@
     return this->connection->requests_sent <= 1 &&
            !this->received_mismatched_response;
   }
-  const std::string& EngineId() const { return this->engine->record.id; }
+  const Engine& ServingEngine() const { return *this->engine; }
   bool IsEventStream() const { return this->event_stream; }
   /// \returns the framing of the response whose head was read last.
   BodyFraming Framing() const;
--- a/src/dispatch/request_dispatch.cc
+++ b/src/dispatch/request_dispatch.cc
@@ -61,6 +61,7 @@
     if (auto self = weak.lock()) self->Interrupt(Interruption::kClientGone);
   });
   this->ArmDeadline();
+  if (!co_await this->ResolveOrigin()) co_return;
   while (true) {
     std::shared_ptr<Engine> engine = co_await this->Place();
     if (!engine) co_return;
--- a/src/dispatch/request_dispatch.h
+++ b/src/dispatch/request_dispatch.h
@@ -17,6 +17,9 @@
 
 namespace dandelionscale::internal {
 
+/// Of an id that a client has chosen, in a log line.
+inline constexpr std::size_t kMaxLoggedIdBytes = 64;
+
 /// \brief Admits one request, chooses an engine, sends the request, retries it
 /// after failures and relays the response.
 ///
@@ -49,6 +52,18 @@
   // Checks route, key and request id and chooses the service. Sends the error
   // response and returns false if the request isn't admitted.
   Awaitable<bool> Admit();
+  // For a stream that began in an earlier request: finds out at which software
+  // version, and refuses the request if nobody knows. Returns false if the
+  // final response was sent.
+  Awaitable<bool> ResolveOrigin();
+  struct Origin;
+  Awaitable<Origin> FindOrigin(std::uint64_t stream_key);
+  Awaitable<void> RefuseResumption(std::string_view reason);
+  // The first events of a stream are sent to the client.
+  void OnStreamBegun();
+  bool IsResumption() const { return !this->decoded.resume_after.empty(); }
+  // Returns true if the engine may go on with the stream.
+  bool FitsVersion(const Engine& engine) const;
   // Chooses an engine, waiting for capacity if necessary. Sends the final
   // response and returns null if there is none.
   Awaitable<std::shared_ptr<Engine>> Place();
@@ -173,6 +188,8 @@
   std::optional<BodyFraming> framing;  ///< Of the last engine response.
   /// Bytes after the last whole event when the last event stream ended.
   std::size_t unfinished_bytes = 0;
+  /// Key of the software version at which the stream began, once it has begun.
+  std::optional<std::uint64_t> required_version;
   bool may_have_run = false;    ///< An engine may have run the request.
   bool stream_started = false;  ///< The response head was sent.
   bool answer_begun = false;    ///< In the current attempt.
--- a/src/dispatch/request_placement.cc
+++ b/src/dispatch/request_placement.cc
@@ -119,8 +119,9 @@
     const bool healthy = ignore_health || (!ejected && !probe_in_flight);
     const bool may_permit = avoid_limited ? !engine->rate_limit.IsActive()
                                           : engine->rate_limit.MayAsk(now);
-    candidate.usable = !engine->draining && !was_tried && healthy &&
-                       !engine->pause.IsActive(now) && may_permit;
+    candidate.usable = this->FitsVersion(*engine) && !engine->draining &&
+                       !was_tried && healthy && !engine->pause.IsActive(now) &&
+                       may_permit;
     candidate.reachable = !ejected && !was_tried;
     candidates.push_back(candidate);
   }
@@ -146,6 +147,9 @@
        {"engine", engine.record.id},
        {"service", this->service},
        {"workspace", this->workspace},
+       {"software_version", engine.record.software_version.value_or("")},
+       {"resumes", std::string_view(this->decoded.resumed_request_id)
+                       .substr(0, kMaxLoggedIdBytes)},
        {"basis", ToString(decision.basis)},
        {"candidates", FormatCandidates(DecisiveCandidates(inputs, decision))},
        {"affinity", fmt::format("{:x}", inputs.affinity_key)},
@@ -178,6 +182,12 @@
     grant = queue.TryEnqueue(now, wait_request);
     this->LogWait(grant ? "request_waits" : "wait_refused", inputs);
   }
+  const bool is_unsent_resumption =
+      this->IsResumption() && this->required_version && this->sends == 0;
+  if (!has_untried_engine && is_unsent_resumption) {
+    co_await this->RefuseResumption("no_engine_of_version");
+    co_return nullptr;
+  }
   if (!grant) {
     co_await this->FinishUnplaced(has_untried_engine ? "queue_full"
                                                      : "no_engine");
@@ -257,6 +267,7 @@
   const TimePoint now = RuntimeClock::now();
   std::optional<Duration> shortest;
   for (const auto& engine : this->state.engines.Find(this->service)) {
+    if (!this->FitsVersion(*engine)) continue;
     if (engine->draining || this->WasTried(*engine)) continue;
     const Duration pause = std::max(engine->pause.Remaining(now),
                                     engine->rate_limit.TimeUntilMayAsk(now));
@@ -269,7 +280,8 @@
   const auto engines = this->state.engines.Find(this->service);
   return std::any_of(engines.begin(), engines.end(),
                      [this](const auto& engine) {
-                       return !engine->draining && !this->WasTried(*engine);
+                       return this->FitsVersion(*engine) && !engine->draining &&
+                              !this->WasTried(*engine);
                      });
 }
 
--- a/src/dispatch/response_relay.cc
+++ b/src/dispatch/response_relay.cc
@@ -100,9 +100,10 @@
     end = BodyEnd::kUncertain;
   }
   if (end != BodyEnd::kOpen) {
-    Logger::Warning("second_answer", {{"request", this->decoded.id},
-                                      {"engine", this->exchange->EngineId()},
-                                      {"cut", end == BodyEnd::kReached}});
+    Logger::Warning("second_answer",
+                    {{"request", this->decoded.id},
+                     {"engine", this->exchange->ServingEngine().record.id},
+                     {"cut", end == BodyEnd::kReached}});
   }
   return end;
 }
@@ -172,6 +173,7 @@
 Awaitable<bool> RequestDispatch::DeliverEvents(const std::string& events) {
   if (this->stream_started) co_return co_await this->client.SendData(events);
   this->stream_started = true;
+  this->OnStreamBegun();
   this->state.metrics.ObserveLatency("first_event_seconds",
                                      RuntimeClock::now() - this->arrived_at);
   co_return co_await this->client.StartStream(
--- /dev/null
+++ b/src/dispatch/stream_resumption.cc
@@ -0,0 +1,130 @@
+// RequestDispatch: streams that go on after a first event. What engines of two
+// software versions write does not fit together.
+#include <fmt/format.h>
+
+#include "dandelionscale/runtime/logger.h"
+#include "dandelionscale/transport/http_status.h"
+#include "dispatch/origin_exchange.h"
+#include "dispatch/request_dispatch.h"
+
+namespace dandelionscale::internal {
+
+namespace {
+
+// Where the version of a stream is known from.
+enum class OriginSource { kOwnRecord, kOnlyVersion, kPeer, kNone };
+
+std::string_view ToString(OriginSource source) {
+  switch (source) {
+    case OriginSource::kOwnRecord:
+      return "own_record";
+    case OriginSource::kOnlyVersion:
+      return "only_version";
+    case OriginSource::kPeer:
+      return "peer";
+    case OriginSource::kNone:
+      return "none";
+  }
+  return "none";
+}
+
+constexpr std::string_view kRefusalText =
+    "The stream cannot be resumed: no engine of the software version that "
+    "began "
+    "it is known. Send the request again without the id of the last event.\n";
+
+}  // namespace
+
+struct RequestDispatch::Origin {
+  OriginSource source = OriginSource::kNone;
+  std::uint64_t version_key = 0;
+};
+
+Awaitable<bool> RequestDispatch::ResolveOrigin() {
+  const bool is_stream = this->route->kind == RouteKind::kStreaming;
+  if (!is_stream || !this->IsResumption()) co_return true;
+  const TimePoint asked_at = RuntimeClock::now();
+  const std::uint64_t stream_key =
+      this->decoded.resumed_request_id.empty()
+          ? 0
+          : StreamKey(this->workspace, this->decoded.resumed_request_id);
+  const Origin origin = co_await this->FindOrigin(stream_key);
+  if (this->interruption == Interruption::kClientGone) {
+    this->LogOutcome("client_gone", 0, "resumption");
+    co_return false;
+  }
+  const bool is_known = origin.source != OriginSource::kNone;
+  const TimePoint now = RuntimeClock::now();
+  const auto view_age = this->state.watcher_election.ViewAge(now);
+  this->state.metrics.Add(fmt::format(
+      "stream_resumptions_total{{source=\"{}\"}}", ToString(origin.source)));
+  Logger::Info(
+      "stream_resumption",
+      {{"request", this->decoded.id},
+       {"resumes", std::string_view(this->decoded.resumed_request_id)
+                       .substr(0, kMaxLoggedIdBytes)},
+       {"source", ToString(origin.source)},
+       {"software_version", fmt::format("{:x}", origin.version_key)},
+       {"view_age_ms", view_age ? ToMilliseconds(*view_age) : std::int64_t{-1}},
+       {"took_ms", ToMilliseconds(now - asked_at)},
+       {"outcome", is_known ? "goes_on" : "refused"}});
+  if (!is_known) {
+    co_await this->RefuseResumption("unknown_origin");
+    co_return false;
+  }
+  this->required_version = origin.version_key;
+  co_return true;
+}
+
+Awaitable<RequestDispatch::Origin> RequestDispatch::FindOrigin(
+    std::uint64_t stream_key) {
+  Origin origin;
+  const TimePoint now = RuntimeClock::now();
+  const bool has_key = stream_key != 0;
+  if (const auto known = this->state.stream_origins.Find(now, stream_key);
+      has_key && known) {
+    origin = {OriginSource::kOwnRecord, *known};
+    co_return origin;
+  }
+  const auto only =
+      this->state.software_versions.OnlyVersion(now, this->service);
+  if (only && this->state.IsViewCurrent(now)) {
+    origin = {OriginSource::kOnlyVersion, VersionKey(this->service, *only)};
+    co_return origin;
+  }
+  if (!has_key) co_return origin;
+  if (const auto known = co_await this->state.origins->Ask(stream_key)) {
+    origin = {OriginSource::kPeer, *known};
+  }
+  co_return origin;
+}
+
+Awaitable<void> RequestDispatch::RefuseResumption(std::string_view reason) {
+  HttpHeaders headers = this->state.codec->EncodeErrorHeaders(this->decoded.id);
+  headers.Add("Content-Type", "text/plain");
+  co_await this->client.SendResponse(http_status::kServiceUnavailable,
+                                     std::move(headers), kRefusalText);
+  this->LogOutcome("refused", http_status::kServiceUnavailable, reason);
+}
+
+void RequestDispatch::OnStreamBegun() {
+  const std::uint64_t version_key = this->exchange->ServingEngine().version_key;
+  this->required_version = version_key;
+  if (version_key == 0) return;
+  const bool is_named =
+      this->IsResumption() && !this->decoded.resumed_request_id.empty();
+  const std::string& first_request =
+      is_named ? this->decoded.resumed_request_id : this->decoded.id;
+  this->state.origins->OnBegun(
+      {StreamKey(this->workspace, first_request), version_key},
+      this->state.software_versions.HasSeveral(RuntimeClock::now(),
+                                               this->service));
+}
+
+bool RequestDispatch::FitsVersion(const Engine& engine) const {
+  if (!this->required_version) return true;
+  return engine.version_key != 0 &&
+         engine.version_key == *this->required_version;
+}
+
+}  // namespace dandelionscale::internal
