Keep where streams began in the store while versions are mixed

Nobody knew where they had begun: own records and those at peers die with the routers. Each router now writes a row of its latest streams twice a second, as long as a service runs several versions and there are new ones; a router reads all such rows when it starts, its own former one as its own. Without a release nothing is written.

Ruled out: asking engines (they drop a run when its connection closes); always writing (calls and bytes are priced). Versions and origins are remembered for 30 s instead of 60, which is still twice the longest deadline.

--- a/include/dandelionscale/core/software_versions.h
+++ b/include/dandelionscale/core/software_versions.h
@@ -32,7 +32,7 @@
  public:
   /// Time for which a version counts after its last engine has left. Longer
   /// than a stream lasts, with all attempts to resume it.
-  static constexpr Duration kMemory = std::chrono::seconds(60);
+  static constexpr Duration kMemory = std::chrono::seconds(30);
   /// Most versions that are remembered of one service.
   static constexpr std::size_t kMaxVersions = 32;
 
@@ -48,6 +48,7 @@
   /// \brief Records that all versions from before the start of this router have
   ///        been reported.
   void OnHistoryKnown() { this->history_known = true; }
+  bool IsHistoryKnown() const { return this->history_known; }
 
   /// \returns the only version that a stream of the service can have begun at;
   ///          none if there were several or if that is not known.
@@ -55,6 +56,8 @@
                                          std::string_view service) const;
   /// \returns true if engines of the service have run several versions lately.
   bool HasSeveral(TimePoint now, std::string_view service) const;
+  /// \returns true if that holds for any service.
+  bool HasSeveral(TimePoint now) const;
   /// \returns all versions that count at `now`.
   std::vector<VersionReport> Reports(TimePoint now) const;
 
--- a/include/dandelionscale/core/stream_origins.h
+++ b/include/dandelionscale/core/stream_origins.h
@@ -47,7 +47,7 @@
 class StreamOrigins {
  public:
   /// Longer than a stream lasts, with all attempts to resume it.
-  static constexpr Duration kMemory = std::chrono::seconds(60);
+  static constexpr Duration kMemory = std::chrono::seconds(30);
   static constexpr std::size_t kMaxStreams = 20'000;
 
   /// \brief Records an origin; a known one is kept for longer.
@@ -57,7 +57,11 @@
   std::optional<std::uint64_t> Find(TimePoint now,
                                     std::uint64_t stream_key) const;
   /// \returns the origins of the streams that this router has served.
-  std::vector<StreamOrigin> Own(TimePoint now) const;
+  /// \param max_age of the last record of a stream.
+  std::vector<StreamOrigin> Own(TimePoint now,
+                                Duration max_age = kMemory) const;
+  /// \returns how often an origin of this router's own has been recorded.
+  std::uint64_t OwnRecords() const { return this->own_records; }
   std::size_t Size() const { return this->entries.size(); }
 
  private:
@@ -73,6 +77,7 @@
 
   void DropOldest(TimePoint now);
 
+  std::uint64_t own_records = 0;
   std::unordered_map<std::uint64_t, Entry> entries;
   std::deque<Use> uses;  ///< One for each record, oldest first.
 };
--- a/include/dandelionscale/dispatch/table_store.h
+++ b/include/dandelionscale/dispatch/table_store.h
@@ -71,6 +71,9 @@
 /// \brief Key of the row of `StoreTable::kRouters` that holds the software
 ///        versions of engines.
 inline constexpr std::string_view kVersionsRowKey = "/software_versions";
+/// \brief Precedes a router's name in the key of its row of stream origins, in
+///        the same table.
+inline constexpr std::string_view kOriginsRowPrefix = "/origins/";
 
 }  // namespace dandelionscale
 
--- a/src/core/software_versions.cc
+++ b/src/core/software_versions.cc
@@ -75,6 +75,12 @@
                        }) > 1;
 }
 
+bool SoftwareVersions::HasSeveral(TimePoint now) const {
+  return std::any_of(
+      this->services.begin(), this->services.end(),
+      [&](const auto& entry) { return this->HasSeveral(now, entry.first); });
+}
+
 std::vector<VersionReport> SoftwareVersions::Reports(TimePoint now) const {
   std::vector<VersionReport> reports;
   for (const auto& [service, versions] : this->services) {
--- a/src/core/stream_origins.cc
+++ b/src/core/stream_origins.cc
@@ -53,6 +53,7 @@
   } else if (entry.version_key != origin.version_key) {
     entry.version_key = 0;
   }
+  if (is_own) ++this->own_records;
   entry.is_own = is_own || (entry.is_own && !is_expired);
   entry.recorded_at = now;
   this->uses.push_back({origin.stream_key, now});
@@ -70,10 +71,11 @@
   return entry.version_key;
 }
 
-std::vector<StreamOrigin> StreamOrigins::Own(TimePoint now) const {
+std::vector<StreamOrigin> StreamOrigins::Own(TimePoint now,
+                                             Duration max_age) const {
   std::vector<StreamOrigin> own;
   for (const auto& [stream_key, entry] : this->entries) {
-    const bool is_current = now - entry.recorded_at < kMemory;
+    const bool is_current = now - entry.recorded_at < max_age;
     if (!entry.is_own || !is_current || entry.version_key == 0) continue;
     own.push_back({stream_key, entry.version_key});
   }
--- a/src/dispatch/peer_messages.cc
+++ b/src/dispatch/peer_messages.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cmath>
+#include <map>
 
 #include "dandelionscale/runtime/logger.h"
 #include "dandelionscale/runtime/trace.h"
@@ -173,6 +174,43 @@
   return message.SerializeAsString();
 }
 
+std::vector<StreamOrigin> ToStreamOrigins(const std::string& row,
+                                          std::int64_t unix_ms) {
+  std::vector<StreamOrigin> origins;
+  wire::StreamOriginsRow message;
+  if (!message.ParseFromString(row) ||
+      message.streams_size() != message.version_indices_size()) {
+    Logger::Warning("stream_origins_row_malformed", {});
+    return origins;
+  }
+  if (RowAge(message.written_unix_ms(), unix_ms) >= StreamOrigins::kMemory) {
+    return origins;
+  }
+  const auto versions = static_cast<std::uint32_t>(message.versions_size());
+  for (int n = 0; n < message.streams_size(); ++n) {
+    const std::uint32_t index = message.version_indices(n);
+    if (index >= versions) continue;
+    origins.push_back(
+        {message.streams(n), message.versions(static_cast<int>(index))});
+  }
+  return origins;
+}
+
+std::string FormatOriginsRow(std::span<const StreamOrigin> origins,
+                             std::int64_t unix_ms) {
+  wire::StreamOriginsRow message;
+  message.set_written_unix_ms(unix_ms);
+  std::map<std::uint64_t, std::uint32_t> indices;
+  for (const StreamOrigin& origin : origins) {
+    const auto next = static_cast<std::uint32_t>(indices.size());
+    const auto [found, is_new] = indices.try_emplace(origin.version_key, next);
+    if (is_new) message.add_versions(origin.version_key);
+    message.add_streams(origin.stream_key);
+    message.add_version_indices(found->second);
+  }
+  return message.SerializeAsString();
+}
+
 std::string FormatQuarantineRow(std::span<const BlockedKeys> entries,
                                 TimePoint now, std::int64_t unix_ms) {
   wire::QuarantineRow message;
--- a/src/dispatch/peer_messages.h
+++ b/src/dispatch/peer_messages.h
@@ -11,6 +11,7 @@
 #include "dandelionscale/core/crash_report.h"
 #include "dandelionscale/core/engine_directory.h"
 #include "dandelionscale/core/software_versions.h"
+#include "dandelionscale/core/stream_origins.h"
 #include "dandelionscale/core/watcher_election.h"
 #include "dandelionscale/runtime/fault.h"
 #include "dispatch_peer.pb.h"
@@ -53,6 +54,14 @@
 /// \returns the store's row for the versions.
 std::string FormatVersionsRow(std::span<const VersionReport> reports,
                               std::int64_t unix_ms);
+/// \returns the origins in a store's row; none if it is malformed or older than
+///          origins are remembered.
+/// \param unix_ms the wall clock.
+std::vector<StreamOrigin> ToStreamOrigins(const std::string& row,
+                                          std::int64_t unix_ms);
+/// \returns the store's row for the origins.
+std::string FormatOriginsRow(std::span<const StreamOrigin> origins,
+                             std::int64_t unix_ms);
 /// \brief Writes the quarantine to an empty report.
 void FillReport(const BlockedKeys& blocked, TimePoint now,
                 wire::QuarantineReport& report);
--- a/src/dispatch/store_watcher.cc
+++ b/src/dispatch/store_watcher.cc
@@ -48,6 +48,13 @@
 constexpr Duration kVersionsWriteDelay = std::chrono::milliseconds(100);
 // Routers that write them, so that the row is written if one of these ends.
 constexpr std::size_t kVersionsWriters = 2;
+// Interval at which a router writes where its streams began, if there are new
+// ones.
+constexpr Duration kOriginsWriteInterval = std::chrono::milliseconds(500);
+// Streams that began longer ago have mostly ended.
+constexpr Duration kStoredOriginAge = std::chrono::seconds(15);
+// Keeps the row within the store's limit.
+constexpr std::size_t kMaxStoredOrigins = 3000;
 // Within this time after a restoration of the store, routers check whether
 // their rows are still there.
 constexpr std::chrono::duration<double> kReregistrationSpread =
@@ -89,6 +96,7 @@
                               this->state.versions_changed, kVersionsWriteDelay,
                               [this] { return this->FormatVersions(); }),
       asio::detached);
+  asio::co_spawn(this->state.executor, this->WriteOrigins(), asio::detached);
   asio::co_spawn(this->state.executor, this->ChooseRole(), asio::detached);
 }
 
@@ -291,6 +299,49 @@
   }
 }
 
+Awaitable<void> StoreWatcher::WriteOrigins() {
+  const std::string key =
+      std::string(kOriginsRowPrefix) + this->state.options.name;
+  std::uint64_t written_records = 0;
+  bool is_empty = true;
+  while (true) {
+    const Duration interval =
+        WithJitter(kOriginsWriteInterval, this->state.Random());
+    co_await SleepFor(interval);
+    // The row of this router's former process must be read first.
+    if (!this->state.software_versions.IsHistoryKnown()) continue;
+    const TimePoint now = RuntimeClock::now();
+    std::vector<StreamOrigin> origins;
+    if (this->state.software_versions.HasSeveral(now)) {
+      origins = this->state.stream_origins.Own(now, kStoredOriginAge);
+      origins.resize(std::min(origins.size(), kMaxStoredOrigins));
+    }
+    const std::uint64_t records = this->state.stream_origins.OwnRecords();
+    const bool is_same =
+        origins.empty() ? is_empty : records == written_records;
+    if (is_same) continue;
+    std::string row = FormatOriginsRow(origins, UnixMilliseconds());
+    auto written =
+        co_await this->store->WriteRow(key, std::move(row), kReadTimeout);
+    this->state.metrics.Add("store_calls_total");
+    if (written.has_error()) continue;
+    written_records = records;
+    is_empty = origins.empty();
+  }
+}
+
+void StoreWatcher::OnOriginsRow(const StoreRow& row) {
+  const bool is_own = std::string_view(row.key).substr(
+                          kOriginsRowPrefix.size()) == this->state.options.name;
+  // Later reads bring nothing new of this router's own streams.
+  if (is_own && this->state.software_versions.IsHistoryKnown()) return;
+  const TimePoint now = RuntimeClock::now();
+  for (const StreamOrigin& origin :
+       ToStreamOrigins(row.value, UnixMilliseconds())) {
+    this->state.stream_origins.Record(now, origin, is_own);
+  }
+}
+
 std::string StoreWatcher::FormatQuarantine() const {
   return FormatQuarantineRow(this->state.quarantine.Blocked(),
                              RuntimeClock::now(), UnixMilliseconds());
@@ -317,6 +368,10 @@
       this->OnQuarantineRow(row);
       continue;
     }
+    if (row.key.starts_with(kOriginsRowPrefix)) {
+      if (!row.removed) this->OnOriginsRow(row);
+      continue;
+    }
     if (row.key == kVersionsRowKey && !row.removed) {
       this->state.software_versions.OnReports(
           RuntimeClock::now(), ToVersionReports(row.value, UnixMilliseconds()));
--- a/src/dispatch/store_watcher.h
+++ b/src/dispatch/store_watcher.h
@@ -46,6 +46,9 @@
   Awaitable<void> WriteAfterChanges(
       std::string key, Event& changed, Duration delay,
       std::function<std::optional<std::string>()> format);
+  // Keeps the row of this router's stream origins up to date.
+  Awaitable<void> WriteOrigins();
+  void OnOriginsRow(const StoreRow& row);
   std::string FormatQuarantine() const;
   std::optional<std::string> FormatVersions() const;
   bool HasOwnRow(const StoreRows& rows) const;
--- a/src/dispatch/stream_resumption.cc
+++ b/src/dispatch/stream_resumption.cc
@@ -28,6 +28,8 @@
   return "none";
 }
 
+constexpr Duration kMaxHistoryWait = std::chrono::milliseconds(200);
+constexpr Duration kHistoryPollInterval = std::chrono::milliseconds(15);
 constexpr std::string_view kRefusalText =
     "The stream cannot be resumed: no engine of the software version that "
     "began "
@@ -79,6 +81,13 @@
 Awaitable<RequestDispatch::Origin> RequestDispatch::FindOrigin(
     std::uint64_t stream_key) {
   Origin origin;
+  // A router that has just started reads what is kept in the store.
+  const TimePoint until = this->arrived_at + kMaxHistoryWait;
+  while (!this->state.software_versions.IsHistoryKnown() &&
+         RuntimeClock::now() < until) {
+    const Duration pause = kHistoryPollInterval;
+    co_await SleepFor(pause);
+  }
   const TimePoint now = RuntimeClock::now();
   const bool has_key = stream_key != 0;
   if (const auto known = this->state.stream_origins.Find(now, stream_key);
--- a/tests/stream_version_test.cc
+++ b/tests/stream_version_test.cc
@@ -172,12 +172,20 @@
 TEST_CASE("after all routers were killed, no version is guessed") {
   Fleet fleet(2);
   const int old_engine = fleet.AddVersion("v1");
-  fleet.Begin(1, "a");
   const int new_engine = fleet.AddVersion("v2");
   SECTION("both versions are in service") {}
   SECTION("the old version has left") { fleet.DeregisterEngine(old_engine); }
   std::this_thread::sleep_for(kRowTime);
-  fleet.RestartRouters({1, 2});
+  // The store does not learn where this one began.
+  fleet.SetStoreMode(emulator::StoreMode::kBusy);
+  fleet.Begin(1, "a");
+  for (const int n : {1, 2}) {
+    fleet.Signal(n, SIGKILL);
+    fleet.WaitForExit(n);
+  }
+  fleet.SetStoreMode(emulator::StoreMode::kServing);
+  for (const int n : {1, 2}) fleet.StartRouter(n);
+  for (const int n : {1, 2}) fleet.WaitUntilReady(n);
   CheckRefused(fleet.Resume(2, "a", "b"));
   CheckRefused(fleet.Resume(2, "", "c"));
   CHECK(fleet.Resumptions(new_engine) == 0);
@@ -185,6 +193,27 @@
   CHECK(fleet.Begin(2, "d").starts_with("HTTP/1.1 200"));
 }
 
+TEST_CASE("after all routers were killed, the store tells the version") {
+  Fleet fleet(2);
+  fleet.AddVersion("v1");
+  const int new_engine = fleet.AddVersion("v2");
+  std::vector<std::string> versions;
+  for (int n = 0; n < kStreams; ++n) {
+    const std::string response = fleet.Begin(1 + n % 2, fmt::format("a{}", n));
+    const bool is_old = response.find("data: v1") != std::string::npos;
+    versions.push_back(is_old ? "v1" : "v2");
+  }
+  std::this_thread::sleep_for(kRowTime);
+  fleet.RestartRouters({1, 2});
+  // Routers that were killed twice have not lost it either.
+  fleet.RestartRouters({1, 2});
+  for (std::size_t n = 0; n < versions.size(); ++n) {
+    CheckGoesOn(fleet.Resume(1, fmt::format("a{}", n), fmt::format("b{}", n)),
+                versions[n]);
+  }
+  CHECK(fleet.Resumptions(new_engine) < versions.size());
+}
+
 TEST_CASE("after all routers were killed, the only version goes on") {
   Fleet fleet(2);
   fleet.AddVersion("v1");
