--- a/tests/odd_entry_test.cc
+++ b/tests/odd_entry_test.cc
@@ -1,6 +1,7 @@
 // Odd bytes from other writers of the store, from clients, engines and peers:
 // numbers and addresses out of range, deep nesting, broken encodings. What is
 // odd is left out; the rest applies.
+#include <fmt/format.h>
 #include <rapidcheck.h>
 
 #include <boost/asio/co_spawn.hpp>
@@ -49,15 +50,17 @@
 }
 
 // A sound entry, but for the given JSON values of its fields.
-std::string EngineEntry(const std::string& address, const std::string& slots,
-                        const std::string& born) {
-  return R"({"service":"s1","address":)" + address + R"(,"zone":"z",)" +
-         R"("max_slots":)" + slots + R"(,"state":"ready","born":)" + born + "}";
+std::string EngineEntry(std::string_view address, std::string_view slots,
+                        std::string_view born) {
+  return fmt::format(
+      R"({{"service":"s1","address":{},"zone":"z","max_slots":{},)"
+      R"("state":"ready","born":{}}})",
+      address, slots, born);
 }
 
-const std::string kAddress = R"("10.0.0.9:8080")";
-const std::string kSlots = "48";
-const std::string kBorn = "1700000000123";
+constexpr std::string_view kAddress = R"("10.0.0.9:8080")";
+constexpr std::string_view kSlots = "48";
+constexpr std::string_view kBorn = "1700000000123";
 
 std::string Nested(int depth) {
   return std::string(depth, '[') + std::string(depth, ']');
@@ -343,7 +346,7 @@
 }
 
 EngineRecord SoundRecord() {
-  return {"e1", "s1", "10.0.0.9:8080", "z", 4, false, 1'700'000'000'123};
+  return {"e1", "s1", "10.0.0.9:8080", "z", 4, false, 1'700'000'000'123, "v1"};
 }
 
 struct StateFixture {
