Do not lose software versions that only former routers have seen

A router that starts could write the row of versions before it had read the former one, and a change that came while a row was being written was not written until the next one (also of quarantines): after all routers were killed, a version could then be taken for the only one. Found by reading, and by the count of writes in store_watcher_test. That test counts the writes of each row now (own row and versions, once at the start and once after a restoration) instead of the sum, and has a case for the first; the limit of a version's name stands with the other checks of engine entries and covers peers too.

--- a/include/dandelionscale/runtime/event.h
+++ b/include/dandelionscale/runtime/event.h
@@ -19,6 +19,9 @@
   Awaitable<void> Wait();
   /// \brief Wakes all current waiters.
   void NotifyAll();
+  /// \returns how often `NotifyAll()` has been called; for callers that must not
+  ///          miss a call while they don't wait.
+  std::uint64_t Generation() const { return this->generation; }
 
  private:
   Timer timer;
--- a/src/core/engine_record_check.cc
+++ b/src/core/engine_record_check.cc
@@ -10,6 +10,9 @@
 // later, so a start beyond all real ones would block the engine's id.
 constexpr std::int64_t kMaxBornUnixMs = 4'102'444'800'000;
 
+// Routers write the versions of all engines to one row of the store.
+constexpr std::size_t kMaxVersionBytes = 256;
+
 }  // namespace
 
 std::string_view FindInvalidMember(const EngineRecord& record) {
@@ -22,6 +25,8 @@
   if (record.born_unix_ms < 0 || record.born_unix_ms > kMaxBornUnixMs) {
     return "born_unix_ms";
   }
+  const auto& version = record.software_version;
+  if (version && version->size() > kMaxVersionBytes) return "software_version";
   return {};
 }
 
--- a/src/dispatch/store_watcher.cc
+++ b/src/dispatch/store_watcher.cc
@@ -234,9 +234,10 @@
       written = result.has_value();
     }
     auto rows = co_await this->store->Read(StoreTable::kRouters, kReadTimeout);
-    if (rows.has_value()) {
-      this->OnRouterRows(*rows);
+    if (rows.has_value()) this->OnRouterRows(*rows);
+    if (rows.has_value() && !this->state.software_versions.IsHistoryKnown()) {
       this->state.software_versions.OnHistoryKnown();
+      this->state.versions_changed.NotifyAll();
     }
     // The store may have been restored from a copy without the row.
     if (rows.has_value()) written = written && this->HasOwnRow(*rows);
@@ -276,13 +277,16 @@
 Awaitable<void> StoreWatcher::WriteAfterChanges(
     std::string key, Event& changed, Duration delay,
     std::function<std::optional<std::string>()> format) {
+  std::uint64_t handled = 0;
   while (true) {
-    co_await changed.Wait();
+    // Changes may come while the row is written.
+    while (changed.Generation() == handled) co_await changed.Wait();
     Result<void> written = Fault{FaultKind::kNotSent, "not written yet"};
     Duration pause = delay;
     while (written.has_error()) {
       const Duration jittered = WithJitter(pause, this->state.Random());
       co_await SleepFor(jittered);
+      handled = changed.Generation();
       std::optional<std::string> row = format();
       if (!row) break;
       written =
@@ -348,6 +352,8 @@
 }
 
 std::optional<std::string> StoreWatcher::FormatVersions() const {
+  // The row may hold versions that only former processes have seen.
+  if (!this->state.software_versions.IsHistoryKnown()) return std::nullopt;
   const std::uint64_t key = HashText(kVersionsRowKey);
   if (this->state.RankAmongPeers(key) >= kVersionsWriters) return std::nullopt;
   return FormatVersionsRow(
--- a/tests/store_watcher_test.cc
+++ b/tests/store_watcher_test.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
 #include <map>
+#include <set>
 
 #include "dispatch/peer_messages.h"
 #include "platform/platform_codec.h"
@@ -25,6 +26,7 @@
       : end(executor) {}
 
   Awaitable<Result<StoreRows>> Read(StoreTable table, Duration) override {
+    if (this->unreadable.contains(table)) co_return this->watch_fault;
     co_return this->tables[table];
   }
   Awaitable<Result<StoreRows>> Watch(StoreTable table, StoreVersion,
@@ -36,7 +38,7 @@
   }
   Awaitable<Result<void>> WriteRow(std::string key, std::string value,
                                    Duration) override {
-    ++this->writes;
+    ++this->writes[key];
     this->tables[StoreTable::kRouters].rows.push_back(
         {std::move(key), std::move(value), 1, false});
     co_return Result<void>();
@@ -44,12 +46,19 @@
   void FailWatches() { this->end.NotifyAll(); }
   void EndWatches() { this->end.NotifyAll(); }
 
+  bool HasRow(std::string_view key) const {
+    const auto& rows = this->tables.at(StoreTable::kRouters).rows;
+    return std::any_of(rows.begin(), rows.end(),
+                       [key](const StoreRow& row) { return row.key == key; });
+  }
+
   std::map<StoreTable, StoreRows> tables;
+  std::set<StoreTable> unreadable;  ///< Their reads fail.
   /// Response of watches that end, if they do not fail.
   std::map<StoreTable, StoreRows> watch_rows;
   Fault watch_fault{FaultKind::kConnectionLost, "cut"};
   int watches = 0;
-  int writes = 0;
+  std::map<std::string, int, std::less<>> writes;  ///< By key of the row.
 
  private:
   Event end;
@@ -195,16 +204,20 @@
   CHECK(fixture.state.live_peers.size() == 294);
 }
 
-TEST_CASE("a row of the router that a restoration has lost is written again") {
+TEST_CASE("rows of the router that a restoration has lost are written again") {
   WatcherFixture fixture;
   fixture.Advance(kStartUpTime);
-  REQUIRE(fixture.store->writes == 1);
+  const std::map<std::string, int, std::less<>> once = {
+      {fixture.state.options.name, 1}, {std::string(kVersionsRowKey), 1}};
+  REQUIRE(fixture.store->writes == once);
   fixture.store->tables[StoreTable::kRouters].rows.clear();
   fixture.state.OnStoreEra(1);
   fixture.state.OnStoreEra(2);
   fixture.Advance(std::chrono::seconds(4));
-  CHECK(fixture.store->writes == 2);
-  CHECK(fixture.store->tables[StoreTable::kRouters].rows.size() == 1);
+  const std::map<std::string, int, std::less<>> twice = {
+      {fixture.state.options.name, 2}, {std::string(kVersionsRowKey), 2}};
+  CHECK(fixture.store->writes == twice);
+  CHECK(fixture.store->tables[StoreTable::kRouters].rows.size() == 2);
 }
 
 constexpr std::uint64_t kCrashingPart = 0xdead;
@@ -265,5 +278,15 @@
   }));
 }
 
+TEST_CASE("software versions are written only when the former row is read") {
+  WatcherFixture fixture;
+  fixture.store->unreadable.insert(StoreTable::kRouters);
+  fixture.Advance(milliseconds(2000));
+  CHECK_FALSE(fixture.store->HasRow(kVersionsRowKey));
+  fixture.store->unreadable.clear();
+  fixture.Advance(milliseconds(2000));
+  CHECK(fixture.store->HasRow(kVersionsRowKey));
+}
+
 }  // namespace
 }  // namespace dandelionscale::internal
