--- a/include/dandelionscale/runtime/event.h
+++ b/include/dandelionscale/runtime/event.h
@@ -19,7 +19,8 @@
   Awaitable<void> Wait();
   /// \brief Wakes all current waiters.
   void NotifyAll();
-  /// \returns how often `NotifyAll()` has been called; for callers that must not
+  /// \returns how often `NotifyAll()` has been called; for callers that must
+  /// not
   ///          miss a call while they don't wait.
   std::uint64_t Generation() const { return this->generation; }
 
