--- a/include/dandelionscale/core/software_versions.h
+++ b/include/dandelionscale/core/software_versions.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "dandelionscale/core/engine_directory.h"
+#include "dandelionscale/core/stream_origins.h"
 #include "dandelionscale/runtime/runtime_clock.h"
 
 namespace dandelionscale {
@@ -30,9 +31,9 @@
 /// a stream ran one version, it is that one.
 class SoftwareVersions {
  public:
-  /// Time for which a version counts after its last engine has left. Longer
-  /// than a stream lasts, with all attempts to resume it.
-  static constexpr Duration kMemory = std::chrono::seconds(30);
+  /// Time for which a version counts after its last engine has left: as long as
+  /// the streams that it began.
+  static constexpr Duration kMemory = StreamOrigins::kMemory;
   /// Most versions that are remembered of one service.
   static constexpr std::size_t kMaxVersions = 32;
 
--- a/src/dispatch/dispatch_state.cc
+++ b/src/dispatch/dispatch_state.cc
@@ -149,7 +149,7 @@
     Logger::Info("software_versions",
                  {{"service", service}, {"several", has_several}});
   }
-  if (any_has_several) this->origins->OnVersionAdded();
+  if (any_has_several) this->origins->OnVersionsChanged();
 }
 
 bool DispatchState::IsViewCurrent(TimePoint now) const {
--- a/src/dispatch/origin_exchange.cc
+++ b/src/dispatch/origin_exchange.cc
@@ -25,7 +25,7 @@
   if (has_several) this->Report({&origin, 1});
 }
 
-void OriginExchange::OnVersionAdded() {
+void OriginExchange::OnVersionsChanged() {
   this->Report(this->state.stream_origins.Own(RuntimeClock::now()));
 }
 
--- a/src/dispatch/origin_exchange.h
+++ b/src/dispatch/origin_exchange.h
@@ -31,8 +31,8 @@
 /// While engines of a service run several software versions, a router that
 /// begins a stream reports its version to a few peers that rendezvous hashing
 /// assigns to the stream, so that the origin outlives the router. A router at
-/// which a client resumes the stream asks the same peers. A router that finds
-/// out about a further version reports the streams that it has begun before.
+/// which a client resumes the stream asks the same peers. When the
+/// versions change, each router reports the streams that it has begun before.
 class OriginExchange {
  public:
   /// \brief Sends a datagram to a peer, given as IP:PORT.
@@ -44,8 +44,10 @@
   /// \brief Records that a stream of this router has begun at a version.
   /// \param has_several true if its service runs several versions.
   void OnBegun(StreamOrigin origin, bool has_several);
-  /// \brief Records that a service runs a further version.
-  void OnVersionAdded();
+  /// \brief Reports the streams begun so far, after a change of the versions of
+  /// a
+  ///        service that runs several.
+  void OnVersionsChanged();
   /// \brief Asks the peers that should know where a stream has begun.
   /// \returns the key of its version; nothing if none knows it.
   Awaitable<std::optional<std::uint64_t>> Ask(std::uint64_t stream_key);
--- a/src/engine_response/event_splitter.cc
+++ b/src/engine_response/event_splitter.cc
@@ -157,15 +157,16 @@
     this->state = size == 0 ? this->JudgeUnfinished(rest) : this->Judge(event);
     if (size == 0 || this->state != StreamState::kOpen) break;
     this->searched = 0;
-    if (!this->IsInOrder(event)) {
+    const std::string_view id = ParseEventId(event);
+    const auto number = ParseNumber(id);
+    if (!this->IsInOrder(number)) {
       this->state = StreamState::kMalformed;
       break;
     }
-    std::string id;
-    if (!this->IsDuplicate(event, id)) {
+    if (!this->IsDuplicate(number)) {
       complete_events += event;
       ++this->events;
-      if (!id.empty()) this->last_id = std::move(id);
+      if (!id.empty()) this->last_id = id;
     }
     position += size;
   }
@@ -209,8 +210,7 @@
   return std::exchange(this->pending, std::string());
 }
 
-bool EventSplitter::IsInOrder(std::string_view event) {
-  const auto number = ParseNumber(ParseEventId(event));
+bool EventSplitter::IsInOrder(std::optional<std::uint64_t> number) {
   if (!number) return true;
   const bool is_in_order =
       !this->previous_number || *number > *this->previous_number;
@@ -218,10 +218,8 @@
   return is_in_order;
 }
 
-bool EventSplitter::IsDuplicate(std::string_view event, std::string& id) const {
-  id = ParseEventId(event);
-  if (!this->resumed || this->last_id.empty()) return false;
-  const auto number = ParseNumber(id);
+bool EventSplitter::IsDuplicate(std::optional<std::uint64_t> number) const {
+  if (!this->resumed) return false;
   const auto last = ParseNumber(this->last_id);
   return number && last && *number <= *last;
 }
--- a/src/engine_response/event_splitter.h
+++ b/src/engine_response/event_splitter.h
@@ -45,9 +45,8 @@
   /// \param framing how the end of the response's body is marked.
   void OnResponse(BodyFraming framing);
   /// \brief Appends received bytes.
-  /// \returns all events that are complete now, concatenated; none once the
-  /// state
-  ///          is not `kOpen`.
+  /// \returns all events that are complete now, concatenated. There are none
+  ///          once the state is not `kOpen`.
   std::string Feed(std::string_view bytes);
   StreamState State() const { return this->state; }
   /// \returns the response that has begun behind the last event, as far as its
@@ -70,15 +69,14 @@
   std::uint64_t EventCount() const { return this->events; }
 
  private:
-  // Sets `id` to the id of `event`. Ids are compared as numbers; an event
-  // without a numeric id is never a duplicate.
-  bool IsDuplicate(std::string_view event, std::string& id) const;
+  // Returns true if an event with this id was returned before. An event without
+  // a numeric id is never a duplicate.
+  bool IsDuplicate(std::optional<std::uint64_t> number) const;
   // Returns what a whole event, or the beginning of one, shows.
   StreamState Judge(std::string_view event) const;
   StreamState JudgeUnfinished(std::string_view text) const;
-  // Returns false if the id of `event` is a number that is not above the one
-  // before.
-  bool IsInOrder(std::string_view event);
+  // Returns false if the id is a number that is not above the one before.
+  bool IsInOrder(std::optional<std::uint64_t> number);
 
   std::string pending;
   std::size_t searched = 0;  ///< Bytes of `pending` without an event's end.
--- a/tests/dispatch_answers_test.cc
+++ b/tests/dispatch_answers_test.cc
@@ -38,15 +38,6 @@
   return text.starts_with(start);
 }
 
-int Occurrences(const std::string& text, std::string_view part) {
-  int count = 0;
-  for (auto at = text.find(part); at != std::string::npos;
-       at = text.find(part, at + 1)) {
-    ++count;
-  }
-  return count;
-}
-
 struct Fleet : PlatformFleet {
   Fleet() : PlatformFleet(1) { this->PutConfiguration(3); }
   // Two engines of a service with the same script.
--- a/tests/second_answer_test.cc
+++ b/tests/second_answer_test.cc
@@ -57,15 +57,6 @@
   return events;
 }
 
-int Occurrences(const std::string& text, std::string_view part) {
-  int count = 0;
-  for (auto at = text.find(part); at != std::string::npos;
-       at = text.find(part, at + 1)) {
-    ++count;
-  }
-  return count;
-}
-
 struct Fleet : PlatformFleet {
   Fleet() : PlatformFleet(1) { this->PutConfiguration(3); }
 
--- a/tests/support/platform_fleet.cc
+++ b/tests/support/platform_fleet.cc
@@ -355,4 +355,13 @@
   return fmt::format("127.0.0.{}", 10 + router);
 }
 
+int Occurrences(const std::string& text, std::string_view part) {
+  int count = 0;
+  for (auto at = text.find(part); at != std::string::npos;
+       at = text.find(part, at + 1)) {
+    ++count;
+  }
+  return count;
+}
+
 }  // namespace dandelionscale::tests
--- a/tests/support/platform_fleet.h
+++ b/tests/support/platform_fleet.h
@@ -133,6 +133,9 @@
                               const std::string& more = "",
                               const std::string& body = "");
 
+/// \returns how often `part` occurs in `text`.
+int Occurrences(const std::string& text, std::string_view part);
+
 }  // namespace dandelionscale::tests
 
 #endif  // DANDELIONSCALE_TESTS_SUPPORT_PLATFORM_FLEET_H_
