--- a/src/dispatch/engine_exchange.cc
+++ b/src/dispatch/engine_exchange.cc
@@ -41,7 +41,10 @@
     const HttpRequest& request, const HttpHeaders& headers,
     std::string_view request_id, ReusePolicy policy) {
   auto acquired = co_await this->pool.Acquire(this->engine, policy);
-  if (acquired.has_error()) co_return AttemptFailure::kNotConnected;
+  if (acquired.has_error()) {
+    this->connection_error = acquired.error().detail;
+    co_return AttemptFailure::kNotConnected;
+  }
   this->connection = acquired.value();
   this->withheld = !this->MaySend();
   if (this->cancelled || this->withheld) {
@@ -71,7 +74,10 @@
   const std::size_t written =
       this->connection->socket.write_some(asio::buffer(*text), error);
   this->sent = written > 0;
-  if (error && error != asio::error::would_block) co_return false;
+  if (error && error != asio::error::would_block) {
+    this->connection_error = error.message();
+    co_return false;
+  }
   if (written == text->size()) co_return true;
   // The engine may respond before it has read the whole request, so the rest is
   // written concurrently with reading the response.
@@ -134,7 +140,7 @@
                                      this->connection->buffer, *this->parser,
                                      RedirectError(error));
     if (IsTooLong(error)) this->OnExcessiveBytes("head");
-    if (error) this->lost = true;
+    if (error) this->OnReadFailed(error);
     if (error || this->cancelled) co_return false;
     if (this->parser->get().result_int() >= kFirstFinalStatus) co_return true;
   }
@@ -142,6 +148,11 @@
   co_return false;
 }
 
+void EngineExchange::OnReadFailed(const error_code& error) {
+  this->lost = true;
+  this->connection_error = error.message();
+}
+
 void EngineExchange::LogResponseWithoutId(std::string_view request_id) const {
   Logger::Info("answer_without_id",
                {{"request", request_id},
@@ -193,7 +204,7 @@
     if (!fragment.empty()) co_return fragment;
     if (IsTooLong(error)) this->OnExcessiveBytes("chunk");
     if (error) {
-      this->lost = true;
+      this->OnReadFailed(error);
       co_return Fault{FaultKind::kConnectionLost, error.message()};
     }
   }
--- a/src/dispatch/engine_exchange.h
+++ b/src/dispatch/engine_exchange.h
@@ -67,6 +67,13 @@
   /// \returns true if the request was not sent, although the engine could be
   ///          reached: meanwhile it wants none, or the permit has expired.
   bool WasWithheld() const { return this->withheld; }
+  /// \returns what the system reported of the connection that could not be made
+  ///          or was lost; empty if neither happened.
+  const std::string& ConnectionError() const { return this->connection_error; }
+  /// \returns true if the connection had carried an earlier request.
+  bool IsKeptConnection() const {
+    return this->connection != nullptr && this->connection->requests_sent > 1;
+  }
   /// \returns true if the connection failed after the request was sent, and was
   ///          not closed by this router.
   bool WasLost() const { return this->lost && this->sent && !this->cancelled; }
@@ -86,6 +93,7 @@
   // Discards interim (1xx) responses. Returns false if the connection failed or
   // the exchange was cancelled.
   Awaitable<bool> ReadFinalHead(std::string_view method);
+  void OnReadFailed(const boost::system::error_code& error);
   void DecodeHead();
   void LogResponseWithoutId(std::string_view request_id) const;
   // Logs bytes that were received behind the end of a complete response.
@@ -112,6 +120,7 @@
   bool withheld = false;
   bool cancelled = false;
   bool lost = false;  ///< A read from the connection failed.
+  std::string connection_error;
   bool received_mismatched_response = false;
 };
 
--- a/src/dispatch/request_dispatch.cc
+++ b/src/dispatch/request_dispatch.cc
@@ -198,6 +198,9 @@
   --engine.in_flight;
   const bool connection_lost = this->exchange && this->exchange->WasLost();
   const bool withheld = this->exchange && this->exchange->WasWithheld();
+  const bool kept = this->exchange && this->exchange->IsKeptConnection();
+  const std::string connection_error =
+      this->exchange ? this->exchange->ConnectionError() : std::string();
   this->exchange.reset();
   this->state.Service(this->service).queue.OnCompleted(now);
   const bool ended_by_client_or_deadline =
@@ -224,6 +227,8 @@
        {"failure", ToString(*failure)},
        {"withheld", withheld},
        {"silent", this->interruption == Interruption::kStalled},
+       {"kept_connection", kept},
+       {"connection_error", connection_error},
        {"sends", static_cast<std::int64_t>(this->sends)},
        {"failure_rate", engine.health.FailureRate()},
        {"time_left_ms", ToMilliseconds(this->Deadline() - now)},
