Setting of the source address of connections to engines

engines.source_ip, for hosts with several addresses; the system chooses it if none is set, as before.

--- a/include/dandelionscale/dispatch/dispatch_router.h
+++ b/include/dandelionscale/dispatch/dispatch_router.h
@@ -2,6 +2,7 @@
 #define DANDELIONSCALE_DISPATCH_DISPATCH_ROUTER_H_
 
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "dandelionscale/core/fleet_retry_budget.h"
@@ -21,6 +22,9 @@
   Endpoint metrics_address;  ///< HTTP endpoint for Prometheus.
   Endpoint peer_address;     ///< UDP for state digests, TCP for snapshots.
   Endpoint store_address;
+  /// Source address of connections to engines, on a host with several; the
+  /// system chooses it if none is set.
+  std::optional<boost::asio::ip::address> engine_source;
   /// Time from the start of the shutdown to its end.
   Duration shutdown_grace = std::chrono::seconds(8);
   RetryBudgetLimits retry_budget;
--- a/src/dispatch/engine_connection_pool.cc
+++ b/src/dispatch/engine_connection_pool.cc
@@ -44,6 +44,10 @@
   const TimePoint started_at = RuntimeClock::now();
   guard.Set(started_at + kConnectTimeout);
   error_code error;
+  if (const auto& source = this->state.options.engine_source) {
+    connection->socket.open(endpoint->protocol(), error);
+    connection->socket.bind(Endpoint(*source, 0), error);
+  }
   co_await connection->socket.async_connect(endpoint.value(),
                                             RedirectError(error));
   if (!error && !connection->socket.is_open()) {
