--- a/emulator/scripted_engine.cc
+++ b/emulator/scripted_engine.cc
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -9,6 +10,9 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
+#include <set>
+
+#include "source_filter.h"
 
 namespace dandelionscale::emulator {
 
@@ -26,6 +30,12 @@
     "HTTP/1.1 200 OK\r\nContent-Length: 45\r\n\r\n"
     R"({"epoch":1,"next":0,"lost":false,"events":[]})";
 
+void ResetSocket(asio::ip::tcp::socket& socket) {
+  error_code ignored;
+  socket.set_option(asio::socket_base::linger(true, 0), ignored);
+  socket.close(ignored);
+}
+
 }  // namespace
 
 std::string MakeResponse(const HttpRequest& request, unsigned status,
@@ -55,7 +65,11 @@
       : executor(executor), acceptor(executor), maker(std::move(maker)) {}
 
   Awaitable<void> Accept();
-  Awaitable<void> Serve(asio::ip::tcp::socket socket);
+  Awaitable<void> Serve(std::shared_ptr<asio::ip::tcp::socket> shared);
+  void CutOff(std::vector<asio::ip::address_v4> sources, CutKind kind);
+  bool IsCutOff(const asio::ip::tcp::socket& socket) const;
+  void FilterSegments(int socket) const;
+  Awaitable<void> WaitWhileSilenced(const asio::ip::tcp::socket& socket) const;
   Awaitable<void> SendUntilClosed(asio::ip::tcp::socket& socket,
                                   SendEndlessly step);
   Awaitable<bool> RunScript(asio::ip::tcp::socket& socket, Script script);
@@ -67,22 +81,80 @@
   std::uint64_t connections = 0;
   int abandoned = 0;
   std::uint64_t endless_bytes = 0;
+  std::set<std::shared_ptr<asio::ip::tcp::socket>> open_connections;
+  std::vector<asio::ip::address_v4> cut_sources;
+  CutKind cut_kind = CutKind::kHang;
 };
 
+bool ScriptedEngine::State::IsCutOff(
+    const asio::ip::tcp::socket& socket) const {
+  error_code error;
+  const auto peer = socket.remote_endpoint(error);
+  if (error || !peer.address().is_v4()) return false;
+  return std::find(this->cut_sources.begin(), this->cut_sources.end(),
+                   peer.address().to_v4()) != this->cut_sources.end();
+}
+
+void ScriptedEngine::State::FilterSegments(int socket) const {
+  const bool drops =
+      this->cut_kind == CutKind::kHang || this->cut_kind == CutKind::kOneWay;
+  DropFrom(socket,
+           drops ? this->cut_sources : std::vector<asio::ip::address_v4>());
+}
+
+void ScriptedEngine::State::CutOff(std::vector<asio::ip::address_v4> sources,
+                                   CutKind kind) {
+  this->cut_sources = std::move(sources);
+  this->cut_kind = kind;
+  this->FilterSegments(this->acceptor.native_handle());
+  const auto connections = this->open_connections;
+  for (const auto& socket : connections) {
+    if (!socket->is_open()) continue;
+    this->FilterSegments(socket->native_handle());
+    if (kind == CutKind::kReset && this->IsCutOff(*socket)) {
+      ResetSocket(*socket);
+    }
+  }
+}
+
+Awaitable<void> ScriptedEngine::State::WaitWhileSilenced(
+    const asio::ip::tcp::socket& socket) const {
+  constexpr Duration kPollInterval = std::chrono::milliseconds(20);
+  while (this->cut_kind == CutKind::kHang && this->IsCutOff(socket)) {
+    const Duration interval = kPollInterval;
+    co_await SleepFor(interval);
+  }
+}
+
 Awaitable<void> ScriptedEngine::State::Accept() {
   auto self = this->shared_from_this();
   while (this->acceptor.is_open()) {
     error_code error;
     auto socket = co_await this->acceptor.async_accept(RedirectError(error));
     if (error) co_return;
+    const bool refuses = this->cut_kind == CutKind::kReset ||
+                         this->cut_kind == CutKind::kNewReset;
+    if (refuses && this->IsCutOff(socket)) {
+      ResetSocket(socket);
+      continue;
+    }
     ++this->connections;
-    asio::co_spawn(this->executor, this->Serve(std::move(socket)),
-                   asio::detached);
+    auto shared = std::make_shared<asio::ip::tcp::socket>(std::move(socket));
+    asio::co_spawn(this->executor, this->Serve(shared), asio::detached);
   }
 }
 
-Awaitable<void> ScriptedEngine::State::Serve(asio::ip::tcp::socket socket) {
+Awaitable<void> ScriptedEngine::State::Serve(
+    std::shared_ptr<asio::ip::tcp::socket> shared) {
   auto self = this->shared_from_this();
+  this->open_connections.insert(shared);
+  const auto remove = [this](asio::ip::tcp::socket* socket) {
+    std::erase_if(this->open_connections,
+                  [socket](const auto& open) { return open.get() == socket; });
+  };
+  asio::ip::tcp::socket& socket = *shared;
+  const std::unique_ptr<asio::ip::tcp::socket, decltype(remove)> registration(
+      shared.get(), remove);
   boost::beast::flat_buffer buffer;
   while (true) {
     http::request_parser<http::string_body> parser;
@@ -104,6 +176,7 @@
       // paths. Each poll ends without events.
       const Duration wait = std::chrono::milliseconds(300);
       co_await SleepFor(wait);
+      co_await this->WaitWhileSilenced(socket);
       co_await asio::async_write(socket, asio::buffer(kEmptyCacheEvents),
                                  RedirectError(error));
       continue;
@@ -129,6 +202,7 @@
                                                  Script script) {
   for (const ScriptStep& step : script) {
     error_code error;
+    co_await this->WaitWhileSilenced(socket);
     if (const auto* send = std::get_if<SendBytes>(&step)) {
       co_await asio::async_write(socket, asio::buffer(send->bytes),
                                  RedirectError(error));
@@ -143,8 +217,7 @@
       const Duration duration = pause->duration;
       co_await SleepFor(duration);
     } else if (std::holds_alternative<ResetConnection>(step)) {
-      socket.set_option(asio::socket_base::linger(true, 0), error);
-      socket.close(error);
+      ResetSocket(socket);
       co_return false;
     } else {
       socket.shutdown(asio::socket_base::shutdown_both, error);
@@ -193,6 +266,11 @@
   return this->state->connections;
 }
 
+void ScriptedEngine::CutOff(std::vector<asio::ip::address_v4> sources,
+                            CutKind kind) {
+  this->state->CutOff(std::move(sources), kind);
+}
+
 void ScriptedEngine::SetScript(ScriptMaker maker) {
   this->state->maker = std::move(maker);
 }
--- a/emulator/scripted_engine.h
+++ b/emulator/scripted_engine.h
@@ -1,6 +1,7 @@
 #ifndef DANDELIONSCALE_EMULATOR_SCRIPTED_ENGINE_H_
 #define DANDELIONSCALE_EMULATOR_SCRIPTED_ENGINE_H_
 
+#include <boost/asio/ip/address_v4.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <functional>
 #include <memory>
@@ -53,6 +54,15 @@
 /// \brief Last chunk of a stream.
 inline constexpr std::string_view kStreamEnd = "0\r\n\r\n";
 
+/// \brief What becomes of the connections from hosts that an engine is cut off
+///        from.
+enum class CutKind {
+  kHang,     ///< Nothing passes in either direction.
+  kOneWay,   ///< What these hosts send is lost; what they receive is not.
+  kReset,    ///< Open connections are reset, and new ones too.
+  kNewReset  ///< Only new connections are reset; open ones live on.
+};
+
 /// \brief Emulates an engine of the users' platform (that of
 ///        `dandelion-platform-router`) that sends scripted bytes.
 ///
@@ -79,6 +89,10 @@
   /// \brief Replaces the script of all later requests.
   void SetScript(ScriptMaker maker);
 
+  /// \brief Cuts the engine off from hosts, until the next call; from none if
+  ///        `sources` is empty.
+  void CutOff(std::vector<boost::asio::ip::address_v4> sources, CutKind kind);
+
   struct State;
 
  private:
--- a/tests/support/platform_fleet.cc
+++ b/tests/support/platform_fleet.cc
@@ -31,6 +31,8 @@
 constexpr int kFrontPort = 18227;
 constexpr int kReadyPort = 18220;
 constexpr int kPeerPort = 18340;
+// Ports from `kPeerPort` on that routers use among themselves.
+constexpr int kPeerPorts = 8;
 constexpr int kMetricsPort = 9464;
 
 // Far longer than any step takes; reached only if a process hangs.
@@ -207,12 +209,13 @@
   const std::string settings = this->SettingsPath(router);
   std::ofstream(settings) << fmt::format(
       "node_name=router-{0}\nzone=north\nip={1}\nlisten.front={1}:{2}\n"
-      "listen.ready={1}:{3}\nport_range={4},{4}\n"
+      "listen.ready={1}:{3}\nport_range={4},{6}\n"
+      "engines.source_ip={1}\n"
       "platform.address=127.0.0.1:{5}\nbounds.grace_s=8\n"
       "bounds.retry_budget_ratio=0.2\nbounds.budget_extra=800\n"
       "limits.max_fds=1000\nlimits.memory_mb=260\n",
       router, this->Ip(router), kFrontPort, kReadyPort, kPeerPort,
-      this->store_port);
+      this->store_port, kPeerPort + kPeerPorts - 1);
   const std::string variable = "DANDELIONSCALE_CONFIG=" + settings;
   std::vector<char*> environment;
   for (char** entry = environ; *entry != nullptr; ++entry) {
@@ -351,6 +354,19 @@
   return {asio::ip::make_address(this->Ip(router)), kFrontPort};
 }
 
+void PlatformFleet::CutOff(const std::vector<int>& routers,
+                           emulator::CutKind kind) {
+  std::vector<asio::ip::address_v4> sources;
+  for (int router : routers) {
+    sources.push_back(asio::ip::make_address_v4(this->Ip(router)));
+  }
+  this->RunOnLoop([&] {
+    for (const auto& entry : this->engines) {
+      entry.engine->CutOff(sources, kind);
+    }
+  });
+}
+
 std::string PlatformFleet::Ip(int router) const {
   return fmt::format("127.0.0.{}", 10 + router);
 }
--- a/tests/support/platform_fleet.h
+++ b/tests/support/platform_fleet.h
@@ -58,6 +58,9 @@
   /// `plain` into the store.
   /// \param routes JSON of the routes; empty for routes to both services.
   void PutConfiguration(std::uint64_t version, const std::string& routes = "");
+  /// \brief Cuts routers off from all engines, until the next call; none if
+  ///        `routers` is empty.
+  void CutOff(const std::vector<int>& routers, emulator::CutKind kind);
   void SetStoreMode(emulator::StoreMode mode);
 
   void StartRouter(int router);
