Tunnels to engines over other routers, for routers that reach none

The class: a fault of the observer taken for faults of all it observes.

Now failed, slow or reset connections and silence lead to a check of two engines of each service; a service of which none is reached is cut off, and its requests go through a tunnel that a peer opens to the engine and copies. All decisions stay with the router that took the request. Ruled out: another choice of engine (all fail), closing the listener (a refused connection counts as failed), handing requests over (by reading, not by a run; see docs/design/tunnels.md).

--- a/include/dandelionscale/core/engine_health.h
+++ b/include/dandelionscale/core/engine_health.h
@@ -24,6 +24,8 @@
   ///        another engine answers at its address.
   ///        Calls during the resulting backoff have no effect.
   void OnUnreachable(TimePoint now);
+  /// \brief Forgets that the engine could not be reached: it was not to blame.
+  void ForgetUnreachable();
 
   /// \returns the weighted share of recent requests that failed, 0 to 1.
   double FailureRate() const { return this->failure_rate; }
--- a/include/dandelionscale/dispatch/dispatch_router.h
+++ b/include/dandelionscale/dispatch/dispatch_router.h
@@ -21,6 +21,8 @@
   Endpoint ready_address;    ///< HTTP readiness endpoint.
   Endpoint metrics_address;  ///< HTTP endpoint for Prometheus.
   Endpoint peer_address;     ///< UDP for state digests, TCP for snapshots.
+  /// TCP for tunnels of peers to engines; none are carried if the port is 0.
+  Endpoint tunnel_address;
   Endpoint store_address;
   /// Source address of connections to engines, on a host with several; the
   /// system chooses it if none is set.
--- a/include/dandelionscale/runtime/fault.h
+++ b/include/dandelionscale/runtime/fault.h
@@ -23,6 +23,7 @@
   kHeadTooLarge,      ///< The header section exceeds its limit.
   kMessageTooLarge,   ///< A message or body exceeds its limit.
   kUnexpectedStatus,  ///< A status other than those the caller expects.
+  kNoPath,            ///< No way to the target; says nothing of the target.
   kCancelled,         ///< The local side cancelled the operation.
 };
 
--- a/src/core/engine_health.cc
+++ b/src/core/engine_health.cc
@@ -60,6 +60,11 @@
   this->unreachable_until = now + backoff;
 }
 
+void EngineHealth::ForgetUnreachable() {
+  this->consecutive_unreachable = 0;
+  this->unreachable_until = {};
+}
+
 bool EngineHealth::IsEjected(TimePoint now, double service_failure_rate) const {
   if (now < this->unreachable_until) return true;
   if (this->samples < kMinSamples) return false;
--- a/src/dispatch/client_connection.cc
+++ b/src/dispatch/client_connection.cc
@@ -49,9 +49,9 @@
 }  // namespace
 
 ClientConnection::ClientConnection(DispatchState& state,
-                                   EngineConnectionPool& pool,
+                                   EngineConnector& connector,
                                    asio::ip::tcp::socket socket)
-    : state(state), pool(pool), socket(std::move(socket)) {
+    : state(state), connector(connector), socket(std::move(socket)) {
   SetTcpSocketOptions(this->socket);
 }
 
@@ -70,7 +70,7 @@
     this->timeout_guard->Clear();
     this->is_head_request = request.method == "HEAD";
     auto dispatch = std::make_shared<RequestDispatch>(
-        this->state, this->pool, *this, std::move(request));
+        this->state, this->connector, *this, std::move(request));
     co_await dispatch->Run();
     this->disconnect_callback.reset();
     this->state.reserved_body_bytes -= this->reserved_bytes;
--- a/src/dispatch/client_connection.h
+++ b/src/dispatch/client_connection.h
@@ -11,14 +11,15 @@
 
 #include "dandelionscale/transport/http_types.h"
 #include "dispatch/dispatch_state.h"
-#include "dispatch/engine_connection_pool.h"
 
 namespace dandelionscale::internal {
 
+class EngineConnector;
+
 /// \brief Serves the requests of one connection in sequence.
 class ClientConnection : public std::enable_shared_from_this<ClientConnection> {
  public:
-  ClientConnection(DispatchState& state, EngineConnectionPool& pool,
+  ClientConnection(DispatchState& state, EngineConnector& connector,
                    boost::asio::ip::tcp::socket socket);
 
   /// \brief Runs until the connection ends.
@@ -59,7 +60,7 @@
   bool MayKeepAlive() const;
 
   DispatchState& state;
-  EngineConnectionPool& pool;
+  EngineConnector& connector;
   boost::asio::ip::tcp::socket socket;
   boost::beast::flat_buffer buffer;
   std::unique_ptr<Watchdog::Guard> timeout_guard;
--- a/src/dispatch/dispatch_router.cc
+++ b/src/dispatch/dispatch_router.cc
@@ -10,11 +10,11 @@
 #include "dispatch/cache_observer.h"
 #include "dispatch/client_connection.h"
 #include "dispatch/dispatch_state.h"
-#include "dispatch/engine_connection_pool.h"
 #include "dispatch/peer_exchange.h"
 #include "dispatch/permit_exchange.h"
 #include "dispatch/store_watcher.h"
 #include "transport/socket_helpers.h"
+#include "tunnel/engine_connector.h"
 
 namespace dandelionscale {
 
@@ -50,7 +50,7 @@
        std::shared_ptr<const ProtocolCodec> codec,
        std::shared_ptr<TableStore> store)
       : state(executor, std::move(options), std::move(codec)),
-        pool(this->state),
+        connector(this->state),
         watcher(this->state, std::move(store)),
         peers(this->state),
         observer(this->state),
@@ -76,7 +76,7 @@
   void RunHousekeeping(TimePoint now);
 
   internal::DispatchState state;
-  internal::EngineConnectionPool pool;
+  internal::EngineConnector connector;
   internal::StoreWatcher watcher;
   internal::PeerExchange peers;
   internal::CacheObserver observer;
@@ -99,6 +99,8 @@
   if (metrics.has_error()) return metrics.error();
   auto peer_exchange = this->peers.Start();
   if (peer_exchange.has_error()) return peer_exchange.error();
+  auto tunnels = this->connector.Start(this->shared_from_this());
+  if (tunnels.has_error()) return tunnels.error();
   this->watcher.Start();
   this->observer.Start();
   asio::co_spawn(this->state.executor, this->Accept(), asio::detached);
@@ -139,13 +141,15 @@
   const std::size_t max_clients = descriptors > 2 * kReservedDescriptors
                                       ? descriptors - kReservedDescriptors
                                       : descriptors / 2;
-  if (this->clients.size() >= max_clients) {
+  const std::size_t tunnel_descriptors =
+      internal::kDescriptorsPerTunnel * this->connector.CarriedTunnels();
+  if (this->clients.size() + tunnel_descriptors >= max_clients) {
     Logger::Warning(
         "connection_refused",
         {{"connections", static_cast<std::int64_t>(this->clients.size())}});
     return;
   }
-  auto client = std::make_shared<ClientConnection>(this->state, this->pool,
+  auto client = std::make_shared<ClientConnection>(this->state, this->connector,
                                                    std::move(socket));
   asio::co_spawn(this->state.executor, this->ServeClient(client),
                  asio::detached);
@@ -167,6 +171,7 @@
     const TimePoint now = RuntimeClock::now();
     this->state.OnLoopCheck(now);
     this->state.watchdog.Sweep(now);
+    this->connector.Poll(now);
     this->state.OnEngineChanges(this->state.engines.Expire(now), "expiry");
     if (now - this->last_housekeeping_at < kHousekeepingInterval) continue;
     this->last_housekeeping_at = now;
@@ -175,7 +180,7 @@
 }
 
 void DispatchRouter::Impl::RunHousekeeping(TimePoint now) {
-  this->pool.Purge(now);
+  this->connector.Purge(now);
   this->state.permits->Expire(now);
   this->state.OnOwnQuarantineChanges(
       this->state.quarantine.Evaluate(now, this->state.peers.size()),
@@ -197,6 +202,11 @@
   this->state.metrics.Set(
       "watches_store",
       WatchesStore(this->state.watcher_election.Role()) ? 1 : 0);
+  this->state.metrics.Set(
+      "tunnels_carried", static_cast<double>(this->connector.CarriedTunnels()));
+  this->state.metrics.Set(
+      "services_cut_off",
+      static_cast<double>(this->state.reachability.CutOffServices().size()));
   this->state.metrics.Set("store_lost",
                           this->state.unreachable_tables.empty() ? 0 : 1);
 }
@@ -235,7 +245,7 @@
     const std::vector<std::shared_ptr<ClientConnection>> open_clients(
         this->clients.begin(), this->clients.end());
     for (const auto& client : open_clients) client->CloseIfIdle();
-    if (this->clients.empty()) break;
+    if (this->clients.empty() && this->connector.CarriedTunnels() == 0) break;
   }
   const Duration linger = kFinalDelay;
   co_await SleepFor(linger);
--- a/src/dispatch/dispatch_state.cc
+++ b/src/dispatch/dispatch_state.cc
@@ -11,6 +11,7 @@
 #include "dispatch/origin_exchange.h"
 #include "dispatch/permit_exchange.h"
 #include "dispatch/request_dispatch.h"
+#include "tunnel/tunnel_peers.h"
 
 namespace dandelionscale::internal {
 namespace {
@@ -50,6 +51,7 @@
       prefixes(kMaxPrefixEntries),
       software_versions(this->started_at),
       versions_changed(executor),
+      tunnel_peers(std::make_shared<TunnelPeers>()),
       response_memory(this->options.memory_bytes / kResponseMemoryDivisor),
       random(HashText(this->options.name) ^
              static_cast<std::uint64_t>(
@@ -250,6 +252,13 @@
   }
 }
 
+void DispatchState::OnCarriedPause(const Engine& engine,
+                                   const std::string& peer, Duration pause) {
+  this->carried_pauses.push_back(
+      {engine.key, peer, RuntimeClock::now() + pause});
+  this->state_changed.NotifyAll();
+}
+
 void DispatchState::OnRateLimitAnswer(Engine& engine,
                                       const EngineResponse& response,
                                       TimePoint sent_at) {
--- a/src/dispatch/dispatch_state.h
+++ b/src/dispatch/dispatch_state.h
@@ -15,6 +15,7 @@
 
 #include "dandelionscale/core/admission_queue.h"
 #include "dandelionscale/core/engine_directory.h"
+#include "dandelionscale/core/engine_reachability.h"
 #include "dandelionscale/core/fleet_retry_budget.h"
 #include "dandelionscale/core/memory_budget.h"
 #include "dandelionscale/core/peer_load.h"
@@ -37,6 +38,15 @@
 class OriginExchange;
 class PermitExchange;
 class RequestDispatch;
+class TunnelPeers;
+
+/// \brief A pause that an engine has asked for on a tunnel. It binds the router
+///        that carried the tunnel.
+struct CarriedPause {
+  std::uint64_t engine_key = 0;
+  std::string peer;  ///< Address of that router, IP:PORT.
+  TimePoint until{};
+};
 
 /// \brief Queue and retry budget of one service.
 struct ServiceState {
@@ -90,6 +100,10 @@
   /// \returns for how long a request that is read at `now` may have waited
   ///          because the process did not run; zero in normal operation.
   Duration LoopStall(TimePoint now) const;
+  /// \returns true if the process did not run for some time since `since`.
+  bool HasPausedSince(TimePoint since) const {
+    return this->last_stall_end >= since;
+  }
   /// \returns true if peers may have counted this router as lost shortly before
   ///          `now` and not yet know that it runs.
   bool HasJustResumed(TimePoint now) const;
@@ -101,6 +115,10 @@
   /// \brief Applies what an engine states about itself in a response head: that
   ///        it is shutting down, or that it wants no requests for some time.
   void OnEngineResponse(Engine& engine, const EngineResponse& response);
+  /// \brief Keeps a pause that was asked for on a tunnel for the router that
+  ///        carried it.
+  void OnCarriedPause(const Engine& engine, const std::string& peer,
+                      Duration pause);
   /// \brief Applies what the response to a request says of the engine's rate
   ///        limit.
   /// \param sent_at when the request was sent.
@@ -141,6 +159,8 @@
   bool IsReady() const;
   /// \returns a uniform random number in [0, 1).
   double Random();
+  /// \returns a uniform random number of 64 bits.
+  std::uint64_t RandomBits() { return this->random(); }
 
   boost::asio::any_io_executor executor;
   TimePoint started_at;  ///< When this router was created.
@@ -177,6 +197,11 @@
   /// Reports them to peers and asks these; never null.
   std::unique_ptr<OriginExchange> origins;
   RateLimitNews rate_limit_news;  ///< Limits to report in digests.
+  /// Which engines this router reaches by connections of its own.
+  EngineReachability reachability;
+  /// Peers that may carry connections to the others; never null.
+  std::shared_ptr<TunnelPeers> tunnel_peers;
+  std::vector<CarriedPause> carried_pauses;  ///< To report in digests.
   /// Permits for engines that limit their rate; never null.
   std::unique_ptr<PermitExchange> permits;
   std::set<std::string> peers;  ///< Addresses of other routers, IP:PORT.
--- a/src/dispatch/engine_connection_pool.cc
+++ b/src/dispatch/engine_connection_pool.cc
@@ -15,7 +15,9 @@
 
 namespace {
 
-constexpr Duration kConnectTimeout = std::chrono::milliseconds(500);
+// A connection attempt that takes longer is a reason to check whether engines
+// can be reached at all.
+constexpr Duration kSlowConnectTime = std::chrono::milliseconds(200);
 // Idle connections per engine.
 constexpr std::size_t kMaxIdleConnections = 16;
 // Engines that state no keep-alive timeout are assumed to keep idle connections
@@ -31,30 +33,37 @@
 }  // namespace
 
 Awaitable<Result<std::shared_ptr<EngineConnection>>>
-EngineConnectionPool::Acquire(std::shared_ptr<Engine> engine,
-                              ReusePolicy policy) {
-  if (auto reused = this->TakeIdle(*engine, policy)) co_return reused;
+EngineConnectionPool::Connect(std::shared_ptr<Engine> engine,
+                              Duration timeout) {
   auto endpoint = ParseEndpoint(engine->record.address);
   if (endpoint.has_error()) co_return endpoint.error();
   auto connection = std::make_shared<EngineConnection>(this->state.executor);
+  const TimePoint started_at = RuntimeClock::now();
+  const TimePoint deadline = started_at + timeout;
+  Watchdog::Guard slow_guard(
+      this->state.watchdog, [this] { this->state.reachability.OnSuspicion(); });
   Watchdog::Guard guard(this->state.watchdog, [connection] {
     error_code ignored;
     connection->socket.close(ignored);
   });
-  const TimePoint started_at = RuntimeClock::now();
-  guard.Set(started_at + kConnectTimeout);
+  slow_guard.Set(started_at + kSlowConnectTime);
+  guard.Set(deadline);
   error_code error;
   if (const auto& source = this->state.options.engine_source) {
     connection->socket.open(endpoint->protocol(), error);
     connection->socket.bind(Endpoint(*source, 0), error);
   }
+  const auto entry = this->connecting.emplace(engine->key, connection.get());
   co_await connection->socket.async_connect(endpoint.value(),
                                             RedirectError(error));
+  this->connecting.erase(entry);
   if (!error && !connection->socket.is_open()) {
     error = asio::error::operation_aborted;
   }
   if (error) {
-    co_return Fault{FaultKind::kConnectFailed, error.message()};
+    const bool timed_out = RuntimeClock::now() >= deadline;
+    co_return Fault{timed_out ? FaultKind::kTimeout : FaultKind::kConnectFailed,
+                    error.message()};
   }
   SetTcpSocketOptions(connection->socket);
   this->state.metrics.Add("engine_connections_opened_total");
@@ -63,6 +72,14 @@
   co_return connection;
 }
 
+void EngineConnectionPool::AbortConnects(const Engine& engine) {
+  const auto [first, last] = this->connecting.equal_range(engine.key);
+  for (auto entry = first; entry != last; ++entry) {
+    error_code ignored;
+    entry->second->socket.close(ignored);
+  }
+}
+
 void EngineConnectionPool::Return(const Engine& engine,
                                   std::shared_ptr<EngineConnection> connection,
                                   Duration keep_alive_timeout) {
--- a/src/dispatch/engine_connection_pool.h
+++ b/src/dispatch/engine_connection_pool.h
@@ -6,6 +6,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <unordered_map>
 #include <vector>
@@ -13,6 +14,7 @@
 #include "dandelionscale/core/engine_directory.h"
 #include "dandelionscale/runtime/fault.h"
 #include "dispatch/dispatch_state.h"
+#include "tunnel/tunnel_lease.h"
 
 namespace dandelionscale::internal {
 
@@ -27,6 +29,8 @@
   boost::asio::ip::tcp::socket socket;
   boost::beast::flat_buffer buffer;
   std::uint32_t requests_sent = 0;
+  /// The tunnel that the connection is, if it is one.
+  std::unique_ptr<TunnelLease> tunnel;
   TimePoint idle_since{};
   Duration idle_lifetime{};  ///< Time in the pool after which it expires.
 };
@@ -39,15 +43,24 @@
   kRecentlyIdle,
 };
 
-/// \brief Holds idle connections for reuse and opens new ones.
+/// \brief Holds idle connections for reuse and opens new ones, all of them
+///        direct.
 class EngineConnectionPool {
  public:
   explicit EngineConnectionPool(DispatchState& state) : state(state) {}
 
-  /// \brief Takes an idle connection or opens a new one.
-  /// \returns the connection; fault: `kConnectFailed`.
-  Awaitable<Result<std::shared_ptr<EngineConnection>>> Acquire(
-      std::shared_ptr<Engine> engine, ReusePolicy policy);
+  /// \brief Takes an idle connection and closes unusable ones.
+  /// \returns null if no usable one is left.
+  std::shared_ptr<EngineConnection> TakeIdle(const Engine& engine,
+                                             ReusePolicy policy);
+  /// \brief Opens a new connection.
+  /// \returns the connection; faults: `kTimeout`, `kConnectFailed`.
+  Awaitable<Result<std::shared_ptr<EngineConnection>>> Connect(
+      std::shared_ptr<Engine> engine, Duration timeout);
+  /// \brief Lets all calls of `Connect()` to the engine fail at once.
+  void AbortConnects(const Engine& engine);
+  /// \brief Closes the idle connections to the engine.
+  void CloseIdle(const Engine& engine) { this->idle.erase(engine.key); }
   /// \brief Returns a connection to the pool after a complete response.
   /// \param keep_alive_timeout idle timeout that the engine stated; zero if it
   ///        stated none.
@@ -59,11 +72,9 @@
   void Purge(TimePoint now);
 
  private:
-  // Closes unusable connections; returns null if no usable one is left.
-  std::shared_ptr<EngineConnection> TakeIdle(const Engine& engine,
-                                             ReusePolicy policy);
-
   DispatchState& state;
+  /// Connections that are being opened, by engine key.
+  std::multimap<std::uint64_t, EngineConnection*> connecting;
   std::unordered_map<std::uint64_t,
                      std::vector<std::shared_ptr<EngineConnection>>>
       idle;  ///< By engine key, longest idle first.
--- a/src/dispatch/engine_exchange.cc
+++ b/src/dispatch/engine_exchange.cc
@@ -12,6 +12,7 @@
 #include "engine_response/connection_reuse.h"
 #include "engine_response/response_match.h"
 #include "transport/socket_helpers.h"
+#include "tunnel/engine_connector.h"
 
 namespace dandelionscale::internal {
 
@@ -37,21 +38,28 @@
 
 }  // namespace
 
-Awaitable<std::optional<AttemptFailure>> EngineExchange::Open(
-    const HttpRequest& request, const HttpHeaders& headers,
+Awaitable<std::optional<AttemptFailure>> EngineExchange::Connect(
     std::string_view request_id, ReusePolicy policy) {
-  auto acquired = co_await this->pool.Acquire(this->engine, policy);
+  const std::string id(request_id);
+  auto acquired = co_await this->connector.Acquire(this->engine, policy, id);
   if (acquired.has_error()) {
     this->connection_error = acquired.error().detail;
+    this->path_lost = acquired.error().kind == FaultKind::kNoPath;
     co_return AttemptFailure::kNotConnected;
   }
   this->connection = acquired.value();
+  co_return std::nullopt;
+}
+
+Awaitable<std::optional<AttemptFailure>> EngineExchange::Open(
+    const HttpRequest& request, const HttpHeaders& headers,
+    std::string_view request_id) {
   this->withheld = !this->MaySend();
   if (this->cancelled || this->withheld) {
     co_return AttemptFailure::kNotConnected;
   }
-  if (!co_await this->Send(request, headers))
-    co_return this->FailureOnLostConnection();
+  const bool was_sent = co_await this->Send(request, headers);
+  if (!was_sent) co_return this->FailureOnLostConnection();
   co_return co_await this->ReadMatchingHead(request.method, request_id);
 }
 
@@ -74,6 +82,10 @@
   const std::size_t written =
       this->connection->socket.write_some(asio::buffer(*text), error);
   this->sent = written > 0;
+  if (!this->connection->tunnel) {
+    this->state.reachability.OnSent(this->sent_at,
+                                    this->engine->record.service);
+  }
   if (error && error != asio::error::would_block) {
     this->connection_error = error.message();
     co_return false;
@@ -102,9 +114,7 @@
     if (echoed.empty()) this->LogResponseWithoutId(request_id);
     switch (MatchResponse(this->response, request_id, this->IsOnlyRequest())) {
       case ResponseMatch::kOwn:
-        this->state.OnEngineResponse(*this->engine, this->response);
-        this->state.OnRateLimitAnswer(*this->engine, this->response,
-                                      this->sent_at);
+        this->ApplyStatements();
         co_return std::nullopt;
       case ResponseMatch::kInvalid:
         co_return AttemptFailure::kBadAnswer;
@@ -141,6 +151,7 @@
                                      RedirectError(error));
     if (IsTooLong(error)) this->OnExcessiveBytes("head");
     if (error) this->OnReadFailed(error);
+    if (!error) this->OnBytesReceived();
     if (error || this->cancelled) co_return false;
     if (this->parser->get().result_int() >= kFirstFinalStatus) co_return true;
   }
@@ -201,16 +212,47 @@
     if (error == http::error::need_buffer) error = {};
     fragment.resize(fragment.size() - body.size);
     // Bytes received before the connection failed are still returned.
-    if (!fragment.empty()) co_return fragment;
+    if (!fragment.empty()) {
+      this->OnBytesReceived();
+      co_return fragment;
+    }
     if (IsTooLong(error)) this->OnExcessiveBytes("chunk");
     if (error) {
       this->OnReadFailed(error);
       co_return Fault{FaultKind::kConnectionLost, error.message()};
     }
   }
+  if (this->Framing() == BodyFraming::kUntilClose) {
+    const bool in_order =
+        co_await this->connector.EndedInOrder(this->connection);
+    if (!in_order) {
+      this->lost = true;
+      co_return Fault{FaultKind::kConnectionLost, "tunnel lost"};
+    }
+  }
   co_return std::string();
 }
 
+void EngineExchange::OnBytesReceived() {
+  if (this->connection->tunnel) return;
+  this->state.reachability.OnReceived(this->engine->record.service);
+}
+
+void EngineExchange::ApplyStatements() {
+  this->state.OnEngineResponse(*this->engine, this->response);
+  this->state.OnRateLimitAnswer(*this->engine, this->response, this->sent_at);
+  if (!this->connection->tunnel || !this->response.requested_pause) return;
+  this->state.OnCarriedPause(*this->engine,
+                             this->connection->tunnel->Label().peer,
+                             *this->response.requested_pause);
+}
+
+Awaitable<void> EngineExchange::FindCause() {
+  if (!this->WasLost()) co_return;
+  this->path_lost = co_await this->connector.WasLostOnTheWay(
+      this->connection, this->engine->record.service);
+}
+
 void EngineExchange::Cancel() {
   this->cancelled = true;
   if (this->connection == nullptr) return;
@@ -233,9 +275,10 @@
   end.unread_bytes = this->connection->buffer.size();
   end.is_open = this->connection->socket.is_open();
   end.engine_draining = this->engine->draining;
+  end.is_tunnel = this->connection->tunnel != nullptr;
   if (MayReuseConnection(end)) {
-    this->pool.Return(*this->engine, std::move(this->connection),
-                      this->keep_alive_timeout);
+    this->connector.Return(*this->engine, std::move(this->connection),
+                           this->keep_alive_timeout);
     return;
   }
   this->LogUnreadBytes();
--- a/src/dispatch/engine_exchange.h
+++ b/src/dispatch/engine_exchange.h
@@ -17,6 +17,8 @@
 
 namespace dandelionscale::internal {
 
+class EngineConnector;
+
 /// \brief Sends a request on one connection and reads the response.
 ///
 /// A late response to an earlier request on a reused connection is recognized
@@ -24,23 +26,26 @@
 /// after a complete response without further bytes behind it.
 class EngineExchange {
  public:
-  EngineExchange(DispatchState& state, EngineConnectionPool& pool,
+  EngineExchange(DispatchState& state, EngineConnector& connector,
                  std::shared_ptr<Engine> engine,
                  std::optional<TimePoint> permitted_at)
       : state(state),
-        pool(pool),
+        connector(connector),
         engine(std::move(engine)),
         permitted_at(permitted_at) {}
   ~EngineExchange() { this->Release(); }
   EngineExchange(const EngineExchange&) = delete;
   EngineExchange& operator=(const EngineExchange&) = delete;
 
+  /// \brief Takes or opens a connection.
+  /// \returns nothing on success, else the failure.
+  Awaitable<std::optional<AttemptFailure>> Connect(std::string_view request_id,
+                                                   ReusePolicy policy);
   /// \brief Sends the request and waits for the head of the response.
   /// \returns nothing on success, else the failure.
   Awaitable<std::optional<AttemptFailure>> Open(const HttpRequest& request,
                                                 const HttpHeaders& headers,
-                                                std::string_view request_id,
-                                                ReusePolicy policy);
+                                                std::string_view request_id);
   /// \brief Reads the next fragment of the body.
   /// \returns the fragment, empty at the end of a complete body; faults:
   ///          `kConnectionLost`, `kCancelled`.
@@ -74,6 +79,12 @@
   bool IsKeptConnection() const {
     return this->connection != nullptr && this->connection->requests_sent > 1;
   }
+  /// \brief Finds out, after a failure, whether the way to the engine failed
+  /// and
+  ///        not the engine; see `WasPathLost()`.
+  Awaitable<void> FindCause();
+  /// \returns true if the way to the engine failed.
+  bool WasPathLost() const { return this->path_lost; }
   /// \returns true if the connection failed after the request was sent, and was
   ///          not closed by this router.
   bool WasLost() const { return this->lost && this->sent && !this->cancelled; }
@@ -94,6 +105,8 @@
   // the exchange was cancelled.
   Awaitable<bool> ReadFinalHead(std::string_view method);
   void OnReadFailed(const boost::system::error_code& error);
+  void OnBytesReceived();
+  void ApplyStatements();
   void DecodeHead();
   void LogResponseWithoutId(std::string_view request_id) const;
   // Logs bytes that were received behind the end of a complete response.
@@ -102,7 +115,7 @@
   void Release();
 
   DispatchState& state;
-  EngineConnectionPool& pool;
+  EngineConnector& connector;
   std::shared_ptr<Engine> engine;
   /// When a permit was granted, if the engine needed one.
   std::optional<TimePoint> permitted_at;
@@ -118,6 +131,7 @@
   bool event_stream = false;
   bool sent = false;
   bool withheld = false;
+  bool path_lost = false;
   bool cancelled = false;
   bool lost = false;  ///< A read from the connection failed.
   std::string connection_error;
--- a/src/dispatch/log_explanation.cc
+++ b/src/dispatch/log_explanation.cc
@@ -86,16 +86,32 @@
 
 bool IsStateChange(const LogLine& line) {
   static const std::set<std::string, std::less<>> kStateChangeEvents = {
-      "engine_belief",  "configuration_in_force",
-      "store_lost",     "store_regained",
-      "peer_lost",      "readiness",
-      "draining",       "stopped",
-      "start",          "log_dropped",
-      "store_restored", "engine_pause",
-      "watch_role"};
+      "engine_belief",
+      "configuration_in_force",
+      "store_lost",
+      "store_regained",
+      "peer_lost",
+      "readiness",
+      "draining",
+      "stopped",
+      "start",
+      "log_dropped",
+      "store_restored",
+      "engine_pause",
+      "watch_role",
+      "reachability_lost",
+      "reachability_regained"};
   return kStateChangeEvents.contains(line.Text("event"));
 }
 
+// Returns true for a line of a router that carried a tunnel for the one that
+// handled the request.
+bool IsOfCarrier(const LogLine& line) {
+  static const std::set<std::string, std::less<>> kCarrierEvents = {
+      "tunnel_carried", "tunnel_refused", "tunnel_ended"};
+  return kCarrierEvents.contains(line.Text("event"));
+}
+
 // Returns the state changes of the router that handled the request, except
 // those of engines that the request did not use.
 std::vector<std::string> ContextOf(const std::vector<LogLine>& lines,
@@ -159,9 +175,10 @@
   std::set<std::string> failed_engines;
   for (std::size_t n = 0; n < lines.size(); ++n) {
     if (lines[n].Text("request") != request_id) continue;
+    explanation.lines.push_back(lines[n].text);
+    if (IsOfCarrier(lines[n])) continue;
     if (!first) first = n;
     last = n;
-    explanation.lines.push_back(lines[n].text);
     const ReplayResult replayed = ReplayDecision(lines[n].text);
     if (replayed != ReplayResult::kNoDecision) ++explanation.decisions;
     if (replayed == ReplayResult::kDifferent) {
--- a/src/dispatch/peer_exchange.cc
+++ b/src/dispatch/peer_exchange.cc
@@ -14,6 +14,7 @@
 #include "dispatch/peer_reports.h"
 #include "dispatch/permit_exchange.h"
 #include "transport/socket_helpers.h"
+#include "tunnel/tunnel_peers.h"
 
 namespace dandelionscale::internal {
 
@@ -79,6 +80,7 @@
       if (now - peer->second.at > peer_timeout) {
         Logger::Warning("peer_lost", {{"peer", peer->first}});
         this->state.permits->OnPeerLost(now, peer->first);
+        this->state.tunnel_peers->OnPeerLost(peer->first);
         peer = this->state.live_peers.erase(peer);
       } else {
         ++peer;
@@ -108,6 +110,7 @@
   this->FillPlacements(digest);
   FillQuarantineUpdate(this->state.quarantine.TakeForDigest(), now, digest);
   this->FillRateLimits(digest);
+  this->FillTunnels(digest);
   FillWatchReport(this->state.watcher_election.Report(now), digest);
   const std::string bytes = digest.SerializeAsString();
   const std::vector<std::string> peers(this->state.peers.begin(),
@@ -117,6 +120,12 @@
   for (std::size_t n = 0; n < count; ++n) {
     this->SendTo(peers[this->next_peer++ % peers.size()], bytes);
   }
+  if (count == peers.size()) return;
+  // Peers that carry tunnels must know at once what engines state on these.
+  for (const std::string& peer :
+       this->state.tunnel_peers->RecentCarriers(now)) {
+    this->SendTo(peer, bytes);
+  }
 }
 
 void PeerExchange::SendTo(const std::string& peer,
@@ -154,6 +163,43 @@
   }
 }
 
+void PeerExchange::FillTunnels(wire::RouterDigest& digest) {
+  const TimePoint now = RuntimeClock::now();
+  const std::uint16_t port = this->state.options.tunnel_address.port();
+  if (port != 0 && !this->state.draining) digest.set_tunnel_port(port);
+  for (const std::string& service : this->state.reachability.CutOffServices()) {
+    digest.add_cut_off_services(ShortKey(HashText(service)));
+  }
+  std::erase_if(this->state.carried_pauses, [now](const CarriedPause& pause) {
+    return now >= pause.until;
+  });
+  for (const CarriedPause& pause : this->state.carried_pauses) {
+    wire::CarriedPauseReport& report = *digest.add_carried_pauses();
+    report.set_engine(ShortKey(pause.engine_key));
+    report.set_remaining_ms(
+        static_cast<std::uint32_t>(ToMilliseconds(pause.until - now)));
+    report.set_router(pause.peer);
+  }
+}
+
+void PeerExchange::ApplyTunnels(const wire::RouterDigest& digest,
+                                const std::string& sender) {
+  constexpr std::uint32_t kMaxPort = 65535;
+  const TimePoint now = RuntimeClock::now();
+  const std::uint32_t port = digest.tunnel_port();
+  this->state.tunnel_peers->OnReport(
+      now, sender,
+      port <= kMaxPort ? static_cast<std::uint16_t>(port) : std::uint16_t{0},
+      ToSpan(digest.cut_off_services()));
+  const std::string own = ToText(this->state.options.peer_address);
+  for (const wire::CarriedPauseReport& report : digest.carried_pauses()) {
+    const auto engine = this->state.engines.FindByShortKey(report.engine());
+    if (engine == nullptr || report.router() != own) continue;
+    engine->pause.Request(now,
+                          std::chrono::milliseconds(report.remaining_ms()));
+  }
+}
+
 Awaitable<void> PeerExchange::ReceiveDigests() {
   while (true) {
     udp::endpoint sender;
@@ -216,6 +262,7 @@
       this->state.quarantine.Apply(now, ToQuarantineUpdate(digest, now)),
       sender);
   ApplyRateLimits(this->state, digest.rate_limits(), sender);
+  this->ApplyTunnels(digest, sender);
   this->snapshots.OnDigest(digest, sender);
 }
 
--- a/src/dispatch/peer_exchange.h
+++ b/src/dispatch/peer_exchange.h
@@ -44,6 +44,9 @@
   void SendTo(const std::string& peer, const std::string& datagram);
   void FillPlacements(wire::RouterDigest& digest);
   void FillRateLimits(wire::RouterDigest& digest);
+  void FillTunnels(wire::RouterDigest& digest);
+  void ApplyTunnels(const wire::RouterDigest& digest,
+                    const std::string& sender);
   Awaitable<void> ReceiveDigests();
   void OnDigest(const wire::RouterDigest& digest, const std::string& sender);
   void ApplyLeavingEngines(std::span<const std::uint32_t> short_keys,
--- a/src/dispatch/request_dispatch.cc
+++ b/src/dispatch/request_dispatch.cc
@@ -36,10 +36,10 @@
 }  // namespace
 
 RequestDispatch::RequestDispatch(DispatchState& state,
-                                 EngineConnectionPool& pool,
+                                 EngineConnector& connector,
                                  ClientConnection& client, HttpRequest request)
     : state(state),
-      pool(pool),
+      connector(connector),
       client(client),
       request(std::move(request)),
       decoded(state.codec->DecodeRequest(this->request)),
@@ -160,21 +160,27 @@
   this->attempt = this->sends + 1;
   this->answer_begun = false;
   this->tried_engine_keys.push_back(engine->key);
-  this->exchange = std::make_unique<EngineExchange>(this->state, this->pool,
-                                                    engine, this->permitted_at);
+  this->exchange = std::make_unique<EngineExchange>(
+      this->state, this->connector, engine, this->permitted_at);
   const std::string resume_after =
       this->events.EventCount() > 0 ? this->events.LastId() : std::string();
+  const bool repeatable = this->route->IsRepeatable();
+  this->ArmStallTimeout();
+  auto failure = co_await this->exchange->Connect(
+      this->decoded.id,
+      repeatable ? ReusePolicy::kAnyIdle : ReusePolicy::kRecentlyIdle);
+  // What is left of the time is stated when the request is sent.
   const HttpHeaders headers = this->state.codec->EncodeEngineRequest(
       this->decoded, {engine->record.id, this->Deadline() - RuntimeClock::now(),
                       this->workspace, this->priority, resume_after,
                       this->cache_source_address});
-  const bool repeatable = this->route->IsRepeatable();
-  this->ArmStallTimeout();
-  auto failure = co_await this->exchange->Open(
-      this->request, headers, this->decoded.id,
-      repeatable ? ReusePolicy::kAnyIdle : ReusePolicy::kRecentlyIdle);
+  if (!failure) {
+    failure =
+        co_await this->exchange->Open(this->request, headers, this->decoded.id);
+  }
   if (this->exchange->WasSent()) ++this->sends;
   if (!failure) failure = co_await this->RelayResponse();
+  if (failure && this->exchange) co_await this->exchange->FindCause();
   this->stall_deadline = TimePoint::max();
   this->ArmDeadline();
   if (failure && !IsProvablyNotRun(*failure)) this->may_have_run = true;
@@ -198,6 +204,7 @@
   --engine.in_flight;
   const bool connection_lost = this->exchange && this->exchange->WasLost();
   const bool withheld = this->exchange && this->exchange->WasWithheld();
+  const bool path_lost = this->exchange && this->exchange->WasPathLost();
   const bool kept = this->exchange && this->exchange->IsKeptConnection();
   const std::string connection_error =
       this->exchange ? this->exchange->ConnectionError() : std::string();
@@ -211,8 +218,8 @@
     return;
   }
   if (ended_by_client_or_deadline) return;
-  if (!withheld) this->RecordFailure(engine, *failure);
-  if (connection_lost && !this->answer_begun) {
+  if (!withheld && !path_lost) this->RecordFailure(engine, *failure);
+  if (connection_lost && !path_lost && !this->answer_begun) {
     this->OnLostBeforeAnswer(engine);
   }
   if (*failure == AttemptFailure::kWrongEngine) {
@@ -227,6 +234,7 @@
        {"failure", ToString(*failure)},
        {"withheld", withheld},
        {"silent", this->interruption == Interruption::kStalled},
+       {"path_lost", path_lost},
        {"kept_connection", kept},
        {"connection_error", connection_error},
        {"sends", static_cast<std::int64_t>(this->sends)},
--- a/src/dispatch/request_dispatch.h
+++ b/src/dispatch/request_dispatch.h
@@ -17,6 +17,8 @@
 
 namespace dandelionscale::internal {
 
+class EngineConnector;
+
 /// Of an id that a client has chosen, in a log line.
 inline constexpr std::size_t kMaxLoggedIdBytes = 64;
 
@@ -28,7 +30,7 @@
 /// `response_relay.cc` and `request_ending.cc` (final responses).
 class RequestDispatch : public std::enable_shared_from_this<RequestDispatch> {
  public:
-  RequestDispatch(DispatchState& state, EngineConnectionPool& pool,
+  RequestDispatch(DispatchState& state, EngineConnector& connector,
                   ClientConnection& client, HttpRequest request);
   ~RequestDispatch();
   RequestDispatch(const RequestDispatch&) = delete;
@@ -153,7 +155,7 @@
                   std::string_view reason);
 
   DispatchState& state;
-  EngineConnectionPool& pool;
+  EngineConnector& connector;
   ClientConnection& client;
   HttpRequest request;
   ClientRequest decoded;
--- a/src/engine_response/connection_reuse.cc
+++ b/src/engine_response/connection_reuse.cc
@@ -7,7 +7,7 @@
   const bool is_clean =
       end.has_id && !end.has_foreign_response && end.unread_bytes == 0;
   return is_done && is_clean && end.keep_alive && end.is_open &&
-         !end.engine_draining;
+         !end.engine_draining && !end.is_tunnel;
 }
 
 }  // namespace dandelionscale::internal
--- a/src/engine_response/connection_reuse.h
+++ b/src/engine_response/connection_reuse.h
@@ -17,6 +17,7 @@
   std::size_t unread_bytes = 0;       ///< Received behind the response.
   bool is_open = false;
   bool engine_draining = false;
+  bool is_tunnel = false;  ///< Tunnels carry one request each.
 };
 
 /// \returns true if another request may be sent on the connection.
--- a/src/runtime/fault.cc
+++ b/src/runtime/fault.cc
@@ -20,6 +20,8 @@
       return "message_too_large";
     case FaultKind::kUnexpectedStatus:
       return "unexpected_status";
+    case FaultKind::kNoPath:
+      return "no_path";
     case FaultKind::kCancelled:
       return "cancelled";
   }
--- a/tests/log_explanation_test.cc
+++ b/tests/log_explanation_test.cc
@@ -51,6 +51,19 @@
         "engine e1 answered 1 other requests meanwhile");
 }
 
+TEST_CASE("lines of a router that carried a tunnel are shown, not its end") {
+  auto lines = LogOfFailedRequest("failed", "no_answer");
+  lines.push_back(Line("01.150", "tunnel_carried",
+                       R"("request":"r1","engine":"e1","peer":"10.0.0.1")"));
+  lines.push_back(
+      Line("01.400", "tunnel_ended", R"("request":"r1","peer":"10.0.0.1")"));
+  lines.push_back(Line("01.120", "reachability_lost", R"("service":"s")"));
+  const auto found = ExplainRequest("r1", lines);
+  CHECK(found.lines.size() == 5);
+  CHECK(found.cause.find("may have run") != std::string::npos);
+  CHECK(found.context.size() == 2);
+}
+
 TEST_CASE("every reason that routers write has a cause") {
   for (const char* reason :
        {"no_configuration", "no_route", "unknown_key", "queue_full", "no_room",
