Keep connections to hosts that are silent for over a second

A request that an engine had read and was working on got 502 when the engine's host was silent for 1.3 s and then went on. Cause: TCP_USER_TIMEOUT (1,500 ms) also decides when keep-alive probes give up, whatever their count: with the probe after 1 s lost, the connection was closed at 2 s, although the host answered again. Ruled out: the stall and connect timeouts (no other attempt was allowed), silence of the process alone.

silent_engine_test before: 2 of 3 cases pass, the one of the silent host gets 502; after: 3 of 3. The timeout is 2,500 ms now, so that a probe at 2 s counts; a connection to a host that is gone is given up at 3 s instead of 2 s.

--- a/src/dispatch/socket_options.cc
+++ b/src/dispatch/socket_options.cc
@@ -6,8 +6,10 @@
 namespace {
 
 // TCP_USER_TIMEOUT: the connection is closed if sent data stays unacknowledged
-// for this long.
-constexpr int kUserTimeoutMs = 1500;
+// for this long, and at the first keep-alive probe after this time without
+// traffic, whatever the count of probes. A sound host may be silent for over a
+// second.
+constexpr int kUserTimeoutMs = 2500;
 // TCP keep-alive: time without traffic before the first probe, interval between
 // probes, and unanswered probes that close the connection.
 constexpr int kKeepAliveIdleSeconds = 1;
