Reject a head that was cut off and continued by another answer

Report of other operators: an engine stopped in the middle of its answer's head. Here a head that is cut off by a close or a reset was no answer already, at each byte, on new and kept connections; but where another answer followed in the same bytes, the client got a 200 whose fields were those of two answers (25 of 81 places; in the reason phrase and in values of fields). Cause: the status line of the second answer is a legal value of a field of the first. Now such a head is no answer (bad_answer), for engines and for the store and peers.

Not played: the same over a tunnel, a second stream of another type. HttpClient got the same check without a test of its own.

--- a/src/dispatch/engine_exchange.cc
+++ b/src/dispatch/engine_exchange.cc
@@ -12,6 +12,7 @@
 #include "engine_response/connection_reuse.h"
 #include "engine_response/response_match.h"
 #include "transport/socket_helpers.h"
+#include "transport/spliced_head.h"
 #include "tunnel/engine_connector.h"
 
 namespace dandelionscale::internal {
@@ -109,6 +110,7 @@
   for (int n = 0; n <= kMaxMismatchedResponses; ++n) {
     if (!co_await this->ReadFinalHead(method))
       co_return this->FailureOnLostConnection();
+    if (this->IsSpliced(request_id)) co_return AttemptFailure::kBadAnswer;
     this->DecodeHead();
     const std::string& echoed = this->response.request_id;
     if (echoed.empty()) this->LogResponseWithoutId(request_id);
@@ -164,6 +166,17 @@
   this->connection_error = error.message();
 }
 
+bool EngineExchange::IsSpliced(std::string_view request_id) const {
+  const auto& message = this->parser->get();
+  const std::string_view reason(message.reason().data(),
+                                message.reason().size());
+  if (!IsSplicedHead(reason, message)) return false;
+  this->state.metrics.Add("engine_heads_spliced_total");
+  Logger::Warning("spliced_head", {{"request", request_id},
+                                   {"engine", this->engine->record.id}});
+  return true;
+}
+
 void EngineExchange::LogResponseWithoutId(std::string_view request_id) const {
   Logger::Info("answer_without_id",
                {{"request", request_id},
--- a/src/dispatch/engine_exchange.h
+++ b/src/dispatch/engine_exchange.h
@@ -107,6 +107,8 @@
   void OnReadFailed(const boost::system::error_code& error);
   void OnBytesReceived();
   void ApplyStatements();
+  // Whether the head was cut off and continued by another one.
+  bool IsSpliced(std::string_view request_id) const;
   void DecodeHead();
   void LogResponseWithoutId(std::string_view request_id) const;
   // Logs bytes that were received behind the end of a complete response.
--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -7,6 +7,7 @@
 #include <map>
 
 #include "transport/socket_helpers.h"
+#include "transport/spliced_head.h"
 
 namespace dandelionscale {
 
@@ -104,6 +105,11 @@
     this->state->CountReceived(size);
     if (error) co_return ToFault(error);
     const auto& message = this->parser.get();
+    const std::string_view reason(message.reason().data(),
+                                  message.reason().size());
+    if (internal::IsSplicedHead(reason, message)) {
+      co_return Fault{FaultKind::kMalformedMessage, "head of two responses"};
+    }
     this->status = message.result_int();
     for (const auto& field : message) {
       this->headers.Add(
