Ask the keepers of a stream's origin before taking a version for the only one

Report of other operators: a router out of step let streams go on at another software version. Here too: a router that stood still for some 0.7 s (SIGSTOP), while an engine of v2 joined and streams began at it through another router, resumed them at v1. Cause: its view counted as current for 1.5 s, and only pauses of 1 s and more counted; all evidence was older than the request. A router that hears from none of them refuses. Ruled out: the watch alone, as it answers only after the request was handled.

--- a/src/dispatch/dispatch_state.cc
+++ b/src/dispatch/dispatch_state.cc
@@ -155,8 +155,8 @@
 }
 
 bool DispatchState::IsViewCurrent(TimePoint now) const {
-  const bool has_paused = this->LoopStall(now) >= kMinTakeoverStall ||
-                          (this->last_stall >= kMinTakeoverStall &&
+  const bool has_paused = this->LoopStall(now) > Duration::zero() ||
+                          (this->last_stall > Duration::zero() &&
                            now - this->last_stall_end < kMaxViewAge);
   if (has_paused) return false;
   const auto view_age = this->watcher_election.ViewAge(now);
--- a/src/dispatch/origin_exchange.cc
+++ b/src/dispatch/origin_exchange.cc
@@ -62,11 +62,10 @@
                           static_cast<double>(origins.size()));
 }
 
-Awaitable<std::optional<std::uint64_t>> OriginExchange::Ask(
-    std::uint64_t stream_key) {
+Awaitable<OriginAnswer> OriginExchange::Ask(std::uint64_t stream_key) {
   const std::vector<std::string> peers =
       this->PeersFor(stream_key, kAskedPeers);
-  if (peers.empty()) co_return std::nullopt;
+  if (peers.empty()) co_return OriginAnswer();
   const std::uint64_t id = ++this->last_id;
   wire::StreamOriginMessage message;
   message.mutable_request()->set_id(id);
@@ -80,7 +79,7 @@
   boost::system::error_code ignored;
   co_await request->timeout.async_wait(RedirectError(ignored));
   this->pending.erase(id);
-  co_return request->version_key;
+  co_return request->answer;
 }
 
 bool OriginExchange::IsOriginMessage(std::string_view datagram) {
@@ -126,9 +125,10 @@
   const auto found = this->pending.find(response.id());
   if (found == this->pending.end()) return;
   PendingRequest& request = *found->second;
-  if (response.has_version()) request.version_key = response.version();
+  request.answer.any_answered = true;
+  if (response.has_version()) request.answer.version_key = response.version();
   if (request.responses_due > 0) --request.responses_due;
-  if (request.version_key || request.responses_due == 0) {
+  if (request.answer.version_key || request.responses_due == 0) {
     request.timeout.cancel();
   }
 }
--- a/src/dispatch/origin_exchange.h
+++ b/src/dispatch/origin_exchange.h
@@ -26,6 +26,13 @@
 
 class DispatchState;
 
+/// \brief What peers have answered about a stream.
+struct OriginAnswer {
+  bool any_answered = false;  ///< After they were asked.
+  /// Key of its version; none if no peer knows it.
+  std::optional<std::uint64_t> version_key;
+};
+
 /// \brief Keeps the origins of streams at other routers, and asks for them.
 ///
 /// While engines of a service run several software versions, a router that
@@ -49,8 +56,7 @@
   ///        service that runs several.
   void OnVersionsChanged();
   /// \brief Asks the peers that should know where a stream has begun.
-  /// \returns the key of its version; nothing if none knows it.
-  Awaitable<std::optional<std::uint64_t>> Ask(std::uint64_t stream_key);
+  Awaitable<OriginAnswer> Ask(std::uint64_t stream_key);
 
   /// \returns true if the datagram is a message of this exchange.
   static bool IsOriginMessage(std::string_view datagram);
@@ -63,7 +69,7 @@
         : timeout(executor) {}
     Timer timeout;
     std::size_t responses_due = 0;
-    std::optional<std::uint64_t> version_key;
+    OriginAnswer answer;
   };
 
   // Returns the live peers that come first for the stream.
--- a/src/dispatch/stream_resumption.cc
+++ b/src/dispatch/stream_resumption.cc
@@ -95,15 +95,20 @@
     origin = {OriginSource::kOwnRecord, *known};
     co_return origin;
   }
+  // This router may not have heard yet of a version at which streams begin; the
+  // peers that keep the stream's origin have, and are asked now.
+  OriginAnswer answer;
+  if (has_key) answer = co_await this->state.origins->Ask(stream_key);
+  if (answer.version_key) {
+    origin = {OriginSource::kPeer, *answer.version_key};
+    co_return origin;
+  }
+  const bool is_alone = this->state.peers.empty();
   const auto only =
       this->state.software_versions.OnlyVersion(now, this->service);
-  if (only && this->state.IsViewCurrent(now)) {
+  const bool has_proof = !has_key || is_alone || answer.any_answered;
+  if (only && has_proof && this->state.IsViewCurrent(now)) {
     origin = {OriginSource::kOnlyVersion, VersionKey(this->service, *only)};
-    co_return origin;
-  }
-  if (!has_key) co_return origin;
-  if (const auto known = co_await this->state.origins->Ask(stream_key)) {
-    origin = {OriginSource::kPeer, *known};
   }
   co_return origin;
 }
--- a/tests/stream_version_test.cc
+++ b/tests/stream_version_test.cc
@@ -5,6 +5,7 @@
 #include <signal.h>
 
 #include <catch2/catch.hpp>
+#include <future>
 #include <thread>
 
 #include "tests/support/platform_fleet.h"
@@ -169,6 +170,44 @@
   CHECK(fleet.Resumptions(new_engine) == 0);
 }
 
+// A router that stands still for less than a second, while a new version joins
+// and streams begin at it, must not take the old one for the only one.
+TEST_CASE("a router that stood still does not guess the version of a stream") {
+  constexpr milliseconds kShortReadIdleTimeout(20);
+  Fleet fleet(2);
+  const int old_engine = fleet.AddVersion("v1");
+  fleet.Signal(1, SIGSTOP);
+  fleet.AddEngine("chat", BreakOffOnce("v2"), "v2");
+  fleet.WaitUntilReady(2);
+  std::vector<std::string> begun_at_new;
+  for (int n = 0; n < kStreams; ++n) {
+    const std::string id = fmt::format("a{}", n);
+    const std::string response =
+        fleet.Exchange(2, MakeClientRequest("POST", "/stream/", id, "", "x"),
+                       kShortReadIdleTimeout);
+    if (response.find("data: v2") != std::string::npos) {
+      begun_at_new.push_back(id);
+    }
+  }
+  REQUIRE_FALSE(begun_at_new.empty());
+  const std::size_t resumed_at_old = fleet.Resumptions(old_engine);
+  // The requests are in the router's sockets when it goes on.
+  std::vector<std::future<std::string>> responses;
+  for (const std::string& id : begun_at_new) {
+    responses.push_back(std::async(std::launch::async, [&fleet, id] {
+      return fleet.Resume(1, id, "b" + id);
+    }));
+  }
+  std::this_thread::sleep_for(kShortReadIdleTimeout);
+  fleet.Signal(1, SIGCONT);
+  for (auto& response : responses) {
+    const std::string text = response.get();
+    CAPTURE(text);
+    CHECK(text.find("data: v1") == std::string::npos);
+  }
+  CHECK(fleet.Resumptions(old_engine) == resumed_at_old);
+}
+
 TEST_CASE("after all routers were killed, no version is guessed") {
   Fleet fleet(2);
   const int old_engine = fleet.AddVersion("v1");
