--- a/src/tunnel/reachability_monitor.cc
+++ b/src/tunnel/reachability_monitor.cc
@@ -12,8 +12,6 @@
 namespace dandelionscale::internal {
 
 namespace asio = boost::asio;
-using boost::system::error_code;
-
 namespace {
 
 // Engines of each service that one check tries.
--- a/tests/broken_answer_test.cc
+++ b/tests/broken_answer_test.cc
@@ -32,17 +32,19 @@
   std::string fields;       ///< Each with its line end.
 };
 
-const std::vector<Answer> kOtherAnswers = {
-    {"500 Error", "Content-Type: text/plain\r\n"},
-    {"500 Error", "Content-Type: text/event-stream\r\n"},
-    {"429 Busy", "Content-Type: text/plain\r\n"},
-    {"503 Full", "Not-Executed: 1\r\n"},
-    {"404 Nothing", "Content-Type: text/plain\r\n"},
-    {"206 Part", "Content-Type: text/plain\r\n"},
-    {"302 Elsewhere", "Location: /x\r\n"},
-    {"200 OK", "Content-Type: application/json\r\n"},
-    {"200 OK", ""},
-};
+std::vector<Answer> OtherAnswers() {
+  return {
+      {"500 Error", "Content-Type: text/plain\r\n"},
+      {"500 Error", "Content-Type: text/event-stream\r\n"},
+      {"429 Busy", "Content-Type: text/plain\r\n"},
+      {"503 Full", "Not-Executed: 1\r\n"},
+      {"404 Nothing", "Content-Type: text/plain\r\n"},
+      {"206 Part", "Content-Type: text/plain\r\n"},
+      {"302 Elsewhere", "Location: /x\r\n"},
+      {"200 OK", "Content-Type: application/json\r\n"},
+      {"200 OK", ""},
+  };
+}
 
 std::string MakeAnswer(const HttpRequest& request, const Answer& answer,
                        Framing framing) {
@@ -112,7 +114,7 @@
   const std::string events = MakeEventChunk(1) + MakeEventChunk(2);
   const std::string inside_event = events + "8\r\nid: 3\nda\r\n";
   for (const std::string& begun : {events, inside_event}) {
-    for (const Answer& answer : kOtherAnswers) {
+    for (const Answer& answer : OtherAnswers()) {
       for (Framing framing :
            {Framing::kLength, Framing::kChunked, Framing::kUntilClose}) {
         CAPTURE(answer.status_line, answer.fields, static_cast<int>(framing));
@@ -147,7 +149,7 @@
 
 TEST_CASE("before the first event another answer is passed on as what it is") {
   Fleet fleet;
-  for (const Answer& answer : kOtherAnswers) {
+  for (const Answer& answer : OtherAnswers()) {
     for (Framing framing : {Framing::kLength, Framing::kChunked}) {
       CAPTURE(answer.status_line, answer.fields, static_cast<int>(framing));
       fleet.SetScripts(
@@ -170,7 +172,7 @@
 
 TEST_CASE("a client's own resumption gets no stream of another answer") {
   Fleet fleet;
-  for (const Answer& answer : kOtherAnswers) {
+  for (const Answer& answer : OtherAnswers()) {
     CAPTURE(answer.status_line, answer.fields);
     fleet.SetScripts([&](const HttpRequest& request) -> Script {
       return {SendBytes{MakeAnswer(request, answer, Framing::kLength)}};
--- a/tests/engine_reachability_test.cc
+++ b/tests/engine_reachability_test.cc
@@ -10,9 +10,9 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-const ReachabilityCheck kNoneReached = {2, 0, true};
-const ReachabilityCheck kOneReached = {2, 1, false};
-const ReachabilityCheck kAllReached = {2, 2, false};
+constexpr ReachabilityCheck kNoneReached = {2, 0, true};
+constexpr ReachabilityCheck kOneReached = {2, 1, false};
+constexpr ReachabilityCheck kAllReached = {2, 2, false};
 
 struct Checks {
   EngineReachability reachability;
--- a/tests/no_engine_reached_test.cc
+++ b/tests/no_engine_reached_test.cc
@@ -3,6 +3,7 @@
 // nevertheless, and nothing runs twice.
 #include <fmt/format.h>
 
+#include <array>
 #include <atomic>
 #include <catch2/catch.hpp>
 #include <map>
@@ -39,7 +40,8 @@
 // Served of each hundred.
 constexpr int kMinServedPercent = 98;
 
-const std::vector<std::string> kTargets = {"/stream/", "/once/", "/any/"};
+constexpr std::array<std::string_view, 3> kTargets = {"/stream/", "/once/",
+                                                      "/any/"};
 
 Script StreamTwoEvents(const HttpRequest& request) {
   return {SendBytes{MakeStreamHead(request) + MakeEventChunk(1) +
@@ -72,9 +74,9 @@
   explicit Load(PlatformFleet& fleet) : fleet(fleet) {
     for (int router = 1; router <= kRouters; ++router) {
       for (int n = 0; n < kClients; ++n) {
-        for (const std::string& target : kTargets) {
+        for (const std::string_view target : kTargets) {
           this->clients.emplace_back(
-              [=, this] { this->RunClient(router, target, n); });
+              [=, this] { this->RunClient(router, std::string(target), n); });
         }
       }
     }
@@ -208,32 +210,28 @@
   CheckRunsAtMostOnce(fleet, load);
 }
 
-const std::vector<int> kThird = {1, 2};
-const std::vector<int> kHalf = {1, 2, 3};
-const std::vector<int> kAllButOne = {1, 2, 3, 4, 5};
-
 TEST_CASE("a third of the routers, connections to engines hang") {
-  PlayCut(kThird, CutKind::kHang);
+  PlayCut({1, 2}, CutKind::kHang);
 }
 
 TEST_CASE("a third of the routers, what they send to engines is lost") {
-  PlayCut(kThird, CutKind::kOneWay);
+  PlayCut({1, 2}, CutKind::kOneWay);
 }
 
 TEST_CASE("half of the routers, connections to engines are reset") {
-  PlayCut(kHalf, CutKind::kReset);
+  PlayCut({1, 2, 3}, CutKind::kReset);
 }
 
 TEST_CASE("half of the routers, only new connections to engines are reset") {
-  PlayCut(kHalf, CutKind::kNewReset);
+  PlayCut({1, 2, 3}, CutKind::kNewReset);
 }
 
 TEST_CASE("all routers but one, connections to engines hang") {
-  PlayCut(kAllButOne, CutKind::kHang);
+  PlayCut({1, 2, 3, 4, 5}, CutKind::kHang);
 }
 
 TEST_CASE("all routers but one, only new connections to engines are reset") {
-  PlayCut(kAllButOne, CutKind::kNewReset);
+  PlayCut({1, 2, 3, 4, 5}, CutKind::kNewReset);
 }
 
 }  // namespace
--- a/tests/tunnel_test.cc
+++ b/tests/tunnel_test.cc
@@ -18,7 +18,7 @@
 constexpr std::uint32_t kService = 7;
 constexpr std::uint32_t kOtherService = 8;
 constexpr std::uint16_t kPort = 18341;
-const TimePoint kNow = TimePoint(seconds(1000));
+constexpr TimePoint kNow{seconds(1000)};
 
 TEST_CASE("a peer that carries no tunnels is not chosen") {
   TunnelPeers peers;
