--- a/tests/tunnel_fleet_test.cc
+++ b/tests/tunnel_fleet_test.cc
@@ -111,8 +111,11 @@
                       std::string(emulator::kStreamEnd)}};
   });
   CHECK(fleet.Send(1, "/stream/").ends_with(kLastChunk));
-  CHECK(Occurrences(fleet.Log(2), "\"tunnel_carried\"") >= 3);
-  CHECK(Occurrences(fleet.Log(1), "\"tunnel_opened\"") >= 3);
+  // Logs are written with a delay.
+  Eventually([&] {
+    return Occurrences(fleet.Log(2), "\"tunnel_carried\"") >= 3 &&
+           Occurrences(fleet.Log(1), "\"tunnel_opened\"") >= 3;
+  });
 }
 
 TEST_CASE("an unframed body is whole only if the engine has closed in order") {
