--- a/review/common/site.cc
+++ b/review/common/site.cc
@@ -47,6 +47,7 @@
 constexpr std::string_view kConfiguration =
     R"({"version":7,"routes":[)"
     R"({"name":"advice","host":"guild.example","prefix":"/advice/","kind":"streaming","timeout_ms":12000,"target_latency_ms":600,"gap_aim_ms":300,"priority":0,"service":"advice-llm","max_attempts":2,"session_affinity":true},)"
+    R"({"name":"digest","host":"guild.example","prefix":"/digest/","kind":"streaming","stream_resume":true,"timeout_ms":12000,"target_latency_ms":600,"gap_aim_ms":300,"priority":1,"service":"advice-llm","max_attempts":2,"session_affinity":true},)"
     R"({"name":"book","host":"guild.example","prefix":"/book/","kind":"non_idempotent","timeout_ms":3000,"target_latency_ms":300,"priority":2,"service":"booking-app","max_attempts":2}],)"
     R"("services":[{"name":"advice-llm","max_connections":300,"health_path":"/health","engine":{"max_slots":48}},{"name":"booking-app","max_connections":110,"health_path":"/health"}],)"
     R"("limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},)"
@@ -146,9 +147,9 @@
   return true;
 }
 
-void Site::AddEngine(const std::string& id, const std::string& service,
-                     emulator::ScriptMaker work) {
-  auto maker = [this, id, work = std::move(work)](const HttpRequest& request) {
+emulator::ScriptMaker Site::MakeMaker(const std::string& id,
+                                      emulator::ScriptMaker work) {
+  return [this, id, work = std::move(work)](const HttpRequest& request) {
     if (request.headers.Find("Expect-Instance") != id) {
       return emulator::Script{
           emulator::SendBytes{emulator::MakeResponse(request, 421, "")}};
@@ -158,18 +159,40 @@
     this->Record(fmt::format("engine {} runs {}", id, request_id));
     return work(request);
   };
+}
+
+void Site::AddEngine(const std::string& id, const std::string& service,
+                     emulator::ScriptMaker work) {
   RegisteredEngine entry;
   entry.service = service;
   entry.engine = std::make_unique<emulator::ScriptedEngine>(
-      this->loop.get_executor(), std::move(maker));
+      this->loop.get_executor(), this->MakeMaker(id, std::move(work)));
   entry.port =
       entry.engine->Listen({asio::ip::address_v4::loopback(), 0})->port();
+  this->engines[id] = std::move(entry);
+  this->WriteEntry(id, "v1");
+}
+
+void Site::WriteEntry(const std::string& id, const std::string& version) {
+  const RegisteredEngine& entry = this->engines.at(id);
   this->store.Put(
       "servers", id,
       fmt::format(
-          R"({{"service":"{}","address":"127.0.0.1:{}","zone":"north","version":"v1","max_slots":48,"state":"ready","cold_remaining_ms":0,"call_seq":1,"born":1790000000000}})",
-          service, entry.port));
-  this->engines[id] = std::move(entry);
+          R"({{"service":"{}","address":"127.0.0.1:{}","zone":"north","version":"{}","max_slots":48,"state":"ready","cold_remaining_ms":0,"call_seq":1,"born":{}}})",
+          entry.service, entry.port, version, entry.born_unix_ms));
+  this->Record(
+      fmt::format("store: entry of engine {}, version {}", id, version));
+}
+
+bool Site::RestartEngine(const std::string& id, emulator::ScriptMaker work) {
+  constexpr std::int64_t kTimeBetweenStartsMs = 5000;
+  RegisteredEngine& entry = this->engines.at(id);
+  entry.born_unix_ms += kTimeBetweenStartsMs;
+  entry.engine = std::make_unique<emulator::ScriptedEngine>(
+      this->loop.get_executor(), this->MakeMaker(id, std::move(work)));
+  this->Record(fmt::format("engine {} starts again", id));
+  return entry.engine->Listen({asio::ip::address_v4::loopback(), entry.port})
+      .has_value();
 }
 
 void Site::RemoveEntry(const std::string& id) {
@@ -178,8 +201,11 @@
 }
 
 void Site::EndEngine(const std::string& id) {
-  this->engines.at(id).engine->CutOff({asio::ip::address_v4::loopback()},
-                                      emulator::CutKind::kReset);
+  RegisteredEngine& entry = this->engines.at(id);
+  entry.engine->CutOff({asio::ip::address_v4::loopback()},
+                       emulator::CutKind::kReset);
+  // Closes the listener.
+  entry.engine.reset();
   this->Record(fmt::format("engine {} ends", id));
 }
 
--- a/review/common/site.h
+++ b/review/common/site.h
@@ -79,6 +79,11 @@
   void RemoveEntry(const std::string& id);
   /// \brief The engine's process ends: its connections are reset.
   void EndEngine(const std::string& id);
+  /// \brief An engine that has ended starts again under its id, at its address,
+  ///        with another version of its software; its entry is not written yet.
+  bool RestartEngine(const std::string& id, emulator::ScriptMaker work);
+  /// \brief Writes the entry of an engine.
+  void WriteEntry(const std::string& id, const std::string& version);
 
   bool StartRouter(int router);
   void Signal(int router, int signal);
@@ -101,9 +106,12 @@
   struct RegisteredEngine {
     std::string service;
     std::uint16_t port = 0;
+    std::int64_t born_unix_ms = 1'790'000'000'000;
     std::unique_ptr<emulator::ScriptedEngine> engine;
   };
 
+  emulator::ScriptMaker MakeMaker(const std::string& id,
+                                  emulator::ScriptMaker work);
   std::string Ip(int router) const;
   bool IsSubnetFree() const;
   std::string SettingsPath(int router) const;
