--- a/review/1/driver.cc
+++ b/review/1/driver.cc
@@ -25,7 +25,7 @@
 constexpr Duration kDrainTime = std::chrono::milliseconds(2000);
 // "At times many seconds" after drain_ms.
 constexpr Duration kServesOn = std::chrono::milliseconds(6000);
-const std::string kLeaver = "i-booking-1";
+constexpr std::string_view kLeaver = "i-booking-1";
 
 struct Load {
   bool stopped = false;
@@ -76,11 +76,11 @@
   }
   const Duration gap = std::chrono::milliseconds(100);
   co_await SleepFor(gap);
-  site.RemoveEntry(kLeaver);
+  site.RemoveEntry(std::string(kLeaver));
   const TimePoint removed_at = RuntimeClock::now();
   const Duration serves_on = kDrainTime + kServesOn;
   co_await SleepFor(serves_on);
-  site.EndEngine(kLeaver);
+  site.EndEngine(std::string(kLeaver));
   const Duration after = std::chrono::seconds(4);
   co_await SleepFor(after);
   load.stopped = true;
