--- a/review/1/driver.cc
+++ b/review/1/driver.cc
@@ -1,15 +1,14 @@
-// Three of eight routers are lost for good; an engine that never reports
-// `draining` leaves right after. No request may reach it later than drain_ms
-// after the store accepted that.
+// Engines send a few answers without a length, which end with their connection.
+// The answers quote HTTP messages, as a record of a job does. Each client must
+// get the whole body of its answer, or a failure.
 #include <fmt/format.h>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/this_coro.hpp>
-#include <csignal>
 #include <map>
-#include <set>
+#include <memory>
 
 #include "../common/site.h"
 
@@ -18,110 +17,131 @@
 using namespace dandelionscale;          // NOLINT: a program's main file
 using namespace dandelionscale::review;  // NOLINT
 
-constexpr int kRouters = 8;
-constexpr int kEngines = 6;
-constexpr std::size_t kLost = 3;
-constexpr int kEvents = 55;
-constexpr Duration kEventInterval = std::chrono::milliseconds(40);
-constexpr Duration kDrainTime = std::chrono::milliseconds(2000);
-// "At times many seconds" after drain_ms.
-constexpr Duration kServesOn = std::chrono::milliseconds(6000);
-constexpr std::string_view kLeaver = "i-advice-1";
+constexpr int kEngines = 4;
+constexpr int kRouters = 2;
+// Some 43 requests a second, as at the site, in clumps of three.
+constexpr int kClumps = 600;
+constexpr int kClumpSize = 3;
+constexpr Duration kClumpPause = std::chrono::milliseconds(70);
+// Half of the engines send each twentieth answer without a length.
+constexpr int kUnframedEngines = 2;
+constexpr int kUnframedEach = 20;
+// All engines close the connection after some of their other answers.
+constexpr int kCloseEach = 9;
+constexpr Duration kWork = std::chrono::milliseconds(60);
 
-struct Load {
-  bool stopped = false;
+// What the booking service has on record of a parts order.
+std::string MakeRecord(std::string_view id) {
+  return fmt::format(
+      "Record of callout {0}\n"
+      "09:14 order to the supplier:\n"
+      "POST /orders HTTP/1.1\n"
+      "Host: parts.example\n"
+      "\n"
+      "09:14 the supplier's answer:\n"
+      "HTTP/1.1 201 Created\n"
+      "Request-Id: req-77f1{0}\n"
+      "Location: /orders/{0}\n"
+      "\n"
+      "09:15 two nozzle sets ordered, delivery tomorrow before noon\n"
+      "09:16 technician booked for tomorrow 14:00\n",
+      id);
+}
+
+emulator::Script MakeUnframedAnswer(const HttpRequest& request,
+                                    const std::string& body) {
+  emulator::Script script;
+  script.push_back(emulator::Pause{kWork});
+  script.push_back(emulator::SendBytes{
+      fmt::format("HTTP/1.1 200 OK\r\nRequest-Id: {}\r\nResponse-Seal: seal\r\n"
+                  "Content-Type: text/plain\r\nConnection: close\r\n\r\n{}",
+                  request.headers.Find("Request-Id"), body)});
+  script.push_back(emulator::CloseConnection{});
+  return script;
+}
+
+emulator::Script MakeFramedAnswer(const HttpRequest& request,
+                                  const std::string& body, bool closes) {
+  emulator::Script script;
+  script.push_back(emulator::Pause{kWork});
+  script.push_back(emulator::SendBytes{emulator::MakeResponse(
+      request, 200, body, closes ? "Connection: close\r\n" : "")});
+  if (closes) script.push_back(emulator::CloseConnection{});
+  return script;
+}
+
+struct Counts {
+  int whole = 0;
+  int failed = 0;
+  int cut = 0;
   int open = 0;
-  std::map<std::string, int> routers;  ///< By request.
-  std::map<std::string, ClientAnswer> answers;
+  std::map<std::string, std::string> unframed;  ///< Engines by request id.
 };
 
-Awaitable<void> SendOne(Site& site, Load& load, int router, int n) {
-  ++load.open;
+Awaitable<void> SendOne(Site& site, Counts& counts, int n) {
+  ++counts.open;
   ClientCall call;
-  call.id = fmt::format("s-{}-{}", router, n);
-  call.target = "/advice/flame";
-  call.headers = fmt::format(
-      "Model: m\r\nToken-Count: 829,385\r\nPrompt-Prefix: "
-      "{:x}:699,{:x}:130\r\n",
-      0xa000 + (n + router) % 40, 0x100000 + router * 10000 + n);
-  call.body = std::string(830, 'x');
-  call.deadline_ms = 10000;
-  load.routers[call.id] = router;
+  call.id = fmt::format("b-{}", n);
+  call.target = "/book/record";
+  call.body = "callout";
   const std::string id = call.id;
-  load.answers[id] = co_await site.Send(router, std::move(call));
-  --load.open;
-}
-
-Awaitable<void> SendStreams(Site& site, Load& load, int router) {
-  const auto executor = co_await boost::asio::this_coro::executor;
-  for (int n = 1; !load.stopped; ++n) {
-    boost::asio::co_spawn(executor, SendOne(site, load, router, n),
-                          boost::asio::detached);
-    const Duration pause = std::chrono::milliseconds(100);
-    co_await SleepFor(pause);
+  const ClientAnswer answer =
+      co_await site.Send(n % kRouters + 1, std::move(call));
+  const std::string sent = MakeRecord(id);
+  if (!answer.is_whole || answer.status != 200) {
+    ++counts.failed;
+  } else if (answer.body == sent) {
+    ++counts.whole;
+  } else {
+    ++counts.cut;
+    const auto found = counts.unframed.find(id);
+    site.Record(fmt::format(
+        "{}: status 200 and a complete body of {} bytes; the engine's has {} "
+        "bytes; without a length: {}",
+        id, answer.body.size(), sent.size(),
+        found == counts.unframed.end() ? "no" : found->second));
   }
+  --counts.open;
 }
 
 Awaitable<int> Play(Site& site, bool trouble) {
   const auto executor = co_await boost::asio::this_coro::executor;
+  auto counts = std::make_shared<Counts>();
   for (int n = 1; n <= kEngines; ++n) {
-    site.AddEngine(fmt::format("i-advice-{}", n), "advice-llm",
-                   [](const HttpRequest& request) {
-                     return MakeStream(request, kEvents, kEventInterval);
-                   });
+    const std::string engine = fmt::format("i-booking-{}", n);
+    const bool may_unframe = trouble && n <= kUnframedEngines;
+    auto answers = std::make_shared<int>(0);
+    site.AddEngine(engine, "booking-app", [=](const HttpRequest& request) {
+      const std::string id(request.headers.Find("Request-Id"));
+      const std::string body = MakeRecord(id);
+      ++*answers;
+      if (may_unframe && *answers % kUnframedEach == 0) {
+        counts->unframed[id] = engine;
+        return MakeUnframedAnswer(request, body);
+      }
+      return MakeFramedAnswer(request, body, *answers % kCloseEach == 0);
+    });
   }
-  const Duration settle = std::chrono::seconds(4);
+  const Duration settle = std::chrono::seconds(3);
   co_await SleepFor(settle);
-  std::set<int> lost;
-  for (int router = 1; router <= kRouters && lost.size() < kLost; ++router) {
-    const double watches = co_await site.Metric(router, "watches_store");
-    if (watches == 1) lost.insert(router);
-  }
-  if (lost.size() != kLost) co_return kNotRun;
-  Load load;
-  for (int router = 1; router <= kRouters; ++router) {
-    if (lost.contains(router)) continue;
-    boost::asio::co_spawn(executor, SendStreams(site, load, router),
-                          boost::asio::detached);
-  }
-  const Duration before = std::chrono::seconds(4);
-  co_await SleepFor(before);
-  for (int router : lost) {
-    if (trouble) site.Signal(router, SIGKILL);
+  int sent = 0;
+  for (int clump = 0; clump < kClumps; ++clump) {
+    for (int n = 0; n < kClumpSize; ++n) {
+      boost::asio::co_spawn(executor, SendOne(site, *counts, ++sent),
+                            boost::asio::detached);
+    }
+    const Duration pause = kClumpPause;
+    co_await SleepFor(pause);
   }
-  const Duration gap = std::chrono::milliseconds(100);
-  co_await SleepFor(gap);
-  site.RemoveEntry(std::string(kLeaver));
-  const TimePoint removed_at = RuntimeClock::now();
-  const Duration serves_on = kDrainTime + kServesOn;
-  co_await SleepFor(serves_on);
-  site.EndEngine(std::string(kLeaver));
-  const Duration after = std::chrono::seconds(4);
-  co_await SleepFor(after);
-  load.stopped = true;
-  while (load.open > 0) {
+  while (counts->open > 0) {
     const Duration poll = std::chrono::milliseconds(50);
     co_await SleepFor(poll);
   }
-  int late = 0;
-  int broken_off = 0;
-  for (const Arrival& arrival : site.Arrivals()) {
-    if (arrival.engine != kLeaver) continue;
-    const Duration age = arrival.at - removed_at;
-    if (age <= kDrainTime) continue;
-    ++late;
-    const bool is_whole = load.answers[arrival.id].is_whole;
-    if (!is_whole) ++broken_off;
-    site.Record(fmt::format(
-        "late: {} by router {} reached {} {} ms after its entry was removed; "
-        "the client got a whole answer: {}",
-        arrival.id, load.routers[arrival.id], kLeaver, ToMilliseconds(age),
-        is_whole));
-  }
   site.Record(fmt::format(
-      "{} requests came later than {} ms, {} of them were broken off", late,
-      ToMilliseconds(kDrainTime), broken_off));
-  co_return late > 0 ? kBroken : kHeld;
+      "{} answers without a length; {} clients got the whole body, {} another "
+      "one with status 200, {} a failure",
+      counts->unframed.size(), counts->whole, counts->cut, counts->failed));
+  co_return counts->cut > 0 ? kBroken : kHeld;
 }
 
 }  // namespace
--- a/review/common/site.cc
+++ b/review/common/site.cc
@@ -322,7 +322,10 @@
   ClientAnswer answer;
   auto socket = std::make_shared<tcp::socket>(this->loop);
   auto timeout = std::make_shared<Timer>(this->loop.get_executor());
-  timeout->expires_after(std::chrono::milliseconds(call.deadline_ms) + kSlack);
+  timeout->expires_after(call.leave_after > Duration::zero()
+                             ? call.leave_after
+                             : std::chrono::milliseconds(call.deadline_ms) +
+                                   kSlack);
   timeout->async_wait([socket](error_code error) {
     error_code ignored;
     if (!error) socket->close(ignored);
--- a/review/common/site.h
+++ b/review/common/site.h
@@ -43,6 +43,8 @@
   bool chunked = false;
   /// Time over which the body is sent, in equal pieces.
   Duration upload_time{};
+  /// The client closes its connection then; never if zero.
+  Duration leave_after{};
 };
 
 /// \brief What a client sees.
