--- a/review/2/driver.cc
+++ b/review/2/driver.cc
@@ -1,12 +1,14 @@
-// A router gets SIGTERM while clients on slow lines send their requests. What
-// it passes on to an engine must be answered whole.
+// One of two routers is lost while streams run. Their clients take them up
+// again at the other router, which is sound, as the store and the engines are.
 #include <fmt/format.h>
 
+#include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <csignal>
+#include <vector>
 
 #include "../common/site.h"
 
@@ -15,83 +17,152 @@
 using namespace dandelionscale;          // NOLINT: a program's main file
 using namespace dandelionscale::review;  // NOLINT
 
-constexpr int kEngines = 3;
-constexpr int kClients = 6;
+constexpr int kRouters = 2;
+constexpr int kLost = 1;
+constexpr int kSound = 2;
+constexpr int kEngines = 6;
 constexpr int kEvents = 55;
 constexpr Duration kEventInterval = std::chrono::milliseconds(90);
+constexpr int kStreams = 24;
+// From the first stream's start to the loss of the router.
+constexpr Duration kTimeBefore = std::chrono::milliseconds(2000);
+constexpr Duration kStreamPause = std::chrono::milliseconds(50);
 constexpr int kDeadlineMs = 12000;
-constexpr std::size_t kBodyBytes = 12000;
-constexpr Duration kUploadTime = std::chrono::milliseconds(4500);
-// A request that was sent no later than this after the SIGTERM is excused.
-constexpr Duration kExcusedTime = std::chrono::seconds(3);
-constexpr Duration kPlannedTime = std::chrono::seconds(9);  // grace_s + 1 s
+// A client takes its stream up so long after the break or the refusal.
+constexpr std::array<Duration, 3> kRetryPauses = {
+    std::chrono::milliseconds(200), std::chrono::milliseconds(1500),
+    std::chrono::milliseconds(4000)};
+// The rule counts from so many streams on.
+constexpr int kMinStreams = 12;
 
-Awaitable<void> SendRequest(Site& site, int number, ClientAnswer& answer,
-                            int& ended) {
+// Events say which engine made them; all engines run one software version.
+emulator::Script MakeEvents(const HttpRequest& request) {
+  int id = 1;
+  const std::string resume(request.headers.Find("Last-Event-Id"));
+  if (!resume.empty()) id = std::stoi(resume) + 1;
+  emulator::Script script;
+  script.push_back(emulator::SendBytes{emulator::MakeStreamHead(request)});
+  for (; id <= kEvents; ++id) {
+    script.push_back(emulator::Pause{kEventInterval});
+    script.push_back(emulator::SendBytes{emulator::MakeEventChunk(id)});
+  }
+  script.push_back(emulator::SendBytes{std::string(emulator::kStreamEnd)});
+  return script;
+}
+
+// The id of the last event that a client has got; 0 for none.
+int LastEvent(const std::string& body) {
+  const auto end = body.rfind("\n\n");
+  if (end == std::string::npos) return 0;
+  const auto at = body.rfind("id: ", end);
+  return at == std::string::npos ? 0 : std::atoi(body.c_str() + at + 4);
+}
+
+ClientCall MakeCall(const std::string& id, int n) {
   ClientCall call;
-  call.id = fmt::format("a-{}", number);
-  call.target = "/advice/flame";
+  call.id = id;
+  call.target = "/digest/day";
   call.headers = fmt::format(
-      "Model: m\r\nToken-Count: 11812,385\r\n"
-      "Prompt-Prefix: 5c1e07a2:10512,{:x}:1300\r\n",
-      0xb000 + number);
-  call.body = std::string(kBodyBytes, 'x');
+      "Model: m\r\nToken-Count: 829,385\r\nPrompt-Prefix: "
+      "{:x}:699,{:x}:130\r\n",
+      0xa000 + n % 8, 0x100000 + n);
+  call.body = std::string(830, 'x');
   call.deadline_ms = kDeadlineMs;
-  call.upload_time = kUploadTime;
-  answer = co_await site.Send(1, std::move(call));
-  ++ended;
+  return call;
+}
+
+struct Counts {
+  int open = 0;
+  int taken_up = 0;
+  int went_on = 0;
+  int new_streams = 0;
+  int begun = 0;
+};
+
+// A stream at the router that is lost. Without the loss, its client leaves then
+// and takes it up at the other router all the same.
+Awaitable<void> SendAndTakeUp(Site& site, Counts& counts, int n,
+                              Duration leave_after) {
+  ++counts.open;
+  const std::string first = fmt::format("d-{}", n);
+  ClientCall call = MakeCall(first, n);
+  call.leave_after = leave_after;
+  const ClientAnswer answer = co_await site.Send(kLost, std::move(call));
+  const int last = LastEvent(answer.body);
+  if (!answer.is_whole && last > 0) {
+    ++counts.taken_up;
+    bool goes_on = false;
+    for (std::size_t t = 0; t < kRetryPauses.size() && !goes_on; ++t) {
+      const Duration pause = kRetryPauses[t];
+      co_await SleepFor(pause);
+      ClientCall again = MakeCall(fmt::format("d-{}-{}", n, t + 2), n);
+      again.headers +=
+          fmt::format("Last-Event-Id: {}\r\nResumes: {}\r\n", last, first);
+      const ClientAnswer rest = co_await site.Send(kSound, std::move(again));
+      goes_on = rest.status == 200 && rest.is_whole &&
+                LastEvent(rest.body) == kEvents;
+    }
+    if (goes_on) ++counts.went_on;
+    site.Record(fmt::format("{} ended after event {}; it went on: {}", first,
+                            last, goes_on));
+  }
+  --counts.open;
+}
+
+Awaitable<void> SendNew(Site& site, Counts& counts, int n) {
+  ++counts.open;
+  ++counts.new_streams;
+  const ClientAnswer answer =
+      co_await site.Send(kSound, MakeCall(fmt::format("n-{}", n), n));
+  if (answer.status == 200 && answer.is_whole) ++counts.begun;
+  --counts.open;
 }
 
 Awaitable<int> Play(Site& site, bool trouble) {
   const auto executor = co_await boost::asio::this_coro::executor;
   for (int n = 1; n <= kEngines; ++n) {
-    site.AddEngine(fmt::format("i-advice-{}", n), "advice-llm",
-                   [](const HttpRequest& request) {
-                     return MakeStream(request, kEvents, kEventInterval);
-                   });
+    site.AddEngine(fmt::format("i-advice-{}", n), "advice-llm", MakeEvents);
   }
   const Duration settle = std::chrono::seconds(4);
   co_await SleepFor(settle);
-  std::vector<ClientAnswer> answers(kClients);
-  int ended = 0;
-  for (int n = 0; n < kClients; ++n) {
+  Counts counts;
+  for (int n = 1; n <= kStreams; ++n) {
+    const Duration left = kTimeBefore - kStreamPause * (n - 1);
     boost::asio::co_spawn(
         executor,
-        SendRequest(site, n, answers[static_cast<std::size_t>(n)], ended),
+        SendAndTakeUp(site, counts, n, trouble ? Duration::zero() : left),
         boost::asio::detached);
+    const Duration pause = kStreamPause;
+    co_await SleepFor(pause);
   }
-  const Duration before = std::chrono::milliseconds(500);
-  co_await SleepFor(before);
-  const TimePoint signalled_at = RuntimeClock::now();
-  if (trouble) site.Signal(1, SIGTERM);
-  while (ended < kClients) {
+  const Duration left = kTimeBefore - kStreamPause * kStreams;
+  co_await SleepFor(left);
+  if (trouble) site.Signal(kLost, SIGKILL);
+  for (int n = 1; n <= kStreams; ++n) {
+    boost::asio::co_spawn(executor, SendNew(site, counts, n),
+                          boost::asio::detached);
+    const Duration pause = kStreamPause * 4;
+    co_await SleepFor(pause);
+  }
+  while (counts.open > 0) {
     const Duration poll = std::chrono::milliseconds(50);
     co_await SleepFor(poll);
   }
-  int cut = 0;
-  for (int n = 0; n < kClients; ++n) {
-    const ClientAnswer& answer = answers[static_cast<std::size_t>(n)];
-    const std::string id = fmt::format("a-{}", n);
-    bool is_passed_on = false;
-    for (const Arrival& arrival : site.Arrivals()) {
-      is_passed_on = is_passed_on || arrival.id == id;
-    }
-    const Duration sent = answer.all_sent_at - signalled_at;
-    const Duration end = answer.ended_at - signalled_at;
-    site.Record(fmt::format(
-        "{}: last byte sent {} ms after SIGTERM, passed on: {}, status {}, "
-        "whole: {}, ended {} ms after SIGTERM",
-        id, ToMilliseconds(sent), is_passed_on, answer.status, answer.is_whole,
-        ToMilliseconds(end)));
-    const bool is_counted =
-        is_passed_on && sent > kExcusedTime && end <= kPlannedTime;
-    if (is_counted && !answer.is_whole) ++cut;
-  }
   site.Record(fmt::format(
-      "{} requests were passed on and ended without a whole answer", cut));
-  co_return cut > 0 ? kBroken : kHeld;
+      "{} of {} streams that were taken up went on; {} of {} new ones came "
+      "whole",
+      counts.went_on, counts.taken_up, counts.begun, counts.new_streams));
+  if (counts.taken_up < kMinStreams || counts.begun == 0) co_return kNotRun;
+  // Under half of the share of the new ones.
+  const bool is_broken =
+      2 * counts.went_on * counts.new_streams < counts.begun * counts.taken_up;
+  co_return is_broken ? kBroken : kHeld;
 }
 
 }  // namespace
 
-int main() { return RunCase({}, Play); }
+int main() {
+  Site::Options options;
+  options.routers = kRouters;
+  return RunCase(options, Play);
+}
