--- a/review/1/driver.cc
+++ b/review/1/driver.cc
@@ -18,9 +18,9 @@
 using namespace dandelionscale::review;  // NOLINT
 
 constexpr int kEngines = 4;
-constexpr int kRouters = 2;
+constexpr int kRouters = 8;
 // Some 43 requests a second, as at the site, in clumps of three.
-constexpr int kClumps = 600;
+constexpr int kClumps = 500;
 constexpr int kClumpSize = 3;
 constexpr Duration kClumpPause = std::chrono::milliseconds(70);
 // Half of the engines send each twentieth answer without a length.
@@ -60,12 +60,17 @@
   return script;
 }
 
+// The engine keeps idle connections for two seconds.
 emulator::Script MakeFramedAnswer(const HttpRequest& request,
                                   const std::string& body, bool closes) {
   emulator::Script script;
   script.push_back(emulator::Pause{kWork});
-  script.push_back(emulator::SendBytes{emulator::MakeResponse(
-      request, 200, body, closes ? "Connection: close\r\n" : "")});
+  script.push_back(emulator::SendBytes{fmt::format(
+      "HTTP/1.1 200 OK\r\nRequest-Id: {}\r\nResponse-Seal: seal\r\n"
+      "Content-Type: text/plain\r\n{}\r\nContent-Length: {}\r\n\r\n{}",
+      request.headers.Find("Request-Id"),
+      closes ? "Connection: close" : "Keep-Alive: timeout=2", body.size(),
+      body)});
   if (closes) script.push_back(emulator::CloseConnection{});
   return script;
 }
