--- a/review/2/driver.cc
+++ b/review/2/driver.cc
@@ -35,7 +35,8 @@
 // The rule counts from so many streams on.
 constexpr int kMinStreams = 12;
 
-// Events say which engine made them; all engines run one software version.
+// A stream, or what is left of it behind the event that the request names. All
+// engines run one software version.
 emulator::Script MakeEvents(const HttpRequest& request) {
   int id = 1;
   const std::string resume(request.headers.Find("Last-Event-Id"));
