--- a/src/dispatch/client_connection.cc
+++ b/src/dispatch/client_connection.cc
@@ -62,7 +62,7 @@
 Awaitable<void> ClientConnection::Serve() {
   auto self = this->shared_from_this();
   this->timeout_guard = std::make_unique<Watchdog::Guard>(
-      this->state.watchdog, [this] { this->Abort(); });
+      this->state.watchdog, [this] { this->OnTimeout(); });
   while (!this->broken && this->keep_alive) {
     HttpRequest request;
     const ReadOutcome outcome = co_await this->ReadRequest(request);
@@ -161,6 +161,7 @@
 }
 
 Awaitable<void> ClientConnection::RejectUnreadable(const error_code& error) {
+  this->LogUnreadRequest("unreadable");
   if (error == http::error::header_limit) {
     co_await this->Reject(http_status::kHeaderFieldsTooLarge);
   } else if (IsTooLarge(error)) {
@@ -276,14 +277,37 @@
   if (error == asio::error::would_block) error = {};
   if (!error && written < data.size()) {
     this->timeout_guard->Set(RuntimeClock::now() + kWriteTimeout);
+    this->is_writing = true;
     co_await asio::async_write(this->socket, asio::buffer(data) + written,
                                RedirectError(error));
+    this->is_writing = false;
     this->timeout_guard->Clear();
   }
   if (error) this->broken = true;
   co_return !this->broken;
 }
 
+void ClientConnection::OnTimeout() {
+  std::string_view cause = "idle_timeout";
+  if (this->has_active_request) cause = "read_timeout";
+  if (this->is_writing) cause = "write_timeout";
+  this->LogUnreadRequest(cause);
+  this->Abort();
+}
+
+void ClientConnection::LogUnreadRequest(std::string_view cause) {
+  error_code ignored;
+  const std::size_t unread_bytes =
+      this->buffer.size() + this->socket.available(ignored);
+  if (!this->has_active_request && unread_bytes == 0) return;
+  this->state.metrics.Add(fmt::format(
+      "client_connections_aborted_total{{cause=\"{}\"}}", cause));
+  Logger::Info("client_connection_aborted",
+               {{"cause", cause},
+                {"active_request", this->has_active_request},
+                {"unread_bytes", static_cast<std::int64_t>(unread_bytes)}});
+}
+
 bool ClientConnection::MayKeepAlive() const {
   return this->keep_alive && !this->state.draining;
 }
--- a/src/dispatch/client_connection.h
+++ b/src/dispatch/client_connection.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "dandelionscale/transport/http_types.h"
 #include "dispatch/dispatch_state.h"
@@ -67,6 +68,10 @@
   Awaitable<void> Reject(unsigned status);
   Awaitable<bool> Write(std::string_view data);
   bool MayKeepAlive() const;
+  void OnTimeout();
+  // Logs that the connection is closed while a request is read or lies unread,
+  // if it is so.
+  void LogUnreadRequest(std::string_view cause);
 
   DispatchState& state;
   EngineConnector& connector;
@@ -78,6 +83,7 @@
   bool is_head_request = false;
   bool keep_alive = true;
   bool has_active_request = false;
+  bool is_writing = false;  ///< Waits for the client to take a response.
   bool broken = false;  ///< A write failed, or the socket was closed.
   std::shared_ptr<std::function<void()>> disconnect_callback;
 };
--- a/src/dispatch/request_dispatch.cc
+++ b/src/dispatch/request_dispatch.cc
@@ -332,6 +332,16 @@
   if (current_route == nullptr || current_route->name != this->route->name) {
     return;
   }
+  if (this->timeout != current_route->timeout) {
+    Logger::Info(
+        "request_timeout_changed",
+        {{"request", this->decoded.id},
+         {"configuration", static_cast<std::int64_t>(new_table.version)},
+         {"before_ms", ToMilliseconds(this->timeout)},
+         {"timeout_ms", ToMilliseconds(current_route->timeout)},
+         {"took_ms", ToMilliseconds(RuntimeClock::now() - this->arrived_at)},
+         {"sends", static_cast<std::int64_t>(this->sends)}});
+  }
   this->timeout = current_route->timeout;
   this->ArmDeadline();
 }
