--- a/src/dispatch/request_dispatch.cc
+++ b/src/dispatch/request_dispatch.cc
@@ -332,6 +332,8 @@
   if (current_route == nullptr || current_route->name != this->route->name) {
     return;
   }
+  // A stream that has begun is not cut off for a shorter timeout.
+  if (this->stream_started && current_route->timeout < this->timeout) return;
   if (this->timeout != current_route->timeout) {
     Logger::Info(
         "request_timeout_changed",
--- /dev/null
+++ b/tests/request_without_answer_test.cc
@@ -0,0 +1,91 @@
+// Requests that a router has received get an answer: none ends with a closed
+// connection because of timeouts, a change of the configuration, or bytes of
+// others.
+#include <fmt/format.h>
+
+#include <array>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+#include <csignal>
+#include <future>
+#include <thread>
+
+#include "tests/support/platform_fleet.h"
+
+namespace dandelionscale::tests {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+using emulator::MakeEventChunk;
+using emulator::MakeResponse;
+using emulator::MakeStreamHead;
+using emulator::Pause;
+using emulator::Script;
+using emulator::SendBytes;
+using std::chrono::milliseconds;
+
+constexpr milliseconds kReadIdleTimeout(100);
+constexpr std::string_view kLastChunk = "\r\n0\r\n\r\n";
+constexpr std::string_view kStreamRoute =
+    R"({{"name":"stream","host":"h.example","prefix":"/stream/","kind":"streaming","timeout_ms":{},"target_latency_ms":600,"priority":0,"service":"chat","max_attempts":1}})";
+
+Script AnswerOk(const HttpRequest& request) {
+  return {SendBytes{MakeResponse(request, 200, "ok")}};
+}
+
+// Two events with a pause between them.
+Script StreamFor(const HttpRequest& request, Duration pause) {
+  return {SendBytes{MakeStreamHead(request) + MakeEventChunk(1)}, Pause{pause},
+          SendBytes{MakeEventChunk(2) + std::string(emulator::kStreamEnd)}};
+}
+
+// A client's connection to a router.
+class Client {
+ public:
+  explicit Client(const PlatformFleet& fleet) : socket(this->loop) {
+    this->socket.connect(fleet.ClientEndpoint(1));
+  }
+  void Send(const std::string& bytes) {
+    error_code error;
+    asio::write(this->socket, asio::buffer(bytes), error);
+  }
+  // Returns all bytes until `end` has arrived or the connection has ended.
+  std::string ReadUntil(std::string_view end) {
+    std::string text;
+    error_code error;
+    std::array<char, 4096> buffer{};
+    while (!error && text.find(end) == std::string::npos) {
+      const auto size = this->socket.read_some(asio::buffer(buffer), error);
+      text.append(buffer.data(), size);
+    }
+    return text;
+  }
+
+ private:
+  asio::io_context loop;
+  tcp::socket socket;
+};
+
+TEST_CASE("a stream that has begun is not cut off for a shorter timeout") {
+  PlatformFleet fleet(0);
+  fleet.PutConfiguration(3, fmt::format(kStreamRoute, 5000));
+  fleet.AddEngine("chat", [](const HttpRequest& request) {
+    return StreamFor(request, milliseconds(1500));
+  });
+  fleet.StartRouter(1);
+  fleet.WaitUntilReady(1);
+  auto response = std::async(std::launch::async, [&] {
+    return fleet.Exchange(1,
+                          MakeClientRequest("POST", "/stream/", "id", "", "x"),
+                          kReadIdleTimeout);
+  });
+  std::this_thread::sleep_for(milliseconds(500));
+  fleet.PutConfiguration(4, fmt::format(kStreamRoute, 300));
+  CHECK(response.get().ends_with(kLastChunk));
+}
+
+}  // namespace
+}  // namespace dandelionscale::tests
--- a/tests/support/platform_fleet.cc
+++ b/tests/support/platform_fleet.cc
@@ -143,8 +143,8 @@
     this->store->Put(
         "servers", fmt::format("e{}", engine),
         fmt::format(
-            R"({{"service":"{}","address":"127.0.0.1:{}","zone":"north","version":"{}","max_slots":8,"state":"{}","cold_remaining_ms":0,"call_seq":1,"born":{}}})",
-            entry.service, entry.port, entry.version, state,
+            R"({{"service":"{}","address":"127.0.0.1:{}","zone":"north","version":"{}","max_slots":{},"state":"{}","cold_remaining_ms":0,"call_seq":1,"born":{}}})",
+            entry.service, entry.port, entry.version, this->max_slots, state,
             entry.born_unix_ms));
   });
 }
@@ -198,8 +198,9 @@
       R"({"name":"single","host":"h.example","prefix":"/single/","kind":"non_idempotent","timeout_ms":2000,"target_latency_ms":300,"priority":2,"service":"plain","max_attempts":1},)"
       R"({"name":"any","host":"h.example","prefix":"/any/","kind":"idempotent","timeout_ms":2000,"target_latency_ms":300,"priority":2,"service":"plain","max_attempts":2})";
   const std::string text = fmt::format(
-      R"({{"version":{},"routes":[{}],"services":[{{"name":"chat","max_connections":100,"engine":{{"max_slots":8}}}},{{"name":"plain","max_connections":100}}],"limits":{{"max_header_bytes":16384,"max_body_bytes":{},"header_timeout_ms":3000,"idle_timeout_ms":15000}},"tenants":[{{"name":"t1","api_keys":["k1"],"priority":1}}]}})",
-      version, routes.empty() ? usual : routes, this->max_body_bytes);
+      R"({{"version":{},"routes":[{}],"services":[{{"name":"chat","max_connections":100,"engine":{{"max_slots":8}}}},{{"name":"plain","max_connections":100}}],"limits":{{"max_header_bytes":16384,"max_body_bytes":{},"header_timeout_ms":3000,"idle_timeout_ms":{}}},"tenants":[{{"name":"t1","api_keys":["k1"],"priority":1}}]}})",
+      version, routes.empty() ? usual : routes, this->max_body_bytes,
+      this->idle_timeout.count());
   this->RunOnLoop([&] { this->store->Put("op", "config", text); });
 }
 
--- a/tests/support/platform_fleet.h
+++ b/tests/support/platform_fleet.h
@@ -5,6 +5,7 @@
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
+#include <chrono>
 #include <functional>
 #include <map>
 #include <memory>
@@ -69,6 +70,13 @@
   void CutOff(const std::vector<int>& routers, emulator::CutKind kind);
   /// \brief Limits the bodies of requests in configurations from now on.
   void SetMaxBodyBytes(std::size_t bytes) { this->max_body_bytes = bytes; }
+  /// \brief Sets the idle timeout of clients' connections in configurations
+  ///        from now on.
+  void SetIdleTimeout(std::chrono::milliseconds timeout) {
+    this->idle_timeout = timeout;
+  }
+  /// \brief Sets the slots in engines' entries from now on.
+  void SetMaxSlots(int slots) { this->max_slots = slots; }
   void SetStoreMode(emulator::StoreMode mode);
 
   /// \param more_settings further lines of its settings file.
@@ -138,6 +146,8 @@
 
   std::string folder;
   std::size_t max_body_bytes = 100'000;
+  std::chrono::milliseconds idle_timeout{15'000};
+  int max_slots = 8;
   std::string program;  ///< Path of the router's.
   boost::asio::io_context loop;
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work;
