A stream is not given up for a second of silence before something better is held (LOST)

Callers saw: streams that had begun (status 200) were closed without their end, and some requests got 502, when sound engines made no event for 1.3 s and went on. Cause: after twice the latency target without an event the router closed the connection, which loses what the engine works on, and only then asked the retry budget and looked for an engine. In a common silence neither can serve all. Class: what works is given up for a hope. Why it works: the order is attempts and budget, a healthy engine with room (and a permit), the engine's own report of what it runs, and only then the cut. If one of these is missing the router keeps listening. An engine that names the request is never given up; one that names others is, if the stream had begun; one that tells nothing after 1.6 s, longer than a sound one is silent. GETs of plain services need no report, since they may run twice.

--- a/emulator/scripted_engine.cc
+++ b/emulator/scripted_engine.cc
@@ -26,6 +26,7 @@
   return asio::redirect_error(asio::use_awaitable, error);
 }
 
+constexpr std::string_view kReportPath = "/dandelionscale/report";
 constexpr std::string_view kEmptyCacheEvents =
     "HTTP/1.1 200 OK\r\nContent-Length: 45\r\n\r\n"
     R"({"epoch":1,"next":0,"lost":false,"events":[]})";
@@ -73,6 +74,7 @@
   Awaitable<void> SendUntilClosed(asio::ip::tcp::socket& socket,
                                   SendEndlessly step);
   Awaitable<bool> RunScript(asio::ip::tcp::socket& socket, Script script);
+  std::string MakeReport() const;
 
   asio::any_io_executor executor;
   asio::ip::tcp::acceptor acceptor;
@@ -84,6 +86,8 @@
   std::set<std::shared_ptr<asio::ip::tcp::socket>> open_connections;
   std::vector<asio::ip::address_v4> cut_sources;
   CutKind cut_kind = CutKind::kHang;
+  ReportKind report = ReportKind::kNone;
+  std::multiset<std::string> running;  ///< Ids of the requests.
 };
 
 bool ScriptedEngine::State::IsCutOff(
@@ -171,6 +175,13 @@
                           std::string(field.value()));
     }
     request.body = message.body();
+    if (request.target == kReportPath && this->report != ReportKind::kNone) {
+      co_await this->WaitWhileSilenced(socket);
+      const std::string report = this->MakeReport();
+      co_await asio::async_write(socket, asio::buffer(report),
+                                 RedirectError(error));
+      continue;
+    }
     if (request.target.starts_with("/dandelionscale/")) {
       // Routers long-poll the events of the engine's prompt cache at these
       // paths. Each poll ends without events.
@@ -183,10 +194,27 @@
     }
     this->requests.push_back(request);
     Script script = this->maker(request);
-    if (!co_await this->RunScript(socket, std::move(script))) co_return;
+    const auto run =
+        this->running.insert(std::string(request.headers.Find("Request-Id")));
+    const bool is_open = co_await this->RunScript(socket, std::move(script));
+    this->running.erase(run);
+    if (!is_open) co_return;
   }
 }
 
+std::string ScriptedEngine::State::MakeReport() const {
+  std::string runs;
+  if (this->report == ReportKind::kTruthful) {
+    for (const std::string& id : this->running) {
+      runs += fmt::format(R"({}["{}",100,1,5])", runs.empty() ? "" : ",", id);
+    }
+  }
+  const std::string body =
+      fmt::format(R"({{"stage":"both","runs":[{}]}})", runs);
+  return fmt::format("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{}",
+                     body.size(), body);
+}
+
 Awaitable<void> ScriptedEngine::State::SendUntilClosed(
     asio::ip::tcp::socket& socket, SendEndlessly step) {
   error_code error;
@@ -271,6 +299,8 @@
   this->state->CutOff(std::move(sources), kind);
 }
 
+void ScriptedEngine::SetReport(ReportKind kind) { this->state->report = kind; }
+
 void ScriptedEngine::SetScript(ScriptMaker maker) {
   this->state->maker = std::move(maker);
 }
--- a/emulator/scripted_engine.h
+++ b/emulator/scripted_engine.h
@@ -63,6 +63,13 @@
   kNewReset  ///< Only new connections are reset; open ones live on.
 };
 
+/// \brief What an engine answers when it is asked which requests it runs.
+enum class ReportKind {
+  kNone,      ///< Nothing that can be read.
+  kTruthful,  ///< Those whose scripts are under way.
+  kEmpty      ///< None.
+};
+
 /// \brief Emulates an engine of the users' platform (that of
 ///        `dandelion-platform-router`) that sends scripted bytes.
 ///
@@ -89,6 +96,9 @@
   /// \brief Replaces the script of all later requests.
   void SetScript(ScriptMaker maker);
 
+  /// \brief Sets how the engine reports from now on; `kNone` at first.
+  void SetReport(ReportKind kind);
+
   /// \brief Cuts the engine off from hosts, until the next call; from none if
   ///        `sources` is empty.
   void CutOff(std::vector<boost::asio::ip::address_v4> sources, CutKind kind);
--- a/include/dandelionscale/core/fleet_retry_budget.h
+++ b/include/dandelionscale/core/fleet_retry_budget.h
@@ -32,6 +32,8 @@
   /// \param routers number of routers that may send retries, this one included.
   /// \returns false if the share is used up.
   bool TryTake(TimePoint now, std::size_t routers);
+  /// \returns true if `TryTake()` would take one.
+  bool HasRetry(TimePoint now, std::size_t routers);
 
   /// \returns the requests counted in the current window.
   std::uint32_t Requests() const { return this->requests; }
--- /dev/null
+++ b/include/dandelionscale/core/silence_policy.h
@@ -0,0 +1,42 @@
+#ifndef DANDELIONSCALE_CORE_SILENCE_POLICY_H_
+#define DANDELIONSCALE_CORE_SILENCE_POLICY_H_
+
+#include <string_view>
+
+#include "dandelionscale/runtime/runtime_clock.h"
+
+namespace dandelionscale {
+
+/// \brief What an engine reports of one request.
+enum class RunReport {
+  kUnknown,    ///< Not asked, no answer, or the engine can't be asked.
+  kListed,     ///< The engine works on the request.
+  kNotListed,  ///< It works on others, or on none.
+};
+
+/// \returns the name used in logs.
+std::string_view ToString(RunReport report);
+
+/// \brief A send whose engine has sent nothing for some time, while its
+///        connection is open.
+struct SilentSend {
+  Duration silent_for{};
+  /// Stream events were sent to the client, so that only an engine that goes on
+  /// behind the last one can take over.
+  bool events_delivered = false;
+  /// A second run at the same time does no harm.
+  bool may_overlap = false;
+  RunReport report = RunReport::kUnknown;
+};
+
+/// \returns true if the connection may be given up for a send to another
+///          engine, provided that one is certain to be possible: attempts and
+///          retry budget are left, and an engine has room.
+///
+/// A sound engine may be silent for about a second. What it works on is lost
+/// with its connection.
+bool MayGiveUp(const SilentSend& send);
+
+}  // namespace dandelionscale
+
+#endif  // DANDELIONSCALE_CORE_SILENCE_POLICY_H_
--- a/include/dandelionscale/dispatch/protocol_codec.h
+++ b/include/dandelionscale/dispatch/protocol_codec.h
@@ -95,6 +95,11 @@
   std::vector<CacheEvent> events;
 };
 
+/// \brief What an engine reports of its work.
+struct EngineReport {
+  std::vector<std::string> request_ids;  ///< Of the requests that it runs.
+};
+
 /// \brief Error type of the decoders: malformed input.
 struct DecodeFault {
   std::string what;  ///< Description of the defect, for the log.
@@ -104,7 +109,7 @@
 /// the router.
 ///
 /// Covers client requests, engine requests and responses, the routing table and
-/// engine entries of the store, and the prompt cache events of engines.
+/// engine entries of the store, and engines' prompt cache events and reports.
 /// Contains no routing decisions.
 class ProtocolCodec {
  public:
@@ -142,6 +147,13 @@
   /// \returns the decoded response to either request; error: `DecodeFault`.
   virtual boost::leaf::result<CacheEventBatch> DecodeCacheEvents(
       std::string_view text) const = 0;
+
+  /// \returns a request for an engine's report of its work.
+  virtual HttpRequest EncodeReportRequest() const = 0;
+  /// \returns the decoded response; error: `DecodeFault`, also if the engine
+  ///          does not report its requests.
+  virtual boost::leaf::result<EngineReport> DecodeReport(
+      std::string_view text) const = 0;
 };
 
 }  // namespace dandelionscale
--- a/src/core/fleet_retry_budget.cc
+++ b/src/core/fleet_retry_budget.cc
@@ -19,14 +19,18 @@
   ++this->requests;
 }
 
-bool FleetRetryBudget::TryTake(TimePoint now, std::size_t routers) {
+bool FleetRetryBudget::HasRetry(TimePoint now, std::size_t routers) {
   this->Expire(now);
   const double extra_share =
       this->limits.extra /
       static_cast<double>(std::max<std::size_t>(1, routers));
   const double max_retries =
       kUsedShare * (this->limits.ratio * this->requests + extra_share);
-  if (this->retries + 1 > max_retries) return false;
+  return this->retries + 1 <= max_retries;
+}
+
+bool FleetRetryBudget::TryTake(TimePoint now, std::size_t routers) {
+  if (!this->HasRetry(now, routers)) return false;
   ++this->CurrentBucket(now).retries;
   ++this->retries;
   return true;
--- a/src/dispatch/dispatch_state.cc
+++ b/src/dispatch/dispatch_state.cc
@@ -8,6 +8,7 @@
 #include "dandelionscale/core/hash.h"
 #include "dandelionscale/runtime/logger.h"
 #include "dandelionscale/transport/address.h"
+#include "dispatch/engine_reports.h"
 #include "dispatch/origin_exchange.h"
 #include "dispatch/permit_exchange.h"
 #include "dispatch/request_dispatch.h"
@@ -64,6 +65,7 @@
   this->origins = std::make_unique<OriginExchange>(*this);
   this->permits = std::make_unique<PermitExchange>(*this);
   this->version_reader = std::make_unique<VersionReader>(executor);
+  this->engine_reports = std::make_unique<EngineReports>(*this);
 }
 
 DispatchState::~DispatchState() = default;
--- a/src/dispatch/dispatch_state.h
+++ b/src/dispatch/dispatch_state.h
@@ -36,6 +36,7 @@
 
 namespace dandelionscale::internal {
 
+class EngineReports;
 class OriginExchange;
 class PermitExchange;
 class RequestDispatch;
@@ -205,6 +206,8 @@
   std::unique_ptr<OriginExchange> origins;
   /// Reads the versions anew; never null.
   std::unique_ptr<VersionReader> version_reader;
+  /// Asks engines which requests they work on; never null.
+  std::unique_ptr<EngineReports> engine_reports;
   RateLimitNews rate_limit_news;  ///< Limits to report in digests.
   /// Which engines this router reaches by connections of its own.
   EngineReachability reachability;
--- a/src/dispatch/engine_exchange.h
+++ b/src/dispatch/engine_exchange.h
@@ -69,6 +69,7 @@
            this->connection->history.MayHaveCarried(request_id);
   }
   const Engine& ServingEngine() const { return *this->engine; }
+  const std::shared_ptr<Engine>& SharedEngine() const { return this->engine; }
   bool IsEventStream() const { return this->event_stream; }
   /// \returns the framing of the response whose head was read last.
   BodyFraming Framing() const;
--- a/src/dispatch/request_dispatch.cc
+++ b/src/dispatch/request_dispatch.cc
@@ -16,14 +16,6 @@
 
 // Timeout of clients that don't send one.
 constexpr Duration kDefaultClientTimeout = std::chrono::seconds(30);
-// An engine that enforces the deadline itself responds at the deadline; this
-// time allows for the transfer of that response.
-constexpr Duration kDeadlineGrace = std::chrono::milliseconds(60);
-// Stall timeout, as a multiple of the latency target: if an engine sends
-// nothing for this long, the attempt is cancelled and a repeatable request is
-// retried at another engine.
-constexpr int kStallTimeoutFactor = 2;
-constexpr Duration kMinStallTimeout = std::chrono::milliseconds(500);
 constexpr Duration kConfigurationPollInterval = std::chrono::milliseconds(15);
 // A router that has just started loads its configuration within this time.
 // Waiting is faster for the client than a refusal and a retry.
@@ -63,7 +55,13 @@
   this->ArmDeadline();
   if (!co_await this->ResolveOrigin()) co_return;
   while (true) {
-    std::shared_ptr<Engine> engine = co_await this->Place();
+    std::shared_ptr<Engine> engine;
+    if (this->successor) {
+      engine = this->successor->Get();
+      this->successor.reset();
+    } else {
+      engine = co_await this->Place();
+    }
     if (!engine) co_return;
     auto failure = co_await this->Attempt(engine);
     this->OnAttemptEnded(*engine, failure);
@@ -169,7 +167,7 @@
   const std::string resume_after =
       this->events.EventCount() > 0 ? this->events.LastId() : std::string();
   const bool repeatable = this->route->IsRepeatable();
-  this->ArmStallTimeout();
+  this->OnProgress();
   auto failure = co_await this->exchange->Connect(
       this->decoded.id,
       repeatable ? ReusePolicy::kAnyIdle : ReusePolicy::kRecentlyIdle);
@@ -184,9 +182,9 @@
   }
   if (this->exchange->WasSent()) ++this->sends;
   if (!failure) failure = co_await this->RelayResponse();
-  if (failure && this->exchange) co_await this->exchange->FindCause();
   this->stall_deadline = TimePoint::max();
   this->ArmDeadline();
+  if (failure && this->exchange) co_await this->exchange->FindCause();
   if (failure && !IsProvablyNotRun(*failure)) this->may_have_run = true;
   co_return failure;
 }
@@ -262,19 +260,23 @@
   }
 }
 
+AttemptHistory RequestDispatch::HistoryAfter(AttemptFailure failure) const {
+  return {failure,
+          this->sends,
+          this->may_have_run || !IsProvablyNotRun(failure),
+          this->stream_started,
+          !this->events.LastId().empty(),
+          this->Deadline() - RuntimeClock::now()};
+}
+
 AttemptDecision RequestDispatch::DecideAfterFailedAttempt(
     AttemptFailure failure) const {
   using std::chrono::microseconds;
-  const auto time_left = std::chrono::duration_cast<microseconds>(
-      this->Deadline() - RuntimeClock::now());
   const AttemptLimits limits = LimitsOf(*this->route);
-  const AttemptHistory history = {failure,
-                                  this->sends,
-                                  this->may_have_run,
-                                  this->stream_started,
-                                  !this->events.LastId().empty(),
-                                  time_left};
+  const AttemptHistory history = this->HistoryAfter(failure);
   const AttemptDecision decision = DecideAfterFailure(limits, history);
+  const auto time_left =
+      std::chrono::duration_cast<microseconds>(history.time_left);
   Logger::Info(
       "attempt_decided",
       {{"request", this->decoded.id},
@@ -294,7 +296,8 @@
                                AttemptDecision& decision) {
   const auto* retry = std::get_if<SendAgain>(&decision);
   if (retry == nullptr) return false;
-  if (!retry->costs_budget) return true;
+  // The budget was charged when the successor was reserved.
+  if (!retry->costs_budget || this->successor) return true;
   FleetRetryBudget& budget = this->state.Service(this->service).budget;
   if (budget.TryTake(RuntimeClock::now(), this->state.RouterCount())) {
     this->state.metrics.Add("retries_total");
@@ -357,23 +360,6 @@
       std::min(this->Deadline() + kDeadlineGrace, this->stall_deadline));
 }
 
-void RequestDispatch::ArmStallTimeout() {
-  const bool may_retry =
-      this->route->IsRepeatable() && this->attempt < this->route->max_attempts;
-  this->stall_deadline =
-      may_retry ? RuntimeClock::now() +
-                      std::max(kMinStallTimeout, this->route->latency_target *
-                                                     kStallTimeoutFactor)
-                : TimePoint::max();
-  this->ArmDeadline();
-}
-
-void RequestDispatch::OnTimeout() {
-  const bool deadline =
-      RuntimeClock::now() >= this->Deadline() + kDeadlineGrace;
-  this->Interrupt(deadline ? Interruption::kDeadline : Interruption::kStalled);
-}
-
 void RequestDispatch::Interrupt(Interruption cause) {
   if (this->interruption == Interruption::kNone) this->interruption = cause;
   if (this->exchange) this->exchange->Cancel();
--- a/src/dispatch/request_dispatch.h
+++ b/src/dispatch/request_dispatch.h
@@ -10,9 +10,11 @@
 
 #include "dandelionscale/core/attempt_policy.h"
 #include "dandelionscale/core/placement.h"
+#include "dandelionscale/core/silence_policy.h"
 #include "dispatch/client_connection.h"
 #include "dispatch/dispatch_state.h"
 #include "dispatch/engine_exchange.h"
+#include "dispatch/engine_reservation.h"
 #include "engine_response/event_splitter.h"
 #include "engine_response/unframed_body.h"
 
@@ -20,6 +22,9 @@
 
 class EngineConnector;
 
+/// An engine that enforces the deadline itself responds at the deadline; this
+/// time allows for the transfer of that response.
+inline constexpr Duration kDeadlineGrace = std::chrono::milliseconds(60);
 /// Of an id that a client has chosen, in a log line.
 inline constexpr std::size_t kMaxLoggedIdBytes = 64;
 
@@ -28,7 +33,8 @@
 ///
 /// The implementation is divided into `request_dispatch.cc` (attempts),
 /// `request_placement.cc` (choice of the engine and waiting),
-/// `response_relay.cc` and `request_ending.cc` (final responses).
+/// `request_silence.cc` (engines that send nothing), `response_relay.cc` and
+/// `request_ending.cc` (final responses).
 class RequestDispatch : public std::enable_shared_from_this<RequestDispatch> {
  public:
   RequestDispatch(DispatchState& state, EngineConnector& connector,
@@ -50,7 +56,7 @@
     kNone,
     kClientGone,
     kDeadline,
-    kStalled  ///< The engine sent nothing within the stall timeout.
+    kStalled  ///< The engine sent nothing for too long.
   };
 
   Awaitable<void> WaitForConfiguration();
@@ -84,8 +90,16 @@
     PlacementInputs inputs;
     std::vector<PlacementCandidate> candidates;  ///< `inputs` refers to them.
     std::string cache_source_address;
+    /// When the engine's permit was granted, if it needs one.
+    std::optional<TimePoint> permitted_at;
   };
-  std::optional<PlacementPlan> PlanPlacement(bool avoid_limited) const;
+  // Engines that are not to be chosen.
+  struct PlacementLimits {
+    bool avoid_limited = false;  ///< Those that limit their rate.
+    bool only_healthy = false;   ///< Unhealthy ones if no other can be chosen.
+  };
+  std::optional<PlacementPlan> PlanPlacement(
+      const PlacementLimits& limits) const;
   std::vector<PlacementCandidate> BuildCandidates(bool ignore_health,
                                                   bool avoid_limited) const;
   void OnPlaced(const PlacementPlan& plan);
@@ -134,6 +148,19 @@
   // Records the failure in the health of the engine.
   void RecordFailure(Engine& engine, AttemptFailure failure);
 
+  // Decides whether to give up an engine that has sent nothing for some time.
+  // Nothing is given up before the retry budget is charged and another engine
+  // reserved.
+  Awaitable<void> HandleSilence();
+  // Chooses a healthy engine to which the request could be sent again if it was
+  // given up now. Returns nothing if there is none, or no retry is left.
+  std::optional<PlacementPlan> PlanSuccessor();
+  // The same, with a permit of the engine if it needs one.
+  Awaitable<std::optional<PlacementPlan>> PlanPermittedSuccessor();
+  // Charges the retry budget and reserves the engine. Returns false if the
+  // budget is spent.
+  bool ReserveSuccessor(const PlacementPlan& plan);
+  AttemptHistory HistoryAfter(AttemptFailure failure) const;
   AttemptDecision DecideAfterFailedAttempt(AttemptFailure failure) const;
   // Returns true if `decision` is a retry that the retry budget allows. If the
   // budget is spent, replaces `decision` by the final one.
@@ -157,7 +184,8 @@
   // stream has begun, which may yet come to its end.
   TimePoint Deadline() const;
   void ArmDeadline();
-  void ArmStallTimeout();
+  // The engine has begun or gone on with the request.
+  void OnProgress();
   void OnTimeout();
   void Interrupt(Interruption cause);
   void LogOutcome(std::string_view outcome, unsigned status,
@@ -184,7 +212,11 @@
   TimePoint client_deadline;
   Duration timeout{};  ///< Of the route, in the newest routing table.
   Watchdog::Guard timeout_guard;
+  /// When to look at an engine that sends nothing.
   TimePoint stall_deadline = TimePoint::max();
+  TimePoint last_progress_at{};  ///< In the current attempt.
+  /// The engine for the next attempt, if it is reserved already.
+  std::optional<EngineReservation> successor;
   Interruption interruption = Interruption::kNone;
   std::unique_ptr<Timer> wait_timer;
 
--- a/src/dispatch/request_placement.cc
+++ b/src/dispatch/request_placement.cc
@@ -47,14 +47,14 @@
 
 Awaitable<std::shared_ptr<Engine>> RequestDispatch::TryPlace() {
   for (int n = 0; n <= kMaxPermitRequests; ++n) {
-    const std::optional<PlacementPlan> plan =
-        this->PlanPlacement(n == kMaxPermitRequests);
+    PlacementLimits limits;
+    limits.avoid_limited = n == kMaxPermitRequests;
+    std::optional<PlacementPlan> plan = this->PlanPlacement(limits);
     if (!plan) break;
     Engine& engine = *plan->engine;
-    this->permitted_at.reset();
     if (engine.rate_limit.IsActive()) {
       if (!co_await this->state.permits->Acquire(plan->engine)) continue;
-      this->permitted_at = RuntimeClock::now();
+      plan->permitted_at = RuntimeClock::now();
     }
     if (this->interruption != Interruption::kNone) break;
     if (engine.draining || engine.gone) continue;
@@ -65,7 +65,7 @@
 }
 
 std::optional<RequestDispatch::PlacementPlan> RequestDispatch::PlanPlacement(
-    bool avoid_limited) const {
+    const PlacementLimits& limits) const {
   const auto engines = this->state.engines.Find(this->service);
   PlacementPlan plan;
   plan.inputs.affinity_key = this->affinity_key;
@@ -76,7 +76,9 @@
   }
   // If no healthy engine is usable, an unhealthy one is better than none.
   for (bool ignore_health : {false, true}) {
-    plan.candidates = this->BuildCandidates(ignore_health, avoid_limited);
+    if (ignore_health && limits.only_healthy) break;
+    plan.candidates =
+        this->BuildCandidates(ignore_health, limits.avoid_limited);
     plan.inputs.candidates = plan.candidates;
     const auto decision = ChooseEngine(plan.inputs);
     if (!decision) continue;
@@ -133,6 +135,7 @@
   const PlacementDecision& decision = plan.decision;
   const PlacementInputs& inputs = plan.inputs;
   this->cache_source_address = plan.cache_source_address;
+  this->permitted_at = plan.permitted_at;
   const TimePoint now = RuntimeClock::now();
   this->state.metrics.ObserveLatency("placement_wait_seconds",
                                      now - this->arrived_at);
--- a/src/dispatch/response_relay.cc
+++ b/src/dispatch/response_relay.cc
@@ -161,7 +161,7 @@
       end = BodyEnd::kUncertain;
     }
     // Bytes of an event that is never completed are no progress.
-    if (!events_text.empty()) this->ArmStallTimeout();
+    if (!events_text.empty()) this->OnProgress();
   }
   if (end == BodyEnd::kUncertain) {
     this->exchange->Cancel();
--- a/tests/platform_translation_test.cc
+++ b/tests/platform_translation_test.cc
@@ -72,6 +72,29 @@
       [&] { return PlatformCodec().DecodeEngine("e1", text); });
 }
 
+TEST_CASE("an engine's report names the requests that it runs") {
+  const PlatformCodec codec;
+  const auto ids = [&](const std::string& text) {
+    return boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<std::vector<std::string>> {
+          BOOST_LEAF_AUTO(report, codec.DecodeReport(text));
+          return report.request_ids;
+        },
+        [] { return std::vector<std::string>{"fault"}; });
+  };
+  CHECK(codec.EncodeReportRequest().target == "/dandelionscale/report");
+  CHECK(ids(R"({"runs":[["a",10,2,5],["b",0,0,5]]})") ==
+        std::vector<std::string>{"a", "b"});
+  CHECK(ids(R"({"runs":[]})").empty());
+  // Entries that name no request are left out.
+  CHECK(ids(R"({"runs":[["a"],[],7,[3],{}]})") ==
+        std::vector<std::string>{"a"});
+  for (const char* text : {"", "[]", "{}", R"({"runs":7})", R"({"runs":[)"}) {
+    CAPTURE(text);
+    CHECK(ids(text) == std::vector<std::string>{"fault"});
+  }
+}
+
 TEST_CASE("a request is decoded into the router's types") {
   const ClientRequest request = PlatformCodec().DecodeRequest(ClientHttp());
   CHECK(request.id == "abc");
--- /dev/null
+++ b/tests/silence_policy_test.cc
@@ -0,0 +1,56 @@
+// When a send whose engine has fallen silent may be given up.
+#include "dandelionscale/core/silence_policy.h"
+
+#include <catch2/catch.hpp>
+
+namespace dandelionscale {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kSecondOfSilence(1300);
+constexpr milliseconds kLongSilence(2000);
+
+SilentSend Stream(Duration silent_for, bool has_events, RunReport report) {
+  SilentSend send;
+  send.silent_for = silent_for;
+  send.events_delivered = has_events;
+  send.report = report;
+  return send;
+}
+
+TEST_CASE("a stream is not given up for a second of silence") {
+  for (bool has_events : {false, true}) {
+    CHECK_FALSE(
+        MayGiveUp(Stream(kSecondOfSilence, has_events, RunReport::kUnknown)));
+  }
+}
+
+TEST_CASE("a stream is given up if its engine is silent for good") {
+  for (bool has_events : {false, true}) {
+    CHECK(MayGiveUp(Stream(kLongSilence, has_events, RunReport::kUnknown)));
+  }
+}
+
+TEST_CASE("a stream is not given up while its engine works on it") {
+  for (bool has_events : {false, true}) {
+    CHECK_FALSE(
+        MayGiveUp(Stream(kLongSilence, has_events, RunReport::kListed)));
+  }
+}
+
+TEST_CASE("a stream that its engine has dropped is given up at once") {
+  CHECK(MayGiveUp(Stream(kSecondOfSilence, true, RunReport::kNotListed)));
+  // It may still wait in the engine's queue.
+  CHECK_FALSE(
+      MayGiveUp(Stream(kSecondOfSilence, false, RunReport::kNotListed)));
+}
+
+TEST_CASE("a request that may run twice at a time is given up at once") {
+  SilentSend send;
+  send.may_overlap = true;
+  CHECK(MayGiveUp(send));
+}
+
+}  // namespace
+}  // namespace dandelionscale
--- /dev/null
+++ b/tests/stream_cut_for_silence_test.cc
@@ -0,0 +1,318 @@
+// Sound engines fall silent for about a second and go on: streams that have
+// begun at them come whole, and nothing runs twice for it.
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+#include <csignal>
+#include <functional>
+#include <map>
+#include <thread>
+
+#include "tests/support/platform_fleet.h"
+#include "transport/socket_helpers.h"
+
+namespace dandelionscale::tests {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+using emulator::MakeEventChunk;
+using emulator::MakeResponse;
+using emulator::MakeStreamHead;
+using emulator::Pause;
+using emulator::Script;
+using emulator::SendBytes;
+using std::chrono::milliseconds;
+
+constexpr milliseconds kSilence(1300);
+constexpr milliseconds kEventInterval(60);
+constexpr int kEvents = 30;
+constexpr std::string_view kLastChunk = "\r\n0\r\n\r\n";
+constexpr std::string_view kRoutes =
+    R"({"name":"stream","host":"h.example","prefix":"/stream/","kind":"streaming","timeout_ms":12000,"target_latency_ms":600,"gap_aim_ms":300,"priority":0,"service":"chat","max_attempts":2,"stream_resume":true})";
+constexpr std::string_view kNoRetries =
+    "bounds.retry_budget_ratio=0\nbounds.budget_extra=0\n";
+// The budget of a small deployment.
+constexpr std::string_view kFewRetries =
+    "bounds.retry_budget_ratio=0.2\nbounds.budget_extra=56\n";
+
+// Begins once, for all engines that share it.
+struct Silence {
+  TimePoint begins_at = TimePoint::max();
+
+  // When an event is made that is due at `at`.
+  TimePoint EventTime(TimePoint at) const {
+    if (at < this->begins_at) return at;
+    return std::max(at, this->begins_at + kSilence);
+  }
+};
+
+int FirstEvent(const HttpRequest& request) {
+  const std::string resume(request.headers.Find("Last-Event-Id"));
+  return resume.empty() ? 1 : std::stoi(resume) + 1;
+}
+
+// A stream that makes no event in the silence.
+Script MakeStream(const HttpRequest& request, const Silence& silence) {
+  Script script = {SendBytes{MakeStreamHead(request)}};
+  TimePoint at = RuntimeClock::now();
+  for (int id = FirstEvent(request); id <= kEvents; ++id) {
+    const TimePoint next = silence.EventTime(at + kEventInterval);
+    script.push_back(Pause{next - at});
+    script.push_back(SendBytes{MakeEventChunk(id)});
+    at = next;
+  }
+  script.push_back(SendBytes{std::string(emulator::kStreamEnd)});
+  return script;
+}
+
+struct ClientStream {
+  std::string id;
+  std::string text;
+  bool IsWhole() const {
+    const std::string last = fmt::format("data: piece {}\n", kEvents);
+    return this->text.ends_with(kLastChunk) &&
+           Occurrences(this->text, "data: piece ") == kEvents &&
+           this->text.find(last) != std::string::npos;
+  }
+};
+
+Awaitable<void> ReadStream(tcp::endpoint router, ClientStream& stream) {
+  const auto executor = co_await asio::this_coro::executor;
+  tcp::socket socket(executor);
+  error_code error;
+  co_await socket.async_connect(router, internal::RedirectError(error));
+  const std::string request = fmt::format(
+      "POST /stream/ HTTP/1.1\r\nHost: h.example\r\nRequest-Id: {}\r\n"
+      "Request-Deadline: 12000\r\nAuthorization: Token k1\r\n"
+      "Content-Length: 1\r\n\r\nx",
+      stream.id);
+  co_await asio::async_write(socket, asio::buffer(request),
+                             internal::RedirectError(error));
+  std::array<char, 4096> buffer{};
+  while (!error && !stream.text.ends_with(kLastChunk)) {
+    const std::size_t size = co_await socket.async_read_some(
+        asio::buffer(buffer), internal::RedirectError(error));
+    stream.text.append(buffer.data(), size);
+  }
+}
+
+// Sends `count` streams, one each `interval`, to the routers in turn, and waits
+// for their ends.
+std::vector<ClientStream> ReadStreams(const PlatformFleet& fleet, int routers,
+                                      int count, Duration interval) {
+  std::vector<ClientStream> streams(static_cast<std::size_t>(count));
+  asio::io_context loop;
+  asio::co_spawn(
+      loop,
+      [&]() -> Awaitable<void> {
+        for (int n = 0; n < count; ++n) {
+          ClientStream& stream = streams[static_cast<std::size_t>(n)];
+          stream.id = fmt::format("s{}", n);
+          asio::co_spawn(
+              loop, ReadStream(fleet.ClientEndpoint(1 + n % routers), stream),
+              asio::detached);
+          const Duration pause = interval;
+          co_await SleepFor(pause);
+        }
+      },
+      asio::detached);
+  loop.run();
+  return streams;
+}
+
+int CountWhole(const std::vector<ClientStream>& streams) {
+  return static_cast<int>(
+      std::count_if(streams.begin(), streams.end(),
+                    [](const ClientStream& s) { return s.IsWhole(); }));
+}
+
+// How many requests reached more than one engine.
+int CountRepeated(PlatformFleet& fleet, int engines) {
+  std::map<std::string, int> arrivals;
+  for (int engine = 0; engine < engines; ++engine) {
+    for (const HttpRequest& request : fleet.Requests(engine)) {
+      ++arrivals[std::string(request.headers.Find("Request-Id"))];
+    }
+  }
+  return static_cast<int>(
+      std::count_if(arrivals.begin(), arrivals.end(),
+                    [](const auto& entry) { return entry.second > 1; }));
+}
+
+struct Fleet : PlatformFleet {
+  Fleet(int routers, std::string_view settings) : PlatformFleet(0) {
+    this->PutConfiguration(3, std::string(kRoutes));
+    for (int router = 1; router <= routers; ++router) {
+      this->StartRouter(router, std::string(settings));
+    }
+  }
+
+  // An engine whose streams begin the silence `delay` from now.
+  void AddSilentEngine() {
+    this->AddEngine("chat", [this](const HttpRequest& request) {
+      return MakeStream(request, this->silence);
+    });
+  }
+  void BeginSilence(Duration delay) {
+    this->RunOnLoop(
+        [&] { this->silence.begins_at = RuntimeClock::now() + delay; });
+  }
+
+  Silence silence;
+};
+
+constexpr milliseconds kBeforeSilence(600);
+
+TEST_CASE("no stream is cut for silence when the retry budget is spent") {
+  Fleet fleet(1, kNoRetries);
+  for (int n = 0; n < 3; ++n) fleet.AddSilentEngine();
+  fleet.WaitUntilReady(1);
+  fleet.BeginSilence(kBeforeSilence);
+  const auto streams = ReadStreams(fleet, 1, 12, milliseconds(10));
+  CAPTURE(fleet.Log(1));
+  CHECK(CountWhole(streams) == 12);
+  CHECK(CountRepeated(fleet, 3) == 0);
+}
+
+TEST_CASE("no stream is cut for silence when there is no other engine") {
+  Fleet fleet(1, kFewRetries);
+  fleet.AddSilentEngine();
+  fleet.WaitUntilReady(1);
+  fleet.BeginSilence(kBeforeSilence);
+  const auto streams = ReadStreams(fleet, 1, 4, milliseconds(10));
+  CAPTURE(fleet.Log(1));
+  CHECK(CountWhole(streams) == 4);
+}
+
+TEST_CASE("no stream is cut for silence when the other engine refuses") {
+  Fleet fleet(1, kFewRetries);
+  fleet.AddSilentEngine();
+  fleet.AddEngine("chat", [](const HttpRequest& request) {
+    return Script{
+        SendBytes{MakeResponse(request, 503, "", "Not-Executed: 1\r\n")}};
+  });
+  fleet.WaitUntilReady(1);
+  fleet.BeginSilence(kBeforeSilence);
+  const auto streams = ReadStreams(fleet, 1, 4, milliseconds(10));
+  CAPTURE(fleet.Log(1));
+  CHECK(CountWhole(streams) == 4);
+}
+
+TEST_CASE("no stream is cut for silence at high load") {
+  constexpr int kStreams = 1000;
+  Fleet fleet(2, kFewRetries);
+  fleet.SetMaxSlots(48);
+  for (int n = 0; n < 6; ++n) fleet.AddSilentEngine();
+  fleet.WaitUntilReady(1);
+  fleet.WaitUntilReady(2);
+  fleet.BeginSilence(std::chrono::seconds(2));
+  const auto streams = ReadStreams(fleet, 2, kStreams, milliseconds(4));
+  int begun = 0;
+  int cut = 0;
+  for (const ClientStream& stream : streams) {
+    if (!stream.text.starts_with("HTTP/1.1 200")) continue;
+    ++begun;
+    if (!stream.IsWhole()) ++cut;
+  }
+  CAPTURE(begun);
+  CHECK(begun > kStreams / 2);
+  CHECK(cut == 0);
+  CHECK(CountRepeated(fleet, 6) == 0);
+}
+
+TEST_CASE("no stream is cut while its engine reports that it works on it") {
+  constexpr milliseconds kPreempted(2500);
+  Fleet fleet(1, kFewRetries);
+  for (int n = 0; n < 2; ++n) {
+    const int engine = fleet.AddEngine("chat", [&](const HttpRequest& request) {
+      Script script = {SendBytes{MakeStreamHead(request)}};
+      for (int id = FirstEvent(request); id <= kEvents; ++id) {
+        script.push_back(SendBytes{MakeEventChunk(id)});
+        if (id == 2) script.push_back(Pause{kPreempted});
+      }
+      script.push_back(SendBytes{std::string(emulator::kStreamEnd)});
+      return script;
+    });
+    fleet.RunOnLoop([&] {
+      fleet.Engine(engine).SetReport(emulator::ReportKind::kTruthful);
+    });
+  }
+  fleet.WaitUntilReady(1);
+  const auto streams = ReadStreams(fleet, 1, 4, milliseconds(10));
+  CAPTURE(fleet.Log(1));
+  CHECK(CountWhole(streams) == 4);
+  CHECK(CountRepeated(fleet, 2) == 0);
+}
+
+// Streams whose first engine sends nothing more after some events.
+void CheckTakenOver(emulator::ReportKind report) {
+  Fleet fleet(1, kFewRetries);
+  for (int n = 0; n < 2; ++n) {
+    const int engine = fleet.AddEngine("chat", [](const HttpRequest& request) {
+      const int first = FirstEvent(request);
+      if (first > 1) return MakeStream(request, Silence());
+      return Script{SendBytes{MakeStreamHead(request) + MakeEventChunk(1)},
+                    Pause{std::chrono::seconds(20)}};
+    });
+    fleet.RunOnLoop([&] { fleet.Engine(engine).SetReport(report); });
+  }
+  fleet.WaitUntilReady(1);
+  const auto streams = ReadStreams(fleet, 1, 4, milliseconds(10));
+  CAPTURE(fleet.Log(1));
+  CHECK(CountWhole(streams) == 4);
+  CHECK(Occurrences(fleet.Log(1), R"("given_up":true)") == 4);
+}
+
+TEST_CASE("a stream goes on elsewhere if its engine is silent for good") {
+  CheckTakenOver(emulator::ReportKind::kNone);
+}
+
+TEST_CASE("a stream goes on elsewhere if its engine has dropped it") {
+  CheckTakenOver(emulator::ReportKind::kEmpty);
+}
+
+// Planned work beside the silence.
+void CheckBesidePlannedWork(const std::function<void(Fleet&)>& work) {
+  constexpr int kStreams = 8;
+  Fleet fleet(1, kNoRetries);
+  for (int n = 0; n < 2; ++n) fleet.AddSilentEngine();
+  fleet.WaitUntilReady(1);
+  fleet.BeginSilence(kBeforeSilence);
+  std::thread worker([&] {
+    std::this_thread::sleep_for(kBeforeSilence + milliseconds(300));
+    work(fleet);
+  });
+  const auto streams = ReadStreams(fleet, 1, kStreams, milliseconds(10));
+  worker.join();
+  CAPTURE(fleet.Log(1));
+  CHECK(CountWhole(streams) == kStreams);
+  CHECK(CountRepeated(fleet, 2) == 0);
+}
+
+TEST_CASE("no stream is cut for silence beside a configuration change") {
+  CheckBesidePlannedWork([](Fleet& fleet) {
+    std::string routes(kRoutes);
+    routes.replace(routes.find("12000"), 5, "900");
+    fleet.PutConfiguration(4, routes);
+  });
+}
+
+TEST_CASE("no stream is cut for silence beside a reload") {
+  CheckBesidePlannedWork([](Fleet& fleet) { fleet.Signal(1, SIGHUP); });
+}
+
+TEST_CASE("no stream is cut for silence beside a stop") {
+  CheckBesidePlannedWork([](Fleet& fleet) { fleet.Signal(1, SIGTERM); });
+}
+
+}  // namespace
+}  // namespace dandelionscale::tests
