A request that arrived while the router stood still is read, not closed (LOST)

Callers saw: a request on a kept connection ended with a closed connection, unread, after the router's process had stood still past the idle timeout. Class: a timeout is believed before what arrived in time is looked at. Why it works: a timeout that has passed is acted on 0.1 s later, after the handlers that were due. All timeouts of a client's connection (idle, reading, writing) share this.

--- a/src/dispatch/client_connection.cc
+++ b/src/dispatch/client_connection.cc
@@ -31,6 +31,9 @@
 // request is on its way.
 constexpr Duration kFirstRequestTime = std::chrono::milliseconds(500);
 constexpr std::size_t kReadBufferBytes = 4096;
+// Added to each timeout: what arrived while the process stood still is handled
+// by the event loop only after the timeout has passed.
+constexpr Duration kTimeoutGrace = std::chrono::milliseconds(100);
 // Limit of the bytes that are received but not parsed yet, beside those of the
 // longest head: lines between the chunks of a body may have no end.
 constexpr std::size_t kMaxUnparsedBytes = 64 * 1024;
@@ -96,14 +99,14 @@
                                   : ClientLimits();
   error_code error;
   if (this->buffer.size() == 0) {
-    this->timeout_guard->Set(RuntimeClock::now() + limits.idle_timeout);
+    this->SetTimeout(limits.idle_timeout);
     const std::size_t size = co_await this->socket.async_read_some(
         this->buffer.prepare(kReadBufferBytes), RedirectError(error));
     if (error) co_return ReadOutcome::kClosed;
     this->buffer.commit(size);
   }
   this->has_active_request = true;
-  this->timeout_guard->Set(RuntimeClock::now() + limits.header_timeout);
+  this->SetTimeout(limits.header_timeout);
   this->buffer.max_size(limits.header_bytes + kMaxUnparsedBytes);
   Parser parser;
   parser.header_limit(static_cast<std::uint32_t>(limits.header_bytes));
@@ -119,8 +122,7 @@
     co_await this->Reject(http_status::kBadRequest);
     co_return ReadOutcome::kRejected;
   }
-  this->timeout_guard->Set(RuntimeClock::now() + limits.header_timeout +
-                           kBodyTimeout);
+  this->SetTimeout(limits.header_timeout + kBodyTimeout);
   const ReadOutcome outcome = co_await this->ReadBody(request, parser);
   if (outcome != ReadOutcome::kRequest) co_return outcome;
   auto& message = parser.get();
@@ -276,7 +278,7 @@
       this->socket.write_some(asio::buffer(data), error);
   if (error == asio::error::would_block) error = {};
   if (!error && written < data.size()) {
-    this->timeout_guard->Set(RuntimeClock::now() + kWriteTimeout);
+    this->SetTimeout(kWriteTimeout);
     this->is_writing = true;
     co_await asio::async_write(this->socket, asio::buffer(data) + written,
                                RedirectError(error));
@@ -287,7 +289,17 @@
   co_return !this->broken;
 }
 
+void ClientConnection::SetTimeout(Duration timeout) {
+  this->has_timed_out = false;
+  this->timeout_guard->Set(RuntimeClock::now() + timeout);
+}
+
 void ClientConnection::OnTimeout() {
+  if (!this->has_timed_out) {
+    this->has_timed_out = true;
+    this->timeout_guard->Set(RuntimeClock::now() + kTimeoutGrace);
+    return;
+  }
   std::string_view cause = "idle_timeout";
   if (this->has_active_request) cause = "read_timeout";
   if (this->is_writing) cause = "write_timeout";
@@ -300,8 +312,8 @@
   const std::size_t unread_bytes =
       this->buffer.size() + this->socket.available(ignored);
   if (!this->has_active_request && unread_bytes == 0) return;
-  this->state.metrics.Add(fmt::format(
-      "client_connections_aborted_total{{cause=\"{}\"}}", cause));
+  this->state.metrics.Add(
+      fmt::format("client_connections_aborted_total{{cause=\"{}\"}}", cause));
   Logger::Info("client_connection_aborted",
                {{"cause", cause},
                 {"active_request", this->has_active_request},
--- a/src/dispatch/client_connection.h
+++ b/src/dispatch/client_connection.h
@@ -68,6 +68,7 @@
   Awaitable<void> Reject(unsigned status);
   Awaitable<bool> Write(std::string_view data);
   bool MayKeepAlive() const;
+  void SetTimeout(Duration timeout);
   void OnTimeout();
   // Logs that the connection is closed while a request is read or lies unread,
   // if it is so.
@@ -83,8 +84,9 @@
   bool is_head_request = false;
   bool keep_alive = true;
   bool has_active_request = false;
-  bool is_writing = false;  ///< Waits for the client to take a response.
-  bool broken = false;  ///< A write failed, or the socket was closed.
+  bool has_timed_out = false;  ///< Closed after a grace period.
+  bool is_writing = false;     ///< Waits for the client to take a response.
+  bool broken = false;         ///< A write failed, or the socket was closed.
   std::shared_ptr<std::function<void()>> disconnect_callback;
 };
 
--- a/tests/request_without_answer_test.cc
+++ b/tests/request_without_answer_test.cc
@@ -69,6 +69,26 @@
   tcp::socket socket;
 };
 
+TEST_CASE("a request that arrives while the router stands still is answered") {
+  PlatformFleet fleet(0);
+  fleet.SetIdleTimeout(milliseconds(1500));
+  fleet.PutConfiguration(3);
+  fleet.AddEngine("plain", AnswerOk);
+  fleet.StartRouter(1);
+  fleet.WaitUntilReady(1);
+  Client client(fleet);
+  client.Send(MakeClientRequest("GET", "/any/", "first"));
+  REQUIRE(client.ReadUntil("ok").ends_with("ok"));
+  std::this_thread::sleep_for(milliseconds(1000));
+  fleet.Signal(1, SIGSTOP);
+  client.Send(MakeClientRequest("GET", "/any/", "second"));
+  std::this_thread::sleep_for(milliseconds(1000));
+  fleet.Signal(1, SIGCONT);
+  const std::string answer = client.ReadUntil("ok");
+  CAPTURE(answer, fleet.Log(1));
+  CHECK(answer.ends_with("ok"));
+}
+
 TEST_CASE("a stream that has begun is not cut off for a shorter timeout") {
   PlatformFleet fleet(0);
   fleet.PutConfiguration(3, fmt::format(kStreamRoute, 5000));
