--- a/src/dispatch/client_connection.cc
+++ b/src/dispatch/client_connection.cc
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
@@ -99,7 +100,7 @@
                                   : ClientLimits();
   error_code error;
   if (this->buffer.size() == 0) {
-    this->SetTimeout(limits.idle_timeout);
+    this->SetTimeout(this->IdleTimeout());
     const std::size_t size = co_await this->socket.async_read_some(
         this->buffer.prepare(kReadBufferBytes), RedirectError(error));
     if (error) co_return ReadOutcome::kClosed;
@@ -207,10 +208,7 @@
       has_no_body || this->is_head_request
           ? std::string()
           : fmt::format("Content-Length: {}", body.size());
-  std::string text = FormatResponseHead(
-      status, headers, framing, this->keep_alive,
-      this->state.routing_table ? this->state.routing_table->limits.idle_timeout
-                                : ClientLimits().idle_timeout);
+  std::string text = this->FormatHead(status, headers, framing);
   if (!has_no_body && !this->is_head_request) text += body;
   co_await this->Write(text);
 }
@@ -219,10 +217,8 @@
                                               const HttpHeaders& headers,
                                               std::string_view data) {
   this->keep_alive = this->MayKeepAlive();
-  std::string text = FormatResponseHead(
-      status, headers, "Transfer-Encoding: chunked", this->keep_alive,
-      this->state.routing_table ? this->state.routing_table->limits.idle_timeout
-                                : ClientLimits().idle_timeout);
+  std::string text =
+      this->FormatHead(status, headers, "Transfer-Encoding: chunked");
   if (!data.empty() && !this->is_head_request) text += FormatChunk(data);
   co_return co_await this->Write(text);
 }
@@ -289,6 +285,23 @@
   co_return !this->broken;
 }
 
+Duration ClientConnection::IdleTimeout() const {
+  const Duration configured =
+      this->state.routing_table ? this->state.routing_table->limits.idle_timeout
+                                : ClientLimits().idle_timeout;
+  return std::max(configured, this->stated_idle_timeout.value_or(configured));
+}
+
+std::string ClientConnection::FormatHead(unsigned status,
+                                         const HttpHeaders& headers,
+                                         std::string_view framing) {
+  this->stated_idle_timeout.reset();
+  const Duration idle_timeout = this->IdleTimeout();
+  this->stated_idle_timeout = idle_timeout;
+  return FormatResponseHead(status, headers, framing, this->keep_alive,
+                            idle_timeout);
+}
+
 void ClientConnection::SetTimeout(Duration timeout) {
   this->has_timed_out = false;
   this->timeout_guard->Set(RuntimeClock::now() + timeout);
--- a/src/dispatch/client_connection.h
+++ b/src/dispatch/client_connection.h
@@ -9,6 +9,7 @@
 #include <boost/beast/http/string_body.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -68,6 +69,11 @@
   Awaitable<void> Reject(unsigned status);
   Awaitable<bool> Write(std::string_view data);
   bool MayKeepAlive() const;
+  // What the client was told, or else what the configuration says.
+  Duration IdleTimeout() const;
+  // The head of a response; states the idle timeout if the connection stays.
+  std::string FormatHead(unsigned status, const HttpHeaders& headers,
+                         std::string_view framing);
   void SetTimeout(Duration timeout);
   void OnTimeout();
   // Logs that the connection is closed while a request is read or lies unread,
@@ -81,6 +87,8 @@
   std::unique_ptr<Watchdog::Guard> timeout_guard;
   TimePoint accepted_at = RuntimeClock::now();
   MemoryBudget::Share body_memory;  ///< For the body of the current request.
+  /// Stated in the last response.
+  std::optional<Duration> stated_idle_timeout;
   bool is_head_request = false;
   bool keep_alive = true;
   bool has_active_request = false;
--- a/tests/request_without_answer_test.cc
+++ b/tests/request_without_answer_test.cc
@@ -89,6 +89,26 @@
   CHECK(answer.ends_with("ok"));
 }
 
+TEST_CASE("a shorter idle timeout holds after the client was told of it") {
+  PlatformFleet fleet(0);
+  fleet.SetIdleTimeout(milliseconds(8000));
+  fleet.PutConfiguration(3);
+  fleet.AddEngine("chat", [](const HttpRequest& request) {
+    return StreamFor(request, milliseconds(1000));
+  });
+  fleet.StartRouter(1);
+  fleet.WaitUntilReady(1);
+  Client client(fleet);
+  client.Send(MakeClientRequest("POST", "/stream/", "first", "", "x"));
+  REQUIRE(client.ReadUntil("piece 1").find("timeout=8") != std::string::npos);
+  fleet.SetIdleTimeout(milliseconds(500));
+  fleet.PutConfiguration(4);
+  REQUIRE(client.ReadUntil(kLastChunk).ends_with(kLastChunk));
+  std::this_thread::sleep_for(milliseconds(1500));
+  client.Send(MakeClientRequest("POST", "/stream/", "second", "", "x"));
+  CHECK(client.ReadUntil(kLastChunk).ends_with(kLastChunk));
+}
+
 TEST_CASE("a stream that has begun is not cut off for a shorter timeout") {
   PlatformFleet fleet(0);
   fleet.PutConfiguration(3, fmt::format(kStreamRoute, 5000));
