A handler that throws closes its client's connection

Read from the code, not shown by a run: co_spawn with detached swallows an exception of a client's handler (no memory, a buffer over its limit). The connection stayed open without an end and in the set of clients, which also holds a drain up. It is logged and closed now.

--- a/src/dispatch/dispatch_router.cc
+++ b/src/dispatch/dispatch_router.cc
@@ -2,6 +2,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <exception>
 #include <set>
 
 #include "dandelionscale/runtime/logger.h"
@@ -160,7 +161,15 @@
     std::shared_ptr<ClientConnection> client) {
   auto self = this->shared_from_this();
   this->clients.insert(client);
-  co_await client->Serve();
+  // One request that can't be handled, for want of memory for example, must not
+  // leave its client without an end.
+  try {
+    co_await client->Serve();
+  } catch (const std::exception& error) {
+    this->state.metrics.Add("client_handlers_failed_total");
+    Logger::Error("client_handler_failed", {{"what", error.what()}});
+    client->Abort();
+  }
   this->clients.erase(client);
 }
 
