--- a/tests/request_without_answer_test.cc
+++ b/tests/request_without_answer_test.cc
@@ -127,5 +127,60 @@
   CHECK(response.get().ends_with(kLastChunk));
 }
 
+TEST_CASE("a request that is too large gets its answer, not a reset") {
+  constexpr std::size_t kBodyBytes = 8 * 1024 * 1024;
+  PlatformFleet fleet(0);
+  fleet.PutConfiguration(3);
+  fleet.AddEngine("plain", AnswerOk);
+  fleet.StartRouter(1);
+  fleet.WaitUntilReady(1);
+  Client client(fleet);
+  client.Send(MakeClientRequest("POST", "/any/", "id", "",
+                                std::string(kBodyBytes, 'x')));
+  CHECK(client.ReadUntil("\r\n\r\n").starts_with("HTTP/1.1 413"));
+}
+
+TEST_CASE("streams of faulty engines leave memory for those of sound ones") {
+  constexpr int kEngines = 3;
+  constexpr int kFaulty = 12;
+  constexpr std::size_t kUnfinishedBytes = 900 * 1024;
+  PlatformFleet fleet(0);
+  fleet.PutConfiguration(3);
+  const auto send_unfinished = [](const HttpRequest& request) {
+    const std::string begun =
+        "id: 1\ndata: " + std::string(kUnfinishedBytes, 'x');
+    return Script{SendBytes{MakeStreamHead(request) +
+                            fmt::format("{:x}\r\n{}\r\n", begun.size(), begun)},
+                  Pause{std::chrono::seconds(3)}};
+  };
+  // An event in two parts.
+  const auto send_sound = [](const HttpRequest& request) {
+    const std::string first = "5\r\nid: 1\r\n";
+    const std::string rest = "f\r\n\ndata: piece 1\n\r\n1\r\n\n\r\n";
+    return Script{SendBytes{MakeStreamHead(request) + first},
+                  Pause{milliseconds(300)},
+                  SendBytes{rest + std::string(emulator::kStreamEnd)}};
+  };
+  const auto maker = [&](const HttpRequest& request) {
+    const bool is_sound = request.headers.Find("Request-Id") == "sound";
+    return is_sound ? send_sound(request) : send_unfinished(request);
+  };
+  for (int n = 0; n < kEngines; ++n) fleet.AddEngine("chat", maker);
+  fleet.StartRouter(1, "limits.memory_mb=24\n");
+  fleet.WaitUntilReady(1);
+  std::vector<std::unique_ptr<Client>> faulty;
+  for (int n = 0; n < kFaulty; ++n) {
+    faulty.push_back(std::make_unique<Client>(fleet));
+    faulty.back()->Send(MakeClientRequest(
+        "POST", "/stream/", fmt::format("faulty-{}", n), "", "x"));
+  }
+  std::this_thread::sleep_for(milliseconds(500));
+  const std::string response =
+      fleet.Exchange(1, MakeClientRequest("POST", "/stream/", "sound", "", "x"),
+                     kReadIdleTimeout);
+  CAPTURE(response);
+  CHECK(response.ends_with(kLastChunk));
+}
+
 }  // namespace
 }  // namespace dandelionscale::tests
