--- a/src/dispatch/client_connection.cc
+++ b/src/dispatch/client_connection.cc
@@ -100,7 +100,7 @@
                                   : ClientLimits();
   error_code error;
   if (this->buffer.size() == 0) {
-    this->SetTimeout(this->IdleTimeout());
+    this->SetTimeout(std::max(limits.idle_timeout, this->stated_idle_timeout));
     const std::size_t size = co_await this->socket.async_read_some(
         this->buffer.prepare(kReadBufferBytes), RedirectError(error));
     if (error) co_return ReadOutcome::kClosed;
@@ -285,21 +285,14 @@
   co_return !this->broken;
 }
 
-Duration ClientConnection::IdleTimeout() const {
-  const Duration configured =
-      this->state.routing_table ? this->state.routing_table->limits.idle_timeout
-                                : ClientLimits().idle_timeout;
-  return std::max(configured, this->stated_idle_timeout.value_or(configured));
-}
-
 std::string ClientConnection::FormatHead(unsigned status,
                                          const HttpHeaders& headers,
                                          std::string_view framing) {
-  this->stated_idle_timeout.reset();
-  const Duration idle_timeout = this->IdleTimeout();
-  this->stated_idle_timeout = idle_timeout;
+  this->stated_idle_timeout =
+      this->state.routing_table ? this->state.routing_table->limits.idle_timeout
+                                : ClientLimits().idle_timeout;
   return FormatResponseHead(status, headers, framing, this->keep_alive,
-                            idle_timeout);
+                            this->stated_idle_timeout);
 }
 
 void ClientConnection::SetTimeout(Duration timeout) {
--- a/src/dispatch/client_connection.h
+++ b/src/dispatch/client_connection.h
@@ -9,7 +9,6 @@
 #include <boost/beast/http/string_body.hpp>
 #include <functional>
 #include <memory>
-#include <optional>
 #include <string>
 #include <string_view>
 
@@ -69,8 +68,6 @@
   Awaitable<void> Reject(unsigned status);
   Awaitable<bool> Write(std::string_view data);
   bool MayKeepAlive() const;
-  // What the client was told, or else what the configuration says.
-  Duration IdleTimeout() const;
   // The head of a response; states the idle timeout if the connection stays.
   std::string FormatHead(unsigned status, const HttpHeaders& headers,
                          std::string_view framing);
@@ -87,12 +84,12 @@
   std::unique_ptr<Watchdog::Guard> timeout_guard;
   TimePoint accepted_at = RuntimeClock::now();
   MemoryBudget::Share body_memory;  ///< For the body of the current request.
-  /// Stated in the last response.
-  std::optional<Duration> stated_idle_timeout;
+  /// Stated in the last response; may be longer than the configured one.
+  Duration stated_idle_timeout{};
   bool is_head_request = false;
   bool keep_alive = true;
   bool has_active_request = false;
-  bool has_timed_out = false;  ///< Closed after a grace period.
+  bool has_timed_out = false;  ///< The grace period has begun.
   bool is_writing = false;     ///< Waits for the client to take a response.
   bool broken = false;         ///< A write failed, or the socket was closed.
   std::shared_ptr<std::function<void()>> disconnect_callback;
