--- a/include/dandelionscale/core/silence_policy.h
+++ b/include/dandelionscale/core/silence_policy.h
@@ -7,6 +7,9 @@
 
 namespace dandelionscale {
 
+/// A sound engine that falls silent goes on within this time.
+inline constexpr Duration kMaxSoundSilence = std::chrono::milliseconds(1600);
+
 /// \brief What an engine reports of one request.
 enum class RunReport {
   kUnknown,    ///< Not asked, no answer, or the engine can't be asked.
@@ -33,8 +36,7 @@
 ///          engine, provided that one is certain to be possible: attempts and
 ///          retry budget are left, and an engine has room.
 ///
-/// A sound engine may be silent for about a second. What it works on is lost
-/// with its connection.
+/// What a sound engine works on is lost with its connection.
 bool MayGiveUp(const SilentSend& send);
 
 }  // namespace dandelionscale
--- a/src/core/silence_policy.cc
+++ b/src/core/silence_policy.cc
@@ -1,12 +1,6 @@
 #include "dandelionscale/core/silence_policy.h"
 
 namespace dandelionscale {
-namespace {
-
-// A sound engine goes on within this time.
-constexpr Duration kMaxSoundSilence = std::chrono::milliseconds(1600);
-
-}  // namespace
 
 std::string_view ToString(RunReport report) {
   switch (report) {
--- a/src/dispatch/engine_exchange.cc
+++ b/src/dispatch/engine_exchange.cc
@@ -162,6 +162,12 @@
   co_return false;
 }
 
+bool EngineExchange::HasUnreadBytes() const {
+  if (this->connection == nullptr) return false;
+  error_code error;
+  return this->connection->socket.available(error) > 0;
+}
+
 void EngineExchange::OnReadFailed(const error_code& error) {
   this->lost = true;
   this->connection_error = error.message();
--- a/src/dispatch/engine_exchange.h
+++ b/src/dispatch/engine_exchange.h
@@ -73,6 +73,8 @@
   bool IsEventStream() const { return this->event_stream; }
   /// \returns the framing of the response whose head was read last.
   BodyFraming Framing() const;
+  /// \returns true if bytes of the engine have arrived and were not read.
+  bool HasUnreadBytes() const;
   /// \returns true if any byte of the request was written to the socket.
   bool WasSent() const { return this->sent; }
   /// \returns true if the request was not sent, although the engine could be
--- a/src/dispatch/engine_reports.cc
+++ b/src/dispatch/engine_reports.cc
@@ -3,7 +3,9 @@
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <exception>
 
+#include "dandelionscale/runtime/logger.h"
 #include "dandelionscale/transport/address.h"
 #include "dandelionscale/transport/http_status.h"
 #include "dispatch/dispatch_state.h"
@@ -39,22 +41,32 @@
 
 Awaitable<void> EngineReports::Fetch(std::shared_ptr<Engine> engine,
                                      std::shared_ptr<Call> call) {
-  auto endpoint = ParseEndpoint(engine->record.address);
-  if (endpoint.has_value()) {
-    this->state.metrics.Add("engine_reports_total");
-    HttpRequest request = this->state.codec->EncodeReportRequest();
-    const auto response =
-        co_await this->client.Fetch(endpoint.value(), std::move(request),
-                                    ConnectionUse::kReuse, kReportTimeout);
-    if (response.has_value() && response->status == http_status::kOk) {
-      call->report = this->Decode(response->body);
-    }
+  // Whoever waits for the call must learn of its end in any case.
+  try {
+    call->report = co_await this->Ask(engine);
+  } catch (const std::exception& error) {
+    Logger::Error("engine_report_failed", {{"what", error.what()}});
   }
   call->has_ended = true;
   this->calls.erase(engine->key);
   call->ended.NotifyAll();
 }
 
+Awaitable<std::optional<EngineReport>> EngineReports::Ask(
+    std::shared_ptr<Engine> engine) {
+  auto endpoint = ParseEndpoint(engine->record.address);
+  if (endpoint.has_error()) co_return std::nullopt;
+  this->state.metrics.Add("engine_reports_total");
+  HttpRequest request = this->state.codec->EncodeReportRequest();
+  const auto response =
+      co_await this->client.Fetch(endpoint.value(), std::move(request),
+                                  ConnectionUse::kReuse, kReportTimeout);
+  const bool is_ok =
+      response.has_value() && response->status == http_status::kOk;
+  if (!is_ok) co_return std::nullopt;
+  co_return this->Decode(response->body);
+}
+
 std::optional<EngineReport> EngineReports::Decode(std::string_view text) const {
   return boost::leaf::try_handle_all(
       [&]() -> boost::leaf::result<std::optional<EngineReport>> {
--- a/src/dispatch/engine_reports.h
+++ b/src/dispatch/engine_reports.h
@@ -43,6 +43,7 @@
   Awaitable<void> Fetch(std::shared_ptr<Engine> engine,
                         std::shared_ptr<Call> call);
 
+  Awaitable<std::optional<EngineReport>> Ask(std::shared_ptr<Engine> engine);
   std::optional<EngineReport> Decode(std::string_view text) const;
 
   DispatchState& state;
--- a/src/dispatch/request_dispatch.cc
+++ b/src/dispatch/request_dispatch.cc
@@ -161,6 +161,7 @@
   ++engine->in_flight;
   this->attempt = this->sends + 1;
   this->answer_begun = false;
+  this->was_asked = false;
   this->tried_engine_keys.push_back(engine->key);
   this->exchange = std::make_unique<EngineExchange>(
       this->state, this->connector, engine, this->permitted_at);
@@ -182,7 +183,7 @@
   }
   if (this->exchange->WasSent()) ++this->sends;
   if (!failure) failure = co_await this->RelayResponse();
-  this->stall_deadline = TimePoint::max();
+  this->silence_check_at = TimePoint::max();
   this->ArmDeadline();
   if (failure && this->exchange) co_await this->exchange->FindCause();
   if (failure && !IsProvablyNotRun(*failure)) this->may_have_run = true;
@@ -357,11 +358,13 @@
 
 void RequestDispatch::ArmDeadline() {
   this->timeout_guard.Set(
-      std::min(this->Deadline() + kDeadlineGrace, this->stall_deadline));
+      std::min(this->Deadline() + kDeadlineGrace, this->silence_check_at));
 }
 
 void RequestDispatch::Interrupt(Interruption cause) {
-  if (this->interruption == Interruption::kNone) this->interruption = cause;
+  const bool is_first = this->interruption == Interruption::kNone ||
+                        this->interruption == Interruption::kStalled;
+  if (is_first) this->interruption = cause;
   if (this->exchange) this->exchange->Cancel();
   if (this->wait_timer) this->wait_timer->cancel();
 }
--- a/src/dispatch/request_dispatch.h
+++ b/src/dispatch/request_dispatch.h
@@ -148,15 +148,22 @@
   // Records the failure in the health of the engine.
   void RecordFailure(Engine& engine, AttemptFailure failure);
 
+  // The send that is silent, and since when.
+  struct Silence {
+    const EngineExchange* exchange = nullptr;
+    TimePoint since{};
+  };
+  bool IsSilent(const Silence& silence) const;
   // Decides whether to give up an engine that has sent nothing for some time.
   // Nothing is given up before the retry budget is charged and another engine
   // reserved.
-  Awaitable<void> HandleSilence();
+  static Awaitable<void> HandleSilence(std::weak_ptr<RequestDispatch> weak);
+  // Returns true if the engine's report would decide whether to give it up.
+  bool MayAskEngine();
+  void DecideOnSilence(const std::optional<PlacementPlan>& plan);
   // Chooses a healthy engine to which the request could be sent again if it was
   // given up now. Returns nothing if there is none, or no retry is left.
   std::optional<PlacementPlan> PlanSuccessor();
-  // The same, with a permit of the engine if it needs one.
-  Awaitable<std::optional<PlacementPlan>> PlanPermittedSuccessor();
   // Charges the retry budget and reserves the engine. Returns false if the
   // budget is spent.
   bool ReserveSuccessor(const PlacementPlan& plan);
@@ -186,6 +193,8 @@
   void ArmDeadline();
   // The engine has begun or gone on with the request.
   void OnProgress();
+  // Until the next progress, the router waits for the client.
+  void SuspendSilenceCheck();
   void OnTimeout();
   void Interrupt(Interruption cause);
   void LogOutcome(std::string_view outcome, unsigned status,
@@ -213,8 +222,10 @@
   Duration timeout{};  ///< Of the route, in the newest routing table.
   Watchdog::Guard timeout_guard;
   /// When to look at an engine that sends nothing.
-  TimePoint stall_deadline = TimePoint::max();
-  TimePoint last_progress_at{};  ///< In the current attempt.
+  TimePoint silence_check_at = TimePoint::max();
+  TimePoint last_progress_at{};                 ///< In the current attempt.
+  RunReport last_report = RunReport::kUnknown;  ///< Since then.
+  bool was_asked = false;  ///< The engine of the current attempt.
   /// The engine for the next attempt, if it is reserved already.
   std::optional<EngineReservation> successor;
   Interruption interruption = Interruption::kNone;
--- a/src/dispatch/request_silence.cc
+++ b/src/dispatch/request_silence.cc
@@ -18,20 +18,30 @@
 constexpr Duration kMinSilence = std::chrono::milliseconds(500);
 // Interval at which it is looked at again.
 constexpr Duration kSilenceCheckInterval = std::chrono::milliseconds(200);
+// Time in which the event loop handles what has arrived, before an engine
+// counts as silent.
+constexpr Duration kReadGrace = std::chrono::milliseconds(20);
 
 }  // namespace
 
 void RequestDispatch::OnProgress() {
   this->last_progress_at = RuntimeClock::now();
+  this->last_report = RunReport::kUnknown;
   const bool may_retry =
       this->route->IsRepeatable() && this->attempt < this->route->max_attempts;
   const Duration silence =
       std::max(kMinSilence, this->route->latency_target * kSilenceFactor);
-  this->stall_deadline =
+  this->silence_check_at =
       may_retry ? this->last_progress_at + silence : TimePoint::max();
   this->ArmDeadline();
 }
 
+void RequestDispatch::SuspendSilenceCheck() {
+  this->last_progress_at = RuntimeClock::now();
+  this->silence_check_at = TimePoint::max();
+  this->ArmDeadline();
+}
+
 void RequestDispatch::OnTimeout() {
   if (RuntimeClock::now() >= this->Deadline() + kDeadlineGrace) {
     this->Interrupt(Interruption::kDeadline);
@@ -42,41 +52,81 @@
     this->Interrupt(Interruption::kStalled);
     return;
   }
-  this->stall_deadline = TimePoint::max();
+  this->silence_check_at = TimePoint::max();
   this->ArmDeadline();
-  boost::asio::co_spawn(this->state.executor, this->HandleSilence(),
-                        boost::asio::detached);
+  boost::asio::co_spawn(
+      this->state.executor,
+      [weak = this->weak_from_this()] { return HandleSilence(weak); },
+      boost::asio::detached);
 }
 
-Awaitable<void> RequestDispatch::HandleSilence() {
-  const auto self = this->shared_from_this();
-  const std::shared_ptr<Engine> engine = this->exchange->SharedEngine();
-  const EngineExchange* const silent_exchange = this->exchange.get();
-  const TimePoint silent_since = this->last_progress_at;
-  const auto is_silent = [&] {
-    return this->exchange.get() == silent_exchange &&
-           this->last_progress_at == silent_since &&
-           this->interruption == Interruption::kNone;
-  };
-  const bool is_stream = this->route->kind == RouteKind::kStreaming;
+bool RequestDispatch::IsSilent(const Silence& silence) const {
+  return this->exchange.get() == silence.exchange &&
+         this->last_progress_at == silence.since &&
+         this->interruption == Interruption::kNone;
+}
+
+// Holds no reference to the request while it waits: the request may end, and
+// the router with it.
+Awaitable<void> RequestDispatch::HandleSilence(
+    std::weak_ptr<RequestDispatch> weak) {
+  std::shared_ptr<RequestDispatch> request = weak.lock();
+  if (!request || !request->exchange) co_return;
+  DispatchState& state = request->state;
+  const std::shared_ptr<Engine> engine = request->exchange->SharedEngine();
+  const std::string id = request->decoded.id;
+  const Silence silence = {request->exchange.get(), request->last_progress_at};
+  if (request->MayAskEngine()) {
+    request.reset();
+    const RunReport report = co_await state.engine_reports->Find(engine, id);
+    request = weak.lock();
+    if (!request || !request->IsSilent(silence)) co_return;
+    request->last_report = report;
+  }
+  request.reset();
+  const Duration read_grace = kReadGrace;
+  co_await SleepFor(read_grace);
+  request = weak.lock();
+  if (!request || !request->IsSilent(silence)) co_return;
+  std::optional<PlacementPlan> plan = request->PlanSuccessor();
+  if (plan && plan->engine->rate_limit.IsActive()) {
+    const std::shared_ptr<Engine> limited = plan->engine;
+    plan.reset();
+    request.reset();
+    const bool permitted = co_await state.permits->Acquire(limited);
+    request = weak.lock();
+    if (!request || !request->IsSilent(silence)) co_return;
+    if (permitted) plan = request->PlanSuccessor();
+    if (plan && plan->engine != limited) plan.reset();
+    if (plan) plan->permitted_at = RuntimeClock::now();
+  }
+  request->DecideOnSilence(plan);
+}
+
+bool RequestDispatch::MayAskEngine() {
+  if (this->route->kind != RouteKind::kStreaming) return false;
+  // An engine that has not answered once is not asked when its time is over.
+  const Duration silent_for = RuntimeClock::now() - this->last_progress_at;
+  const bool is_over = this->was_asked && silent_for >= kMaxSoundSilence &&
+                       this->last_report == RunReport::kUnknown;
+  this->was_asked = true;
+  return !is_over && this->PlanSuccessor().has_value();
+}
+
+void RequestDispatch::DecideOnSilence(
+    const std::optional<PlacementPlan>& plan) {
+  const TimePoint now = RuntimeClock::now();
   SilentSend send;
+  send.silent_for = now - this->last_progress_at;
   send.events_delivered = this->stream_started;
-  send.may_overlap = !is_stream;
-  std::optional<PlacementPlan> plan = this->PlanSuccessor();
-  if (plan && is_stream) {
-    send.report =
-        co_await this->state.engine_reports->Find(engine, this->decoded.id);
-  }
-  if (!is_silent()) co_return;
-  send.silent_for = RuntimeClock::now() - silent_since;
-  const bool may_give_up = plan && MayGiveUp(send);
-  if (may_give_up) plan = co_await this->PlanPermittedSuccessor();
-  if (!is_silent()) co_return;
-  const bool gives_up = may_give_up && plan && this->ReserveSuccessor(*plan);
+  send.may_overlap = this->route->kind != RouteKind::kStreaming;
+  send.report = this->last_report;
+  const bool gives_up = plan && !this->exchange->HasUnreadBytes() &&
+                        MayGiveUp(send) && this->ReserveSuccessor(*plan);
   Logger::Info(
       "engine_silent",
       {{"request", this->decoded.id},
-       {"engine", engine->record.id},
+       {"engine", this->exchange->ServingEngine().record.id},
        {"silent_ms", ToMilliseconds(send.silent_for)},
        {"events", static_cast<std::int64_t>(this->events.EventCount())},
        {"report", ToString(send.report)},
@@ -84,9 +134,13 @@
        {"given_up", gives_up}});
   if (gives_up) {
     this->Interrupt(Interruption::kStalled);
-    co_return;
+    return;
+  }
+  this->silence_check_at = now + kSilenceCheckInterval;
+  const TimePoint sound_until = this->last_progress_at + kMaxSoundSilence;
+  if (sound_until > now) {
+    this->silence_check_at = std::min(this->silence_check_at, sound_until);
   }
-  this->stall_deadline = RuntimeClock::now() + kSilenceCheckInterval;
   this->ArmDeadline();
 }
 
@@ -107,17 +161,6 @@
   return this->PlanPlacement(limits);
 }
 
-Awaitable<std::optional<RequestDispatch::PlacementPlan>>
-RequestDispatch::PlanPermittedSuccessor() {
-  std::optional<PlacementPlan> plan = this->PlanSuccessor();
-  if (!plan || !plan->engine->rate_limit.IsActive()) co_return plan;
-  const bool permitted = co_await this->state.permits->Acquire(plan->engine);
-  const Engine& engine = *plan->engine;
-  if (!permitted || engine.draining || engine.gone) co_return std::nullopt;
-  plan->permitted_at = RuntimeClock::now();
-  co_return plan;
-}
-
 bool RequestDispatch::ReserveSuccessor(const PlacementPlan& plan) {
   FleetRetryBudget& budget = this->state.Service(this->service).budget;
   if (!budget.TryTake(RuntimeClock::now(), this->state.RouterCount())) {
--- a/src/dispatch/response_relay.cc
+++ b/src/dispatch/response_relay.cc
@@ -16,6 +16,7 @@
 }  // namespace
 
 Awaitable<std::optional<AttemptFailure>> RequestDispatch::RelayResponse() {
+  this->OnProgress();
   const EngineResponse& response = this->exchange->Response();
   this->status = response.status;
   this->framing = this->exchange->Framing();
@@ -40,6 +41,7 @@
   while (end == BodyEnd::kOpen) {
     auto data = co_await this->exchange->ReadBodyFragment();
     if (data.has_error()) co_return AttemptFailure::kNoAnswer;
+    if (!data.value().empty()) this->OnProgress();
     body += data.value();
     end = this->FindBodyEnd(body, data.value().size());
     if (body.size() > kMaxBufferedBytes || !memory.Resize(body.capacity())) {
@@ -60,7 +62,7 @@
     this->error_response_body = std::move(body);
     co_return AttemptFailure::kEngineError;
   }
-  this->stall_deadline = TimePoint::max();
+  this->silence_check_at = TimePoint::max();
   this->OnAnswerBegun();
   co_await this->client.SendResponse(response.status, response.end_to_end,
                                      body);
@@ -150,6 +152,7 @@
     const bool is_empty_stream =
         end == BodyEnd::kReached && !this->stream_started;
     if (!events_text.empty() || is_empty_stream) {
+      this->SuspendSilenceCheck();
       if (!co_await this->DeliverEvents(events_text)) {
         this->Interrupt(Interruption::kClientGone);
         co_return AttemptFailure::kStreamBroken;
--- a/src/dispatch/watchdog.cc
+++ b/src/dispatch/watchdog.cc
@@ -13,9 +13,9 @@
 Watchdog::Guard::~Guard() { this->watchdog.entries.erase(this->entry); }
 
 void Watchdog::Sweep(TimePoint now) {
-  // A callback only closes a socket or cancels a timer. The operations that
-  // this aborts complete later on the event loop, so no entry is removed during
-  // this iteration.
+  // A callback closes a socket, cancels a timer or starts a coroutine. The
+  // operations that this aborts complete later on the event loop, so the
+  // current entry is not removed during this iteration.
   for (Entry& entry : this->entries) {
     if (entry.deadline > now) continue;
     entry.deadline = TimePoint::max();
