An engine is asked in each silence before it is given up

The engine, asked in an earlier silence or not at all, was then not asked any more, and given up although it might have named the request.

--- a/src/dispatch/request_dispatch.cc
+++ b/src/dispatch/request_dispatch.cc
@@ -161,7 +161,6 @@
   ++engine->in_flight;
   this->attempt = this->sends + 1;
   this->answer_begun = false;
-  this->was_asked = false;
   this->tried_engine_keys.push_back(engine->key);
   this->exchange = std::make_unique<EngineExchange>(
       this->state, this->connector, engine, this->permitted_at);
--- a/src/dispatch/request_dispatch.h
+++ b/src/dispatch/request_dispatch.h
@@ -158,8 +158,9 @@
   // Nothing is given up before the retry budget is charged and another engine
   // reserved.
   static Awaitable<void> HandleSilence(std::weak_ptr<RequestDispatch> weak);
-  // Returns true if the engine's report would decide whether to give it up.
-  bool MayAskEngine();
+  // Returns true, and records it, if the engine is to be asked: its report
+  // would decide whether to give it up.
+  bool BeginsToAsk();
   void DecideOnSilence(const std::optional<PlacementPlan>& plan);
   // Chooses a healthy engine to which the request could be sent again if it was
   // given up now. Returns nothing if there is none, or no retry is left.
@@ -225,7 +226,7 @@
   TimePoint silence_check_at = TimePoint::max();
   TimePoint last_progress_at{};                 ///< In the current attempt.
   RunReport last_report = RunReport::kUnknown;  ///< Since then.
-  bool was_asked = false;  ///< The engine of the current attempt.
+  bool was_asked = false;                       ///< Since then.
   /// The engine for the next attempt, if it is reserved already.
   std::optional<EngineReservation> successor;
   Interruption interruption = Interruption::kNone;
--- a/src/dispatch/request_silence.cc
+++ b/src/dispatch/request_silence.cc
@@ -27,6 +27,7 @@
 void RequestDispatch::OnProgress() {
   this->last_progress_at = RuntimeClock::now();
   this->last_report = RunReport::kUnknown;
+  this->was_asked = false;
   const bool may_retry =
       this->route->IsRepeatable() && this->attempt < this->route->max_attempts;
   const Duration silence =
@@ -76,7 +77,7 @@
   const std::shared_ptr<Engine> engine = request->exchange->SharedEngine();
   const std::string id = request->decoded.id;
   const Silence silence = {request->exchange.get(), request->last_progress_at};
-  if (request->MayAskEngine()) {
+  if (request->BeginsToAsk()) {
     request.reset();
     const RunReport report = co_await state.engine_reports->Find(engine, id);
     request = weak.lock();
@@ -103,14 +104,15 @@
   request->DecideOnSilence(plan);
 }
 
-bool RequestDispatch::MayAskEngine() {
+bool RequestDispatch::BeginsToAsk() {
   if (this->route->kind != RouteKind::kStreaming) return false;
   // An engine that has not answered once is not asked when its time is over.
   const Duration silent_for = RuntimeClock::now() - this->last_progress_at;
   const bool is_over = this->was_asked && silent_for >= kMaxSoundSilence &&
                        this->last_report == RunReport::kUnknown;
+  if (is_over || !this->PlanSuccessor()) return false;
   this->was_asked = true;
-  return !is_over && this->PlanSuccessor().has_value();
+  return true;
 }
 
 void RequestDispatch::DecideOnSilence(
@@ -121,8 +123,10 @@
   send.events_delivered = this->stream_started;
   send.may_overlap = this->route->kind != RouteKind::kStreaming;
   send.report = this->last_report;
-  const bool gives_up = plan && !this->exchange->HasUnreadBytes() &&
-                        MayGiveUp(send) && this->ReserveSuccessor(*plan);
+  const bool was_heard_out = send.may_overlap || this->was_asked;
+  const bool may_give_up =
+      was_heard_out && !this->exchange->HasUnreadBytes() && MayGiveUp(send);
+  const bool gives_up = plan && may_give_up && this->ReserveSuccessor(*plan);
   Logger::Info(
       "engine_silent",
       {{"request", this->decoded.id},
