--- a/src/dispatch/request_silence.cc
+++ b/src/dispatch/request_silence.cc
@@ -123,9 +123,9 @@
   send.events_delivered = this->stream_started;
   send.may_overlap = this->route->kind != RouteKind::kStreaming;
   send.report = this->last_report;
-  const bool was_heard_out = send.may_overlap || this->was_asked;
+  const bool may_decide = send.may_overlap || this->was_asked;
   const bool may_give_up =
-      was_heard_out && !this->exchange->HasUnreadBytes() && MayGiveUp(send);
+      may_decide && !this->exchange->HasUnreadBytes() && MayGiveUp(send);
   const bool gives_up = plan && may_give_up && this->ReserveSuccessor(*plan);
   Logger::Info(
       "engine_silent",
