--- a/src/dispatch/client_connection.cc
+++ b/src/dispatch/client_connection.cc
@@ -84,7 +84,10 @@
     this->body_memory.Release();
     this->has_active_request = false;
     // A response that was started before draining has no "Connection: close".
-    if (this->state.draining) break;
+    if (this->state.draining) {
+      if (!this->broken) this->LogClose("draining");
+      break;
+    }
   }
   this->body_memory.Release();
   this->timeout_guard.reset();
@@ -105,6 +108,7 @@
         this->buffer.prepare(kReadBufferBytes), RedirectError(error));
     if (error) co_return ReadOutcome::kClosed;
     this->buffer.commit(size);
+    this->last_byte_at = RuntimeClock::now();
   }
   this->has_active_request = true;
   this->SetTimeout(limits.header_timeout);
@@ -123,6 +127,7 @@
     co_await this->Reject(http_status::kBadRequest);
     co_return ReadOutcome::kRejected;
   }
+  this->last_byte_at = RuntimeClock::now();
   this->SetTimeout(limits.header_timeout + kBodyTimeout);
   const ReadOutcome outcome = co_await this->ReadBody(request, parser);
   if (outcome != ReadOutcome::kRequest) co_return outcome;
@@ -130,6 +135,7 @@
   request.method = std::string(message.method_string());
   request.target = std::string(message.target());
   request.body = std::move(message.body());
+  ++this->requests_read;
   this->keep_alive = message.keep_alive();
   co_return ReadOutcome::kRequest;
 }
@@ -154,6 +160,7 @@
       co_await this->RejectUnreadable(error);
       co_return ReadOutcome::kRejected;
     }
+    this->last_byte_at = RuntimeClock::now();
     const std::size_t bytes = parser.get().body().capacity();
     if (parser.chunked() && !this->body_memory.Resize(bytes)) {
       co_await this->Reject(http_status::kServiceUnavailable);
@@ -164,7 +171,7 @@
 }
 
 Awaitable<void> ClientConnection::RejectUnreadable(const error_code& error) {
-  this->LogUnreadRequest("unreadable");
+  this->LogClose("unreadable");
   if (error == http::error::header_limit) {
     co_await this->Reject(http_status::kHeaderFieldsTooLarge);
   } else if (IsTooLarge(error)) {
@@ -195,6 +202,7 @@
   const bool is_new =
       RuntimeClock::now() - this->accepted_at < kFirstRequestTime;
   if (!error && (has_unread_bytes || is_new)) return;
+  this->LogClose("draining_idle");
   this->Abort();
 }
 
@@ -309,21 +317,29 @@
   std::string_view cause = "idle_timeout";
   if (this->has_active_request) cause = "read_timeout";
   if (this->is_writing) cause = "write_timeout";
-  this->LogUnreadRequest(cause);
+  this->LogClose(cause);
   this->Abort();
 }
 
-void ClientConnection::LogUnreadRequest(std::string_view cause) {
+std::size_t ClientConnection::UnreadBytes() {
   error_code ignored;
-  const std::size_t unread_bytes =
-      this->buffer.size() + this->socket.available(ignored);
-  if (!this->has_active_request && unread_bytes == 0) return;
+  return this->buffer.size() + this->socket.available(ignored);
+}
+
+void ClientConnection::LogClose(std::string_view cause) {
   this->state.metrics.Add(
-      fmt::format("client_connections_aborted_total{{cause=\"{}\"}}", cause));
-  Logger::Info("client_connection_aborted",
+      fmt::format("client_connections_closed_total{{cause=\"{}\"}}", cause));
+  const std::size_t unread_bytes = this->UnreadBytes();
+  const bool is_idle = !this->has_active_request && unread_bytes == 0;
+  if (is_idle && !this->state.draining) return;
+  const Duration since_last_byte = RuntimeClock::now() - this->last_byte_at;
+  Logger::Info("client_connection_closed",
                {{"cause", cause},
-                {"active_request", this->has_active_request},
-                {"unread_bytes", static_cast<std::int64_t>(unread_bytes)}});
+                {"requests", static_cast<std::int64_t>(this->requests_read)},
+                {"reading", this->has_active_request},
+                {"unread_bytes", static_cast<std::int64_t>(unread_bytes)},
+                {"last_byte_ms", ToMilliseconds(since_last_byte)},
+                {"draining", this->state.draining}});
 }
 
 bool ClientConnection::MayKeepAlive() const {
--- a/src/dispatch/client_connection.h
+++ b/src/dispatch/client_connection.h
@@ -7,6 +7,8 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -73,9 +75,10 @@
                          std::string_view framing);
   void SetTimeout(Duration timeout);
   void OnTimeout();
-  // Logs that the connection is closed while a request is read or lies unread,
-  // if it is so.
-  void LogUnreadRequest(std::string_view cause);
+  // Bytes that have arrived and are not parsed yet.
+  std::size_t UnreadBytes();
+  // Logs that the router closes the connection, and what it has read on it.
+  void LogClose(std::string_view cause);
 
   DispatchState& state;
   EngineConnector& connector;
@@ -83,6 +86,8 @@
   boost::beast::flat_buffer buffer;
   std::unique_ptr<Watchdog::Guard> timeout_guard;
   TimePoint accepted_at = RuntimeClock::now();
+  TimePoint last_byte_at = accepted_at;  ///< When the client's was read.
+  std::uint32_t requests_read = 0;       ///< Whole ones.
   MemoryBudget::Share body_memory;  ///< For the body of the current request.
   /// Stated in the last response; may be longer than the configured one.
   Duration stated_idle_timeout{};
