A request behind a response is served when the router stops (LOST)

Callers that sent their next request before a stream had ended got neither an answer nor a refusal for it if the router got SIGTERM meanwhile: the stream ended whole, then the connection was closed, with the request read or in the socket. Cause: Serve() left its loop because the router drained, and CloseIfIdle() looked at the socket, not at the parser's buffer. Class: a connection is closed for a reason of the router's own, without a look at what it has accepted. An answer that has begun before the router drains has promised to keep the connection, so it stays until nothing is under way or unread. While draining, an answer says close only if nothing lies behind it.

--- a/src/dispatch/client_connection.cc
+++ b/src/dispatch/client_connection.cc
@@ -83,11 +83,6 @@
     this->disconnect_callback.reset();
     this->body_memory.Release();
     this->has_active_request = false;
-    // A response that was started before draining has no "Connection: close".
-    if (this->state.draining) {
-      if (!this->broken) this->LogClose("draining");
-      break;
-    }
   }
   this->body_memory.Release();
   this->timeout_guard.reset();
@@ -196,13 +191,10 @@
 }
 
 void ClientConnection::CloseIfIdle() {
-  if (this->has_active_request) return;
-  error_code error;
-  const bool has_unread_bytes = this->socket.available(error) > 0;
   const bool is_new =
       RuntimeClock::now() - this->accepted_at < kFirstRequestTime;
-  if (!error && (has_unread_bytes || is_new)) return;
-  this->LogClose("draining_idle");
+  if (this->has_active_request || is_new || this->UnreadBytes() > 0) return;
+  this->LogClose("draining");
   this->Abort();
 }
 
@@ -340,8 +332,11 @@
                 {"draining", this->state.draining}});
 }
 
-bool ClientConnection::MayKeepAlive() const {
-  return this->keep_alive && !this->state.draining;
+// A request that has arrived behind the current one is served, too.
+bool ClientConnection::MayKeepAlive() {
+  if (!this->keep_alive || !this->state.draining) return this->keep_alive;
+  return RuntimeClock::now()<
+      this->state.answers_end_at&& this->UnreadBytes()> 0;
 }
 
 }  // namespace dandelionscale::internal
--- a/src/dispatch/client_connection.h
+++ b/src/dispatch/client_connection.h
@@ -69,7 +69,7 @@
   // Sends an error response; the connection is closed after it.
   Awaitable<void> Reject(unsigned status);
   Awaitable<bool> Write(std::string_view data);
-  bool MayKeepAlive() const;
+  bool MayKeepAlive();
   // The head of a response; states the idle timeout if the connection stays.
   std::string FormatHead(unsigned status, const HttpHeaders& headers,
                          std::string_view framing);
--- a/tests/accepted_request_lost_test.cc
+++ b/tests/accepted_request_lost_test.cc
@@ -49,10 +49,66 @@
   int plain = 0;  ///< Number of the engine.
 };
 
+std::string Stream(const std::string& id) {
+  return MakeClientRequest("POST", "/stream/", id, "", "x");
+}
+
 std::string Booking(const std::string& id) {
   return MakeClientRequest("POST", "/once/", id, "", "x");
 }
 
+enum class SecondRequest { kWithFirst, kAfterFirst };
+
+// The second request lies behind a stream that has begun when the router gets
+// a signal.
+std::string ReadBothAnswers(Fleet& fleet, SecondRequest second, int signal) {
+  TestClient client(fleet);
+  if (second == SecondRequest::kWithFirst) {
+    client.Send(Stream("first") + Booking("second"));
+    fleet.WaitForRequests(1);
+  } else {
+    client.Send(Stream("first"));
+    fleet.WaitForRequests(1);
+    client.Send(Booking("second"));
+  }
+  std::this_thread::sleep_for(milliseconds(300));
+  fleet.Signal(1, signal);
+  return client.ReadUntil("booked");
+}
+
+TEST_CASE("a request behind a stream is answered when the router stops") {
+  const auto second =
+      GENERATE(SecondRequest::kWithFirst, SecondRequest::kAfterFirst);
+  Fleet fleet;
+  const std::string answers = ReadBothAnswers(fleet, second, SIGTERM);
+  CAPTURE(answers, fleet.Log(1));
+  CHECK(Occurrences(answers, "data: piece") == 2);
+  CHECK(answers.ends_with("booked"));
+  CHECK(fleet.Requests(fleet.plain).size() == 1);
+  CHECK(fleet.WaitForExit(1) == 0);
+}
+
+TEST_CASE("a request behind a stream is answered when the router reloads") {
+  Fleet fleet;
+  const std::string answers =
+      ReadBothAnswers(fleet, SecondRequest::kAfterFirst, SIGHUP);
+  CAPTURE(answers, fleet.Log(1));
+  CHECK(answers.ends_with("booked"));
+}
+
+TEST_CASE("several requests behind a stream are answered at a stop") {
+  Fleet fleet;
+  TestClient client(fleet);
+  client.Send(Stream("1") + Booking("2") + Booking("3") + Booking("4"));
+  fleet.WaitForRequests(1);
+  fleet.Signal(1, SIGTERM);
+  const std::string answers = client.ReadAll();
+  CAPTURE(answers, fleet.Log(1));
+  CHECK(Occurrences(answers, "booked") == 3);
+  CHECK(Occurrences(answers, "Connection: close") == 1);
+  CHECK(fleet.WaitForExit(1) == 0);
+}
+
 TEST_CASE("a kept connection's next request is judged by the limits in force") {
   constexpr std::size_t kBodyBytes = 20'000;
   Fleet fleet;
