A request that is not complete in time is told so (LOST)

Callers whose request was still arriving at the end of a router's grace, or at the read timeout, saw their connection closed without a byte. No engine has seen such a request, so that 503 (the router stops) and 408 (too slow) are true and safe; both close the connection. A timeout interrupts the reading instead of closing the socket. Evidence: accepted_request_lost_test, 'a request that is not complete at the end of a stop is refused' and '... that takes too long to arrive is told so', failed with a router of (0 bytes).

--- a/src/dispatch/client_connection.cc
+++ b/src/dispatch/client_connection.cc
@@ -69,12 +69,9 @@
       this->state.watchdog, [this] { this->OnTimeout(); });
   while (!this->broken && this->keep_alive) {
     HttpRequest request;
-    const ReadOutcome outcome = co_await this->ReadRequest(request);
-    if (outcome == ReadOutcome::kClosed) break;
-    if (outcome == ReadOutcome::kRejected) {
-      this->keep_alive = false;
-      break;
-    }
+    const bool has_request = co_await this->ReadRequest(request);
+    if (!has_request) break;
+    this->phase = Phase::kServing;
     this->timeout_guard->Clear();
     this->is_head_request = request.method == "HEAD";
     auto dispatch = std::make_shared<RequestDispatch>(
@@ -82,28 +79,22 @@
     co_await dispatch->Run();
     this->disconnect_callback.reset();
     this->body_memory.Release();
-    this->has_active_request = false;
   }
   this->body_memory.Release();
+  this->Close();
+}
+
+void ClientConnection::Close() {
+  this->phase = Phase::kClosing;
   this->timeout_guard.reset();
   error_code ignored;
   this->socket.shutdown(asio::socket_base::shutdown_send, ignored);
   this->socket.close(ignored);
 }
 
-Awaitable<ClientConnection::ReadOutcome> ClientConnection::ReadRequest(
-    HttpRequest& request) {
-  error_code error;
-  if (this->buffer.size() == 0) {
-    this->SetTimeout(
-        std::max(this->state.Limits().idle_timeout, this->stated_idle_timeout));
-    const std::size_t size = co_await this->socket.async_read_some(
-        this->buffer.prepare(kReadBufferBytes), RedirectError(error));
-    if (error) co_return ReadOutcome::kClosed;
-    this->buffer.commit(size);
-    this->last_byte_at = RuntimeClock::now();
-  }
-  this->has_active_request = true;
+Awaitable<bool> ClientConnection::ReadRequest(HttpRequest& request) {
+  const bool has_begun = co_await this->WaitForRequest();
+  if (!has_begun) co_return false;
   // These limits may have changed while the connection was idle.
   const ClientLimits limits = this->state.Limits();
   this->SetTimeout(limits.header_timeout);
@@ -111,58 +102,103 @@
   Parser parser;
   parser.header_limit(static_cast<std::uint32_t>(limits.header_bytes));
   parser.body_limit(limits.body_bytes);
-  co_await http::async_read_header(this->socket, this->buffer, parser,
-                                   RedirectError(error));
-  if (error) {
-    co_await this->RejectUnreadable(error);
-    co_return ReadOutcome::kRejected;
-  }
+  const bool has_head = co_await this->ReadHead(parser);
+  if (!has_head) co_return false;
   request.headers = CopyHeaders(parser.get());
   if (HasAmbiguousFraming(request.headers) || !HasOneHost(request.headers)) {
     co_await this->Reject(http_status::kBadRequest);
-    co_return ReadOutcome::kRejected;
+    co_return false;
   }
-  this->last_byte_at = RuntimeClock::now();
   this->SetTimeout(limits.header_timeout + kBodyTimeout);
-  const ReadOutcome outcome = co_await this->ReadBody(request, parser);
-  if (outcome != ReadOutcome::kRequest) co_return outcome;
+  const bool has_body = co_await this->ReadBody(request, parser);
+  if (!has_body) co_return false;
   auto& message = parser.get();
   request.method = std::string(message.method_string());
   request.target = std::string(message.target());
   request.body = std::move(message.body());
   ++this->requests_read;
   this->keep_alive = message.keep_alive();
-  co_return ReadOutcome::kRequest;
+  co_return true;
+}
+
+Awaitable<bool> ClientConnection::WaitForRequest() {
+  this->phase = Phase::kIdle;
+  if (this->buffer.size() == 0) {
+    this->SetTimeout(
+        std::max(this->state.Limits().idle_timeout, this->stated_idle_timeout));
+    error_code error;
+    const std::size_t size = co_await this->socket.async_read_some(
+        this->buffer.prepare(kReadBufferBytes), RedirectError(error));
+    if (error) co_return false;
+    this->buffer.commit(size);
+    this->last_byte_at = RuntimeClock::now();
+  }
+  this->phase = Phase::kReading;
+  co_return true;
 }
 
-Awaitable<ClientConnection::ReadOutcome> ClientConnection::ReadBody(
-    const HttpRequest& request, Parser& parser) {
+Awaitable<bool> ClientConnection::ReadHead(Parser& parser) {
+  bool is_readable = true;
+  while (is_readable && !parser.is_header_done()) {
+    is_readable = co_await this->ReadSome(parser);
+  }
+  co_return is_readable;
+}
+
+Awaitable<bool> ClientConnection::ReadBody(const HttpRequest& request,
+                                           Parser& parser) {
   // The length of a chunked body is not known in advance.
   const std::uint64_t length = parser.content_length().value_or(0);
   if (!this->body_memory.Resize(length)) {
     co_await this->Reject(http_status::kServiceUnavailable);
-    co_return ReadOutcome::kRejected;
+    co_return false;
   }
   if (EqualsIgnoringCase(request.headers.Find("Expect"), "100-continue")) {
     co_await this->Write("HTTP/1.1 100 Continue\r\n\r\n");
   }
   parser.eager(true);
   while (!parser.is_done()) {
-    error_code error;
-    co_await http::async_read_some(this->socket, this->buffer, parser,
-                                   RedirectError(error));
-    if (error) {
-      co_await this->RejectUnreadable(error);
-      co_return ReadOutcome::kRejected;
-    }
-    this->last_byte_at = RuntimeClock::now();
+    const bool is_readable = co_await this->ReadSome(parser);
+    if (!is_readable) co_return false;
     const std::size_t bytes = parser.get().body().capacity();
     if (parser.chunked() && !this->body_memory.Resize(bytes)) {
       co_await this->Reject(http_status::kServiceUnavailable);
-      co_return ReadOutcome::kRejected;
+      co_return false;
     }
   }
-  co_return ReadOutcome::kRequest;
+  co_return true;
+}
+
+Awaitable<bool> ClientConnection::ReadSome(Parser& parser) {
+  error_code error;
+  if (!this->read_interruption) {
+    co_await http::async_read_some(this->socket, this->buffer, parser,
+                                   RedirectError(error));
+  }
+  if (this->read_interruption) {
+    co_await this->Reject(*this->read_interruption);
+    co_return false;
+  }
+  if (error) {
+    co_await this->RejectUnreadable(error);
+    co_return false;
+  }
+  this->last_byte_at = RuntimeClock::now();
+  co_return true;
+}
+
+void ClientConnection::InterruptReading(unsigned status) {
+  if (!this->read_interruption) this->read_interruption = status;
+  error_code ignored;
+  this->socket.cancel(ignored);
+  // A read that was about to go on is not cancelled.
+  this->timeout_guard->Set(RuntimeClock::now() + kTimeoutGrace);
+}
+
+void ClientConnection::RefuseIncomplete() {
+  if (this->phase != Phase::kReading || this->is_writing) return;
+  this->LogClose("draining");
+  this->InterruptReading(http_status::kServiceUnavailable);
 }
 
 Awaitable<void> ClientConnection::RejectUnreadable(const error_code& error) {
@@ -193,7 +229,7 @@
 void ClientConnection::CloseIfIdle() {
   const bool is_new =
       RuntimeClock::now() - this->accepted_at < kFirstRequestTime;
-  if (this->has_active_request || is_new || this->UnreadBytes() > 0) return;
+  if (this->phase != Phase::kIdle || is_new || this->UnreadBytes() > 0) return;
   this->LogClose("draining");
   this->Abort();
 }
@@ -304,11 +340,16 @@
     this->timeout_guard->Set(RuntimeClock::now() + kTimeoutGrace);
     return;
   }
-  std::string_view cause = "idle_timeout";
-  if (this->has_active_request) cause = "read_timeout";
-  if (this->is_writing) cause = "write_timeout";
-  this->LogClose(cause);
-  this->Abort();
+  if (this->is_writing) {
+    this->LogClose("write_timeout");
+    this->Abort();
+  } else if (this->phase == Phase::kReading) {
+    if (!this->read_interruption) this->LogClose("read_timeout");
+    this->InterruptReading(http_status::kRequestTimeout);
+  } else {
+    this->LogClose("idle_timeout");
+    this->Abort();
+  }
 }
 
 std::size_t ClientConnection::UnreadBytes() {
@@ -320,13 +361,14 @@
   this->state.metrics.Add(
       fmt::format("client_connections_closed_total{{cause=\"{}\"}}", cause));
   const std::size_t unread_bytes = this->UnreadBytes();
-  const bool is_idle = !this->has_active_request && unread_bytes == 0;
+  const bool is_reading = this->phase == Phase::kReading;
+  const bool is_idle = !is_reading && unread_bytes == 0;
   if (is_idle && !this->state.draining) return;
   const Duration since_last_byte = RuntimeClock::now() - this->last_byte_at;
   Logger::Info("client_connection_closed",
                {{"cause", cause},
                 {"requests", static_cast<std::int64_t>(this->requests_read)},
-                {"reading", this->has_active_request},
+                {"reading", is_reading},
                 {"unread_bytes", static_cast<std::int64_t>(unread_bytes)},
                 {"last_byte_ms", ToMilliseconds(since_last_byte)},
                 {"draining", this->state.draining}});
--- a/src/dispatch/client_connection.h
+++ b/src/dispatch/client_connection.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -32,6 +33,8 @@
   /// \brief Closes the connection if it has no active request, none has
   ///        arrived unread and none is expected at once; for draining.
   void CloseIfIdle();
+  /// \brief Refuses the request that is being read, if there is one.
+  void RefuseIncomplete();
 
   /// \brief Sends a complete response.
   Awaitable<void> SendResponse(unsigned status, HttpHeaders headers,
@@ -56,14 +59,27 @@
   void SetDisconnectCallback(std::function<void()> on_disconnect);
 
  private:
-  enum class ReadOutcome { kRequest, kClosed, kRejected };
+  enum class Phase {
+    kIdle,     ///< No byte of a request was read.
+    kReading,  ///< A request is being read.
+    kServing,  ///< A request was read whole.
+    kClosing   ///< The last response was sent.
+  };
 
   using Parser =
       boost::beast::http::request_parser<boost::beast::http::string_body>;
 
-  Awaitable<ReadOutcome> ReadRequest(HttpRequest& request);
-  // Reads the rest of the request, behind its head.
-  Awaitable<ReadOutcome> ReadBody(const HttpRequest& request, Parser& parser);
+  // These return false if the connection is to be closed; what could be told
+  // the client was sent then.
+  Awaitable<bool> ReadRequest(HttpRequest& request);
+  Awaitable<bool> WaitForRequest();
+  Awaitable<bool> ReadHead(Parser& parser);
+  Awaitable<bool> ReadBody(const HttpRequest& request, Parser& parser);
+  // Reads and parses some bytes.
+  Awaitable<bool> ReadSome(Parser& parser);
+  // Ends the reading of a request with a response.
+  void InterruptReading(unsigned status);
+  void Close();
   // Sends the response that fits the failure of a read, if there is one.
   Awaitable<void> RejectUnreadable(const boost::system::error_code& error);
   // Sends an error response; the connection is closed after it.
@@ -93,7 +109,9 @@
   Duration stated_idle_timeout{};
   bool is_head_request = false;
   bool keep_alive = true;
-  bool has_active_request = false;
+  Phase phase = Phase::kIdle;
+  /// Status with which the reading of a request is to end.
+  std::optional<unsigned> read_interruption;
   bool has_timed_out = false;  ///< The grace period has begun.
   bool is_writing = false;     ///< Waits for the client to take a response.
   bool broken = false;         ///< A write failed, or the socket was closed.
--- a/src/dispatch/dispatch_router.cc
+++ b/src/dispatch/dispatch_router.cc
@@ -76,6 +76,10 @@
   Awaitable<void> ServeReadiness(HttpExchange& exchange);
   Awaitable<void> ServeMetrics(HttpExchange& exchange);
   void RunHousekeeping(TimePoint now);
+  // A copy: a client may be removed while it is used.
+  std::vector<std::shared_ptr<ClientConnection>> OpenClients() const {
+    return {this->clients.begin(), this->clients.end()};
+  }
 
   internal::DispatchState state;
   internal::EngineConnector connector;
@@ -259,11 +263,10 @@
       error_code ignored;
       this->acceptor.close(ignored);
     }
-    const std::vector<std::shared_ptr<ClientConnection>> open_clients(
-        this->clients.begin(), this->clients.end());
-    for (const auto& client : open_clients) client->CloseIfIdle();
+    for (const auto& client : this->OpenClients()) client->CloseIfIdle();
     if (this->clients.empty() && this->connector.CarriedTunnels() == 0) break;
   }
+  for (const auto& client : this->OpenClients()) client->RefuseIncomplete();
   const Duration linger = kFinalDelay;
   co_await SleepFor(linger);
   const auto digest_bytes = static_cast<std::int64_t>(
--- a/tests/accepted_request_lost_test.cc
+++ b/tests/accepted_request_lost_test.cc
@@ -57,6 +57,17 @@
   return MakeClientRequest("POST", "/once/", id, "", "x");
 }
 
+// A request whose body lacks its last bytes.
+std::string IncompleteBooking() {
+  return MakeClientRequest("POST", "/once/", "incomplete",
+                           "Content-Length: 10\r\n") +
+         "123";
+}
+
+bool SaysClose(const std::string& response) {
+  return response.find("Connection: close") != std::string::npos;
+}
+
 enum class SecondRequest { kWithFirst, kAfterFirst };
 
 // The second request lies behind a stream that has begun when the router gets
@@ -109,6 +120,29 @@
   CHECK(fleet.WaitForExit(1) == 0);
 }
 
+TEST_CASE("a request that is not complete at the end of a stop is refused") {
+  Fleet fleet;
+  TestClient client(fleet);
+  client.Send(IncompleteBooking());
+  fleet.Signal(1, SIGTERM);
+  const std::string answer = client.ReadAll();
+  CAPTURE(answer, fleet.Log(1));
+  CHECK(answer.starts_with("HTTP/1.1 503"));
+  CHECK(SaysClose(answer));
+  CHECK(fleet.TotalRequests() == 0);
+  CHECK(fleet.WaitForExit(1) == 0);
+}
+
+TEST_CASE("a request that takes too long to arrive is told so") {
+  Fleet fleet;
+  TestClient client(fleet);
+  client.Send("POST /once/ HTTP/1.1\r\nHost: h.example\r\n");
+  const std::string answer = client.ReadAll();
+  CAPTURE(answer, fleet.Log(1));
+  CHECK(answer.starts_with("HTTP/1.1 408"));
+  CHECK(SaysClose(answer));
+}
+
 TEST_CASE("a kept connection's next request is judged by the limits in force") {
   constexpr std::size_t kBodyBytes = 20'000;
   Fleet fleet;
