--- a/src/dispatch/client_connection.cc
+++ b/src/dispatch/client_connection.cc
@@ -32,6 +32,9 @@
 // request is on its way.
 constexpr Duration kFirstRequestTime = std::chrono::milliseconds(500);
 constexpr std::size_t kReadBufferBytes = 4096;
+// How long bytes that will not be answered are read, so that the client gets
+// the response before them.
+constexpr Duration kLingerTime = std::chrono::seconds(1);
 // Added to each timeout: what arrived while the process stood still is handled
 // by the event loop only after the timeout has passed.
 constexpr Duration kTimeoutGrace = std::chrono::milliseconds(100);
@@ -81,15 +84,24 @@
     this->body_memory.Release();
   }
   this->body_memory.Release();
-  this->Close();
+  co_await this->Close();
 }
 
-void ClientConnection::Close() {
+Awaitable<void> ClientConnection::Close() {
+  const bool must_linger = this->was_rejected || this->UnreadBytes() > 0;
   this->phase = Phase::kClosing;
+  error_code error;
+  this->socket.shutdown(asio::socket_base::shutdown_send, error);
+  if (must_linger) {
+    this->timeout_guard->Set(RuntimeClock::now() + kLingerTime);
+  }
+  while (must_linger && !error) {
+    this->buffer.clear();
+    co_await this->socket.async_read_some(
+        this->buffer.prepare(kReadBufferBytes), RedirectError(error));
+  }
   this->timeout_guard.reset();
-  error_code ignored;
-  this->socket.shutdown(asio::socket_base::shutdown_send, ignored);
-  this->socket.close(ignored);
+  this->socket.close(error);
 }
 
 Awaitable<bool> ClientConnection::ReadRequest(HttpRequest& request) {
@@ -218,6 +230,7 @@
   Logger::Info("client_request_rejected",
                {{"status", static_cast<std::int64_t>(status)}});
   this->keep_alive = false;
+  this->was_rejected = true;
   HttpHeaders headers;
   if (status == http_status::kServiceUnavailable ||
       status == http_status::kRequestTimeout) {
@@ -270,6 +283,8 @@
   co_await this->Write(kLastChunk);
 }
 
+void ClientConnection::EndIncomplete() { this->keep_alive = false; }
+
 void ClientConnection::Abort() {
   this->broken = true;
   error_code ignored;
@@ -335,6 +350,10 @@
 }
 
 void ClientConnection::OnTimeout() {
+  if (this->phase == Phase::kClosing) {
+    this->Abort();
+    return;
+  }
   if (!this->has_timed_out) {
     this->has_timed_out = true;
     this->timeout_guard->Set(RuntimeClock::now() + kTimeoutGrace);
--- a/src/dispatch/client_connection.h
+++ b/src/dispatch/client_connection.h
@@ -48,7 +48,9 @@
   Awaitable<bool> SendData(std::string_view data);
   /// \brief Sends the last chunk, which marks the response as complete.
   Awaitable<void> EndStream();
-  /// \brief Closes the connection; a started response stays incomplete.
+  /// \brief Lets the connection end without the rest of the response.
+  void EndIncomplete();
+  /// \brief Closes the connection at once.
   void Abort();
 
   /// \brief Calls `on_disconnect` once if the client closes the connection
@@ -79,7 +81,9 @@
   Awaitable<bool> ReadSome(Parser& parser);
   // Ends the reading of a request with a response.
   void InterruptReading(unsigned status);
-  void Close();
+  // Closes the connection so that the client gets the whole response: unread
+  // bytes would reset it.
+  Awaitable<void> Close();
   // Sends the response that fits the failure of a read, if there is one.
   Awaitable<void> RejectUnreadable(const boost::system::error_code& error);
   // Sends an error response; the connection is closed after it.
@@ -109,6 +113,7 @@
   Duration stated_idle_timeout{};
   bool is_head_request = false;
   bool keep_alive = true;
+  bool was_rejected = false;  ///< The rest of its last request was not read.
   Phase phase = Phase::kIdle;
   /// Status with which the reading of a request is to end.
   std::optional<unsigned> read_interruption;
--- a/src/dispatch/request_dispatch.cc
+++ b/src/dispatch/request_dispatch.cc
@@ -75,7 +75,7 @@
     }
     if (this->interruption == Interruption::kDeadline) {
       if (this->stream_started) {
-        this->client.Abort();
+        this->client.EndIncomplete();
         this->LogOutcome("stream_broken", 0, "deadline");
       } else {
         co_await this->Fail(http_status::kGatewayTimeout, "deadline");
--- a/src/dispatch/request_ending.cc
+++ b/src/dispatch/request_ending.cc
@@ -21,7 +21,7 @@
 Awaitable<void> RequestDispatch::Finish(const AttemptDecision& decision,
                                         AttemptFailure failure) {
   if (std::holds_alternative<BreakStream>(decision)) {
-    this->client.Abort();
+    this->client.EndIncomplete();
     this->LogOutcome("stream_broken", 0, ToString(failure));
   } else if (std::holds_alternative<RefuseNotRun>(decision)) {
     co_await this->Refuse(http_status::kServiceUnavailable, ToString(failure));
--- a/src/dispatch/request_placement.cc
+++ b/src/dispatch/request_placement.cc
@@ -290,7 +290,7 @@
 
 Awaitable<void> RequestDispatch::FinishUnplaced(std::string_view reason) {
   if (this->stream_started) {
-    this->client.Abort();
+    this->client.EndIncomplete();
     this->LogOutcome("stream_broken", 0, reason);
   } else if (this->error_response) {
     co_await this->RelayErrorResponse(reason);
--- a/tests/accepted_request_lost_test.cc
+++ b/tests/accepted_request_lost_test.cc
@@ -162,5 +162,20 @@
   CHECK(answer.ends_with("booked"));
 }
 
+TEST_CASE("bytes behind the last request don't cut its answer off") {
+  constexpr std::size_t kAnswerBytes = 12 * 1024 * 1024;
+  Fleet fleet;
+  fleet.SetScript(fleet.plain, [](const HttpRequest& request) {
+    return Script{SendBytes{
+        MakeResponse(request, 200, std::string(kAnswerBytes, 'x') + "end")}};
+  });
+  TestClient client(fleet);
+  client.Send(MakeClientRequest("GET", "/any/", "1", "Connection: close\r\n"));
+  fleet.WaitForRequests(1);
+  client.Send(MakeClientRequest("GET", "/any/", "2"));
+  std::this_thread::sleep_for(milliseconds(500));
+  CHECK(client.ReadAll().ends_with("end"));
+}
+
 }  // namespace
 }  // namespace dandelionscale::tests
