A client that closes only its sending side gets a response (LOST)

Callers that closed their sending side after a whole request, as HTTP allows, got nothing, also for a booking that had run. Such a client can't be told from one that has left (docs/design/request-ends.md), and engines must not work for those. A booking at an engine can't be taken back, so its answer is awaited and passed on; all else is cancelled as before, and the client is told what is true: 503 if no engine has seen the request, else 502. Ruled out: interim responses as a probe, which clients did not ask for.

--- a/src/dispatch/client_connection.cc
+++ b/src/dispatch/client_connection.cc
@@ -292,9 +292,9 @@
 }
 
 void ClientConnection::SetDisconnectCallback(
-    std::function<void()> on_disconnect) {
+    std::function<void(ClientEnd)> on_end) {
   auto callback =
-      std::make_shared<std::function<void()>>(std::move(on_disconnect));
+      std::make_shared<std::function<void(ClientEnd)>>(std::move(on_end));
   this->disconnect_callback = callback;
   // Waits for readability without reading, which leaves the bytes of the next
   // request in the socket.
@@ -305,16 +305,14 @@
         auto locked_callback = weak_callback.lock();
         if (!locked_callback) return;
         char byte = 0;
-        error_code peek_error;
         if (!error) {
           self->socket.receive(asio::buffer(&byte, 1),
-                               asio::socket_base::message_peek, peek_error);
+                               asio::socket_base::message_peek, error);
         }
         // Readable data is a pipelined request, not a disconnect.
-        if (!error && !peek_error) return;
-        if (peek_error == asio::error::would_block) return;
-        self->Abort();
-        (*locked_callback)();
+        if (!error || error == asio::error::would_block) return;
+        const bool is_closed = error == asio::error::eof;
+        (*locked_callback)(is_closed ? ClientEnd::kClosed : ClientEnd::kReset);
       });
 }
 
--- a/src/dispatch/client_connection.h
+++ b/src/dispatch/client_connection.h
@@ -53,12 +53,17 @@
   /// \brief Closes the connection at once.
   void Abort();
 
-  /// \brief Calls `on_disconnect` once if the client closes the connection
-  /// during the current request.
+  /// \brief How a client has ended its side of the connection.
+  enum class ClientEnd {
+    kClosed,  ///< It sends no more; it may still wait for its response.
+    kReset
+  };
+  /// \brief Calls `on_end` once if the client ends its side of the connection
+  ///        during the current request.
   ///
-  /// A disconnect is not detected any more once bytes of a pipelined request
-  /// have arrived.
-  void SetDisconnectCallback(std::function<void()> on_disconnect);
+  /// This is not detected any more once bytes of a pipelined request have
+  /// arrived.
+  void SetDisconnectCallback(std::function<void(ClientEnd)> on_end);
 
  private:
   enum class Phase {
@@ -120,7 +125,7 @@
   bool has_timed_out = false;  ///< The grace period has begun.
   bool is_writing = false;     ///< Waits for the client to take a response.
   bool broken = false;         ///< A write failed, or the socket was closed.
-  std::shared_ptr<std::function<void()>> disconnect_callback;
+  std::shared_ptr<std::function<void(ClientEnd)>> disconnect_callback;
 };
 
 }  // namespace dandelionscale::internal
--- a/src/dispatch/request_dispatch.cc
+++ b/src/dispatch/request_dispatch.cc
@@ -49,9 +49,10 @@
 
 Awaitable<void> RequestDispatch::Run() {
   if (!co_await this->Admit()) co_return;
-  this->client.SetDisconnectCallback([weak = this->weak_from_this()] {
-    if (auto self = weak.lock()) self->Interrupt(Interruption::kClientGone);
-  });
+  this->client.SetDisconnectCallback(
+      [weak = this->weak_from_this()](ClientConnection::ClientEnd end) {
+        if (auto self = weak.lock()) self->OnClientEnd(end);
+      });
   this->ArmDeadline();
   if (!co_await this->ResolveOrigin()) co_return;
   while (true) {
@@ -70,7 +71,7 @@
       co_return;
     }
     if (this->interruption == Interruption::kClientGone) {
-      this->LogOutcome("client_gone", 0, ToString(*failure));
+      co_await this->FinishForGoneClient(ToString(*failure));
       co_return;
     }
     if (this->interruption == Interruption::kDeadline) {
@@ -83,6 +84,11 @@
       co_return;
     }
     this->interruption = Interruption::kNone;
+    if (this->client_has_ended) {
+      const AttemptHistory history = this->HistoryAfter(*failure);
+      co_await this->Finish(DecideFinal(history), *failure);
+      co_return;
+    }
     AttemptDecision decision = this->DecideAfterFailedAttempt(*failure);
     if (!this->MayRetry(*failure, decision)) {
       co_await this->Finish(decision, *failure);
@@ -360,6 +366,17 @@
       std::min(this->Deadline() + kDeadlineGrace, this->silence_check_at));
 }
 
+void RequestDispatch::OnClientEnd(ClientConnection::ClientEnd end) {
+  if (end == ClientConnection::ClientEnd::kReset) this->client.Abort();
+  this->client_has_ended = true;
+  // What may run only once can't be taken back, so its answer is awaited. All
+  // else would occupy an engine for a client that has most likely left.
+  const bool is_awaited = end == ClientConnection::ClientEnd::kClosed &&
+                          this->route->kind == RouteKind::kNonIdempotent &&
+                          this->exchange != nullptr;
+  if (!is_awaited) this->Interrupt(Interruption::kClientGone);
+}
+
 void RequestDispatch::Interrupt(Interruption cause) {
   const bool is_first = this->interruption == Interruption::kNone ||
                         this->interruption == Interruption::kStalled;
--- a/src/dispatch/request_dispatch.h
+++ b/src/dispatch/request_dispatch.h
@@ -197,6 +197,10 @@
   // Until the next progress, the router waits for the client.
   void SuspendSilenceCheck();
   void OnTimeout();
+  void OnClientEnd(ClientConnection::ClientEnd end);
+  // The work for a client that has ended its side of the connection was
+  // cancelled; it may still wait for a response.
+  Awaitable<void> FinishForGoneClient(std::string_view reason);
   void Interrupt(Interruption cause);
   void LogOutcome(std::string_view outcome, unsigned status,
                   std::string_view reason);
@@ -245,9 +249,10 @@
   std::size_t unfinished_bytes = 0;
   /// Key of the software version at which the stream began, once it has begun.
   std::optional<std::uint64_t> required_version;
-  bool may_have_run = false;    ///< An engine may have run the request.
-  bool stream_started = false;  ///< The response head was sent.
-  bool answer_begun = false;    ///< In the current attempt.
+  bool client_has_ended = false;  ///< It sends no more, but may still read.
+  bool may_have_run = false;      ///< An engine may have run the request.
+  bool stream_started = false;    ///< The response head was sent.
+  bool answer_begun = false;      ///< In the current attempt.
   /// Sent to find out whether its prompt still crashes engines.
   bool is_probe = false;
   EventSplitter events;
--- a/src/dispatch/request_ending.cc
+++ b/src/dispatch/request_ending.cc
@@ -16,6 +16,10 @@
 // configuration is loaded.
 constexpr Duration kDefaultRetryAfter = std::chrono::milliseconds(400);
 
+std::string FormatSeconds(Duration duration) {
+  return fmt::format("{:.3f}", std::chrono::duration<double>(duration).count());
+}
+
 }  // namespace
 
 Awaitable<void> RequestDispatch::Finish(const AttemptDecision& decision,
@@ -39,6 +43,21 @@
   this->LogOutcome("engine_failed", this->error_response->status, reason);
 }
 
+Awaitable<void> RequestDispatch::FinishForGoneClient(std::string_view reason) {
+  HttpHeaders headers = this->state.codec->EncodeErrorHeaders(this->decoded.id);
+  if (this->stream_started) {
+    this->client.EndIncomplete();
+  } else if (this->may_have_run) {
+    co_await this->client.SendResponse(http_status::kBadGateway,
+                                       std::move(headers), "");
+  } else {
+    headers.Add("Retry-After", FormatSeconds(kDefaultRetryAfter));
+    co_await this->client.SendResponse(http_status::kServiceUnavailable,
+                                       std::move(headers), "");
+  }
+  this->LogOutcome("client_gone", 0, reason);
+}
+
 Awaitable<void> RequestDispatch::Refuse(unsigned status,
                                         std::string_view reason) {
   Duration retry_after = kDefaultRetryAfter;
@@ -62,10 +81,7 @@
     std::optional<Duration> retry_after) {
   HttpHeaders headers = this->state.codec->EncodeErrorHeaders(this->decoded.id);
   if (retry_after) {
-    headers.Add(
-        "Retry-After",
-        fmt::format("{:.3f}",
-                    std::chrono::duration<double>(*retry_after).count()));
+    headers.Add("Retry-After", FormatSeconds(*retry_after));
   }
   co_await this->client.SendResponse(status, std::move(headers), "");
   this->LogOutcome(retry_after ? "refused" : "failed", status, reason);
--- a/src/dispatch/request_placement.cc
+++ b/src/dispatch/request_placement.cc
@@ -214,7 +214,7 @@
   }
   queue.OnAbandoned(grant->ticket);
   if (this->interruption == Interruption::kClientGone) {
-    this->LogOutcome("client_gone", 0, "waiting");
+    co_await this->FinishForGoneClient("waiting");
   } else {
     co_await this->FinishUnplaced(quarantined ? "quarantined" : "no_room");
   }
--- a/tests/accepted_request_lost_test.cc
+++ b/tests/accepted_request_lost_test.cc
@@ -22,6 +22,7 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kStreamTime(1500);
+constexpr std::string_view kLastChunk = "\r\n0\r\n\r\n";
 
 Script AnswerStream(const HttpRequest& request) {
   return {SendBytes{MakeStreamHead(request) + MakeEventChunk(1)},
@@ -177,5 +178,42 @@
   CHECK(client.ReadAll().ends_with("end"));
 }
 
+TEST_CASE("a booking is answered though its client sends no more") {
+  Fleet fleet;
+  fleet.SetScript(fleet.plain, [](const HttpRequest& request) {
+    return Script{Pause{milliseconds(300)},
+                  SendBytes{MakeResponse(request, 200, "booked")}};
+  });
+  TestClient client(fleet);
+  client.Send(Booking("id"));
+  client.CloseSending();
+  const std::string answer = client.ReadAll();
+  CAPTURE(answer, fleet.Log(1));
+  CHECK(answer.ends_with("booked"));
+  CHECK(fleet.Requests(fleet.plain).size() == 1);
+}
+
+TEST_CASE("a waiting booking is refused when its client sends no more") {
+  Fleet fleet;
+  fleet.SetScript(fleet.plain, [](const HttpRequest&) {
+    return Script{Pause{milliseconds(1500)}};
+  });
+  std::vector<std::unique_ptr<TestClient>> others;
+  // The engine has 8 slots, and a queue.
+  constexpr int kPlaced = 10;
+  for (int n = 0; n < kPlaced; ++n) {
+    others.push_back(std::make_unique<TestClient>(fleet));
+    others.back()->Send(Booking(fmt::format("other-{}", n)));
+  }
+  fleet.WaitForRequests(kPlaced);
+  TestClient client(fleet);
+  client.Send(Booking("id"));
+  client.CloseSending();
+  const std::string answer = client.ReadAll();
+  CAPTURE(answer, fleet.Log(1));
+  CHECK(answer.starts_with("HTTP/1.1 503"));
+  CHECK(fleet.Requests(fleet.plain).size() == kPlaced);
+}
+
 }  // namespace
 }  // namespace dandelionscale::tests
