--- a/include/dandelionscale/core/silence_policy.h
+++ b/include/dandelionscale/core/silence_policy.h
@@ -30,6 +30,9 @@
   /// A second run at the same time does no harm.
   bool may_overlap = false;
   RunReport report = RunReport::kUnknown;
+  Duration time_left = Duration::max();  ///< Until the request's deadline.
+  /// In which another engine is expected to begin its answer.
+  Duration answer_time{};
 };
 
 /// \returns true if the connection may be given up for a send to another
--- a/src/core/silence_policy.cc
+++ b/src/core/silence_policy.cc
@@ -15,6 +15,7 @@
 }
 
 bool MayGiveUp(const SilentSend& send) {
+  if (send.time_left < send.answer_time) return false;
   if (send.may_overlap) return true;
   if (send.report == RunReport::kListed) return false;
   // An engine lists a request only once it has begun to run it.
--- a/src/dispatch/request_silence.cc
+++ b/src/dispatch/request_silence.cc
@@ -123,6 +123,8 @@
   send.events_delivered = this->stream_started;
   send.may_overlap = this->route->kind != RouteKind::kStreaming;
   send.report = this->last_report;
+  send.time_left = this->Deadline() - now;
+  send.answer_time = this->route->latency_target;
   const bool may_decide = send.may_overlap || this->was_asked;
   const bool may_give_up =
       may_decide && !this->exchange->HasUnreadBytes() && MayGiveUp(send);
@@ -135,7 +137,8 @@
        {"events", static_cast<std::int64_t>(this->events.EventCount())},
        {"report", ToString(send.report)},
        {"has_successor", plan.has_value()},
-       {"given_up", gives_up}});
+       {"given_up", gives_up},
+       {"time_left_ms", ToMilliseconds(send.time_left)}});
   if (gives_up) {
     this->Interrupt(Interruption::kStalled);
     return;
--- a/tests/silence_policy_test.cc
+++ b/tests/silence_policy_test.cc
@@ -46,6 +46,18 @@
       MayGiveUp(Stream(kSecondOfSilence, false, RunReport::kNotListed)));
 }
 
+TEST_CASE("nothing is given up when no other engine could answer in time") {
+  for (bool may_overlap : {false, true}) {
+    SilentSend send = Stream(kLongSilence, false, RunReport::kUnknown);
+    send.may_overlap = may_overlap;
+    send.answer_time = milliseconds(600);
+    send.time_left = milliseconds(300);
+    CHECK_FALSE(MayGiveUp(send));
+    send.time_left = milliseconds(700);
+    CHECK(MayGiveUp(send));
+  }
+}
+
 TEST_CASE("a request that may run twice at a time is given up at once") {
   SilentSend send;
   send.may_overlap = true;
--- a/tests/stream_cut_for_silence_test.cc
+++ b/tests/stream_cut_for_silence_test.cc
@@ -13,6 +13,7 @@
 #include <csignal>
 #include <functional>
 #include <map>
+#include <set>
 #include <thread>
 
 #include "tests/support/platform_fleet.h"
@@ -254,6 +255,38 @@
   CHECK(CountRepeated(fleet, 2) == 0);
 }
 
+TEST_CASE("a slow engine is not given up for one that has no time left") {
+  constexpr milliseconds kFirstEventTime(1850);
+  constexpr milliseconds kRefusalTime(200);
+  Fleet fleet(1, kFewRetries);
+  std::string routes(kRoutes);
+  routes.replace(routes.find("12000"), 5, "2100");
+  fleet.PutConfiguration(4, routes);
+  std::set<std::string> begun;  // Used on the engines' thread only.
+  for (int n = 0; n < 2; ++n) {
+    fleet.AddEngine("chat", [&](const HttpRequest& request) {
+      const std::string id(request.headers.Find("Request-Id"));
+      if (!begun.insert(id).second) {
+        return Script{
+            Pause{kRefusalTime},
+            SendBytes{MakeResponse(request, 503, "", "Not-Executed: 1\r\n")}};
+      }
+      Script script = {Pause{kFirstEventTime},
+                       SendBytes{MakeStreamHead(request)}};
+      for (int event = 1; event <= kEvents; ++event) {
+        script.push_back(SendBytes{MakeEventChunk(event)});
+      }
+      script.push_back(SendBytes{std::string(emulator::kStreamEnd)});
+      return script;
+    });
+  }
+  fleet.WaitUntilReady(1);
+  fleet.WaitForConfiguration(1, 4);
+  const auto streams = ReadStreams(fleet, 1, 4, milliseconds(10));
+  CAPTURE(streams.front().text, fleet.Log(1));
+  CHECK(CountWhole(streams) == 4);
+}
+
 // Streams whose first engine sends nothing more after some events.
 void CheckTakenOver(emulator::ReportKind report, std::string_view log) {
   Fleet fleet(1, kFewRetries);
