A preempted stream is not taken for one that its engine has dropped (LOST)

Callers' streams were moved to another engine, and could be cut if that one refused, while the engine at which they had begun was to go on: a run that was preempted is read in again and is not listed meanwhile, as requests that wait never are. What a report says is some hundred ms old, the silence longer.

--- a/emulator/scripted_engine.cc
+++ b/emulator/scripted_engine.cc
@@ -209,8 +209,9 @@
       runs += fmt::format(R"({}["{}",100,1,5])", runs.empty() ? "" : ",", id);
     }
   }
-  const std::string body =
-      fmt::format(R"({{"stage":"both","runs":[{}]}})", runs);
+  const int queued = this->report == ReportKind::kPreempted ? 1 : 0;
+  const std::string body = fmt::format(
+      R"({{"stage":"both","queued":{},"runs":[{}]}})", queued, runs);
   return fmt::format("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{}",
                      body.size(), body);
 }
--- a/emulator/scripted_engine.h
+++ b/emulator/scripted_engine.h
@@ -67,7 +67,8 @@
 enum class ReportKind {
   kNone,      ///< Nothing that can be read.
   kTruthful,  ///< Those whose scripts are under way.
-  kEmpty      ///< None.
+  kEmpty,     ///< None, and that none waits.
+  kPreempted  ///< None, and that one waits.
 };
 
 /// \brief Emulates an engine of the users' platform (that of
--- a/include/dandelionscale/core/silence_policy.h
+++ b/include/dandelionscale/core/silence_policy.h
@@ -14,7 +14,9 @@
 enum class RunReport {
   kUnknown,    ///< Not asked, no answer, or the engine can't be asked.
   kListed,     ///< The engine works on the request.
-  kNotListed,  ///< It works on others, or on none.
+  kNotListed,  ///< It works on others, or on none, and none waits.
+  /// It works on others, and some wait: this one may have been preempted.
+  kMayWait,
 };
 
 /// \returns the name used in logs.
--- a/include/dandelionscale/dispatch/protocol_codec.h
+++ b/include/dandelionscale/dispatch/protocol_codec.h
@@ -98,6 +98,7 @@
 /// \brief What an engine reports of its work.
 struct EngineReport {
   std::vector<std::string> request_ids;  ///< Of the requests that it runs.
+  std::uint64_t waiting = 0;  ///< Requests that it has not begun or preempted.
 };
 
 /// \brief Error type of the decoders: malformed input.
--- a/src/core/silence_policy.cc
+++ b/src/core/silence_policy.cc
@@ -10,6 +10,8 @@
       return "listed";
     case RunReport::kNotListed:
       return "not_listed";
+    case RunReport::kMayWait:
+      return "may_wait";
   }
   return "unknown";
 }
--- a/src/dispatch/engine_reports.cc
+++ b/src/dispatch/engine_reports.cc
@@ -34,9 +34,11 @@
   while (!call->has_ended) co_await call->ended.Wait();
   if (!call->report) co_return RunReport::kUnknown;
   const auto& runs = call->report->request_ids;
-  co_return std::find(runs.begin(), runs.end(), request_id) != runs.end()
-      ? RunReport::kListed
-      : RunReport::kNotListed;
+  const bool is_listed =
+      std::find(runs.begin(), runs.end(), request_id) != runs.end();
+  if (is_listed) co_return RunReport::kListed;
+  co_return call->report->waiting > 0 ? RunReport::kMayWait
+                                      : RunReport::kNotListed;
 }
 
 Awaitable<void> EngineReports::Fetch(std::shared_ptr<Engine> engine,
--- a/tests/platform_translation_test.cc
+++ b/tests/platform_translation_test.cc
@@ -72,6 +72,21 @@
       [&] { return PlatformCodec().DecodeEngine("e1", text); });
 }
 
+TEST_CASE("an engine's report tells how many requests wait") {
+  const PlatformCodec codec;
+  const auto waiting = [&](std::string_view text) {
+    return boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<std::uint64_t> {
+          BOOST_LEAF_AUTO(report, codec.DecodeReport(text));
+          return report.waiting;
+        },
+        [] { return std::uint64_t{99}; });
+  };
+  CHECK(waiting(R"({"queued":3,"runs":[]})") == 3);
+  CHECK(waiting(R"({"runs":[]})") == 0);
+  CHECK(waiting(R"({"queued":"many","runs":[]})") == 0);
+}
+
 TEST_CASE("an engine's report names the requests that it runs") {
   const PlatformCodec codec;
   const auto ids = [&](const std::string& text) {
--- a/tests/silence_policy_test.cc
+++ b/tests/silence_policy_test.cc
@@ -46,6 +46,11 @@
       MayGiveUp(Stream(kSecondOfSilence, false, RunReport::kNotListed)));
 }
 
+TEST_CASE("a stream that may wait, preempted, is not given up at once") {
+  CHECK_FALSE(MayGiveUp(Stream(kSecondOfSilence, true, RunReport::kMayWait)));
+  CHECK(MayGiveUp(Stream(kLongSilence, true, RunReport::kMayWait)));
+}
+
 TEST_CASE("nothing is given up when no other engine could answer in time") {
   for (bool may_overlap : {false, true}) {
     SilentSend send = Stream(kLongSilence, false, RunReport::kUnknown);
