--- a/tests/silent_engine_test.cc
+++ b/tests/silent_engine_test.cc
@@ -1,6 +1,8 @@
 // A sound engine, or its host, falls silent for about a second and goes on:
 // requests that it works on get their answers.
 #include <catch2/catch.hpp>
+#include <csignal>
+#include <functional>
 #include <future>
 #include <thread>
 
@@ -41,11 +43,14 @@
                           kReadIdleTimeout);
   }
 
-  std::string SendWhileHostIsSilent(const std::string& target) {
+  // Does planned work, if any, while the host is silent.
+  std::string SendWhileHostIsSilent(
+      const std::string& target, const std::function<void(Fleet&)>& work = {}) {
     auto response = std::async(std::launch::async,
                                [this, target] { return this->Send(target); });
     std::this_thread::sleep_for(kTimeBeforeSilence);
     this->CutOff({1}, CutKind::kHang);
+    if (work) work(*this);
     std::this_thread::sleep_for(kSilence);
     this->CutOff({}, CutKind::kHang);
     return response.get();
@@ -83,5 +88,27 @@
   CHECK(fleet.Requests(0).size() == 1);
 }
 
+TEST_CASE("an engine's host is silent while the router does planned work") {
+  const std::string target = GENERATE("/once/", "/stream/");
+  const int signal = GENERATE(SIGTERM, SIGHUP);
+  Fleet fleet(target == "/once/" ? AnswerLate : StreamWithGap);
+  const std::string response = fleet.SendWhileHostIsSilent(
+      target, [signal](Fleet& router) { router.Signal(1, signal); });
+  CAPTURE(response, fleet.Log(1));
+  CHECK(response.ends_with(target == "/once/" ? "whole" : kLastChunk));
+  CHECK(fleet.Requests(0).size() == 1);
+}
+
+TEST_CASE("an engine's host is silent while the configuration changes") {
+  const std::string target = GENERATE("/once/", "/stream/");
+  Fleet fleet(target == "/once/" ? AnswerLate : StreamWithGap);
+  const std::string response = fleet.SendWhileHostIsSilent(
+      target,
+      [](Fleet& router) { router.PutConfiguration(4, std::string(kRoutes)); });
+  CAPTURE(response, fleet.Log(1));
+  CHECK(response.ends_with(target == "/once/" ? "whole" : kLastChunk));
+  CHECK(fleet.Requests(0).size() == 1);
+}
+
 }  // namespace
 }  // namespace dandelionscale::tests
--- a/tests/stream_cut_for_silence_test.cc
+++ b/tests/stream_cut_for_silence_test.cc
@@ -312,6 +312,71 @@
   CHECK(CountWhole(streams) == 4);
 }
 
+TEST_CASE("no stream is cut when engines are silent one after the other") {
+  constexpr int kEngines = 3;
+  constexpr int kStreams = 60;
+  Fleet fleet(1, kFewRetries);
+  fleet.SetMaxSlots(48);
+  std::array<Silence, kEngines> silences;
+  for (Silence& silence : silences) {
+    fleet.AddEngine("chat", [&silence](const HttpRequest& request) {
+      return MakeStream(request, silence);
+    });
+  }
+  fleet.WaitUntilReady(1);
+  fleet.RunOnLoop([&] {
+    TimePoint begins_at = RuntimeClock::now() + kBeforeSilence;
+    for (Silence& silence : silences) {
+      silence.begins_at = begins_at;
+      begins_at += kSilence / 2;
+    }
+  });
+  const auto streams = ReadStreams(fleet, 1, kStreams, milliseconds(20));
+  CAPTURE(fleet.Log(1));
+  CHECK(CountWhole(streams) == kStreams);
+  CHECK(CountRepeated(fleet, kEngines) == 0);
+}
+
+TEST_CASE("no stream is cut for silence right after engines were removed") {
+  constexpr int kStreams = 12;
+  Fleet fleet(1, kFewRetries);
+  for (int n = 0; n < 3; ++n) fleet.AddSilentEngine();
+  fleet.WaitUntilReady(1);
+  fleet.BeginSilence(kBeforeSilence);
+  std::thread remover([&] {
+    std::this_thread::sleep_for(kBeforeSilence - milliseconds(100));
+    fleet.DeregisterEngine(1);
+    fleet.DeregisterEngine(2);
+  });
+  const auto streams = ReadStreams(fleet, 1, kStreams, milliseconds(10));
+  remover.join();
+  CAPTURE(fleet.Log(1));
+  CHECK(CountWhole(streams) == kStreams);
+  CHECK(CountRepeated(fleet, 3) == 0);
+}
+
+TEST_CASE("no stream is cut for silence of the engine that took it over") {
+  constexpr int kStreams = 4;
+  Fleet fleet(1, kFewRetries);
+  for (int n = 0; n < 3; ++n) {
+    fleet.AddEngine("chat", [&](const HttpRequest& request) {
+      if (FirstEvent(request) == 1) {
+        return Script{SendBytes{MakeStreamHead(request) + MakeEventChunk(1)},
+                      emulator::ResetConnection{}};
+      }
+      Silence silence;
+      silence.begins_at = RuntimeClock::now() + kEventInterval;
+      return MakeStream(request, silence);
+    });
+  }
+  fleet.WaitUntilReady(1);
+  const auto streams = ReadStreams(fleet, 1, kStreams, milliseconds(10));
+  CAPTURE(fleet.Log(1));
+  CHECK(CountWhole(streams) == kStreams);
+  CHECK(Occurrences(fleet.Log(1), R"("event":"request_placed")") ==
+        2 * kStreams);
+}
+
 // Streams whose first engine sends nothing more after some events.
 void CheckTakenOver(emulator::ReportKind report, std::string_view log) {
   Fleet fleet(1, kFewRetries);
