--- a/tests/support/platform_fleet.cc
+++ b/tests/support/platform_fleet.cc
@@ -38,7 +38,16 @@
 // Far longer than any step takes; reached only if a process hangs.
 constexpr std::chrono::milliseconds kHangTimeout(60'000);
 
-// Number of complete final (not 1xx) responses in `text`.
+Endpoint Any() { return {asio::ip::address_v4::loopback(), 0}; }
+
+std::string MakeFolder() {
+  std::string name = "/tmp/dandelion-test-XXXXXX";
+  REQUIRE(::mkdtemp(name.data()) != nullptr);
+  return name;
+}
+
+}  // namespace
+
 int CountResponses(std::string_view text) {
   int count = 0;
   while (true) {
@@ -63,16 +72,6 @@
   }
 }
 
-Endpoint Any() { return {asio::ip::address_v4::loopback(), 0}; }
-
-std::string MakeFolder() {
-  std::string name = "/tmp/dandelion-test-XXXXXX";
-  REQUIRE(::mkdtemp(name.data()) != nullptr);
-  return name;
-}
-
-}  // namespace
-
 std::string MakeClientRequest(const std::string& method,
                               const std::string& target, const std::string& id,
                               const std::string& more,
--- a/tests/support/platform_fleet.h
+++ b/tests/support/platform_fleet.h
@@ -170,6 +170,9 @@
                               const std::string& more = "",
                               const std::string& body = "");
 
+/// \returns the number of complete final (not 1xx) responses in `text`.
+int CountResponses(std::string_view text);
+
 /// \returns how often `part` occurs in `text`.
 int Occurrences(const std::string& text, std::string_view part);
 
