--- a/src/dispatch/client_connection.cc
+++ b/src/dispatch/client_connection.cc
@@ -138,13 +138,21 @@
   if (this->buffer.size() == 0) {
     this->SetTimeout(
         std::max(this->state.Limits().idle_timeout, this->stated_idle_timeout));
+  }
+  while (this->buffer.size() == 0) {
     error_code error;
     const std::size_t size = co_await this->socket.async_read_some(
         this->buffer.prepare(kReadBufferBytes), RedirectError(error));
-    if (error) co_return false;
     this->buffer.commit(size);
-    this->last_byte_at = RuntimeClock::now();
+    const bool is_interrupted = error == asio::error::operation_aborted &&
+                                !this->wait_interruption.empty();
+    if (is_interrupted && this->UnreadBytes() == 0) {
+      this->LogClose(this->wait_interruption);
+    }
+    if (error && !(is_interrupted && this->UnreadBytes() > 0)) co_return false;
   }
+  this->wait_interruption = {};
+  this->last_byte_at = RuntimeClock::now();
   this->phase = Phase::kReading;
   co_return true;
 }
@@ -199,6 +207,15 @@
   co_return true;
 }
 
+// Bytes that the event loop has read already, but not handed over, are in
+// neither the socket nor the buffer: only the outcome of the read tells of
+// them.
+void ClientConnection::InterruptWait(std::string_view cause) {
+  this->wait_interruption = cause;
+  error_code ignored;
+  this->socket.cancel(ignored);
+}
+
 void ClientConnection::InterruptReading(unsigned status) {
   if (!this->read_interruption) this->read_interruption = status;
   error_code ignored;
@@ -243,8 +260,7 @@
   const bool is_new =
       RuntimeClock::now() - this->accepted_at < kFirstRequestTime;
   if (this->phase != Phase::kIdle || is_new || this->UnreadBytes() > 0) return;
-  this->LogClose("draining");
-  this->Abort();
+  this->InterruptWait("draining");
 }
 
 Awaitable<void> ClientConnection::SendResponse(unsigned status,
@@ -364,8 +380,7 @@
     if (!this->read_interruption) this->LogClose("read_timeout");
     this->InterruptReading(http_status::kRequestTimeout);
   } else {
-    this->LogClose("idle_timeout");
-    this->Abort();
+    this->InterruptWait("idle_timeout");
   }
 }
 
--- a/src/dispatch/client_connection.h
+++ b/src/dispatch/client_connection.h
@@ -84,6 +84,8 @@
   Awaitable<bool> ReadBody(const HttpRequest& request, Parser& parser);
   // Reads and parses some bytes.
   Awaitable<bool> ReadSome(Parser& parser);
+  // Ends the wait for a request, unless one has begun to arrive.
+  void InterruptWait(std::string_view cause);
   // Ends the reading of a request with a response.
   void InterruptReading(unsigned status);
   // Closes the connection so that the client gets the whole response: unread
@@ -120,6 +122,8 @@
   bool keep_alive = true;
   bool was_rejected = false;  ///< The rest of its last request was not read.
   Phase phase = Phase::kIdle;
+  /// Why the wait for a request is to end; empty if it isn't.
+  std::string_view wait_interruption;
   /// Status with which the reading of a request is to end.
   std::optional<unsigned> read_interruption;
   bool has_timed_out = false;  ///< The grace period has begun.
--- a/tests/accepted_request_lost_test.cc
+++ b/tests/accepted_request_lost_test.cc
@@ -121,6 +121,38 @@
   CHECK(fleet.WaitForExit(1) == 0);
 }
 
+// A connection that has served a request, and whose next one is read in the
+// same step of the event loop in which idle connections are closed.
+TEST_CASE("a request that was just read is not closed as idle") {
+  constexpr int kClients = 5;
+  Fleet fleet;
+  std::vector<std::unique_ptr<TestClient>> clients;
+  for (int n = 0; n < kClients; ++n) {
+    clients.push_back(std::make_unique<TestClient>(fleet));
+    clients.back()->Send(Booking(fmt::format("first-{}", n)));
+    const std::string answer = clients.back()->ReadUntil("booked");
+    CAPTURE(n, answer, fleet.Log(1));
+    REQUIRE(answer.ends_with("booked"));
+  }
+  fleet.Signal(1, SIGTERM);
+  // Idle connections are closed from 2.8 s after the signal on.
+  std::this_thread::sleep_for(milliseconds(2500));
+  fleet.Signal(1, SIGSTOP);
+  std::this_thread::sleep_for(milliseconds(100));
+  for (int n = 0; n < kClients; ++n) {
+    clients[static_cast<std::size_t>(n)]->Send(
+        Booking(fmt::format("second-{}", n)));
+  }
+  std::this_thread::sleep_for(milliseconds(600));
+  fleet.Signal(1, SIGCONT);
+  for (const auto& client : clients) {
+    CHECK(client->ReadUntil("booked").ends_with("booked"));
+  }
+  CAPTURE(fleet.Log(1));
+  CHECK(fleet.Requests(fleet.plain).size() == 2 * kClients);
+  CHECK(fleet.WaitForExit(1) == 0);
+}
+
 TEST_CASE("a request that is not complete at the end of a stop is refused") {
   Fleet fleet;
   TestClient client(fleet);
@@ -166,9 +198,9 @@
 TEST_CASE("bytes behind the last request don't cut its answer off") {
   constexpr std::size_t kAnswerBytes = 12 * 1024 * 1024;
   Fleet fleet;
-  fleet.SetScript(fleet.plain, [](const HttpRequest& request) {
-    return Script{SendBytes{
-        MakeResponse(request, 200, std::string(kAnswerBytes, 'x') + "end")}};
+  const std::string body = fmt::format("{}end", std::string(kAnswerBytes, 'x'));
+  fleet.SetScript(fleet.plain, [&body](const HttpRequest& request) {
+    return Script{SendBytes{MakeResponse(request, 200, body)}};
   });
   TestClient client(fleet);
   client.Send(MakeClientRequest("GET", "/any/", "1", "Connection: close\r\n"));
--- a/tests/support/platform_fleet.cc
+++ b/tests/support/platform_fleet.cc
@@ -414,7 +414,10 @@
 }
 
 std::string PlatformFleet::Ip(int router) const {
-  return fmt::format("127.0.0.{}", 10 + router);
+  // Lets two runs of tests share a machine.
+  const char* subnet = std::getenv("DANDELION_TEST_SUBNET");
+  return fmt::format("127.0.{}.{}", subnet == nullptr ? "0" : subnet,
+                     10 + router);
 }
 
 int Occurrences(const std::string& text, std::string_view part) {
--- a/tests/support/platform_fleet.h
+++ b/tests/support/platform_fleet.h
@@ -28,7 +28,8 @@
 /// \brief Runs `dandelion-platform-router` processes, and emulators of the
 ///        store and the engines in this process.
 ///
-/// Router N (from 1) has the address 127.0.0.(10 + N); all routers use the same
+/// Router N (from 1) has the address 127.0.S.(10 + N), with S from the
+/// environment variable DANDELION_TEST_SUBNET, or 0; all routers use the same
 /// ports. The emulators run on a thread of their own, on which `RunOnLoop()`
 /// runs code of a test. The destructor kills the routers.
 class PlatformFleet {
