--- a/tests/accepted_request_lost_test.cc
+++ b/tests/accepted_request_lost_test.cc
@@ -22,7 +22,6 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kStreamTime(1500);
-constexpr std::string_view kLastChunk = "\r\n0\r\n\r\n";
 
 Script AnswerStream(const HttpRequest& request) {
   return {SendBytes{MakeStreamHead(request) + MakeEventChunk(1)},
