--- a/include/dandelionscale/core/silence_policy.h
+++ b/include/dandelionscale/core/silence_policy.h
@@ -15,7 +15,8 @@
   kUnknown,    ///< Not asked, no answer, or the engine can't be asked.
   kListed,     ///< The engine works on the request.
   kNotListed,  ///< It works on others, or on none, and none waits.
-  /// It works on others, and some wait: this one may have been preempted.
+  /// It works on others, and some wait: this one may have been preempted, for
+  /// which an engine has as long as for any silence.
   kMayWait,
 };
 
--- a/src/core/silence_policy.cc
+++ b/src/core/silence_policy.cc
@@ -17,13 +17,13 @@
 }
 
 bool MayGiveUp(const SilentSend& send) {
+  // An engine lists a request only once it has begun to run it.
+  const bool was_dropped =
+      send.report == RunReport::kNotListed && send.events_delivered;
+  if (was_dropped) return true;
   if (send.time_left < send.answer_time) return false;
   if (send.may_overlap) return true;
   if (send.report == RunReport::kListed) return false;
-  // An engine lists a request only once it has begun to run it.
-  if (send.report == RunReport::kNotListed && send.events_delivered) {
-    return true;
-  }
   return send.silent_for >= kMaxSoundSilence;
 }
 
--- a/tests/platform_translation_test.cc
+++ b/tests/platform_translation_test.cc
@@ -73,6 +73,7 @@
 }
 
 TEST_CASE("an engine's report tells how many requests wait") {
+  constexpr std::uint64_t kUnreadable = 99;
   const PlatformCodec codec;
   const auto waiting = [&](std::string_view text) {
     return boost::leaf::try_handle_all(
@@ -80,11 +81,11 @@
           BOOST_LEAF_AUTO(report, codec.DecodeReport(text));
           return report.waiting;
         },
-        [] { return std::uint64_t{99}; });
+        [] { return kUnreadable; });
   };
   CHECK(waiting(R"({"queued":3,"runs":[]})") == 3);
   CHECK(waiting(R"({"runs":[]})") == 0);
-  CHECK(waiting(R"({"queued":"many","runs":[]})") == 0);
+  CHECK(waiting(R"({"queued":"many","runs":[]})") == kUnreadable);
 }
 
 TEST_CASE("an engine's report names the requests that it runs") {
--- a/tests/silence_policy_test.cc
+++ b/tests/silence_policy_test.cc
@@ -63,6 +63,13 @@
   }
 }
 
+TEST_CASE("a stream that its engine has dropped has nothing to lose") {
+  SilentSend send = Stream(kSecondOfSilence, true, RunReport::kNotListed);
+  send.answer_time = milliseconds(600);
+  send.time_left = milliseconds(300);
+  CHECK(MayGiveUp(send));
+}
+
 TEST_CASE("a request that may run twice at a time is given up at once") {
   SilentSend send;
   send.may_overlap = true;
