Bookings of clients that left are not sent; reading ends by what was read (found by review)

A booking was still sent to an engine when its client had closed while a connection was being opened (GONE): only one that was sent is awaited. A request that was complete when its reading was interrupted is served. After a blocked 100 Continue the body has its timeout again. Requests that begin to arrive in the last quarter of a second of the grace are refused, too. Read from the code, without a test of its own but the existing cases.

--- a/src/dispatch/client_connection.cc
+++ b/src/dispatch/client_connection.cc
@@ -144,14 +144,16 @@
     const std::size_t size = co_await this->socket.async_read_some(
         this->buffer.prepare(kReadBufferBytes), RedirectError(error));
     this->buffer.commit(size);
+    if (!error) continue;
     const bool is_interrupted = error == asio::error::operation_aborted &&
                                 !this->wait_interruption.empty();
-    if (is_interrupted && this->UnreadBytes() == 0) {
-      this->LogClose(this->wait_interruption);
-    }
-    if (error && !(is_interrupted && this->UnreadBytes() > 0)) co_return false;
+    const bool has_arrived = is_interrupted && this->UnreadBytes() > 0;
+    if (has_arrived) continue;
+    if (is_interrupted) this->LogClose(this->wait_interruption);
+    co_return false;
   }
   this->wait_interruption = {};
+  this->read_interruption.reset();
   this->last_byte_at = RuntimeClock::now();
   this->phase = Phase::kReading;
   co_return true;
@@ -175,6 +177,7 @@
   }
   if (EqualsIgnoringCase(request.headers.Find("Expect"), "100-continue")) {
     co_await this->Write("HTTP/1.1 100 Continue\r\n\r\n");
+    this->SetTimeout(this->state.Limits().header_timeout + kBodyTimeout);
   }
   parser.eager(true);
   while (!parser.is_done()) {
@@ -195,7 +198,8 @@
     co_await http::async_read_some(this->socket, this->buffer, parser,
                                    RedirectError(error));
   }
-  if (this->read_interruption) {
+  // The read may have ended with the whole request before it was cancelled.
+  if (this->read_interruption && !parser.is_done()) {
     co_await this->Reject(*this->read_interruption);
     co_return false;
   }
@@ -226,7 +230,7 @@
 
 void ClientConnection::RefuseIncomplete() {
   if (this->phase != Phase::kReading || this->is_writing) return;
-  this->LogClose("draining");
+  if (!this->read_interruption) this->LogClose("draining");
   this->InterruptReading(http_status::kServiceUnavailable);
 }
 
@@ -327,6 +331,9 @@
         }
         // Readable data is a pipelined request, not a disconnect.
         if (!error || error == asio::error::would_block) return;
+        if (error == asio::error::operation_aborted && self->socket.is_open()) {
+          return;
+        }
         const bool is_closed = error == asio::error::eof;
         (*locked_callback)(is_closed ? ClientEnd::kClosed : ClientEnd::kReset);
       });
@@ -379,7 +386,7 @@
   } else if (this->phase == Phase::kReading) {
     if (!this->read_interruption) this->LogClose("read_timeout");
     this->InterruptReading(http_status::kRequestTimeout);
-  } else {
+  } else if (this->phase == Phase::kIdle) {
     this->InterruptWait("idle_timeout");
   }
 }
@@ -409,8 +416,8 @@
 // A request that has arrived behind the current one is served, too.
 bool ClientConnection::MayKeepAlive() {
   if (!this->keep_alive || !this->state.draining) return this->keep_alive;
-  return RuntimeClock::now()<
-      this->state.answers_end_at&& this->UnreadBytes()> 0;
+  const bool has_time = this->state.answers_end_at > RuntimeClock::now();
+  return has_time && this->UnreadBytes() > 0;
 }
 
 }  // namespace dandelionscale::internal
--- a/src/dispatch/dispatch_router.cc
+++ b/src/dispatch/dispatch_router.cc
@@ -266,9 +266,12 @@
     for (const auto& client : this->OpenClients()) client->CloseIfIdle();
     if (this->clients.empty() && this->connector.CarriedTunnels() == 0) break;
   }
-  for (const auto& client : this->OpenClients()) client->RefuseIncomplete();
-  const Duration linger = kFinalDelay;
-  co_await SleepFor(linger);
+  const TimePoint ends_at = RuntimeClock::now() + kFinalDelay;
+  while (RuntimeClock::now() < ends_at) {
+    for (const auto& client : this->OpenClients()) client->RefuseIncomplete();
+    const Duration poll = kDrainPollInterval;
+    co_await SleepFor(poll);
+  }
   const auto digest_bytes = static_cast<std::int64_t>(
       this->state.metrics.Counter("peer_digest_bytes_sent_total"));
   const Duration uptime = RuntimeClock::now() - this->state.started_at;
--- a/src/dispatch/request_dispatch.cc
+++ b/src/dispatch/request_dispatch.cc
@@ -373,7 +373,8 @@
   // else would occupy an engine for a client that has most likely left.
   const bool is_awaited = end == ClientConnection::ClientEnd::kClosed &&
                           this->route->kind == RouteKind::kNonIdempotent &&
-                          this->exchange != nullptr;
+                          this->exchange != nullptr &&
+                          this->exchange->WasSent();
   if (!is_awaited) this->Interrupt(Interruption::kClientGone);
 }
 
