--- a/src/dispatch/client_connection.h
+++ b/src/dispatch/client_connection.h
@@ -48,9 +48,10 @@
   Awaitable<bool> SendData(std::string_view data);
   /// \brief Sends the last chunk, which marks the response as complete.
   Awaitable<void> EndStream();
-  /// \brief Lets the connection end without the rest of the response.
+  /// \brief Lets the connection end after the current request, without the rest
+  ///        of its response; what was sent of it still reaches the client.
   void EndIncomplete();
-  /// \brief Closes the connection at once.
+  /// \brief Closes the connection at once; nothing more is sent.
   void Abort();
 
   /// \brief How a client has ended its side of the connection.
@@ -70,7 +71,7 @@
     kIdle,     ///< No byte of a request was read.
     kReading,  ///< A request is being read.
     kServing,  ///< A request was read whole.
-    kClosing   ///< The last response was sent.
+    kClosing   ///< No more requests are read.
   };
 
   using Parser =
@@ -113,7 +114,7 @@
   boost::beast::flat_buffer buffer;
   std::unique_ptr<Watchdog::Guard> timeout_guard;
   TimePoint accepted_at = RuntimeClock::now();
-  TimePoint last_byte_at = accepted_at;  ///< When the client's was read.
+  TimePoint last_byte_at = accepted_at;  ///< When bytes were last parsed.
   std::uint32_t requests_read = 0;       ///< Whole ones.
   MemoryBudget::Share body_memory;  ///< For the body of the current request.
   /// Stated in the last response; may be longer than the configured one.
