One timeout for a body, one way to send an error response

The timeout after 100 Continue took the limits anew, beside the one that reading goes by; it is set once, behind that write. A response for a client that has left repeats nothing of the other error responses. No change of behaviour but that a new configuration between head and body no longer changes this one timeout.

--- a/src/dispatch/client_connection.cc
+++ b/src/dispatch/client_connection.cc
@@ -121,8 +121,8 @@
     co_await this->Reject(http_status::kBadRequest);
     co_return false;
   }
-  this->SetTimeout(limits.header_timeout + kBodyTimeout);
-  const bool has_body = co_await this->ReadBody(request, parser);
+  const Duration body_timeout = limits.header_timeout + kBodyTimeout;
+  const bool has_body = co_await this->ReadBody(request, parser, body_timeout);
   if (!has_body) co_return false;
   auto& message = parser.get();
   request.method = std::string(message.method_string());
@@ -168,7 +168,7 @@
 }
 
 Awaitable<bool> ClientConnection::ReadBody(const HttpRequest& request,
-                                           Parser& parser) {
+                                           Parser& parser, Duration timeout) {
   // The length of a chunked body is not known in advance.
   const std::uint64_t length = parser.content_length().value_or(0);
   if (!this->body_memory.Resize(length)) {
@@ -177,8 +177,9 @@
   }
   if (EqualsIgnoringCase(request.headers.Find("Expect"), "100-continue")) {
     co_await this->Write("HTTP/1.1 100 Continue\r\n\r\n");
-    this->SetTimeout(this->state.Limits().header_timeout + kBodyTimeout);
   }
+  // The write above may have set a timeout of its own.
+  this->SetTimeout(timeout);
   parser.eager(true);
   while (!parser.is_done()) {
     const bool is_readable = co_await this->ReadSome(parser);
--- a/src/dispatch/client_connection.h
+++ b/src/dispatch/client_connection.h
@@ -82,7 +82,8 @@
   Awaitable<bool> ReadRequest(HttpRequest& request);
   Awaitable<bool> WaitForRequest();
   Awaitable<bool> ReadHead(Parser& parser);
-  Awaitable<bool> ReadBody(const HttpRequest& request, Parser& parser);
+  Awaitable<bool> ReadBody(const HttpRequest& request, Parser& parser,
+                           Duration timeout);
   // Reads and parses some bytes.
   Awaitable<bool> ReadSome(Parser& parser);
   // Ends the wait for a request, unless one has begun to arrive.
--- a/src/dispatch/request_dispatch.h
+++ b/src/dispatch/request_dispatch.h
@@ -183,6 +183,9 @@
   Awaitable<void> Fail(unsigned status, std::string_view reason);
   Awaitable<void> SendErrorResponse(unsigned status, std::string_view reason,
                                     std::optional<Duration> retry_after);
+  // The same without a log line.
+  Awaitable<void> SendError(unsigned status,
+                            std::optional<Duration> retry_after);
 
   // Returns true if the router may end before the request has its response.
   bool MayOutliveRouter() const;
--- a/src/dispatch/request_ending.cc
+++ b/src/dispatch/request_ending.cc
@@ -16,10 +16,6 @@
 // configuration is loaded.
 constexpr Duration kDefaultRetryAfter = std::chrono::milliseconds(400);
 
-std::string FormatSeconds(Duration duration) {
-  return fmt::format("{:.3f}", std::chrono::duration<double>(duration).count());
-}
-
 }  // namespace
 
 Awaitable<void> RequestDispatch::Finish(const AttemptDecision& decision,
@@ -44,16 +40,13 @@
 }
 
 Awaitable<void> RequestDispatch::FinishForGoneClient(std::string_view reason) {
-  HttpHeaders headers = this->state.codec->EncodeErrorHeaders(this->decoded.id);
   if (this->stream_started) {
     this->client.EndIncomplete();
   } else if (this->may_have_run) {
-    co_await this->client.SendResponse(http_status::kBadGateway,
-                                       std::move(headers), "");
+    co_await this->SendError(http_status::kBadGateway, std::nullopt);
   } else {
-    headers.Add("Retry-After", FormatSeconds(kDefaultRetryAfter));
-    co_await this->client.SendResponse(http_status::kServiceUnavailable,
-                                       std::move(headers), "");
+    co_await this->SendError(http_status::kServiceUnavailable,
+                             kDefaultRetryAfter);
   }
   this->LogOutcome("client_gone", 0, reason);
 }
@@ -79,12 +72,20 @@
 Awaitable<void> RequestDispatch::SendErrorResponse(
     unsigned status, std::string_view reason,
     std::optional<Duration> retry_after) {
+  co_await this->SendError(status, retry_after);
+  this->LogOutcome(retry_after ? "refused" : "failed", status, reason);
+}
+
+Awaitable<void> RequestDispatch::SendError(
+    unsigned status, std::optional<Duration> retry_after) {
   HttpHeaders headers = this->state.codec->EncodeErrorHeaders(this->decoded.id);
   if (retry_after) {
-    headers.Add("Retry-After", FormatSeconds(*retry_after));
+    headers.Add(
+        "Retry-After",
+        fmt::format("{:.3f}",
+                    std::chrono::duration<double>(*retry_after).count()));
   }
   co_await this->client.SendResponse(status, std::move(headers), "");
-  this->LogOutcome(retry_after ? "refused" : "failed", status, reason);
 }
 
 void RequestDispatch::LogOutcome(std::string_view outcome, unsigned status,
