--- a/tests/maintenance_under_faults_test.cc
+++ b/tests/maintenance_under_faults_test.cc
@@ -1,5 +1,5 @@
 // Routers reload, stop and get new configurations while engines or the network
-// are in trouble: no request that a router has accepted ends without a
+// are faulty: no request that a router has accepted ends without a
 // response.
 #include <fmt/format.h>
 
@@ -52,13 +52,13 @@
           SendBytes{MakeResponse(request, 200, "booked")}};
 }
 
-// How often an engine has made trouble in the current round.
-std::atomic<int> trouble_count = 0;
+// How often an engine has been faulty in the current round.
+std::atomic<int> fault_count = 0;
 
 // An answer with a header line more.
 ScriptMaker AnswerWith(const std::string& line) {
   return [line](const HttpRequest& request) {
-    ++trouble_count;
+    ++fault_count;
     return Script{SendBytes{MakeResponse(request, 200, "booked", line)}};
   };
 }
@@ -67,7 +67,7 @@
 ScriptMaker RefuseSomeWith(const std::string& lines) {
   return [lines, count = 0](const HttpRequest& request) mutable {
     if (++count % 3 != 0) return MakeAnswer(request);
-    ++trouble_count;
+    ++fault_count;
     return Script{SendBytes{
         MakeResponse(request, 503, "", "Not-Executed: 1\r\n" + lines)}};
   };
@@ -75,7 +75,7 @@
 
 // Marks the end of its answer by nothing but the connection's.
 Script MakeUnframedAnswer(const HttpRequest& request) {
-  ++trouble_count;
+  ++fault_count;
   const std::string head = fmt::format(
       "HTTP/1.1 200 OK\r\nRequest-Id: {}\r\nResponse-Seal: seal\r\n\r\n",
       request.headers.Find("Request-Id"));
@@ -86,7 +86,7 @@
 ScriptMaker CrashSometimes() {
   return [count = 0](const HttpRequest& request) mutable {
     if (FirstEvent(request) > 1 || ++count % 4 != 0) return MakeStream(request);
-    ++trouble_count;
+    ++fault_count;
     return Script{SendBytes{MakeStreamHead(request) + MakeEventChunk(1) +
                             MakeEventChunk(2)},
                   Pause{kEventInterval}, emulator::ResetConnection{}};
@@ -97,7 +97,7 @@
 ScriptMaker AnswerEndlesslySometimes() {
   return [count = 0](const HttpRequest& request) mutable {
     if (++count % 8 != 0) return MakeAnswer(request);
-    ++trouble_count;
+    ++fault_count;
     return Script{emulator::SendEndlessly{"more", milliseconds(1)}};
   };
 }
@@ -111,50 +111,49 @@
     const TimePoint silent_until = silent_from + milliseconds(1100);
     const bool runs_into_it = now + kEvents * kEventInterval > silent_from;
     if (runs_into_it && now < silent_until) {
-      ++trouble_count;
+      ++fault_count;
       script.insert(script.begin() + 3, Pause{silent_until - now});
     }
     return script;
   };
 }
 
-// What is in trouble while the planned work is done.
-struct Trouble {
+// A fault during maintenance.
+struct FaultCase {
   std::string name;
   ScriptMaker chat = MakeStream;
   ScriptMaker plain = MakeAnswer;
   std::string second_version = "v1";  // Of the second half of the engines.
-  // For trouble that no request brings.
+  // For a fault that no request brings.
   std::function<void(PlatformFleet&)> begin = {};
   bool knows_configurations = true;  // New ones reach the routers.
 };
 
-std::vector<Trouble> MakeTroubles() {
-  std::vector<Trouble> troubles;
-  troubles.push_back({"engines limit their rate", MakeStream,
-                      AnswerWith("Server-Limit: 30\r\n")});
-  troubles.push_back({"engines ask for a pause", MakeStream,
-                      RefuseSomeWith("Retry-After: 1\r\n")});
-  troubles.push_back(
+std::vector<FaultCase> MakeFaultCases() {
+  std::vector<FaultCase> cases;
+  cases.push_back({"engines limit their rate", MakeStream,
+                   AnswerWith("Server-Limit: 30\r\n")});
+  cases.push_back({"engines ask for a pause", MakeStream,
+                   RefuseSomeWith("Retry-After: 1\r\n")});
+  cases.push_back(
       {"brittle engines", MakeStream, RefuseSomeWith("Server-Brittle: 5\r\n")});
-  troubles.push_back(
-      {"answers without a length", MakeStream, MakeUnframedAnswer});
-  troubles.push_back({"engines crash in streams", CrashSometimes()});
-  troubles.push_back(
+  cases.push_back({"answers without a length", MakeStream, MakeUnframedAnswer});
+  cases.push_back({"engines crash in streams", CrashSometimes()});
+  cases.push_back(
       {"answers without an end", MakeStream, AnswerEndlesslySometimes()});
-  troubles.push_back({"silent engines", FallSilent()});
-  troubles.push_back(
+  cases.push_back({"silent engines", FallSilent()});
+  cases.push_back(
       {"two software versions", CrashSometimes(), MakeAnswer, "v2"});
-  troubles.push_back({"routers cut off from engines", MakeStream, MakeAnswer,
-                      "v1", [](PlatformFleet& fleet) {
-                        fleet.CutOff({1, 2}, CutKind::kReset);
-                      }});
-  troubles.push_back({"the store is away", MakeStream, MakeAnswer, "v1",
-                      [](PlatformFleet& fleet) {
-                        fleet.SetStoreMode(emulator::StoreMode::kSilent);
-                      },
-                      false});
-  return troubles;
+  cases.push_back({"routers cut off from engines", MakeStream, MakeAnswer, "v1",
+                   [](PlatformFleet& fleet) {
+                     fleet.CutOff({1, 2}, CutKind::kReset);
+                   }});
+  cases.push_back({"the store is away", MakeStream, MakeAnswer, "v1",
+                   [](PlatformFleet& fleet) {
+                     fleet.SetStoreMode(emulator::StoreMode::kSilent);
+                   },
+                   false});
+  return cases;
 }
 
 // Responses to a stream and a booking behind it, sent in one write.
@@ -188,7 +187,7 @@
   }
 }
 
-void DoPlannedWork(PlatformFleet& fleet, TimePoint stops_at) {
+void DoMaintenance(PlatformFleet& fleet, TimePoint stops_at) {
   std::this_thread::sleep_for(milliseconds(400));
   fleet.PutConfiguration(4, fmt::format(kRoutes, 3000));
   fleet.Signal(1, SIGHUP);
@@ -200,25 +199,25 @@
   fleet.PutConfiguration(5, fmt::format(kRoutes, 4000));
 }
 
-TEST_CASE("no request is lost when planned work meets trouble") {
+TEST_CASE("no request is lost when maintenance meets faults") {
   constexpr int kRouters = 3;
   constexpr int kEnginesPerService = 4;
   constexpr milliseconds kTimeBeforeStop(1000);
   // A router takes new connections for 2.8 s after SIGTERM.
   constexpr milliseconds kTimeAtStoppingRouter(2000);
-  for (const Trouble& trouble : MakeTroubles()) {
-    trouble_count = 0;
+  for (const FaultCase& fault : MakeFaultCases()) {
+    fault_count = 0;
     PlatformFleet fleet(0);
     fleet.PutConfiguration(3, fmt::format(kRoutes, 5000));
     for (int n = 0; n < kEnginesPerService; ++n) {
       const bool is_second = n >= kEnginesPerService / 2;
-      fleet.AddEngine("chat", trouble.chat,
-                      is_second ? trouble.second_version : "v1");
-      fleet.AddEngine("plain", trouble.plain);
+      fleet.AddEngine("chat", fault.chat,
+                      is_second ? fault.second_version : "v1");
+      fleet.AddEngine("plain", fault.plain);
     }
     for (int n = 1; n <= kRouters; ++n) fleet.StartRouter(n);
     for (int n = 1; n <= kRouters; ++n) fleet.WaitUntilReady(n);
-    if (trouble.begin) trouble.begin(fleet);
+    if (fault.begin) fault.begin(fleet);
     const TimePoint stops_at = RuntimeClock::now() + kTimeBeforeStop;
     const TimePoint until_at_first = stops_at + kTimeAtStoppingRouter;
     const TimePoint until = until_at_first + milliseconds(500);
@@ -229,16 +228,16 @@
         SendPairs(fleet, client, kRouters, until, until_at_first, counts);
       });
     }
-    DoPlannedWork(fleet, stops_at);
+    DoMaintenance(fleet, stops_at);
     for (std::thread& client : clients) client.join();
-    if (trouble.knows_configurations) fleet.WaitForConfiguration(2, 5);
-    CAPTURE(trouble.name, counts.pairs.load(), counts.served.load(),
+    if (fault.knows_configurations) fleet.WaitForConfiguration(2, 5);
+    CAPTURE(fault.name, counts.pairs.load(), counts.served.load(),
             fleet.Log(1));
     CHECK(counts.pairs > kClients);
     CHECK(counts.served * 2 > counts.pairs);
     CHECK(counts.broken == 0);
     CHECK(counts.lost == 0);
-    CHECK((trouble.begin || trouble_count > 0));
+    CHECK((fault.begin || fault_count > 0));
     CHECK(fleet.WaitForExit(1) == 0);
   }
 }
--- a/tests/silent_engine_test.cc
+++ b/tests/silent_engine_test.cc
@@ -43,7 +43,7 @@
                           kReadIdleTimeout);
   }
 
-  // Does planned work, if any, while the host is silent.
+  // Does maintenance, if any, while the host is silent.
   std::string SendWhileHostIsSilent(
       const std::string& target, const std::function<void(Fleet&)>& work = {}) {
     auto response = std::async(std::launch::async,
@@ -88,7 +88,7 @@
   CHECK(fleet.Requests(0).size() == 1);
 }
 
-TEST_CASE("an engine's host is silent while the router does planned work") {
+TEST_CASE("an engine's host is silent while the router stops or reloads") {
   const std::string target = GENERATE("/once/", "/stream/");
   const int signal = GENERATE(SIGTERM, SIGHUP);
   Fleet fleet(target == "/once/" ? AnswerLate : StreamWithGap);
--- a/tests/stream_cut_for_silence_test.cc
+++ b/tests/stream_cut_for_silence_test.cc
@@ -231,22 +231,21 @@
   CHECK(CountRepeated(fleet, 6) == 0);
 }
 
-TEST_CASE("no stream is cut while its engine reports that it works on it") {
-  constexpr milliseconds kPreempted(2500);
+// Streams that their engines preempt for some time after two events.
+void CheckNotCutWhilePreempted(milliseconds preempted,
+                               emulator::ReportKind report) {
   Fleet fleet(1, kFewRetries);
   for (int n = 0; n < 2; ++n) {
     const int engine = fleet.AddEngine("chat", [&](const HttpRequest& request) {
       Script script = {SendBytes{MakeStreamHead(request)}};
       for (int id = FirstEvent(request); id <= kEvents; ++id) {
         script.push_back(SendBytes{MakeEventChunk(id)});
-        if (id == 2) script.push_back(Pause{kPreempted});
+        if (id == 2) script.push_back(Pause{preempted});
       }
       script.push_back(SendBytes{std::string(emulator::kStreamEnd)});
       return script;
     });
-    fleet.RunOnLoop([&] {
-      fleet.Engine(engine).SetReport(emulator::ReportKind::kTruthful);
-    });
+    fleet.RunOnLoop([&] { fleet.Engine(engine).SetReport(report); });
   }
   fleet.WaitUntilReady(1);
   const auto streams = ReadStreams(fleet, 1, 4, milliseconds(10));
@@ -255,29 +254,15 @@
   CHECK(CountRepeated(fleet, 2) == 0);
 }
 
+TEST_CASE("no stream is cut while its engine reports that it works on it") {
+  CheckNotCutWhilePreempted(milliseconds(2500),
+                            emulator::ReportKind::kTruthful);
+}
+
 // An engine reports a run that it has preempted as waiting only.
 TEST_CASE("a stream that was preempted for a second is not run again") {
-  constexpr milliseconds kPreempted(1450);
-  Fleet fleet(1, kFewRetries);
-  for (int n = 0; n < 2; ++n) {
-    const int engine = fleet.AddEngine("chat", [&](const HttpRequest& request) {
-      Script script = {SendBytes{MakeStreamHead(request)}};
-      for (int id = FirstEvent(request); id <= kEvents; ++id) {
-        script.push_back(SendBytes{MakeEventChunk(id)});
-        if (id == 2) script.push_back(Pause{kPreempted});
-      }
-      script.push_back(SendBytes{std::string(emulator::kStreamEnd)});
-      return script;
-    });
-    fleet.RunOnLoop([&] {
-      fleet.Engine(engine).SetReport(emulator::ReportKind::kPreempted);
-    });
-  }
-  fleet.WaitUntilReady(1);
-  const auto streams = ReadStreams(fleet, 1, 4, milliseconds(10));
-  CAPTURE(fleet.Log(1));
-  CHECK(CountWhole(streams) == 4);
-  CHECK(CountRepeated(fleet, 2) == 0);
+  CheckNotCutWhilePreempted(milliseconds(1450),
+                            emulator::ReportKind::kPreempted);
 }
 
 TEST_CASE("a slow engine is not given up for one that has no time left") {
--- a/tests/support/test_client.h
+++ b/tests/support/test_client.h
@@ -15,6 +15,7 @@
 
 namespace dandelionscale::tests {
 
+/// \brief Sends bytes and reads what comes back, on one connection.
 class TestClient {
  public:
   explicit TestClient(const PlatformFleet& fleet, int router = 1)
@@ -35,7 +36,7 @@
     std::string text;
     boost::system::error_code ended;
     std::array<char, 4096> buffer{};
-    while (!ended && text.find(end) == std::string::npos) {
+    while (!ended && (end.empty() || text.find(end) == std::string::npos)) {
       const auto size =
           this->socket.read_some(boost::asio::buffer(buffer), ended);
       text.append(buffer.data(), size);
@@ -43,17 +44,7 @@
     return text;
   }
   /// \returns all bytes until the connection has ended.
-  std::string ReadAll() {
-    std::string text;
-    boost::system::error_code ended;
-    std::array<char, 4096> buffer{};
-    while (!ended) {
-      const auto size =
-          this->socket.read_some(boost::asio::buffer(buffer), ended);
-      text.append(buffer.data(), size);
-    }
-    return text;
-  }
+  std::string ReadAll() { return this->ReadUntil(""); }
 
  private:
   boost::asio::io_context loop;
