--- a/include/dandelionscale/core/silence_policy.h
+++ b/include/dandelionscale/core/silence_policy.h
@@ -38,12 +38,12 @@
   Duration answer_time{};
 };
 
-/// \returns true if the connection may be given up for a send to another
-///          engine, provided that one is certain to be possible: attempts and
-///          retry budget are left, and an engine has room.
+/// \returns true if the request may be sent to another engine too, provided
+///          that attempts and retry budget are left and an engine has room.
 ///
-/// What a sound engine works on is lost with its connection.
-bool MayGiveUp(const SilentSend& send);
+/// The connection to the silent engine stays open until the other one has begun
+/// an answer: what a sound engine works on is lost with its connection.
+bool MaySendBackup(const SilentSend& send);
 
 }  // namespace dandelionscale
 
--- a/src/core/silence_policy.cc
+++ b/src/core/silence_policy.cc
@@ -16,7 +16,7 @@
   return "unknown";
 }
 
-bool MayGiveUp(const SilentSend& send) {
+bool MaySendBackup(const SilentSend& send) {
   // An engine lists a request only once it has begun to run it.
   const bool was_dropped =
       send.report == RunReport::kNotListed && send.events_delivered;
--- /dev/null
+++ b/src/dispatch/backup_send.h
@@ -0,0 +1,47 @@
+/// \file
+/// \brief A second send of a request whose first engine is silent.
+#ifndef DANDELIONSCALE_SRC_DISPATCH_BACKUP_SEND_H_
+#define DANDELIONSCALE_SRC_DISPATCH_BACKUP_SEND_H_
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "dandelionscale/core/attempt_policy.h"
+#include "dandelionscale/runtime/event.h"
+#include "dispatch/engine_exchange.h"
+#include "dispatch/engine_reservation.h"
+
+namespace dandelionscale::internal {
+
+/// \brief A send to another engine, begun while the first engine's connection
+///        stays open.
+///
+/// One of both is relayed: the first one if its engine goes on, this one once
+/// its engine has begun an answer.
+struct BackupSend {
+  BackupSend(DispatchState& state, EngineConnector& connector,
+             const std::shared_ptr<Engine>& engine,
+             std::optional<TimePoint> permitted_at)
+      : owner(state.owner.lock()),
+        reservation(engine),
+        exchange(std::make_unique<EngineExchange>(state, connector, engine,
+                                                  permitted_at)),
+        changed(state.executor),
+        begun_at(RuntimeClock::now()) {}
+
+  std::shared_ptr<void> owner;  ///< Keeps the router alive.
+  /// Copies, since the send may outlive the request.
+  HttpRequest request;
+  std::string request_id;
+  EngineReservation reservation;
+  std::unique_ptr<EngineExchange> exchange;
+  Event changed;  ///< Signals that the send has an answer or has ended.
+  TimePoint begun_at;
+  bool has_answer = false;  ///< The head of an answer that can be relayed.
+};
+
+}  // namespace dandelionscale::internal
+
+#endif  // DANDELIONSCALE_SRC_DISPATCH_BACKUP_SEND_H_
--- a/src/dispatch/dispatch_router.cc
+++ b/src/dispatch/dispatch_router.cc
@@ -95,6 +95,7 @@
 };
 
 Result<void> DispatchRouter::Impl::Start() {
+  this->state.owner = this->weak_from_this();
   const DispatchOptions& options = this->state.options;
   auto client_listener =
       internal::OpenAcceptor(this->acceptor, options.client_address);
--- a/src/dispatch/dispatch_state.h
+++ b/src/dispatch/dispatch_state.h
@@ -224,6 +224,8 @@
   /// Peers that are taken to be alive, by address.
   std::map<std::string, PeerContact> live_peers;
 
+  /// The router, for operations that may outlive what began them.
+  std::weak_ptr<void> owner;
   std::set<RequestDispatch*> requests;  ///< Active requests.
   /// Names of the store tables that this router watches and whose last call
   /// failed.
--- a/src/dispatch/engine_exchange.cc
+++ b/src/dispatch/engine_exchange.cc
@@ -52,16 +52,13 @@
   co_return std::nullopt;
 }
 
-Awaitable<std::optional<AttemptFailure>> EngineExchange::Open(
+std::optional<AttemptFailure> EngineExchange::Send(
     const HttpRequest& request, const HttpHeaders& headers,
     std::string_view request_id) {
   this->withheld = !this->MaySend();
-  if (this->cancelled || this->withheld) {
-    co_return AttemptFailure::kNotConnected;
-  }
-  const bool was_sent = co_await this->Send(request, headers, request_id);
-  if (!was_sent) co_return this->FailureOnLostConnection();
-  co_return co_await this->ReadMatchingHead(request.method, request_id);
+  if (this->cancelled || this->withheld) return AttemptFailure::kNotConnected;
+  if (this->Write(request, headers, request_id)) return std::nullopt;
+  return this->FailureOnLostConnection();
 }
 
 // The engine may have started to drain, asked for a pause or stated a limit
@@ -74,9 +71,9 @@
   return this->permitted_at && now - *this->permitted_at <= kPermitLifetime;
 }
 
-Awaitable<bool> EngineExchange::Send(const HttpRequest& request,
-                                     const HttpHeaders& headers,
-                                     std::string_view request_id) {
+bool EngineExchange::Write(const HttpRequest& request,
+                           const HttpHeaders& headers,
+                           std::string_view request_id) {
   auto text = std::make_shared<std::string>(FormatRequest(request, headers));
   error_code error;
   this->sent_at = RuntimeClock::now();
@@ -90,9 +87,9 @@
   }
   if (error && error != asio::error::would_block) {
     this->connection_error = error.message();
-    co_return false;
+    return false;
   }
-  if (written == text->size()) co_return true;
+  if (written == text->size()) return true;
   // The engine may respond before it has read the whole request, so the rest is
   // written concurrently with reading the response.
   this->sent = true;
@@ -102,10 +99,10 @@
       this->connection->socket, rest,
       [text, connection = this->connection, done = this->write_done](
           error_code failed, std::size_t) { *done = !failed; });
-  co_return true;
+  return true;
 }
 
-Awaitable<std::optional<AttemptFailure>> EngineExchange::ReadMatchingHead(
+Awaitable<std::optional<AttemptFailure>> EngineExchange::ReadHead(
     std::string_view method, std::string_view request_id) {
   std::size_t discarded_bytes = 0;
   for (int n = 0; n <= kMaxMismatchedResponses; ++n) {
@@ -232,6 +229,7 @@
                                    RedirectError(error));
     if (error == http::error::need_buffer) error = {};
     fragment.resize(fragment.size() - body.size);
+    if (this->abandoned) co_return Fault{FaultKind::kCancelled, "abandoned"};
     // Bytes received before the connection failed are still returned.
     if (!fragment.empty()) {
       this->OnBytesReceived();
@@ -281,6 +279,11 @@
   this->connection->socket.close(ignored);
 }
 
+void EngineExchange::Abandon() {
+  this->abandoned = true;
+  this->Cancel();
+}
+
 AttemptFailure EngineExchange::FailureOnLostConnection() const {
   return this->sent ? AttemptFailure::kNoAnswer : AttemptFailure::kNotConnected;
 }
--- a/src/dispatch/engine_exchange.h
+++ b/src/dispatch/engine_exchange.h
@@ -41,17 +41,26 @@
   /// \returns nothing on success, else the failure.
   Awaitable<std::optional<AttemptFailure>> Connect(std::string_view request_id,
                                                    ReusePolicy policy);
-  /// \brief Sends the request and waits for the head of the response.
+  /// \brief Sends the request. A part that the socket doesn't take at once is
+  ///        written in the background.
   /// \returns nothing on success, else the failure.
-  Awaitable<std::optional<AttemptFailure>> Open(const HttpRequest& request,
-                                                const HttpHeaders& headers,
-                                                std::string_view request_id);
+  std::optional<AttemptFailure> Send(const HttpRequest& request,
+                                     const HttpHeaders& headers,
+                                     std::string_view request_id);
+  /// \brief Waits for the head of the response. Discards responses to other
+  ///        requests.
+  /// \returns nothing on success, else the failure.
+  Awaitable<std::optional<AttemptFailure>> ReadHead(
+      std::string_view method, std::string_view request_id);
   /// \brief Reads the next fragment of the body.
   /// \returns the fragment, empty at the end of a complete body; faults:
   ///          `kConnectionLost`, `kCancelled`.
   Awaitable<Result<std::string>> ReadBodyFragment();
   /// \brief Closes the connection, which cancels the request at the engine.
   void Cancel();
+  /// \brief The same; what was read and not handed over yet is discarded too,
+  ///        since another send is relayed from where this one ended.
+  void Abandon();
   /// \brief Records that a part of the response exceeds its limit, and closes
   ///        the connection.
   void OnExcessiveBytes(std::string_view part);
@@ -103,13 +112,9 @@
 
   // Returns false if the engine no longer wants the request.
   bool MaySend() const;
-  // Returns false if the connection failed. A part of the request that the
-  // socket doesn't take at once is written in the background.
-  Awaitable<bool> Send(const HttpRequest& request, const HttpHeaders& headers,
-                       std::string_view request_id);
-  // Discards responses to other requests.
-  Awaitable<std::optional<AttemptFailure>> ReadMatchingHead(
-      std::string_view method, std::string_view request_id);
+  // Returns false if the connection failed.
+  bool Write(const HttpRequest& request, const HttpHeaders& headers,
+             std::string_view request_id);
   // Discards interim (1xx) responses. Returns false if the connection failed or
   // the exchange was cancelled.
   Awaitable<bool> ReadFinalHead(std::string_view method);
@@ -144,6 +149,7 @@
   bool withheld = false;
   bool path_lost = false;
   bool cancelled = false;
+  bool abandoned = false;
   bool lost = false;  ///< A read from the connection failed.
   std::string connection_error;
   bool received_mismatched_response = false;
--- a/src/dispatch/request_dispatch.cc
+++ b/src/dispatch/request_dispatch.cc
@@ -8,6 +8,7 @@
 #include "dandelionscale/core/request_fingerprint.h"
 #include "dandelionscale/runtime/logger.h"
 #include "dandelionscale/transport/http_status.h"
+#include "dispatch/backup_send.h"
 #include "transport/socket_helpers.h"
 
 namespace dandelionscale::internal {
@@ -45,7 +46,10 @@
   this->events.SkipThrough(this->decoded.resume_after);
 }
 
-RequestDispatch::~RequestDispatch() { this->state.requests.erase(this); }
+RequestDispatch::~RequestDispatch() {
+  if (this->backup) this->backup->exchange->Cancel();
+  this->state.requests.erase(this);
+}
 
 Awaitable<void> RequestDispatch::Run() {
   if (!co_await this->Admit()) co_return;
@@ -57,9 +61,8 @@
   if (!co_await this->ResolveOrigin()) co_return;
   while (true) {
     std::shared_ptr<Engine> engine;
-    if (this->successor) {
-      engine = this->successor->Get();
-      this->successor.reset();
+    if (this->backup) {
+      engine = this->backup->exchange->SharedEngine();
     } else {
       engine = co_await this->Place();
     }
@@ -70,6 +73,7 @@
       this->LogOutcome("answered", this->status, "");
       co_return;
     }
+    co_await this->WaitForBackup();
     if (this->interruption == Interruption::kClientGone) {
       co_await this->FinishForGoneClient(ToString(*failure));
       co_return;
@@ -89,6 +93,7 @@
       co_await this->Finish(DecideFinal(history), *failure);
       co_return;
     }
+    if (this->backup) continue;
     AttemptDecision decision = this->DecideAfterFailedAttempt(*failure);
     if (!this->MayRetry(*failure, decision)) {
       co_await this->Finish(decision, *failure);
@@ -165,34 +170,49 @@
 Awaitable<std::optional<AttemptFailure>> RequestDispatch::Attempt(
     std::shared_ptr<Engine> engine) {
   ++engine->in_flight;
-  this->attempt = this->sends + 1;
   this->answer_begun = false;
+  std::optional<AttemptFailure> failure;
+  if (this->backup) {
+    this->exchange = std::move(this->backup->exchange);
+    this->backup.reset();
+  } else {
+    failure = co_await this->OpenExchange(engine);
+  }
+  if (!failure) failure = co_await this->RelayResponse();
+  this->silence_check_at = TimePoint::max();
+  this->ArmDeadline();
+  if (failure && this->exchange) co_await this->exchange->FindCause();
+  if (failure && !IsProvablyNotRun(*failure)) this->may_have_run = true;
+  co_return failure;
+}
+
+Awaitable<std::optional<AttemptFailure>> RequestDispatch::OpenExchange(
+    std::shared_ptr<Engine> engine) {
   this->tried_engine_keys.push_back(engine->key);
   this->exchange = std::make_unique<EngineExchange>(
       this->state, this->connector, engine, this->permitted_at);
-  const std::string resume_after =
-      this->events.EventCount() > 0 ? this->events.LastId() : std::string();
   const bool repeatable = this->route->IsRepeatable();
   this->OnProgress();
   auto failure = co_await this->exchange->Connect(
       this->decoded.id,
       repeatable ? ReusePolicy::kAnyIdle : ReusePolicy::kRecentlyIdle);
-  // What is left of the time is stated when the request is sent.
-  const HttpHeaders headers = this->state.codec->EncodeEngineRequest(
-      this->decoded, {engine->record.id, this->Deadline() - RuntimeClock::now(),
+  if (failure) co_return failure;
+  const HttpHeaders headers = this->EncodeHeaders(*engine);
+  failure = this->exchange->Send(this->request, headers, this->decoded.id);
+  if (this->exchange->WasSent()) ++this->sends;
+  if (failure) co_return failure;
+  co_return co_await this->exchange->ReadHead(this->request.method,
+                                              this->decoded.id);
+}
+
+// What is left of the time is stated when the request is sent.
+HttpHeaders RequestDispatch::EncodeHeaders(const Engine& engine) const {
+  const std::string resume_after =
+      this->events.EventCount() > 0 ? this->events.LastId() : std::string();
+  return this->state.codec->EncodeEngineRequest(
+      this->decoded, {engine.record.id, this->Deadline() - RuntimeClock::now(),
                       this->workspace, this->priority, resume_after,
                       this->cache_source_address});
-  if (!failure) {
-    failure =
-        co_await this->exchange->Open(this->request, headers, this->decoded.id);
-  }
-  if (this->exchange->WasSent()) ++this->sends;
-  if (!failure) failure = co_await this->RelayResponse();
-  this->silence_check_at = TimePoint::max();
-  this->ArmDeadline();
-  if (failure && this->exchange) co_await this->exchange->FindCause();
-  if (failure && !IsProvablyNotRun(*failure)) this->may_have_run = true;
-  co_return failure;
 }
 
 void RequestDispatch::OnLostBeforeAnswer(const Engine& engine) {
@@ -210,12 +230,9 @@
                                      std::optional<AttemptFailure> failure) {
   const TimePoint now = RuntimeClock::now();
   --engine.in_flight;
-  const bool connection_lost = this->exchange && this->exchange->WasLost();
-  const bool withheld = this->exchange && this->exchange->WasWithheld();
-  const bool path_lost = this->exchange && this->exchange->WasPathLost();
-  const bool kept = this->exchange && this->exchange->IsKeptConnection();
-  const std::string connection_error =
-      this->exchange ? this->exchange->ConnectionError() : std::string();
+  SendEnd end = this->exchange ? EndOf(*this->exchange) : SendEnd();
+  end.answer_begun = this->answer_begun;
+  end.silent = this->interruption == Interruption::kStalled;
   this->exchange.reset();
   this->state.Service(this->service).queue.OnCompleted(now);
   const bool ended_by_client_or_deadline =
@@ -226,28 +243,44 @@
     return;
   }
   if (ended_by_client_or_deadline) return;
-  if (!withheld && !path_lost) this->RecordFailure(engine, *failure);
-  if (connection_lost && !path_lost && !this->answer_begun) {
+  this->OnSendFailed(engine, end, *failure);
+}
+
+RequestDispatch::SendEnd RequestDispatch::EndOf(
+    const EngineExchange& exchange) {
+  SendEnd end;
+  end.connection_lost = exchange.WasLost();
+  end.withheld = exchange.WasWithheld();
+  end.path_lost = exchange.WasPathLost();
+  end.kept_connection = exchange.IsKeptConnection();
+  end.connection_error = exchange.ConnectionError();
+  return end;
+}
+
+void RequestDispatch::OnSendFailed(Engine& engine, const SendEnd& end,
+                                   AttemptFailure failure) {
+  if (!end.withheld && !end.path_lost) this->RecordFailure(engine, failure);
+  if (end.connection_lost && !end.path_lost && !end.answer_begun) {
     this->OnLostBeforeAnswer(engine);
   }
-  if (*failure == AttemptFailure::kWrongEngine) {
+  if (failure == AttemptFailure::kWrongEngine) {
     this->state.prefixes.RemoveEngine(engine.key);
   }
   this->state.metrics.Add(fmt::format("attempt_failures_total{{reason=\"{}\"}}",
-                                      ToString(*failure)));
+                                      ToString(failure)));
   Logger::Info(
       "attempt_failed",
       {{"request", this->decoded.id},
        {"engine", engine.record.id},
-       {"failure", ToString(*failure)},
-       {"withheld", withheld},
-       {"silent", this->interruption == Interruption::kStalled},
-       {"path_lost", path_lost},
-       {"kept_connection", kept},
-       {"connection_error", connection_error},
+       {"failure", ToString(failure)},
+       {"withheld", end.withheld},
+       {"silent", end.silent},
+       {"path_lost", end.path_lost},
+       {"kept_connection", end.kept_connection},
+       {"connection_error", end.connection_error},
        {"sends", static_cast<std::int64_t>(this->sends)},
        {"failure_rate", engine.health.FailureRate()},
-       {"time_left_ms", ToMilliseconds(this->Deadline() - now)},
+       {"time_left_ms", ToMilliseconds(this->Deadline() - RuntimeClock::now())},
        {"events", static_cast<std::int64_t>(this->events.EventCount())},
        {"parts", FormatPartKeys(PartKeys(this->decoded.prefix))},
        {"fingerprint", fmt::format("{:x}", this->fingerprint)}});
@@ -302,8 +335,7 @@
                                AttemptDecision& decision) {
   const auto* retry = std::get_if<SendAgain>(&decision);
   if (retry == nullptr) return false;
-  // The budget was charged when the successor was reserved.
-  if (!retry->costs_budget || this->successor) return true;
+  if (!retry->costs_budget) return true;
   FleetRetryBudget& budget = this->state.Service(this->service).budget;
   if (budget.TryTake(RuntimeClock::now(), this->state.RouterCount())) {
     this->state.metrics.Add("retries_total");
@@ -382,6 +414,7 @@
   const bool is_first = this->interruption == Interruption::kNone ||
                         this->interruption == Interruption::kStalled;
   if (is_first) this->interruption = cause;
+  if (cause != Interruption::kStalled) this->DropBackup();
   if (this->exchange) this->exchange->Cancel();
   if (this->wait_timer) this->wait_timer->cancel();
 }
--- a/src/dispatch/request_dispatch.h
+++ b/src/dispatch/request_dispatch.h
@@ -14,13 +14,13 @@
 #include "dispatch/client_connection.h"
 #include "dispatch/dispatch_state.h"
 #include "dispatch/engine_exchange.h"
-#include "dispatch/engine_reservation.h"
 #include "engine_response/event_splitter.h"
 #include "engine_response/unframed_body.h"
 
 namespace dandelionscale::internal {
 
 class EngineConnector;
+struct BackupSend;
 
 /// An engine that enforces the deadline itself responds at the deadline; this
 /// time allows for the transfer of that response.
@@ -33,8 +33,9 @@
 ///
 /// The implementation is divided into `request_dispatch.cc` (attempts),
 /// `request_placement.cc` (choice of the engine and waiting),
-/// `request_silence.cc` (engines that send nothing), `response_relay.cc` and
-/// `request_ending.cc` (final responses).
+/// `request_silence.cc` (engines that send nothing), `request_backup.cc` (a
+/// second send meanwhile), `response_relay.cc` and `request_ending.cc` (final
+/// responses).
 class RequestDispatch : public std::enable_shared_from_this<RequestDispatch> {
  public:
   RequestDispatch(DispatchState& state, EngineConnector& connector,
@@ -122,6 +123,13 @@
   // Sends the request to the engine and relays the response.
   Awaitable<std::optional<AttemptFailure>> Attempt(
       std::shared_ptr<Engine> engine);
+  // Sends the request on a connection of its own and waits for the head.
+  Awaitable<std::optional<AttemptFailure>> OpenExchange(
+      std::shared_ptr<Engine> engine);
+  HttpHeaders EncodeHeaders(const Engine& engine) const;
+  // Returns the failure if the head says that the response is no answer.
+  static std::optional<AttemptFailure> FailureOfHead(
+      const EngineResponse& response);
   Awaitable<std::optional<AttemptFailure>> RelayResponse();
   Awaitable<std::optional<AttemptFailure>> RelayBufferedResponse();
   // Cuts off another response that begins in a body that ends with the
@@ -144,7 +152,20 @@
   void OnAnswerBegun();
   // The engine's connection was lost before it began its answer.
   void OnLostBeforeAnswer(const Engine& engine);
+  // What is known of a send that has ended.
+  struct SendEnd {
+    bool connection_lost = false;
+    bool withheld = false;
+    bool path_lost = false;
+    bool kept_connection = false;
+    bool answer_begun = false;
+    bool silent = false;
+    std::string connection_error;
+  };
+  static SendEnd EndOf(const EngineExchange& exchange);
   void OnAttemptEnded(Engine& engine, std::optional<AttemptFailure> failure);
+  // Records the failure of a send in all that depends on it.
+  void OnSendFailed(Engine& engine, const SendEnd& end, AttemptFailure failure);
   // Records the failure in the health of the engine.
   void RecordFailure(Engine& engine, AttemptFailure failure);
 
@@ -154,20 +175,41 @@
     TimePoint since{};
   };
   bool IsSilent(const Silence& silence) const;
-  // Decides whether to give up an engine that has sent nothing for some time.
-  // Nothing is given up before the retry budget is charged and another engine
-  // reserved.
+  // Decides whether to send the request to another engine too while its engine
+  // sends nothing.
   static Awaitable<void> HandleSilence(std::weak_ptr<RequestDispatch> weak);
   // Returns true, and records it, if the engine is to be asked: its report
-  // would decide whether to give it up.
+  // would decide whether to send the request again.
   bool BeginsToAsk();
   void DecideOnSilence(const std::optional<PlacementPlan>& plan);
-  // Chooses a healthy engine to which the request could be sent again if it was
-  // given up now. Returns nothing if there is none, or no retry is left.
-  std::optional<PlacementPlan> PlanSuccessor();
-  // Charges the retry budget and reserves the engine. Returns false if the
-  // budget is spent.
-  bool ReserveSuccessor(const PlacementPlan& plan);
+  // How long an engine may send nothing before it is looked at.
+  Duration MaxSilence() const;
+  // Sends of the request, with the current one if it is not yet sent.
+  std::uint32_t SendsWithCurrent() const;
+  // Chooses a healthy engine to which the request could be sent now. Returns
+  // nothing if there is none, or no retry is left.
+  std::optional<PlacementPlan> PlanBackup();
+  // Charges the retry budget. Returns false if it is spent.
+  bool TakeRetry();
+
+  // Sends the request to another engine while the first connection stays open.
+  void StartBackup(const PlacementPlan& plan);
+  static Awaitable<void> RunBackup(std::weak_ptr<RequestDispatch> weak,
+                                   std::shared_ptr<BackupSend> backup);
+  static Awaitable<std::optional<AttemptFailure>> OpenBackup(
+      std::weak_ptr<RequestDispatch> weak, std::shared_ptr<BackupSend> backup);
+  // The backup has the head of a response, or has failed. Decides which of both
+  // sends is relayed.
+  void OnBackupOpened(std::optional<AttemptFailure> failure);
+  std::optional<AttemptFailure> JudgeBackupHead() const;
+  void OnBackupFailed(AttemptFailure failure);
+  // The first engine goes on, or nobody waits for the answer any more.
+  void DropBackup();
+  // Sets when to look at a backup whose engine sends nothing.
+  void WatchBackup();
+  void OnBackupSilent();
+  // Waits until the backup has an answer or has failed.
+  Awaitable<void> WaitForBackup();
   AttemptHistory HistoryAfter(AttemptFailure failure) const;
   AttemptDecision DecideAfterFailedAttempt(AttemptFailure failure) const;
   // Returns true if `decision` is a retry that the retry budget allows. If the
@@ -197,6 +239,8 @@
   void ArmDeadline();
   // The engine has begun or gone on with the request.
   void OnProgress();
+  // The same for a part of a response, unless that says that the engine failed.
+  void OnResponseProgress();
   // Until the next progress, the router waits for the client.
   void SuspendSilenceCheck();
   void OnTimeout();
@@ -234,8 +278,8 @@
   TimePoint last_progress_at{};                 ///< In the current attempt.
   RunReport last_report = RunReport::kUnknown;  ///< Since then.
   bool was_asked = false;                       ///< Since then.
-  /// The engine for the next attempt, if it is reserved already.
-  std::optional<EngineReservation> successor;
+  /// The send to another engine, while the current one is silent.
+  std::shared_ptr<BackupSend> backup;
   Interruption interruption = Interruption::kNone;
   std::unique_ptr<Timer> wait_timer;
 
@@ -244,9 +288,8 @@
   /// When the permit for the chosen engine was granted, if it needed one.
   std::optional<TimePoint> permitted_at;
   std::vector<std::uint64_t> tried_engine_keys;  ///< Engines attempted so far.
-  std::uint32_t sends = 0;    ///< Attempts that sent at least one byte.
-  std::uint32_t attempt = 0;  ///< `sends` + 1 at the start of the attempt.
-  unsigned status = 0;        ///< Of the last engine response.
+  std::uint32_t sends = 0;  ///< Those of which at least one byte was sent.
+  unsigned status = 0;      ///< Of the last engine response.
   std::optional<BodyFraming> framing;  ///< Of the last engine response.
   /// Bytes after the last whole event when the last event stream ended.
   std::size_t unfinished_bytes = 0;
--- a/src/dispatch/request_silence.cc
+++ b/src/dispatch/request_silence.cc
@@ -4,6 +4,8 @@
 #include <boost/asio/detached.hpp>
 
 #include "dandelionscale/runtime/logger.h"
+#include "dandelionscale/transport/http_status.h"
+#include "dispatch/backup_send.h"
 #include "dispatch/engine_reports.h"
 #include "dispatch/permit_exchange.h"
 #include "dispatch/request_dispatch.h"
@@ -28,17 +30,31 @@
   this->last_progress_at = RuntimeClock::now();
   this->last_report = RunReport::kUnknown;
   this->was_asked = false;
-  const bool may_retry =
-      this->route->IsRepeatable() && this->attempt < this->route->max_attempts;
-  const Duration silence =
-      std::max(kMinSilence, this->route->latency_target * kSilenceFactor);
-  this->silence_check_at =
-      may_retry ? this->last_progress_at + silence : TimePoint::max();
+  this->DropBackup();
+  const bool may_retry = this->route->IsRepeatable() &&
+                         this->SendsWithCurrent() < this->route->max_attempts;
+  this->silence_check_at = may_retry
+                               ? this->last_progress_at + this->MaxSilence()
+                               : TimePoint::max();
   this->ArmDeadline();
 }
 
+void RequestDispatch::OnResponseProgress() {
+  if (!http_status::IsServerError(this->status)) this->OnProgress();
+}
+
+Duration RequestDispatch::MaxSilence() const {
+  return std::max(kMinSilence, this->route->latency_target * kSilenceFactor);
+}
+
+std::uint32_t RequestDispatch::SendsWithCurrent() const {
+  const bool is_unsent = this->exchange && !this->exchange->WasSent();
+  return this->sends + (is_unsent ? 1 : 0);
+}
+
 void RequestDispatch::SuspendSilenceCheck() {
   this->last_progress_at = RuntimeClock::now();
+  this->DropBackup();
   this->silence_check_at = TimePoint::max();
   this->ArmDeadline();
 }
@@ -48,6 +64,10 @@
     this->Interrupt(Interruption::kDeadline);
     return;
   }
+  if (this->backup && !this->backup->has_answer) {
+    this->OnBackupSilent();
+    return;
+  }
   // What was not sent has nothing to lose.
   if (!this->exchange || !this->exchange->WasSent()) {
     this->Interrupt(Interruption::kStalled);
@@ -89,7 +109,7 @@
   co_await SleepFor(read_grace);
   request = weak.lock();
   if (!request || !request->IsSilent(silence)) co_return;
-  std::optional<PlacementPlan> plan = request->PlanSuccessor();
+  std::optional<PlacementPlan> plan = request->PlanBackup();
   if (plan && plan->engine->rate_limit.IsActive()) {
     const std::shared_ptr<Engine> limited = plan->engine;
     plan.reset();
@@ -97,7 +117,7 @@
     const bool permitted = co_await state.permits->Acquire(limited);
     request = weak.lock();
     if (!request || !request->IsSilent(silence)) co_return;
-    if (permitted) plan = request->PlanSuccessor();
+    if (permitted) plan = request->PlanBackup();
     if (plan && plan->engine != limited) plan.reset();
     if (plan) plan->permitted_at = RuntimeClock::now();
   }
@@ -110,7 +130,7 @@
   const Duration silent_for = RuntimeClock::now() - this->last_progress_at;
   const bool is_over = this->was_asked && silent_for >= kMaxSoundSilence &&
                        this->last_report == RunReport::kUnknown;
-  if (is_over || !this->PlanSuccessor()) return false;
+  if (is_over || !this->PlanBackup()) return false;
   this->was_asked = true;
   return true;
 }
@@ -126,9 +146,9 @@
   send.time_left = this->Deadline() - now;
   send.answer_time = this->route->latency_target;
   const bool may_decide = send.may_overlap || this->was_asked;
-  const bool may_give_up =
-      may_decide && !this->exchange->HasUnreadBytes() && MayGiveUp(send);
-  const bool gives_up = plan && may_give_up && this->ReserveSuccessor(*plan);
+  const bool may_send =
+      may_decide && !this->exchange->HasUnreadBytes() && MaySendBackup(send);
+  const bool sends_backup = plan && may_send && this->TakeRetry();
   Logger::Info(
       "engine_silent",
       {{"request", this->decoded.id},
@@ -136,11 +156,11 @@
        {"silent_ms", ToMilliseconds(send.silent_for)},
        {"events", static_cast<std::int64_t>(this->events.EventCount())},
        {"report", ToString(send.report)},
-       {"has_successor", plan.has_value()},
-       {"given_up", gives_up},
+       {"has_backup_engine", plan.has_value()},
+       {"sends_backup", sends_backup},
        {"time_left_ms", ToMilliseconds(send.time_left)}});
-  if (gives_up) {
-    this->Interrupt(Interruption::kStalled);
+  if (sends_backup) {
+    this->StartBackup(*plan);
     return;
   }
   this->silence_check_at = now + kSilenceCheckInterval;
@@ -151,10 +171,9 @@
   this->ArmDeadline();
 }
 
-std::optional<RequestDispatch::PlacementPlan> RequestDispatch::PlanSuccessor() {
+std::optional<RequestDispatch::PlacementPlan> RequestDispatch::PlanBackup() {
   AttemptHistory history = this->HistoryAfter(AttemptFailure::kNoAnswer);
-  // The current send is counted once its response begins.
-  history.sends = this->attempt;
+  history.sends = this->SendsWithCurrent();
   const AttemptDecision decision =
       DecideAfterFailure(LimitsOf(*this->route), history);
   FleetRetryBudget& budget = this->state.Service(this->service).budget;
@@ -168,14 +187,12 @@
   return this->PlanPlacement(limits);
 }
 
-bool RequestDispatch::ReserveSuccessor(const PlacementPlan& plan) {
+bool RequestDispatch::TakeRetry() {
   FleetRetryBudget& budget = this->state.Service(this->service).budget;
   if (!budget.TryTake(RuntimeClock::now(), this->state.RouterCount())) {
     return false;
   }
   this->state.metrics.Add("retries_total");
-  this->OnPlaced(plan);
-  this->successor.emplace(plan.engine);
   return true;
 }
 
--- a/src/dispatch/response_relay.cc
+++ b/src/dispatch/response_relay.cc
@@ -16,16 +16,11 @@
 }  // namespace
 
 Awaitable<std::optional<AttemptFailure>> RequestDispatch::RelayResponse() {
-  this->OnProgress();
   const EngineResponse& response = this->exchange->Response();
   this->status = response.status;
   this->framing = this->exchange->Framing();
-  if (response.wrong_engine) co_return AttemptFailure::kWrongEngine;
-  if (response.not_run) co_return AttemptFailure::kRefused;
-  // To a client this status would say that the request has not run.
-  if (http_status::IsRefusal(response.status)) {
-    co_return AttemptFailure::kBadAnswer;
-  }
+  if (const auto failure = FailureOfHead(response)) co_return failure;
+  this->OnResponseProgress();
   const bool is_stream = this->route->kind == RouteKind::kStreaming &&
                          this->exchange->IsEventStream() &&
                          http_status::IsBelowRedirection(response.status);
@@ -33,6 +28,17 @@
   co_return co_await this->RelayBufferedResponse();
 }
 
+std::optional<AttemptFailure> RequestDispatch::FailureOfHead(
+    const EngineResponse& response) {
+  if (response.wrong_engine) return AttemptFailure::kWrongEngine;
+  if (response.not_run) return AttemptFailure::kRefused;
+  // To a client this status would say that the request has not run.
+  if (http_status::IsRefusal(response.status)) {
+    return AttemptFailure::kBadAnswer;
+  }
+  return std::nullopt;
+}
+
 Awaitable<std::optional<AttemptFailure>>
 RequestDispatch::RelayBufferedResponse() {
   std::string body;
@@ -41,7 +47,7 @@
   while (end == BodyEnd::kOpen) {
     auto data = co_await this->exchange->ReadBodyFragment();
     if (data.has_error()) co_return AttemptFailure::kNoAnswer;
-    if (!data.value().empty()) this->OnProgress();
+    if (!data.value().empty()) this->OnResponseProgress();
     body += data.value();
     end = this->FindBodyEnd(body, data.value().size());
     if (body.size() > kMaxBufferedBytes || !memory.Resize(body.capacity())) {
@@ -62,7 +68,7 @@
     this->error_response_body = std::move(body);
     co_return AttemptFailure::kEngineError;
   }
-  this->silence_check_at = TimePoint::max();
+  this->SuspendSilenceCheck();
   this->OnAnswerBegun();
   co_await this->client.SendResponse(response.status, response.end_to_end,
                                      body);
@@ -170,6 +176,7 @@
     this->exchange->Cancel();
     co_return this->FailureOfStream();
   }
+  this->SuspendSilenceCheck();
   this->exchange.reset();
   co_await this->client.EndStream();
   co_return std::nullopt;
--- a/tests/silence_policy_test.cc
+++ b/tests/silence_policy_test.cc
@@ -21,34 +21,35 @@
 
 TEST_CASE("a stream is not given up for a second of silence") {
   for (bool has_events : {false, true}) {
-    CHECK_FALSE(
-        MayGiveUp(Stream(kSecondOfSilence, has_events, RunReport::kUnknown)));
+    CHECK_FALSE(MaySendBackup(
+        Stream(kSecondOfSilence, has_events, RunReport::kUnknown)));
   }
 }
 
 TEST_CASE("a stream is given up if its engine is silent for good") {
   for (bool has_events : {false, true}) {
-    CHECK(MayGiveUp(Stream(kLongSilence, has_events, RunReport::kUnknown)));
+    CHECK(MaySendBackup(Stream(kLongSilence, has_events, RunReport::kUnknown)));
   }
 }
 
 TEST_CASE("a stream is not given up while its engine works on it") {
   for (bool has_events : {false, true}) {
     CHECK_FALSE(
-        MayGiveUp(Stream(kLongSilence, has_events, RunReport::kListed)));
+        MaySendBackup(Stream(kLongSilence, has_events, RunReport::kListed)));
   }
 }
 
 TEST_CASE("a stream that its engine has dropped is given up at once") {
-  CHECK(MayGiveUp(Stream(kSecondOfSilence, true, RunReport::kNotListed)));
+  CHECK(MaySendBackup(Stream(kSecondOfSilence, true, RunReport::kNotListed)));
   // It may still wait in the engine's queue.
   CHECK_FALSE(
-      MayGiveUp(Stream(kSecondOfSilence, false, RunReport::kNotListed)));
+      MaySendBackup(Stream(kSecondOfSilence, false, RunReport::kNotListed)));
 }
 
 TEST_CASE("a stream that may wait, preempted, is not given up at once") {
-  CHECK_FALSE(MayGiveUp(Stream(kSecondOfSilence, true, RunReport::kMayWait)));
-  CHECK(MayGiveUp(Stream(kLongSilence, true, RunReport::kMayWait)));
+  CHECK_FALSE(
+      MaySendBackup(Stream(kSecondOfSilence, true, RunReport::kMayWait)));
+  CHECK(MaySendBackup(Stream(kLongSilence, true, RunReport::kMayWait)));
 }
 
 TEST_CASE("nothing is given up when no other engine could answer in time") {
@@ -57,9 +58,9 @@
     send.may_overlap = may_overlap;
     send.answer_time = milliseconds(600);
     send.time_left = milliseconds(300);
-    CHECK_FALSE(MayGiveUp(send));
+    CHECK_FALSE(MaySendBackup(send));
     send.time_left = milliseconds(700);
-    CHECK(MayGiveUp(send));
+    CHECK(MaySendBackup(send));
   }
 }
 
@@ -67,13 +68,13 @@
   SilentSend send = Stream(kSecondOfSilence, true, RunReport::kNotListed);
   send.answer_time = milliseconds(600);
   send.time_left = milliseconds(300);
-  CHECK(MayGiveUp(send));
+  CHECK(MaySendBackup(send));
 }
 
 TEST_CASE("a request that may run twice at a time is given up at once") {
   SilentSend send;
   send.may_overlap = true;
-  CHECK(MayGiveUp(send));
+  CHECK(MaySendBackup(send));
 }
 
 }  // namespace
--- a/tests/stream_cut_for_silence_test.cc
+++ b/tests/stream_cut_for_silence_test.cc
@@ -1,30 +1,18 @@
 // Sound engines fall silent for about a second and go on: streams that have
 // begun at them come whole, and nothing runs twice for it.
-#include <fmt/format.h>
-
-#include <algorithm>
 #include <array>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 #include <csignal>
 #include <functional>
-#include <map>
 #include <set>
 #include <thread>
 
 #include "tests/support/platform_fleet.h"
-#include "transport/socket_helpers.h"
+#include "tests/support/silent_streams.h"
 
 namespace dandelionscale::tests {
 namespace {
 
-namespace asio = boost::asio;
-using asio::ip::tcp;
-using boost::system::error_code;
 using emulator::MakeEventChunk;
 using emulator::MakeResponse;
 using emulator::MakeStreamHead;
@@ -34,121 +22,11 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kSilence(1300);
-constexpr milliseconds kEventInterval(60);
-constexpr int kEvents = 30;
-constexpr std::string_view kLastChunk = "\r\n0\r\n\r\n";
 constexpr std::string_view kRoutes =
     R"({"name":"stream","host":"h.example","prefix":"/stream/","kind":"streaming","timeout_ms":12000,"target_latency_ms":600,"gap_aim_ms":300,"priority":0,"service":"chat","max_attempts":2,"stream_resume":true},)"
     R"({"name":"any","host":"h.example","prefix":"/any/","kind":"idempotent","timeout_ms":5000,"target_latency_ms":300,"priority":2,"service":"plain","max_attempts":2})";
 constexpr std::string_view kNoRetries =
     "bounds.retry_budget_ratio=0\nbounds.budget_extra=0\n";
-// The budget of a small deployment.
-constexpr std::string_view kFewRetries =
-    "bounds.retry_budget_ratio=0.2\nbounds.budget_extra=56\n";
-
-// Begins once, for all engines that share it.
-struct Silence {
-  TimePoint begins_at = TimePoint::max();
-
-  // When an event is made that is due at `at`.
-  TimePoint EventTime(TimePoint at) const {
-    if (at < this->begins_at) return at;
-    return std::max(at, this->begins_at + kSilence);
-  }
-};
-
-int FirstEvent(const HttpRequest& request) {
-  const std::string resume(request.headers.Find("Last-Event-Id"));
-  return resume.empty() ? 1 : std::stoi(resume) + 1;
-}
-
-// A stream that makes no event in the silence.
-Script MakeStream(const HttpRequest& request, const Silence& silence) {
-  Script script = {SendBytes{MakeStreamHead(request)}};
-  TimePoint at = RuntimeClock::now();
-  for (int id = FirstEvent(request); id <= kEvents; ++id) {
-    const TimePoint next = silence.EventTime(at + kEventInterval);
-    script.push_back(Pause{next - at});
-    script.push_back(SendBytes{MakeEventChunk(id)});
-    at = next;
-  }
-  script.push_back(SendBytes{std::string(emulator::kStreamEnd)});
-  return script;
-}
-
-struct ClientStream {
-  std::string id;
-  std::string text;
-  bool IsWhole() const {
-    const std::string last = fmt::format("data: piece {}\n", kEvents);
-    return this->text.ends_with(kLastChunk) &&
-           Occurrences(this->text, "data: piece ") == kEvents &&
-           this->text.find(last) != std::string::npos;
-  }
-};
-
-Awaitable<void> ReadStream(tcp::endpoint router, ClientStream& stream) {
-  const auto executor = co_await asio::this_coro::executor;
-  tcp::socket socket(executor);
-  error_code error;
-  co_await socket.async_connect(router, internal::RedirectError(error));
-  const std::string request = fmt::format(
-      "POST /stream/ HTTP/1.1\r\nHost: h.example\r\nRequest-Id: {}\r\n"
-      "Request-Deadline: 12000\r\nAuthorization: Token k1\r\n"
-      "Content-Length: 1\r\n\r\nx",
-      stream.id);
-  co_await asio::async_write(socket, asio::buffer(request),
-                             internal::RedirectError(error));
-  std::array<char, 4096> buffer{};
-  while (!error && !stream.text.ends_with(kLastChunk)) {
-    const std::size_t size = co_await socket.async_read_some(
-        asio::buffer(buffer), internal::RedirectError(error));
-    stream.text.append(buffer.data(), size);
-  }
-}
-
-// Sends `count` streams, one each `interval`, to the routers in turn, and waits
-// for their ends.
-std::vector<ClientStream> ReadStreams(const PlatformFleet& fleet, int routers,
-                                      int count, Duration interval) {
-  std::vector<ClientStream> streams(static_cast<std::size_t>(count));
-  asio::io_context loop;
-  asio::co_spawn(
-      loop,
-      [&]() -> Awaitable<void> {
-        for (int n = 0; n < count; ++n) {
-          ClientStream& stream = streams[static_cast<std::size_t>(n)];
-          stream.id = fmt::format("s{}", n);
-          asio::co_spawn(
-              loop, ReadStream(fleet.ClientEndpoint(1 + n % routers), stream),
-              asio::detached);
-          const Duration pause = interval;
-          co_await SleepFor(pause);
-        }
-      },
-      asio::detached);
-  loop.run();
-  return streams;
-}
-
-int CountWhole(const std::vector<ClientStream>& streams) {
-  return static_cast<int>(
-      std::count_if(streams.begin(), streams.end(),
-                    [](const ClientStream& s) { return s.IsWhole(); }));
-}
-
-// How many requests reached more than one engine.
-int CountRepeated(PlatformFleet& fleet, int engines) {
-  std::map<std::string, int> arrivals;
-  for (int engine = 0; engine < engines; ++engine) {
-    for (const HttpRequest& request : fleet.Requests(engine)) {
-      ++arrivals[std::string(request.headers.Find("Request-Id"))];
-    }
-  }
-  return static_cast<int>(
-      std::count_if(arrivals.begin(), arrivals.end(),
-                    [](const auto& entry) { return entry.second > 1; }));
-}
 
 struct Fleet : PlatformFleet {
   Fleet(int routers, std::string_view settings) : PlatformFleet(0) {
@@ -379,17 +257,19 @@
   CAPTURE(fleet.Log(1));
   CHECK(CountWhole(streams) == 4);
   CHECK(Occurrences(fleet.Log(1), log) == 4);
+  CHECK(Occurrences(fleet.Log(1), R"("event":"backup_taken")") == 4);
 }
 
 TEST_CASE("a stream goes on elsewhere if its engine is silent for good") {
-  CheckTakenOver(emulator::ReportKind::kNone,
-                 R"("report":"unknown","has_successor":true,"given_up":true)");
+  CheckTakenOver(
+      emulator::ReportKind::kNone,
+      R"("report":"unknown","has_backup_engine":true,"sends_backup":true)");
 }
 
 TEST_CASE("a stream goes on elsewhere if its engine has dropped it") {
   CheckTakenOver(
       emulator::ReportKind::kEmpty,
-      R"("report":"not_listed","has_successor":true,"given_up":true)");
+      R"("report":"not_listed","has_backup_engine":true,"sends_backup":true)");
 }
 
 TEST_CASE("a request whose answer arrives slowly is not sent again") {
--- a/tests/support/platform_fleet.cc
+++ b/tests/support/platform_fleet.cc
@@ -7,6 +7,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
@@ -46,32 +47,51 @@
   return name;
 }
 
+// Lets a test run with the router of another build.
+std::string RouterProgram() {
+  const char* path = std::getenv("DANDELION_TEST_ROUTER");
+  if (path != nullptr) return path;
+  return std::string(DANDELION_BINARIES) + "/dandelion-platform-router";
+}
+
 }  // namespace
 
-int CountResponses(std::string_view text) {
-  int count = 0;
+std::vector<Response> SplitResponses(std::string_view text) {
+  std::vector<Response> responses;
   while (true) {
     const auto head_end = text.find("\r\n\r\n");
-    if (head_end == std::string_view::npos) return count;
+    if (head_end == std::string_view::npos) return responses;
     const std::string_view head = text.substr(0, head_end + 2);
     text.remove_prefix(head_end + 4);
     if (head.starts_with("HTTP/1.1 1")) continue;
+    Response& response = responses.emplace_back();
+    response.head = head;
+    constexpr std::string_view kVersion = "HTTP/1.1 ";
+    response.status = std::stoi(response.head.substr(kVersion.size()));
     constexpr std::string_view kLength = "\r\nContent-Length: ";
     const auto length_at = head.find(kLength);
-    std::size_t size = 0;
+    std::size_t size = std::string_view::npos;
     if (length_at != std::string_view::npos) {
       size = std::stoul(std::string(head.substr(length_at + kLength.size())));
     } else {
       const auto last_chunk = text.find(emulator::kStreamEnd);
-      if (last_chunk == std::string_view::npos) return count;
-      size = last_chunk + emulator::kStreamEnd.size();
+      const bool has_end = last_chunk != std::string_view::npos;
+      if (has_end) size = last_chunk + emulator::kStreamEnd.size();
     }
-    if (text.size() < size) return count;
+    response.is_whole = text.size() >= size;
+    response.body = text.substr(0, size);
+    if (!response.is_whole) return responses;
     text.remove_prefix(size);
-    ++count;
   }
 }
 
+int CountResponses(std::string_view text) {
+  const std::vector<Response> responses = SplitResponses(text);
+  return static_cast<int>(std::count_if(
+      responses.begin(), responses.end(),
+      [](const Response& response) { return response.is_whole; }));
+}
+
 std::string MakeClientRequest(const std::string& method,
                               const std::string& target, const std::string& id,
                               const std::string& more,
@@ -86,7 +106,7 @@
 
 PlatformFleet::PlatformFleet(int routers)
     : folder(MakeFolder()),
-      program(std::string(DANDELION_BINARIES) + "/dandelion-platform-router"),
+      program(RouterProgram()),
       work(asio::make_work_guard(this->loop)) {
   this->thread = std::thread([this] { this->loop.run(); });
   this->RunOnLoop([this] {
--- a/tests/support/platform_fleet.h
+++ b/tests/support/platform_fleet.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <string_view>
 #include <thread>
 #include <vector>
 
@@ -171,6 +172,17 @@
                               const std::string& more = "",
                               const std::string& body = "");
 
+/// \brief A final (not 1xx) response, as far as it was read.
+struct Response {
+  int status = 0;
+  std::string head;
+  std::string body;  ///< With the chunks' sizes, if it has no length.
+  bool is_whole = false;
+};
+
+/// \returns the final responses in `text`; the last one may be incomplete.
+std::vector<Response> SplitResponses(std::string_view text);
+
 /// \returns the number of complete final (not 1xx) responses in `text`.
 int CountResponses(std::string_view text);
 
--- a/tests/support/test_client.h
+++ b/tests/support/test_client.h
@@ -43,6 +43,19 @@
     }
     return text;
   }
+  /// \returns all bytes until some complete responses have arrived or the
+  ///          connection has ended.
+  std::string ReadResponses(int count) {
+    std::string text;
+    boost::system::error_code ended;
+    std::array<char, 4096> buffer{};
+    while (!ended && CountResponses(text) < count) {
+      const auto size =
+          this->socket.read_some(boost::asio::buffer(buffer), ended);
+      text.append(buffer.data(), size);
+    }
+    return text;
+  }
   /// \returns all bytes until the connection has ended.
   std::string ReadAll() { return this->ReadUntil(""); }
 
