The first engine is kept until the backup has sent the first byte of its answer

An engine may send the head of a stream long before its first token; a head alone says only that it has accepted the request. The first connection was closed at that head, so that a second engine that then stayed silent cut the stream. And where bytes of the first engine lay unread when the backup's answer came, the backup was dropped, also if those bytes were a refusal: the event loop now gets 20 ms to read them, and what they are decides.

--- a/src/dispatch/backup_send.h
+++ b/src/dispatch/backup_send.h
@@ -15,6 +15,10 @@
 
 namespace dandelionscale::internal {
 
+/// Time in which the event loop handles what has arrived from the first engine,
+/// before that counts as silent.
+inline constexpr Duration kReadGrace = std::chrono::milliseconds(20);
+
 /// \brief A send to another engine, begun while the first engine's connection
 ///        stays open.
 ///
@@ -39,7 +43,7 @@
   std::unique_ptr<EngineExchange> exchange;
   Event changed;  ///< Signals that the send has an answer or has ended.
   TimePoint begun_at;
-  bool has_answer = false;  ///< The head of an answer that can be relayed.
+  bool has_answer = false;  ///< An answer that can be relayed has begun.
 };
 
 }  // namespace dandelionscale::internal
--- a/src/dispatch/engine_exchange.cc
+++ b/src/dispatch/engine_exchange.cc
@@ -215,7 +215,23 @@
                                   : BodyFraming::kLength;
 }
 
+Awaitable<std::optional<AttemptFailure>> EngineExchange::AwaitBody() {
+  auto fragment = co_await this->ReadNextFragment();
+  if (fragment.has_error()) co_return AttemptFailure::kNoAnswer;
+  this->first_fragment = std::move(fragment.value());
+  co_return std::nullopt;
+}
+
 Awaitable<Result<std::string>> EngineExchange::ReadBodyFragment() {
+  if (this->first_fragment) {
+    std::string fragment = std::move(*this->first_fragment);
+    this->first_fragment.reset();
+    co_return fragment;
+  }
+  co_return co_await this->ReadNextFragment();
+}
+
+Awaitable<Result<std::string>> EngineExchange::ReadNextFragment() {
   while (!this->parser->is_done()) {
     if (this->cancelled) co_return Fault{FaultKind::kCancelled, "cancelled"};
     std::string fragment(kReadBufferBytes, '\0');
--- a/src/dispatch/request_backup.cc
+++ b/src/dispatch/request_backup.cc
@@ -32,17 +32,25 @@
                                            std::shared_ptr<BackupSend> backup) {
   std::optional<AttemptFailure> failure;
   try {
-    failure = co_await OpenBackup(weak, backup);
+    failure = co_await AwaitBackup(weak, backup);
   } catch (const std::exception& error) {
     Logger::Error("backup_send_failed", {{"what", error.what()}});
     failure = AttemptFailure::kNoAnswer;
   }
-  const std::shared_ptr<RequestDispatch> self = weak.lock();
-  if (self && self->backup == backup) self->OnBackupOpened(failure);
+  std::shared_ptr<RequestDispatch> self = weak.lock();
+  const bool first_goes_on =
+      self && self->exchange && self->exchange->HasUnreadBytes();
+  self.reset();
+  if (first_goes_on) {
+    const Duration read_grace = kReadGrace;
+    co_await SleepFor(read_grace);
+  }
+  self = weak.lock();
+  if (self && self->backup == backup) self->OnBackupEnded(failure);
 }
 
 // Holds no reference to the request while it waits: the request may end.
-Awaitable<std::optional<AttemptFailure>> RequestDispatch::OpenBackup(
+Awaitable<std::optional<AttemptFailure>> RequestDispatch::AwaitBackup(
     std::weak_ptr<RequestDispatch> weak, std::shared_ptr<BackupSend> backup) {
   EngineExchange& exchange = *backup->exchange;
   auto failure =
@@ -58,21 +66,21 @@
     failure =
         co_await exchange.ReadHead(backup->request.method, backup->request_id);
   }
+  self = weak.lock();
+  if (!self || self->backup != backup) co_return AttemptFailure::kNoAnswer;
+  if (!failure) failure = self->JudgeBackupHead();
+  self.reset();
+  // An engine may send its head long before it begins the answer.
+  if (!failure) failure = co_await exchange.AwaitBody();
   if (failure) co_await exchange.FindCause();
   co_return failure;
 }
 
-void RequestDispatch::OnBackupOpened(std::optional<AttemptFailure> failure) {
-  if (!failure) failure = this->JudgeBackupHead();
+void RequestDispatch::OnBackupEnded(std::optional<AttemptFailure> failure) {
   if (failure) {
     this->OnBackupFailed(*failure);
     return;
   }
-  const bool goes_on = this->exchange && this->exchange->HasUnreadBytes();
-  if (goes_on) {
-    this->DropBackup();
-    return;
-  }
   Logger::Info("backup_taken",
                {{"request", this->decoded.id},
                 {"engine", this->backup->exchange->ServingEngine().record.id},
--- a/src/dispatch/request_dispatch.h
+++ b/src/dispatch/request_dispatch.h
@@ -196,11 +196,11 @@
   void StartBackup(const PlacementPlan& plan);
   static Awaitable<void> RunBackup(std::weak_ptr<RequestDispatch> weak,
                                    std::shared_ptr<BackupSend> backup);
-  static Awaitable<std::optional<AttemptFailure>> OpenBackup(
+  static Awaitable<std::optional<AttemptFailure>> AwaitBackup(
       std::weak_ptr<RequestDispatch> weak, std::shared_ptr<BackupSend> backup);
-  // The backup has the head of a response, or has failed. Decides which of both
-  // sends is relayed.
-  void OnBackupOpened(std::optional<AttemptFailure> failure);
+  // The backup has begun an answer, or has failed. Decides which of both sends
+  // is relayed.
+  void OnBackupEnded(std::optional<AttemptFailure> failure);
   std::optional<AttemptFailure> JudgeBackupHead() const;
   void OnBackupFailed(AttemptFailure failure);
   // The first engine goes on, or nobody waits for the answer any more.
--- a/src/dispatch/request_silence.cc
+++ b/src/dispatch/request_silence.cc
@@ -20,9 +20,6 @@
 constexpr Duration kMinSilence = std::chrono::milliseconds(500);
 // Interval at which it is looked at again.
 constexpr Duration kSilenceCheckInterval = std::chrono::milliseconds(200);
-// Time in which the event loop handles what has arrived, before an engine
-// counts as silent.
-constexpr Duration kReadGrace = std::chrono::milliseconds(20);
 
 }  // namespace
 
--- a/tests/stream_cut_for_refusal_test.cc
+++ b/tests/stream_cut_for_refusal_test.cc
@@ -69,6 +69,10 @@
       {"crashes", [](const auto&) {
          return Script{Pause{milliseconds(20)}, emulator::ResetConnection{}};
        }});
+  cases.push_back({"sends a head only", [](const auto& request) {
+                     return Script{SendBytes{MakeStreamHead(request)},
+                                   Pause{std::chrono::seconds(20)}};
+                   }});
   cases.push_back({"closes", [](const auto&) {
                      return Script{emulator::CloseConnection{}};
                    }});
@@ -265,7 +269,8 @@
 
 TEST_CASE("a request is answered by the first engine if the second does not") {
   for (const TakeoverCase& takeover : MakeTakeoverCases()) {
-    if (takeover.name == "no stream") continue;  // An answer here.
+    if (takeover.name == "no stream") continue;          // An answer here.
+    if (takeover.name == "sends a head only") continue;  // Of a stream.
     CAPTURE(takeover.name);
     CheckAnswered(takeover.answer, "first");
   }
@@ -277,6 +282,11 @@
         return Script{SendBytes{MakeResponse(request, 200, "second")}};
       },
       "second");
+  CheckAnswered(
+      [](const HttpRequest& request) {
+        return Script{SendBytes{MakeResponse(request, 200, "")}};
+      },
+      "\r\n\r\n");
 }
 
 // The first one has not run it, and says so after the second one was asked.
