--- a/src/dispatch/engine_exchange.cc
+++ b/src/dispatch/engine_exchange.cc
@@ -216,7 +216,7 @@
 }
 
 Awaitable<std::optional<AttemptFailure>> EngineExchange::AwaitBody() {
-  auto fragment = co_await this->ReadNextFragment();
+  auto fragment = co_await this->ReadBodyFragment();
   if (fragment.has_error()) co_return AttemptFailure::kNoAnswer;
   this->first_fragment = std::move(fragment.value());
   co_return std::nullopt;
@@ -228,10 +228,6 @@
     this->first_fragment.reset();
     co_return fragment;
   }
-  co_return co_await this->ReadNextFragment();
-}
-
-Awaitable<Result<std::string>> EngineExchange::ReadNextFragment() {
   while (!this->parser->is_done()) {
     if (this->cancelled) co_return Fault{FaultKind::kCancelled, "cancelled"};
     std::string fragment(kReadBufferBytes, '\0');
--- a/src/dispatch/engine_exchange.h
+++ b/src/dispatch/engine_exchange.h
@@ -122,7 +122,6 @@
   // Discards interim (1xx) responses. Returns false if the connection failed or
   // the exchange was cancelled.
   Awaitable<bool> ReadFinalHead(std::string_view method);
-  Awaitable<Result<std::string>> ReadNextFragment();
   void OnReadFailed(const boost::system::error_code& error);
   void OnBytesReceived();
   void ApplyStatements();
--- a/src/dispatch/request_dispatch.cc
+++ b/src/dispatch/request_dispatch.cc
@@ -336,11 +336,8 @@
   const auto* retry = std::get_if<SendAgain>(&decision);
   if (retry == nullptr) return false;
   if (!retry->costs_budget) return true;
-  FleetRetryBudget& budget = this->state.Service(this->service).budget;
-  if (budget.TryTake(RuntimeClock::now(), this->state.RouterCount())) {
-    this->state.metrics.Add("retries_total");
-    return true;
-  }
+  if (this->TakeRetry()) return true;
+  const FleetRetryBudget& budget = this->state.Service(this->service).budget;
   Logger::Info("retry_budget_spent",
                {{"request", this->decoded.id},
                 {"service", this->service},
