--- a/tests/drawn_faults_test.cc
+++ b/tests/drawn_faults_test.cc
@@ -356,6 +356,8 @@
     return text;
   }
 
+  // Of the router that was stopped; 0 if none was.
+  int ExitCode() const { return this->exit_code; }
   std::size_t Requests() const { return this->requests.size(); }
   std::size_t Served() const {
     return static_cast<std::size_t>(
@@ -604,6 +606,7 @@
     CAPTURE(seed, run.Text(), log);
     CHECK(broken == std::vector<std::string>());
     CHECK(run.Served() >= kClients);
+    CHECK(run.ExitCode() == 0);
   }
 }
 
