drawn_faults_test: an engine that breaks off before it has begun has broken off

The engine did break off, but the test noted it only for requests that had begun to run, and drew a refusal behind the reset. The check is as strict as before.

--- a/tests/drawn_faults_test.cc
+++ b/tests/drawn_faults_test.cc
@@ -201,6 +201,8 @@
     ++record.arrivals;
     Progress progress = {{}, this->Now(), false};
     this->Wait(progress, Duration::zero());
+    record.broke_off = record.broke_off || progress.broke_off;
+    if (progress.broke_off) return progress.script;
     for (const FaultWindow& window : this->windows) {
       const bool refuses = window.kind == EngineFault::kRefuses;
       if (!refuses || !window.Holds(progress.at)) continue;
@@ -218,7 +220,7 @@
       const std::string id(request.headers.Find("Request-Id"));
       progress.script.push_back(SendBytes{MakeResponse(request, 200, id)});
     }
-    if (progress.broke_off) record.broke_off = true;
+    record.broke_off = record.broke_off || progress.broke_off;
     return progress.script;
   }
 
