--- a/src/dispatch/request_dispatch.h
+++ b/src/dispatch/request_dispatch.h
@@ -194,19 +194,25 @@
 
   // Sends the request to another engine while the first connection stays open.
   void StartBackup(const PlacementPlan& plan);
+  // Waits for the backup's answer and reports its end to the request, if that
+  // still wants it.
   static Awaitable<void> RunBackup(std::weak_ptr<RequestDispatch> weak,
                                    std::shared_ptr<BackupSend> backup);
+  // Sends the backup and waits until its answer has begun. Returns the failure
+  // if it has none that can be relayed.
   static Awaitable<std::optional<AttemptFailure>> AwaitBackup(
       std::weak_ptr<RequestDispatch> weak, std::shared_ptr<BackupSend> backup);
   // The backup has begun an answer, or has failed. Decides which of both sends
   // is relayed.
   void OnBackupEnded(std::optional<AttemptFailure> failure);
   std::optional<AttemptFailure> JudgeBackupHead() const;
+  // The first engine is listened to as before.
   void OnBackupFailed(AttemptFailure failure);
   // The first engine goes on, or nobody waits for the answer any more.
   void DropBackup();
   // Sets when to look at a backup whose engine sends nothing.
   void WatchBackup();
+  // Gives the backup up, so that a third engine can be tried.
   void OnBackupSilent();
   // Waits until the backup has an answer or has failed.
   Awaitable<void> WaitForBackup();
