Backups: one place that arms the silence check, one count of sends, no copy of the body

A backup copied the whole request, body too, though only its method is needed after the send. The comment of kMaxSoundSilence claimed what was measured otherwise.

--- a/include/dandelionscale/core/silence_policy.h
+++ b/include/dandelionscale/core/silence_policy.h
@@ -7,7 +7,7 @@
 
 namespace dandelionscale {
 
-/// A sound engine that falls silent goes on within this time.
+/// Most sound engines that fall silent go on within this time.
 inline constexpr Duration kMaxSoundSilence = std::chrono::milliseconds(1600);
 
 /// \brief What an engine reports of one request.
--- a/src/dispatch/backup_send.h
+++ b/src/dispatch/backup_send.h
@@ -37,7 +37,7 @@
 
   std::shared_ptr<void> owner;  ///< Keeps the router alive.
   /// Copies, since the send may outlive the request.
-  HttpRequest request;
+  std::string method;
   std::string request_id;
   EngineReservation reservation;
   std::unique_ptr<EngineExchange> exchange;
--- a/src/dispatch/request_backup.cc
+++ b/src/dispatch/request_backup.cc
@@ -15,7 +15,7 @@
   this->OnPlaced(plan);
   this->backup = std::make_shared<BackupSend>(this->state, this->connector,
                                               plan.engine, plan.permitted_at);
-  this->backup->request = this->request;
+  this->backup->method = this->request.method;
   this->backup->request_id = this->decoded.id;
   this->tried_engine_keys.push_back(plan.engine->key);
   this->WatchBackup();
@@ -59,12 +59,11 @@
   std::shared_ptr<RequestDispatch> self = weak.lock();
   if (!self || self->backup != backup) co_return AttemptFailure::kNotConnected;
   const HttpHeaders headers = self->EncodeHeaders(exchange.ServingEngine());
-  failure = exchange.Send(backup->request, headers, backup->request_id);
+  failure = exchange.Send(self->request, headers, backup->request_id);
   if (exchange.WasSent()) ++self->sends;
   self.reset();
   if (!failure) {
-    failure =
-        co_await exchange.ReadHead(backup->request.method, backup->request_id);
+    failure = co_await exchange.ReadHead(backup->method, backup->request_id);
   }
   self = weak.lock();
   if (!self || self->backup != backup) co_return AttemptFailure::kNoAnswer;
@@ -88,8 +87,7 @@
                                            this->backup->begun_at)}});
   this->backup->has_answer = true;
   this->backup->changed.NotifyAll();
-  this->silence_check_at = TimePoint::max();
-  this->ArmDeadline();
+  this->CheckSilenceAt(TimePoint::max());
   if (!this->exchange) return;
   this->exchange->Abandon();
   this->Interrupt(Interruption::kStalled);
@@ -99,11 +97,9 @@
   const EngineExchange& exchange = *this->backup->exchange;
   if (const auto failure = FailureOfHead(exchange.Response())) return failure;
   // Instead of these, the answer of the first engine is awaited.
-  const unsigned status = exchange.Response().status;
-  const bool continues =
-      exchange.IsEventStream() && http_status::IsBelowRedirection(status);
-  const bool is_useless = http_status::IsServerError(status) ||
-                          (this->stream_started && !continues);
+  const bool is_useless =
+      http_status::IsServerError(exchange.Response().status) ||
+      (this->stream_started && !this->IsStreamAnswer(exchange));
   if (is_useless) return AttemptFailure::kEngineError;
   return std::nullopt;
 }
@@ -118,9 +114,8 @@
   this->OnSendFailed(*exchange.SharedEngine(), end, failure);
   failed->changed.NotifyAll();
   if (!this->exchange) return;
-  const bool may_retry = this->sends < this->route->max_attempts;
-  this->silence_check_at = may_retry ? RuntimeClock::now() : TimePoint::max();
-  this->ArmDeadline();
+  this->CheckSilenceAt(this->HasSendLeft() ? RuntimeClock::now()
+                                           : TimePoint::max());
 }
 
 void RequestDispatch::DropBackup() {
@@ -138,13 +133,9 @@
 
 // A further engine gets the request only if its attempts allow it.
 void RequestDispatch::WatchBackup() {
-  const std::uint32_t unsent = this->backup->exchange->WasSent() ? 0 : 1;
-  const bool may_retry =
-      this->SendsWithCurrent() + unsent < this->route->max_attempts;
-  this->silence_check_at = may_retry
-                               ? this->backup->begun_at + this->MaxSilence()
-                               : TimePoint::max();
-  this->ArmDeadline();
+  this->CheckSilenceAt(this->HasSendLeft()
+                           ? this->backup->begun_at + this->MaxSilence()
+                           : TimePoint::max());
 }
 
 void RequestDispatch::OnBackupSilent() {
--- a/src/dispatch/request_dispatch.cc
+++ b/src/dispatch/request_dispatch.cc
@@ -179,8 +179,7 @@
     failure = co_await this->OpenExchange(engine);
   }
   if (!failure) failure = co_await this->RelayResponse();
-  this->silence_check_at = TimePoint::max();
-  this->ArmDeadline();
+  this->CheckSilenceAt(TimePoint::max());
   if (failure && this->exchange) co_await this->exchange->FindCause();
   if (failure && !IsProvablyNotRun(*failure)) this->may_have_run = true;
   co_return failure;
--- a/src/dispatch/request_dispatch.h
+++ b/src/dispatch/request_dispatch.h
@@ -130,6 +130,8 @@
   // Returns the failure if the head says that the response is no answer.
   static std::optional<AttemptFailure> FailureOfHead(
       const EngineResponse& response);
+  // Returns true if the response is the event stream that the route promises.
+  bool IsStreamAnswer(const EngineExchange& answer) const;
   Awaitable<std::optional<AttemptFailure>> RelayResponse();
   Awaitable<std::optional<AttemptFailure>> RelayBufferedResponse();
   // Cuts off another response that begins in a body that ends with the
@@ -184,8 +186,10 @@
   void DecideOnSilence(const std::optional<PlacementPlan>& plan);
   // How long an engine may send nothing before it is looked at.
   Duration MaxSilence() const;
-  // Sends of the request, with the current one if it is not yet sent.
-  std::uint32_t SendsWithCurrent() const;
+  // Sends of the request, with those under way that are not sent yet.
+  std::uint32_t SendsWithUnsent() const;
+  // Returns true if the route allows a further send.
+  bool HasSendLeft() const;
   // Chooses a healthy engine to which the request could be sent now. Returns
   // nothing if there is none, or no retry is left.
   std::optional<PlacementPlan> PlanBackup();
@@ -243,6 +247,8 @@
   // stream has begun, which may yet come to its end.
   TimePoint Deadline() const;
   void ArmDeadline();
+  // Sets when to look at an engine that sends nothing.
+  void CheckSilenceAt(TimePoint at);
   // The engine has begun or gone on with the request.
   void OnProgress();
   // The same for a part of a response, unless that says that the engine failed.
--- a/src/dispatch/request_silence.cc
+++ b/src/dispatch/request_silence.cc
@@ -28,12 +28,9 @@
   this->last_report = RunReport::kUnknown;
   this->was_asked = false;
   this->DropBackup();
-  const bool may_retry = this->route->IsRepeatable() &&
-                         this->SendsWithCurrent() < this->route->max_attempts;
-  this->silence_check_at = may_retry
-                               ? this->last_progress_at + this->MaxSilence()
-                               : TimePoint::max();
-  this->ArmDeadline();
+  const bool may_retry = this->route->IsRepeatable() && this->HasSendLeft();
+  this->CheckSilenceAt(may_retry ? this->last_progress_at + this->MaxSilence()
+                                 : TimePoint::max());
 }
 
 void RequestDispatch::OnResponseProgress() {
@@ -44,16 +41,26 @@
   return std::max(kMinSilence, this->route->latency_target * kSilenceFactor);
 }
 
-std::uint32_t RequestDispatch::SendsWithCurrent() const {
-  const bool is_unsent = this->exchange && !this->exchange->WasSent();
-  return this->sends + (is_unsent ? 1 : 0);
+std::uint32_t RequestDispatch::SendsWithUnsent() const {
+  std::uint32_t count = this->sends;
+  if (this->exchange && !this->exchange->WasSent()) ++count;
+  if (this->backup && !this->backup->exchange->WasSent()) ++count;
+  return count;
+}
+
+bool RequestDispatch::HasSendLeft() const {
+  return this->SendsWithUnsent() < this->route->max_attempts;
+}
+
+void RequestDispatch::CheckSilenceAt(TimePoint at) {
+  this->silence_check_at = at;
+  this->ArmDeadline();
 }
 
 void RequestDispatch::SuspendSilenceCheck() {
   this->last_progress_at = RuntimeClock::now();
   this->DropBackup();
-  this->silence_check_at = TimePoint::max();
-  this->ArmDeadline();
+  this->CheckSilenceAt(TimePoint::max());
 }
 
 void RequestDispatch::OnTimeout() {
@@ -70,8 +77,7 @@
     this->Interrupt(Interruption::kStalled);
     return;
   }
-  this->silence_check_at = TimePoint::max();
-  this->ArmDeadline();
+  this->CheckSilenceAt(TimePoint::max());
   boost::asio::co_spawn(
       this->state.executor,
       [weak = this->weak_from_this()] { return HandleSilence(weak); },
@@ -160,17 +166,15 @@
     this->StartBackup(*plan);
     return;
   }
-  this->silence_check_at = now + kSilenceCheckInterval;
+  TimePoint next = now + kSilenceCheckInterval;
   const TimePoint sound_until = this->last_progress_at + kMaxSoundSilence;
-  if (sound_until > now) {
-    this->silence_check_at = std::min(this->silence_check_at, sound_until);
-  }
-  this->ArmDeadline();
+  if (sound_until > now) next = std::min(next, sound_until);
+  this->CheckSilenceAt(next);
 }
 
 std::optional<RequestDispatch::PlacementPlan> RequestDispatch::PlanBackup() {
   AttemptHistory history = this->HistoryAfter(AttemptFailure::kNoAnswer);
-  history.sends = this->SendsWithCurrent();
+  history.sends = this->SendsWithUnsent();
   const AttemptDecision decision =
       DecideAfterFailure(LimitsOf(*this->route), history);
   FleetRetryBudget& budget = this->state.Service(this->service).budget;
--- a/src/dispatch/response_relay.cc
+++ b/src/dispatch/response_relay.cc
@@ -21,9 +21,7 @@
   this->framing = this->exchange->Framing();
   if (const auto failure = FailureOfHead(response)) co_return failure;
   this->OnResponseProgress();
-  const bool is_stream = this->route->kind == RouteKind::kStreaming &&
-                         this->exchange->IsEventStream() &&
-                         http_status::IsBelowRedirection(response.status);
+  const bool is_stream = this->IsStreamAnswer(*this->exchange);
   if (is_stream) co_return co_await this->RelayEventStream();
   co_return co_await this->RelayBufferedResponse();
 }
@@ -39,6 +37,11 @@
   return std::nullopt;
 }
 
+bool RequestDispatch::IsStreamAnswer(const EngineExchange& answer) const {
+  return this->route->kind == RouteKind::kStreaming && answer.IsEventStream() &&
+         http_status::IsBelowRedirection(answer.Response().status);
+}
+
 Awaitable<std::optional<AttemptFailure>>
 RequestDispatch::RelayBufferedResponse() {
   std::string body;
