--- a/tests/broken_answer_test.cc
+++ b/tests/broken_answer_test.cc
@@ -21,7 +21,6 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kReadIdleTimeout(30);
-constexpr std::string_view kLastChunk = "\r\n0\r\n\r\n";
 // In no stream.
 constexpr std::string_view kErrorText = "error-of-the-engine";
 
--- a/tests/drawn_faults_test.cc
+++ b/tests/drawn_faults_test.cc
@@ -199,16 +199,32 @@
     EngineRecord& record =
         this->records[std::string(request.headers.Find("Request-Id"))];
     ++record.arrivals;
-    Progress progress = {{}, this->Now(), false};
-    this->Wait(progress, Duration::zero());
+    Progress progress;
+    progress.at = this->Now();
+    this->Respond(request, record, progress);
     record.broke_off = record.broke_off || progress.broke_off;
-    if (progress.broke_off) return progress.script;
+    return progress.script;
+  }
+
+ private:
+  struct Progress {
+    Script script;
+    Duration at{};
+    bool broke_off = false;
+  };
+
+  Duration Now() const { return RuntimeClock::now() - this->began_at; }
+
+  void Respond(const HttpRequest& request, EngineRecord& record,
+               Progress& progress) const {
+    this->Wait(progress, Duration::zero());
+    if (progress.broke_off) return;
     for (const FaultWindow& window : this->windows) {
       const bool refuses = window.kind == EngineFault::kRefuses;
       if (!refuses || !window.Holds(progress.at)) continue;
       progress.script.push_back(SendBytes{MakeResponse(
           request, 503, "", "Not-Executed: 1\r\n" + window.refusal_lines)});
-      return progress.script;
+      return;
     }
     ++record.runs;
     const bool is_stream = request.target.starts_with("/stream/") ||
@@ -220,19 +236,8 @@
       const std::string id(request.headers.Find("Request-Id"));
       progress.script.push_back(SendBytes{MakeResponse(request, 200, id)});
     }
-    record.broke_off = record.broke_off || progress.broke_off;
-    return progress.script;
   }
 
- private:
-  struct Progress {
-    Script script;
-    Duration at{};
-    bool broke_off = false;
-  };
-
-  Duration Now() const { return RuntimeClock::now() - this->began_at; }
-
   // Work of some length; what comes of it is sent when no silence holds.
   void Wait(Progress& progress, Duration work) const {
     const Duration from = progress.at;
@@ -477,7 +482,6 @@
     const bool half_closes = count == 1 && records.back().target == "/once/" &&
                              own.Number(0, 3) == 0;
     TestClient client(this->fleet, router);
-    std::string received;
     for (ClientRecord& record : records) {
       if (record.sent_alone) std::this_thread::sleep_for(gap);
       const bool is_get = record.target == "/any/";
@@ -494,8 +498,7 @@
     }
     if (half_closes) client.CloseSending();
     if (reads_slowly) std::this_thread::sleep_for(milliseconds(400));
-    received = client.ReadResponses(count);
-    this->Keep(records, received);
+    this->Keep(records, client.ReadResponses(count));
   }
 
   void Keep(std::vector<ClientRecord>& records, std::string_view received) {
--- a/tests/maintenance_under_faults_test.cc
+++ b/tests/maintenance_under_faults_test.cc
@@ -32,11 +32,6 @@
     R"({{"name":"stream","host":"h.example","prefix":"/stream/","kind":"streaming","timeout_ms":{0},"target_latency_ms":600,"priority":0,"service":"chat","max_attempts":2,"stream_resume":true}},)"
     R"({{"name":"once","host":"h.example","prefix":"/once/","kind":"non_idempotent","timeout_ms":{0},"target_latency_ms":300,"priority":2,"service":"plain","max_attempts":2}})";
 
-int FirstEvent(const HttpRequest& request) {
-  const std::string resume(request.headers.Find("Last-Event-Id"));
-  return resume.empty() ? 1 : std::stoi(resume) + 1;
-}
-
 Script MakeStream(const HttpRequest& request) {
   Script script = {SendBytes{MakeStreamHead(request)}};
   for (int id = FirstEvent(request); id <= kEvents; ++id) {
--- a/tests/request_without_answer_test.cc
+++ b/tests/request_without_answer_test.cc
@@ -23,7 +23,6 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kReadIdleTimeout(100);
-constexpr std::string_view kLastChunk = "\r\n0\r\n\r\n";
 constexpr std::string_view kStreamRoute =
     R"({{"name":"stream","host":"h.example","prefix":"/stream/","kind":"streaming","timeout_ms":{},"target_latency_ms":600,"priority":0,"service":"chat","max_attempts":1}})";
 
@@ -37,13 +36,19 @@
           SendBytes{MakeEventChunk(2) + std::string(emulator::kStreamEnd)}};
 }
 
+// One router that keeps idle connections for a short time, and one engine.
+struct IdleFleet : PlatformFleet {
+  IdleFleet() : PlatformFleet(0) {
+    this->SetIdleTimeout(milliseconds(1500));
+    this->PutConfiguration(3);
+    this->AddEngine("plain", AnswerOk);
+    this->StartRouter(1);
+    this->WaitUntilReady(1);
+  }
+};
+
 TEST_CASE("a request that arrives while the router stands still is answered") {
-  PlatformFleet fleet(0);
-  fleet.SetIdleTimeout(milliseconds(1500));
-  fleet.PutConfiguration(3);
-  fleet.AddEngine("plain", AnswerOk);
-  fleet.StartRouter(1);
-  fleet.WaitUntilReady(1);
+  IdleFleet fleet;
   TestClient client(fleet);
   client.Send(MakeClientRequest("GET", "/any/", "first"));
   REQUIRE(client.ReadUntil("ok").ends_with("ok"));
@@ -78,12 +83,7 @@
 }
 
 TEST_CASE("a longer idle timeout holds for connections that are idle") {
-  PlatformFleet fleet(0);
-  fleet.SetIdleTimeout(milliseconds(1500));
-  fleet.PutConfiguration(3);
-  fleet.AddEngine("plain", AnswerOk);
-  fleet.StartRouter(1);
-  fleet.WaitUntilReady(1);
+  IdleFleet fleet;
   TestClient client(fleet);
   client.Send(MakeClientRequest("GET", "/any/", "first"));
   REQUIRE(client.ReadUntil("ok").ends_with("ok"));
--- a/tests/second_answer_test.cc
+++ b/tests/second_answer_test.cc
@@ -24,7 +24,6 @@
 // How long after the first answer a late second one is sent.
 constexpr milliseconds kLate(60);
 // The last chunk of a response to a client, which marks it as complete.
-constexpr std::string_view kLastChunk = "\r\n0\r\n\r\n";
 constexpr std::string_view kAnonymousRefusal =
     "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
 constexpr std::string_view kAnonymousMisdirection =
--- a/tests/silence_policy_test.cc
+++ b/tests/silence_policy_test.cc
@@ -19,40 +19,40 @@
   return send;
 }
 
-TEST_CASE("a stream is not given up for a second of silence") {
+TEST_CASE("a stream is not sent again for a second of silence") {
   for (bool has_events : {false, true}) {
     CHECK_FALSE(MaySendBackup(
         Stream(kSecondOfSilence, has_events, RunReport::kUnknown)));
   }
 }
 
-TEST_CASE("a stream is given up if its engine is silent for good") {
+TEST_CASE("a stream is sent again if its engine is silent for good") {
   for (bool has_events : {false, true}) {
     CHECK(MaySendBackup(Stream(kLongSilence, has_events, RunReport::kUnknown)));
   }
 }
 
-TEST_CASE("a stream is not given up while its engine works on it") {
+TEST_CASE("a stream is not sent again while its engine works on it") {
   for (bool has_events : {false, true}) {
     CHECK_FALSE(
         MaySendBackup(Stream(kLongSilence, has_events, RunReport::kListed)));
   }
 }
 
-TEST_CASE("a stream that its engine has dropped is given up at once") {
+TEST_CASE("a stream that its engine has dropped is sent again at once") {
   CHECK(MaySendBackup(Stream(kSecondOfSilence, true, RunReport::kNotListed)));
   // It may still wait in the engine's queue.
   CHECK_FALSE(
       MaySendBackup(Stream(kSecondOfSilence, false, RunReport::kNotListed)));
 }
 
-TEST_CASE("a stream that may wait, preempted, is not given up at once") {
+TEST_CASE("a stream that may wait, preempted, is not sent again at once") {
   CHECK_FALSE(
       MaySendBackup(Stream(kSecondOfSilence, true, RunReport::kMayWait)));
   CHECK(MaySendBackup(Stream(kLongSilence, true, RunReport::kMayWait)));
 }
 
-TEST_CASE("nothing is given up when no other engine could answer in time") {
+TEST_CASE("nothing is sent again when no other engine could answer in time") {
   for (bool may_overlap : {false, true}) {
     SilentSend send = Stream(kLongSilence, false, RunReport::kUnknown);
     send.may_overlap = may_overlap;
@@ -71,7 +71,7 @@
   CHECK(MaySendBackup(send));
 }
 
-TEST_CASE("a request that may run twice at a time is given up at once") {
+TEST_CASE("a request that may run twice at a time is sent again at once") {
   SilentSend send;
   send.may_overlap = true;
   CHECK(MaySendBackup(send));
--- a/tests/silent_engine_test.cc
+++ b/tests/silent_engine_test.cc
@@ -26,7 +26,6 @@
 // keep-alive probe.
 constexpr milliseconds kTimeBeforeSilence(500);
 constexpr milliseconds kWorkTime(2800);
-constexpr std::string_view kLastChunk = "\r\n0\r\n\r\n";
 constexpr std::string_view kRoutes =
     R"({"name":"stream","host":"h.example","prefix":"/stream/","kind":"streaming","timeout_ms":5000,"target_latency_ms":600,"priority":0,"service":"chat","max_attempts":1},)"
     R"({"name":"once","host":"h.example","prefix":"/once/","kind":"non_idempotent","timeout_ms":5000,"target_latency_ms":300,"priority":2,"service":"chat","max_attempts":1})";
--- a/tests/stream_cut_for_refusal_test.cc
+++ b/tests/stream_cut_for_refusal_test.cc
@@ -49,12 +49,11 @@
   cases.push_back({"brittle", [](const auto& request) {
                      return Refuse(request, "Server-Brittle: 5\r\n");
                    }});
-  cases.push_back(
-      {"refuses late", [](const auto& request) {
-         return Script{
-             Pause{milliseconds(250)},
-             SendBytes{MakeResponse(request, 503, "", "Not-Executed: 1\r\n")}};
-       }});
+  cases.push_back({"refuses late", [](const auto& request) {
+                     Script script = Refuse(request);
+                     script.insert(script.begin(), Pause{milliseconds(250)});
+                     return script;
+                   }});
   cases.push_back({"another engine", [](const auto& request) {
                      return Script{SendBytes{MakeResponse(
                          request, 421, "", "Not-Executed: 1\r\n")}};
--- a/tests/stream_version_test.cc
+++ b/tests/stream_version_test.cc
@@ -29,7 +29,6 @@
 constexpr int kStreams = 8;
 // Within this time routers have written the versions to the store.
 constexpr milliseconds kRowTime(800);
-constexpr std::string_view kLastChunk = "\r\n0\r\n\r\n";
 
 std::string EventChunk(int id, std::string_view version) {
   const std::string event = fmt::format("id: {}\ndata: {}\n\n", id, version);
--- a/tests/support/platform_fleet.cc
+++ b/tests/support/platform_fleet.cc
@@ -56,6 +56,11 @@
 
 }  // namespace
 
+int FirstEvent(const HttpRequest& request) {
+  const std::string resume(request.headers.Find("Last-Event-Id"));
+  return resume.empty() ? 1 : std::stoi(resume) + 1;
+}
+
 std::vector<Response> SplitResponses(std::string_view text) {
   std::vector<Response> responses;
   while (true) {
--- a/tests/support/platform_fleet.h
+++ b/tests/support/platform_fleet.h
@@ -172,6 +172,12 @@
                               const std::string& more = "",
                               const std::string& body = "");
 
+/// \brief The end of a stream in chunks, behind its last event.
+inline constexpr std::string_view kLastChunk = "\r\n0\r\n\r\n";
+
+/// \returns the number of the first event that a request asks for.
+int FirstEvent(const HttpRequest& request);
+
 /// \brief A final (not 1xx) response, as far as it was read.
 struct Response {
   int status = 0;
--- a/tests/support/silent_streams.h
+++ b/tests/support/silent_streams.h
@@ -25,7 +25,6 @@
 
 inline constexpr std::chrono::milliseconds kEventInterval(60);
 inline constexpr int kEvents = 30;
-inline constexpr std::string_view kLastChunk = "\r\n0\r\n\r\n";
 /// Budget of retries of a small deployment.
 inline constexpr std::string_view kFewRetries =
     "bounds.retry_budget_ratio=0.2\nbounds.budget_extra=56\n";
@@ -42,12 +41,6 @@
   }
 };
 
-/// \returns the number of the first event that a request asks for.
-inline int FirstEvent(const HttpRequest& request) {
-  const std::string resume(request.headers.Find("Last-Event-Id"));
-  return resume.empty() ? 1 : std::stoi(resume) + 1;
-}
-
 /// \returns a stream that makes no event in the silence.
 inline emulator::Script MakeStream(const HttpRequest& request,
                                    const Silence& silence) {
--- a/tests/support/test_client.h
+++ b/tests/support/test_client.h
@@ -33,33 +33,34 @@
   }
   /// \returns all bytes until `end` has arrived or the connection has ended.
   std::string ReadUntil(std::string_view end) {
-    std::string text;
-    boost::system::error_code ended;
-    std::array<char, 4096> buffer{};
-    while (!ended && (end.empty() || text.find(end) == std::string::npos)) {
-      const auto size =
-          this->socket.read_some(boost::asio::buffer(buffer), ended);
-      text.append(buffer.data(), size);
-    }
-    return text;
+    return this->ReadWhile([end](const std::string& text) {
+      return end.empty() || text.find(end) == std::string::npos;
+    });
   }
   /// \returns all bytes until some complete responses have arrived or the
   ///          connection has ended.
   std::string ReadResponses(int count) {
+    return this->ReadWhile([count](const std::string& text) {
+      return CountResponses(text) < count;
+    });
+  }
+  /// \returns all bytes until the connection has ended.
+  std::string ReadAll() { return this->ReadUntil(""); }
+
+ private:
+  template <typename Condition>
+  std::string ReadWhile(Condition lacks_bytes) {
     std::string text;
     boost::system::error_code ended;
     std::array<char, 4096> buffer{};
-    while (!ended && CountResponses(text) < count) {
+    while (!ended && lacks_bytes(text)) {
       const auto size =
           this->socket.read_some(boost::asio::buffer(buffer), ended);
       text.append(buffer.data(), size);
     }
     return text;
   }
-  /// \returns all bytes until the connection has ended.
-  std::string ReadAll() { return this->ReadUntil(""); }
 
- private:
   boost::asio::io_context loop;
   boost::asio::ip::tcp::socket socket;
 };
--- a/tests/tunnel_fleet_test.cc
+++ b/tests/tunnel_fleet_test.cc
@@ -32,7 +32,6 @@
 constexpr milliseconds kReadIdleTimeout(30);
 constexpr milliseconds kWorkTime(800);
 constexpr milliseconds kKillTime(300);
-constexpr std::string_view kLastChunk = "\r\n0\r\n\r\n";
 // The second port of the routers' range; see `PlatformFleet`.
 constexpr std::uint16_t kTunnelPort = 18341;
 
--- a/tests/unframed_response_test.cc
+++ b/tests/unframed_response_test.cc
@@ -20,7 +20,6 @@
 
 constexpr milliseconds kReadIdleTimeout(100);
 // The last chunk of a response to a client, which marks it as complete.
-constexpr std::string_view kLastChunk = "\r\n0\r\n\r\n";
 
 std::string UnframedHead(const HttpRequest& request,
                          std::string_view content_type) {
