drawn_faults_test excuses only what an engine, the time or the client has ended (review)

A break was an excuse from the moment it was drawn, though it came only later or at an engine that was not relayed; requests in one write were excused by the time of those before them, and by 6 s whatever timeout was in force; unanswered ones by a stop long over; and a client that could not close its side was not counted. Each of these is now judged for the request itself. No check is looser.

--- a/tests/drawn_faults_test.cc
+++ b/tests/drawn_faults_test.cc
@@ -13,6 +13,7 @@
 #include <cstdlib>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <random>
 #include <sstream>
 #include <string>
@@ -42,7 +43,7 @@
 constexpr milliseconds kClientDeadline(12'000);
 // A stopping router takes new connections for 2.8 s.
 constexpr milliseconds kTimeAtStoppingRouter(2000);
-constexpr milliseconds kShortestTimeout(6000);
+constexpr milliseconds kFirstTimeout(12'000);
 // Until the last sixth of the grace (8 s).
 constexpr milliseconds kTimeToFinish(6600);
 constexpr int kDefaultSeeds = 5;
@@ -182,11 +183,34 @@
   return text;
 }
 
+// A request that an engine has begun to run.
+struct EngineRun {
+  TimePoint arrived_at{};
+  TimePoint breaks_at = TimePoint::max();  // If the engine breaks off.
+  bool answers_before = false;             // An event, before it breaks off.
+  bool IsSound() const { return this->breaks_at == TimePoint::max(); }
+};
+
 // What the engines know of one request.
 struct EngineRecord {
   int arrivals = 0;
-  int runs = 0;
-  bool broke_off = false;
+  std::vector<EngineRun> runs;
+
+  // Returns true if the client's answer may have ended, until `at`, with an
+  // engine that broke off: no sound engine got the request after that, and none
+  // before, unless the engine had begun to answer.
+  bool MayHaveBrokenOff(TimePoint at) const {
+    return std::any_of(
+        this->runs.begin(), this->runs.end(), [&](const EngineRun& broken) {
+          if (broken.breaks_at > at) return false;
+          return std::none_of(
+              this->runs.begin(), this->runs.end(),
+              [&](const EngineRun& other) {
+                const bool is_later = other.arrived_at > broken.breaks_at;
+                return other.IsSound() && (is_later || !broken.answers_before);
+              });
+        });
+  }
 };
 
 // One engine, faulty at the times drawn for it. Used on the engines' thread.
@@ -202,8 +226,12 @@
     ++record.arrivals;
     Progress progress;
     progress.at = this->Now();
-    this->Respond(request, record, progress);
-    record.broke_off = record.broke_off || progress.broke_off;
+    if (this->Respond(request, progress)) {
+      EngineRun& run = record.runs.emplace_back();
+      run.arrived_at = RuntimeClock::now();
+      run.answers_before = progress.has_answered;
+      if (progress.broke_off) run.breaks_at = this->began_at + progress.at;
+    }
     return progress.script;
   }
 
@@ -212,22 +240,22 @@
     Script script;
     Duration at{};
     bool broke_off = false;
+    bool has_answered = false;
   };
 
   Duration Now() const { return RuntimeClock::now() - this->began_at; }
 
-  void Respond(const HttpRequest& request, EngineRecord& record,
-               Progress& progress) const {
+  // Returns false if the request is refused.
+  bool Respond(const HttpRequest& request, Progress& progress) const {
     this->Wait(progress, Duration::zero());
-    if (progress.broke_off) return;
+    if (progress.broke_off) return true;
     for (const FaultWindow& window : this->windows) {
       const bool refuses = window.kind == EngineFault::kRefuses;
       if (!refuses || !window.Holds(progress.at)) continue;
       progress.script.push_back(SendBytes{MakeResponse(
           request, 503, "", "Not-Executed: 1\r\n" + window.refusal_lines)});
-      return;
+      return false;
     }
-    ++record.runs;
     const bool is_stream = request.target.starts_with("/stream/") ||
                            request.target.starts_with("/note/");
     if (is_stream) {
@@ -237,6 +265,7 @@
       const std::string id(request.headers.Find("Request-Id"));
       progress.script.push_back(SendBytes{MakeResponse(request, 200, id)});
     }
+    return true;
   }
 
   // Work of some length; what comes of it is sent when no silence holds.
@@ -272,6 +301,7 @@
     for (int id = FirstEvent(request); id <= kEvents; ++id) {
       this->Wait(progress, kEventInterval);
       if (progress.broke_off) return;
+      progress.has_answered = true;
       progress.script.push_back(SendBytes{MakeEventChunk(id)});
     }
     progress.script.push_back(SendBytes{std::string(emulator::kStreamEnd)});
@@ -288,6 +318,8 @@
   std::string target;
   int router = 1;
   TimePoint sent_at{};
+  TimePoint begins_at{};  // When the router can serve it: not before those
+                          // before it on the connection have ended.
   TimePoint ended_at{};
   bool sent_alone = false;  // Not in one write with those before it.
   Response response;
@@ -305,7 +337,7 @@
   explicit DrawnRun(std::uint64_t seed)
       : seed(seed), draw(seed), schedule(DrawSchedule(this->draw)), fleet(0) {
     this->fleet.SetMaxSlots(48);
-    this->Configure(12'000, 600, 15'000);
+    this->Configure(static_cast<int>(kFirstTimeout.count()), 600, 15'000);
     for (const auto& windows : this->schedule.engines) {
       this->engines.push_back(std::make_unique<DrawnEngine>(
           windows, this->began_at, this->records));
@@ -452,18 +484,22 @@
       std::this_thread::sleep_for(own.Time(0, 60));
       const int router = own.Number(1, kRouters);
       if (!this->IsOpen(router)) continue;
+      std::optional<TestClient> connection;
       try {
-        this->Converse(own, router, fmt::format("{}-{}-", client, n));
+        connection.emplace(this->fleet, router);
       } catch (const boost::system::system_error&) {
-        // The router has just closed its listener.
+        continue;  // The router has just closed its listener.
       }
+      this->Converse(own, *connection, router,
+                     fmt::format("{}-{}-", client, n));
     }
   }
 
   Duration Now() const { return RuntimeClock::now() - this->began_at; }
 
   // One to three requests on one connection.
-  void Converse(Draw& own, int router, const std::string& prefix) {
+  void Converse(Draw& own, TestClient& client, int router,
+                const std::string& prefix) {
     const int count = own.Number(1, 3);
     const bool in_one_write = own.Number(0, 1) == 0;
     const Duration gap = own.Time(0, 800);
@@ -482,7 +518,6 @@
     // A client that ends its side gives up all but bookings.
     const bool half_closes = count == 1 && records.back().target == "/once/" &&
                              own.Number(0, 3) == 0;
-    TestClient client(this->fleet, router);
     for (ClientRecord& record : records) {
       if (record.sent_alone) std::this_thread::sleep_for(gap);
       const bool is_get = record.target == "/any/";
@@ -497,14 +532,24 @@
     }
     if (half_closes) client.CloseSending();
     if (reads_slowly) std::this_thread::sleep_for(milliseconds(400));
-    this->Keep(records, client.ReadResponses(count));
+    std::vector<TimePoint> ends;
+    const std::string received = client.ReadWhile([&](const std::string& read) {
+      const auto whole = static_cast<std::size_t>(CountResponses(read));
+      while (ends.size() < whole) ends.push_back(RuntimeClock::now());
+      return ends.size() < records.size();
+    });
+    ends.resize(records.size(), RuntimeClock::now());
+    this->Keep(records, received, ends);
   }
 
-  void Keep(std::vector<ClientRecord>& records, std::string_view received) {
+  void Keep(std::vector<ClientRecord>& records, std::string_view received,
+            const std::vector<TimePoint>& ends) {
     const std::vector<Response> responses = SplitResponses(received);
     bool told_to_close = false;
     for (std::size_t n = 0; n < records.size(); ++n) {
-      records[n].ended_at = RuntimeClock::now();
+      records[n].begins_at = n == 0 ? records[n].sent_at
+                                    : std::max(records[n].sent_at, ends[n - 1]);
+      records[n].ended_at = ends[n];
       records[n].told_to_close = told_to_close;
       if (n >= responses.size()) continue;
       records[n].response = responses[n];
@@ -521,9 +566,11 @@
     const Response& response = record.response;
     const bool is_refusal = response.status == 503 || response.status == 429;
     if (is_refusal && response.is_whole) {
-      return engine.runs > 0 ? "refused, but has run" : "";
+      return engine.runs.empty() ? "" : "refused, but has run";
+    }
+    if (record.target == "/once/" && engine.runs.size() > 1) {
+      return "has run twice";
     }
-    if (record.target == "/once/" && engine.runs > 1) return "has run twice";
     if (response.status == 200 && response.is_whole) {
       const bool is_stream =
           record.target == "/stream/" || record.target == "/note/";
@@ -533,14 +580,17 @@
       if (!is_stream && response.body != record.id) return "another answer";
       return "";
     }
-    if (engine.broke_off || this->MayHaveRunOut(record)) return "";
+    if (engine.MayHaveBrokenOff(record.ended_at)) return "";
+    if (this->MayHaveRunOut(record)) return "";
     if (response.status == 0) return this->FaultOfUnanswered(record, engine);
     if (!response.is_whole) return "cut off";
     return "failed, though no engine did";
   }
 
   bool MayHaveRunOut(const ClientRecord& record) const {
-    if (record.ended_at - record.sent_at >= kShortestTimeout) return true;
+    if (record.ended_at - record.begins_at >= this->ShortestTimeout()) {
+      return true;
+    }
     const TimePoint stopped_at = this->stops.at(record.router - 1).stopped_at;
     if (stopped_at == TimePoint::max() ||
         record.sent_at > stopped_at + kTimeToFinish) {
@@ -549,6 +599,16 @@
     return record.ended_at >= stopped_at + kTimeToFinish;
   }
 
+  // Of the configurations that were in force.
+  Duration ShortestTimeout() const {
+    Duration shortest = kFirstTimeout;
+    for (const MaintenanceStep& step : this->schedule.steps) {
+      if (step.kind != StepKind::kConfigure) continue;
+      shortest = std::min<Duration>(shortest, milliseconds(step.timeout_ms));
+    }
+    return shortest;
+  }
+
   // Requests that cross the close of their connection are not read.
   std::string FaultOfUnanswered(const ClientRecord& record,
                                 const EngineRecord& engine) const {
@@ -559,7 +619,8 @@
     const TimePoint stopped_at = this->stops.at(record.router - 1).stopped_at;
     const bool crosses_stop =
         stopped_at != TimePoint::max() &&
-        record.sent_at > stopped_at + kTimeAtStoppingRouter;
+        record.sent_at > stopped_at + kTimeAtStoppingRouter &&
+        record.sent_at < this->stops.at(record.router - 1).back_at.load();
     if (record.sent_alone && crosses_stop) return "";
     return "no answer";
   }
--- a/tests/support/test_client.h
+++ b/tests/support/test_client.h
@@ -29,7 +29,8 @@
   }
   /// \brief Sends no more, but still reads.
   void CloseSending() {
-    this->socket.shutdown(boost::asio::socket_base::shutdown_send);
+    boost::system::error_code ended;
+    this->socket.shutdown(boost::asio::socket_base::shutdown_send, ended);
   }
   /// \returns all bytes until `end` has arrived or the connection has ended.
   std::string ReadUntil(std::string_view end) {
@@ -37,17 +38,10 @@
       return end.empty() || text.find(end) == std::string::npos;
     });
   }
-  /// \returns all bytes until some complete responses have arrived or the
-  ///          connection has ended.
-  std::string ReadResponses(int count) {
-    return this->ReadWhile([count](const std::string& text) {
-      return CountResponses(text) < count;
-    });
-  }
   /// \returns all bytes until the connection has ended.
   std::string ReadAll() { return this->ReadUntil(""); }
-
- private:
+  /// \returns all bytes until `lacks_bytes`, called with those read so far,
+  ///          returns false or the connection has ended.
   template <typename Condition>
   std::string ReadWhile(Condition lacks_bytes) {
     std::string text;
@@ -61,6 +55,7 @@
     return text;
   }
 
+ private:
   boost::asio::io_context loop;
   boost::asio::ip::tcp::socket socket;
 };
