Folders request/, peers/, store/ below dispatch, load/ below core

src/dispatch held a request's way, the exchange between routers and the store in one folder of 7.8k lines; what decides on load stood among 42 files of the core.

--- a/include/dandelionscale/core/digest_tree.h
+++ b/include/dandelionscale/core/digest_tree.h
@@ -9,7 +9,7 @@
 #include <vector>
 
 #include "dandelionscale/core/fleet_view.h"
-#include "dandelionscale/core/load_bound.h"
+#include "dandelionscale/core/load/load_bound.h"
 #include "dandelionscale/runtime/runtime_clock.h"
 
 namespace dandelionscale {
--- a/include/dandelionscale/core/engine_directory.h
+++ b/include/dandelionscale/core/engine_directory.h
@@ -14,8 +14,8 @@
 #include <vector>
 
 #include "dandelionscale/core/engine_health.h"
-#include "dandelionscale/core/engine_pause.h"
-#include "dandelionscale/core/engine_rate_limit.h"
+#include "dandelionscale/core/load/engine_pause.h"
+#include "dandelionscale/core/load/engine_rate_limit.h"
 #include "dandelionscale/core/store_version.h"
 #include "dandelionscale/runtime/runtime_clock.h"
 
--- a/include/dandelionscale/core/admission_queue.h
+++ b/include/dandelionscale/core/load/admission_queue.h
@@ -1,11 +1,11 @@
-#ifndef DANDELIONSCALE_CORE_ADMISSION_QUEUE_H_
-#define DANDELIONSCALE_CORE_ADMISSION_QUEUE_H_
+#ifndef DANDELIONSCALE_CORE_LOAD_ADMISSION_QUEUE_H_
+#define DANDELIONSCALE_CORE_LOAD_ADMISSION_QUEUE_H_
 
 #include <cstdint>
 #include <optional>
 #include <unordered_map>
 
-#include "dandelionscale/core/fair_queue.h"
+#include "dandelionscale/core/load/fair_queue.h"
 #include "dandelionscale/runtime/runtime_clock.h"
 
 namespace dandelionscale {
@@ -93,4 +93,4 @@
 
 }  // namespace dandelionscale
 
-#endif  // DANDELIONSCALE_CORE_ADMISSION_QUEUE_H_
+#endif  // DANDELIONSCALE_CORE_LOAD_ADMISSION_QUEUE_H_
--- a/include/dandelionscale/core/baseline_policy.h
+++ b/include/dandelionscale/core/load/baseline_policy.h
@@ -1,5 +1,5 @@
-#ifndef DANDELIONSCALE_CORE_BASELINE_POLICY_H_
-#define DANDELIONSCALE_CORE_BASELINE_POLICY_H_
+#ifndef DANDELIONSCALE_CORE_LOAD_BASELINE_POLICY_H_
+#define DANDELIONSCALE_CORE_LOAD_BASELINE_POLICY_H_
 
 #include <cstdint>
 #include <optional>
@@ -41,4 +41,4 @@
 
 }  // namespace dandelionscale
 
-#endif  // DANDELIONSCALE_CORE_BASELINE_POLICY_H_
+#endif  // DANDELIONSCALE_CORE_LOAD_BASELINE_POLICY_H_
--- a/include/dandelionscale/core/engine_pause.h
+++ b/include/dandelionscale/core/load/engine_pause.h
@@ -1,5 +1,5 @@
-#ifndef DANDELIONSCALE_CORE_ENGINE_PAUSE_H_
-#define DANDELIONSCALE_CORE_ENGINE_PAUSE_H_
+#ifndef DANDELIONSCALE_CORE_LOAD_ENGINE_PAUSE_H_
+#define DANDELIONSCALE_CORE_LOAD_ENGINE_PAUSE_H_
 
 #include "dandelionscale/runtime/runtime_clock.h"
 
@@ -25,4 +25,4 @@
 
 }  // namespace dandelionscale
 
-#endif  // DANDELIONSCALE_CORE_ENGINE_PAUSE_H_
+#endif  // DANDELIONSCALE_CORE_LOAD_ENGINE_PAUSE_H_
--- a/include/dandelionscale/core/fair_queue.h
+++ b/include/dandelionscale/core/load/fair_queue.h
@@ -1,5 +1,5 @@
-#ifndef DANDELIONSCALE_CORE_FAIR_QUEUE_H_
-#define DANDELIONSCALE_CORE_FAIR_QUEUE_H_
+#ifndef DANDELIONSCALE_CORE_LOAD_FAIR_QUEUE_H_
+#define DANDELIONSCALE_CORE_LOAD_FAIR_QUEUE_H_
 
 #include <cstdint>
 #include <map>
@@ -52,4 +52,4 @@
 
 }  // namespace dandelionscale
 
-#endif  // DANDELIONSCALE_CORE_FAIR_QUEUE_H_
+#endif  // DANDELIONSCALE_CORE_LOAD_FAIR_QUEUE_H_
--- a/include/dandelionscale/core/load_bound.h
+++ b/include/dandelionscale/core/load/load_bound.h
@@ -1,5 +1,5 @@
-#ifndef DANDELIONSCALE_CORE_LOAD_BOUND_H_
-#define DANDELIONSCALE_CORE_LOAD_BOUND_H_
+#ifndef DANDELIONSCALE_CORE_LOAD_LOAD_BOUND_H_
+#define DANDELIONSCALE_CORE_LOAD_LOAD_BOUND_H_
 
 #include <cstdint>
 
@@ -36,4 +36,4 @@
 
 }  // namespace dandelionscale
 
-#endif  // DANDELIONSCALE_CORE_LOAD_BOUND_H_
+#endif  // DANDELIONSCALE_CORE_LOAD_LOAD_BOUND_H_
--- a/include/dandelionscale/core/peer_load.h
+++ b/include/dandelionscale/core/load/peer_load.h
@@ -1,5 +1,5 @@
-#ifndef DANDELIONSCALE_CORE_PEER_LOAD_H_
-#define DANDELIONSCALE_CORE_PEER_LOAD_H_
+#ifndef DANDELIONSCALE_CORE_LOAD_PEER_LOAD_H_
+#define DANDELIONSCALE_CORE_LOAD_PEER_LOAD_H_
 
 #include <cstdint>
 #include <map>
@@ -58,4 +58,4 @@
 
 }  // namespace dandelionscale
 
-#endif  // DANDELIONSCALE_CORE_PEER_LOAD_H_
+#endif  // DANDELIONSCALE_CORE_LOAD_PEER_LOAD_H_
--- a/include/dandelionscale/core/placement.h
+++ b/include/dandelionscale/core/load/placement.h
@@ -1,5 +1,5 @@
-#ifndef DANDELIONSCALE_CORE_PLACEMENT_H_
-#define DANDELIONSCALE_CORE_PLACEMENT_H_
+#ifndef DANDELIONSCALE_CORE_LOAD_PLACEMENT_H_
+#define DANDELIONSCALE_CORE_LOAD_PLACEMENT_H_
 
 #include <cstdint>
 #include <optional>
@@ -86,4 +86,4 @@
 
 }  // namespace dandelionscale
 
-#endif  // DANDELIONSCALE_CORE_PLACEMENT_H_
+#endif  // DANDELIONSCALE_CORE_LOAD_PLACEMENT_H_
--- a/include/dandelionscale/core/placement_record.h
+++ b/include/dandelionscale/core/load/placement_record.h
@@ -1,8 +1,8 @@
 /// \file
 /// \brief Text form of a placement's inputs, so that the decision can be
 ///        replayed from one log line.
-#ifndef DANDELIONSCALE_CORE_PLACEMENT_RECORD_H_
-#define DANDELIONSCALE_CORE_PLACEMENT_RECORD_H_
+#ifndef DANDELIONSCALE_CORE_LOAD_PLACEMENT_RECORD_H_
+#define DANDELIONSCALE_CORE_LOAD_PLACEMENT_RECORD_H_
 
 #include <optional>
 #include <span>
@@ -10,7 +10,7 @@
 #include <string_view>
 #include <vector>
 
-#include "dandelionscale/core/placement.h"
+#include "dandelionscale/core/load/placement.h"
 
 namespace dandelionscale {
 
@@ -39,4 +39,4 @@
 
 }  // namespace dandelionscale
 
-#endif  // DANDELIONSCALE_CORE_PLACEMENT_RECORD_H_
+#endif  // DANDELIONSCALE_CORE_LOAD_PLACEMENT_RECORD_H_
--- a/include/dandelionscale/core/rate_limit_news.h
+++ b/include/dandelionscale/core/load/rate_limit_news.h
@@ -1,5 +1,5 @@
-#ifndef DANDELIONSCALE_CORE_RATE_LIMIT_NEWS_H_
-#define DANDELIONSCALE_CORE_RATE_LIMIT_NEWS_H_
+#ifndef DANDELIONSCALE_CORE_LOAD_RATE_LIMIT_NEWS_H_
+#define DANDELIONSCALE_CORE_LOAD_RATE_LIMIT_NEWS_H_
 
 #include <cstdint>
 #include <map>
@@ -24,4 +24,4 @@
 
 }  // namespace dandelionscale
 
-#endif  // DANDELIONSCALE_CORE_RATE_LIMIT_NEWS_H_
+#endif  // DANDELIONSCALE_CORE_LOAD_RATE_LIMIT_NEWS_H_
--- a/include/dandelionscale/core/rate_permits.h
+++ b/include/dandelionscale/core/load/rate_permits.h
@@ -1,5 +1,5 @@
-#ifndef DANDELIONSCALE_CORE_RATE_PERMITS_H_
-#define DANDELIONSCALE_CORE_RATE_PERMITS_H_
+#ifndef DANDELIONSCALE_CORE_LOAD_RATE_PERMITS_H_
+#define DANDELIONSCALE_CORE_LOAD_RATE_PERMITS_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -69,4 +69,4 @@
 
 }  // namespace dandelionscale
 
-#endif  // DANDELIONSCALE_CORE_RATE_PERMITS_H_
+#endif  // DANDELIONSCALE_CORE_LOAD_RATE_PERMITS_H_
--- a/include/dandelionscale/core/owner_core.h
+++ b/include/dandelionscale/core/owner_core.h
@@ -11,7 +11,7 @@
 #include <vector>
 
 #include "dandelionscale/core/fleet_view.h"
-#include "dandelionscale/core/load_bound.h"
+#include "dandelionscale/core/load/load_bound.h"
 #include "dandelionscale/core/reasons.h"
 #include "dandelionscale/core/session_memory.h"
 #include "dandelionscale/runtime/runtime_clock.h"
--- a/include/dandelionscale/dispatch/dispatch_router.h
+++ b/include/dandelionscale/dispatch/dispatch_router.h
@@ -5,7 +5,7 @@
 #include <optional>
 #include <string>
 
-#include "dandelionscale/core/fleet_retry_budget.h"
+#include "dandelionscale/core/load/fleet_retry_budget.h"
 #include "dandelionscale/dispatch/protocol_codec.h"
 #include "dandelionscale/dispatch/table_store.h"
 #include "dandelionscale/runtime/fault.h"
--- a/include/dandelionscale/router/router.h
+++ b/include/dandelionscale/router/router.h
@@ -5,7 +5,7 @@
 #include <string>
 #include <vector>
 
-#include "dandelionscale/core/baseline_policy.h"
+#include "dandelionscale/core/load/baseline_policy.h"
 #include "dandelionscale/runtime/fault.h"
 #include "dandelionscale/runtime/runtime_clock.h"
 #include "dandelionscale/runtime/settings.h"
--- a/src/core/admission_queue.cc
+++ b/src/core/load/admission_queue.cc
@@ -1,4 +1,4 @@
-#include "dandelionscale/core/admission_queue.h"
+#include "dandelionscale/core/load/admission_queue.h"
 
 #include <algorithm>
 
--- a/src/core/baseline_policy.cc
+++ b/src/core/load/baseline_policy.cc
@@ -1,4 +1,4 @@
-#include "dandelionscale/core/baseline_policy.h"
+#include "dandelionscale/core/load/baseline_policy.h"
 
 #include <algorithm>
 #include <vector>
--- a/src/core/engine_pause.cc
+++ b/src/core/load/engine_pause.cc
@@ -1,4 +1,4 @@
-#include "dandelionscale/core/engine_pause.h"
+#include "dandelionscale/core/load/engine_pause.h"
 
 #include <algorithm>
 
--- a/src/core/engine_rate_limit.cc
+++ b/src/core/load/engine_rate_limit.cc
@@ -1,4 +1,4 @@
-#include "dandelionscale/core/engine_rate_limit.h"
+#include "dandelionscale/core/load/engine_rate_limit.h"
 
 namespace dandelionscale {
 
--- a/src/core/fair_queue.cc
+++ b/src/core/load/fair_queue.cc
@@ -1,4 +1,4 @@
-#include "dandelionscale/core/fair_queue.h"
+#include "dandelionscale/core/load/fair_queue.h"
 
 #include <algorithm>
 
--- a/src/core/fleet_retry_budget.cc
+++ b/src/core/load/fleet_retry_budget.cc
@@ -1,4 +1,4 @@
-#include "dandelionscale/core/fleet_retry_budget.h"
+#include "dandelionscale/core/load/fleet_retry_budget.h"
 
 #include <algorithm>
 
--- a/src/core/load_bound.cc
+++ b/src/core/load/load_bound.cc
@@ -1,4 +1,4 @@
-#include "dandelionscale/core/load_bound.h"
+#include "dandelionscale/core/load/load_bound.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/core/peer_load.cc
+++ b/src/core/load/peer_load.cc
@@ -1,4 +1,4 @@
-#include "dandelionscale/core/peer_load.h"
+#include "dandelionscale/core/load/peer_load.h"
 
 #include <algorithm>
 
--- a/src/core/placement.cc
+++ b/src/core/load/placement.cc
@@ -1,4 +1,4 @@
-#include "dandelionscale/core/placement.h"
+#include "dandelionscale/core/load/placement.h"
 
 #include <algorithm>
 
--- a/src/core/placement_record.cc
+++ b/src/core/load/placement_record.cc
@@ -1,4 +1,4 @@
-#include "dandelionscale/core/placement_record.h"
+#include "dandelionscale/core/load/placement_record.h"
 
 #include <fmt/format.h>
 
--- a/src/core/rate_limit_news.cc
+++ b/src/core/load/rate_limit_news.cc
@@ -1,4 +1,4 @@
-#include "dandelionscale/core/rate_limit_news.h"
+#include "dandelionscale/core/load/rate_limit_news.h"
 
 #include "dandelionscale/core/digest_schedule.h"
 
--- a/src/core/rate_permits.cc
+++ b/src/core/load/rate_permits.cc
@@ -1,4 +1,4 @@
-#include "dandelionscale/core/rate_permits.h"
+#include "dandelionscale/core/load/rate_permits.h"
 
 #include <algorithm>
 
--- a/src/dispatch/decision_replay.cc
+++ b/src/dispatch/decision_replay.cc
@@ -6,9 +6,9 @@
 #include <optional>
 #include <string>
 
-#include "dandelionscale/core/admission_queue.h"
 #include "dandelionscale/core/attempt_policy.h"
-#include "dandelionscale/core/placement_record.h"
+#include "dandelionscale/core/load/admission_queue.h"
+#include "dandelionscale/core/load/placement_record.h"
 
 namespace dandelionscale {
 namespace {
--- a/src/dispatch/dispatch_state.cc
+++ b/src/dispatch/dispatch_state.cc
@@ -9,10 +9,10 @@
 #include "dandelionscale/runtime/logger.h"
 #include "dandelionscale/transport/address.h"
 #include "dispatch/engine_reports.h"
-#include "dispatch/origin_exchange.h"
-#include "dispatch/permit_exchange.h"
-#include "dispatch/request_dispatch.h"
-#include "dispatch/version_reader.h"
+#include "dispatch/peers/origin_exchange.h"
+#include "dispatch/peers/permit_exchange.h"
+#include "dispatch/request/request_dispatch.h"
+#include "dispatch/store/version_reader.h"
 #include "tunnel/tunnel_peers.h"
 
 namespace dandelionscale::internal {
--- a/src/dispatch/dispatch_state.h
+++ b/src/dispatch/dispatch_state.h
@@ -14,15 +14,15 @@
 #include <utility>
 #include <vector>
 
-#include "dandelionscale/core/admission_queue.h"
 #include "dandelionscale/core/engine_directory.h"
 #include "dandelionscale/core/engine_reachability.h"
-#include "dandelionscale/core/fleet_retry_budget.h"
+#include "dandelionscale/core/load/admission_queue.h"
+#include "dandelionscale/core/load/fleet_retry_budget.h"
+#include "dandelionscale/core/load/peer_load.h"
+#include "dandelionscale/core/load/rate_limit_news.h"
 #include "dandelionscale/core/memory_budget.h"
-#include "dandelionscale/core/peer_load.h"
 #include "dandelionscale/core/prefix_index.h"
 #include "dandelionscale/core/prefix_update_queue.h"
-#include "dandelionscale/core/rate_limit_news.h"
 #include "dandelionscale/core/request_quarantine.h"
 #include "dandelionscale/core/routing_table.h"
 #include "dandelionscale/core/software_versions.h"
--- a/src/dispatch/origin_exchange.cc
+++ b/src/dispatch/peers/origin_exchange.cc
@@ -1,4 +1,4 @@
-#include "dispatch/origin_exchange.h"
+#include "dispatch/peers/origin_exchange.h"
 
 #include "dispatch/dispatch_state.h"
 #include "dispatch_peer.pb.h"
--- a/src/dispatch/origin_exchange.h
+++ b/src/dispatch/peers/origin_exchange.h
@@ -1,8 +1,8 @@
 /// \file
 /// \brief The software versions at which streams have begun, exchanged between
 ///        routers.
-#ifndef DANDELIONSCALE_SRC_DISPATCH_ORIGIN_EXCHANGE_H_
-#define DANDELIONSCALE_SRC_DISPATCH_ORIGIN_EXCHANGE_H_
+#ifndef DANDELIONSCALE_SRC_DISPATCH_PEERS_ORIGIN_EXCHANGE_H_
+#define DANDELIONSCALE_SRC_DISPATCH_PEERS_ORIGIN_EXCHANGE_H_
 
 #include <functional>
 #include <map>
@@ -89,4 +89,4 @@
 
 }  // namespace dandelionscale::internal
 
-#endif  // DANDELIONSCALE_SRC_DISPATCH_ORIGIN_EXCHANGE_H_
+#endif  // DANDELIONSCALE_SRC_DISPATCH_PEERS_ORIGIN_EXCHANGE_H_
--- a/src/dispatch/peer_exchange.cc
+++ b/src/dispatch/peers/peer_exchange.cc
@@ -1,4 +1,4 @@
-#include "dispatch/peer_exchange.h"
+#include "dispatch/peers/peer_exchange.h"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
@@ -9,10 +9,10 @@
 #include "dandelionscale/runtime/logger.h"
 #include "dandelionscale/runtime/trace.h"
 #include "dandelionscale/transport/address.h"
-#include "dispatch/origin_exchange.h"
-#include "dispatch/peer_messages.h"
-#include "dispatch/peer_reports.h"
-#include "dispatch/permit_exchange.h"
+#include "dispatch/peers/origin_exchange.h"
+#include "dispatch/peers/peer_messages.h"
+#include "dispatch/peers/peer_reports.h"
+#include "dispatch/peers/permit_exchange.h"
 #include "transport/socket_helpers.h"
 #include "tunnel/tunnel_peers.h"
 
--- a/src/dispatch/peer_exchange.h
+++ b/src/dispatch/peers/peer_exchange.h
@@ -1,7 +1,7 @@
 /// \file
 /// \brief Exchange of load, prefix updates and store data between routers.
-#ifndef DANDELIONSCALE_SRC_DISPATCH_PEER_EXCHANGE_H_
-#define DANDELIONSCALE_SRC_DISPATCH_PEER_EXCHANGE_H_
+#ifndef DANDELIONSCALE_SRC_DISPATCH_PEERS_PEER_EXCHANGE_H_
+#define DANDELIONSCALE_SRC_DISPATCH_PEERS_PEER_EXCHANGE_H_
 
 #include <array>
 #include <boost/asio/ip/udp.hpp>
@@ -10,7 +10,7 @@
 #include <string>
 
 #include "dispatch/dispatch_state.h"
-#include "dispatch/snapshot_exchange.h"
+#include "dispatch/peers/snapshot_exchange.h"
 
 namespace dandelionscale::wire {
 class RouterDigest;
@@ -63,4 +63,4 @@
 
 }  // namespace dandelionscale::internal
 
-#endif  // DANDELIONSCALE_SRC_DISPATCH_PEER_EXCHANGE_H_
+#endif  // DANDELIONSCALE_SRC_DISPATCH_PEERS_PEER_EXCHANGE_H_
--- a/src/dispatch/peer_messages.cc
+++ b/src/dispatch/peers/peer_messages.cc
@@ -1,4 +1,4 @@
-#include "dispatch/peer_messages.h"
+#include "dispatch/peers/peer_messages.h"
 
 #include <algorithm>
 #include <chrono>
--- a/src/dispatch/peer_messages.h
+++ b/src/dispatch/peers/peer_messages.h
@@ -1,7 +1,7 @@
 /// \file
 /// \brief Conversions between messages of routers and internal types.
-#ifndef DANDELIONSCALE_SRC_DISPATCH_PEER_MESSAGES_H_
-#define DANDELIONSCALE_SRC_DISPATCH_PEER_MESSAGES_H_
+#ifndef DANDELIONSCALE_SRC_DISPATCH_PEERS_PEER_MESSAGES_H_
+#define DANDELIONSCALE_SRC_DISPATCH_PEERS_PEER_MESSAGES_H_
 
 #include <cstdint>
 #include <optional>
@@ -84,4 +84,4 @@
 
 }  // namespace dandelionscale::internal
 
-#endif  // DANDELIONSCALE_SRC_DISPATCH_PEER_MESSAGES_H_
+#endif  // DANDELIONSCALE_SRC_DISPATCH_PEERS_PEER_MESSAGES_H_
--- a/src/dispatch/peer_reports.cc
+++ b/src/dispatch/peers/peer_reports.cc
@@ -1,8 +1,8 @@
-#include "dispatch/peer_reports.h"
+#include "dispatch/peers/peer_reports.h"
 
 #include <algorithm>
 
-#include "dispatch/peer_messages.h"
+#include "dispatch/peers/peer_messages.h"
 
 namespace dandelionscale::internal {
 
--- a/src/dispatch/peer_reports.h
+++ b/src/dispatch/peers/peer_reports.h
@@ -1,7 +1,7 @@
 /// \file
 /// \brief Reports that digests and snapshots have in common.
-#ifndef DANDELIONSCALE_SRC_DISPATCH_PEER_REPORTS_H_
-#define DANDELIONSCALE_SRC_DISPATCH_PEER_REPORTS_H_
+#ifndef DANDELIONSCALE_SRC_DISPATCH_PEERS_PEER_REPORTS_H_
+#define DANDELIONSCALE_SRC_DISPATCH_PEERS_PEER_REPORTS_H_
 
 #include <google/protobuf/repeated_field.h>
 
@@ -35,4 +35,4 @@
 
 }  // namespace dandelionscale::internal
 
-#endif  // DANDELIONSCALE_SRC_DISPATCH_PEER_REPORTS_H_
+#endif  // DANDELIONSCALE_SRC_DISPATCH_PEERS_PEER_REPORTS_H_
--- a/src/dispatch/permit_exchange.cc
+++ b/src/dispatch/peers/permit_exchange.cc
@@ -1,4 +1,4 @@
-#include "dispatch/permit_exchange.h"
+#include "dispatch/peers/permit_exchange.h"
 
 #include <algorithm>
 
@@ -7,8 +7,8 @@
 #include "dandelionscale/runtime/logger.h"
 #include "dandelionscale/transport/address.h"
 #include "dispatch/dispatch_state.h"
-#include "dispatch/peer_messages.h"
-#include "dispatch/peer_reports.h"
+#include "dispatch/peers/peer_messages.h"
+#include "dispatch/peers/peer_reports.h"
 #include "transport/socket_helpers.h"
 
 namespace dandelionscale::internal {
--- a/src/dispatch/permit_exchange.h
+++ b/src/dispatch/peers/permit_exchange.h
@@ -1,8 +1,8 @@
 /// \file
 /// \brief Permits to send requests to engines that limit their rate, exchanged
 ///        between routers.
-#ifndef DANDELIONSCALE_SRC_DISPATCH_PERMIT_EXCHANGE_H_
-#define DANDELIONSCALE_SRC_DISPATCH_PERMIT_EXCHANGE_H_
+#ifndef DANDELIONSCALE_SRC_DISPATCH_PEERS_PERMIT_EXCHANGE_H_
+#define DANDELIONSCALE_SRC_DISPATCH_PEERS_PERMIT_EXCHANGE_H_
 
 #include <functional>
 #include <map>
@@ -12,7 +12,7 @@
 #include <string_view>
 
 #include "dandelionscale/core/engine_directory.h"
-#include "dandelionscale/core/rate_permits.h"
+#include "dandelionscale/core/load/rate_permits.h"
 
 namespace dandelionscale::wire {
 class PermitRequest;
@@ -96,4 +96,4 @@
 
 }  // namespace dandelionscale::internal
 
-#endif  // DANDELIONSCALE_SRC_DISPATCH_PERMIT_EXCHANGE_H_
+#endif  // DANDELIONSCALE_SRC_DISPATCH_PEERS_PERMIT_EXCHANGE_H_
--- a/src/dispatch/snapshot_exchange.cc
+++ b/src/dispatch/peers/snapshot_exchange.cc
@@ -1,4 +1,4 @@
-#include "dispatch/snapshot_exchange.h"
+#include "dispatch/peers/snapshot_exchange.h"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
@@ -9,8 +9,8 @@
 #include "dandelionscale/transport/address.h"
 #include "dandelionscale/transport/http_status.h"
 #include "dandelionscale/transport/remote_endpoint.h"
-#include "dispatch/peer_messages.h"
-#include "dispatch/peer_reports.h"
+#include "dispatch/peers/peer_messages.h"
+#include "dispatch/peers/peer_reports.h"
 
 namespace dandelionscale::internal {
 
--- a/src/dispatch/snapshot_exchange.h
+++ b/src/dispatch/peers/snapshot_exchange.h
@@ -1,7 +1,7 @@
 /// \file
 /// \brief Transfer of whole states between routers.
-#ifndef DANDELIONSCALE_SRC_DISPATCH_SNAPSHOT_EXCHANGE_H_
-#define DANDELIONSCALE_SRC_DISPATCH_SNAPSHOT_EXCHANGE_H_
+#ifndef DANDELIONSCALE_SRC_DISPATCH_PEERS_SNAPSHOT_EXCHANGE_H_
+#define DANDELIONSCALE_SRC_DISPATCH_PEERS_SNAPSHOT_EXCHANGE_H_
 
 #include <optional>
 #include <string>
@@ -67,4 +67,4 @@
 
 }  // namespace dandelionscale::internal
 
-#endif  // DANDELIONSCALE_SRC_DISPATCH_SNAPSHOT_EXCHANGE_H_
+#endif  // DANDELIONSCALE_SRC_DISPATCH_PEERS_SNAPSHOT_EXCHANGE_H_
--- a/src/dispatch/answer_beginning.cc
+++ b/src/dispatch/request/answer_beginning.cc
@@ -1,4 +1,4 @@
-#include "dispatch/answer_beginning.h"
+#include "dispatch/request/answer_beginning.h"
 
 #include <utility>
 
--- a/src/dispatch/answer_beginning.h
+++ b/src/dispatch/request/answer_beginning.h
@@ -1,8 +1,8 @@
 /// \file
 /// \brief How much of a second engine's answer is needed before the first
 ///        engine is given up for it.
-#ifndef DANDELIONSCALE_SRC_DISPATCH_ANSWER_BEGINNING_H_
-#define DANDELIONSCALE_SRC_DISPATCH_ANSWER_BEGINNING_H_
+#ifndef DANDELIONSCALE_SRC_DISPATCH_REQUEST_ANSWER_BEGINNING_H_
+#define DANDELIONSCALE_SRC_DISPATCH_REQUEST_ANSWER_BEGINNING_H_
 
 #include <optional>
 #include <string_view>
@@ -40,4 +40,4 @@
 
 }  // namespace dandelionscale::internal
 
-#endif  // DANDELIONSCALE_SRC_DISPATCH_ANSWER_BEGINNING_H_
+#endif  // DANDELIONSCALE_SRC_DISPATCH_REQUEST_ANSWER_BEGINNING_H_
--- a/src/dispatch/backup_send.h
+++ b/src/dispatch/request/backup_send.h
@@ -1,7 +1,7 @@
 /// \file
 /// \brief A second send of a request whose first engine is silent.
-#ifndef DANDELIONSCALE_SRC_DISPATCH_BACKUP_SEND_H_
-#define DANDELIONSCALE_SRC_DISPATCH_BACKUP_SEND_H_
+#ifndef DANDELIONSCALE_SRC_DISPATCH_REQUEST_BACKUP_SEND_H_
+#define DANDELIONSCALE_SRC_DISPATCH_REQUEST_BACKUP_SEND_H_
 
 #include <memory>
 #include <optional>
@@ -10,8 +10,8 @@
 
 #include "dandelionscale/core/attempt_policy.h"
 #include "dandelionscale/runtime/event.h"
-#include "dispatch/engine_exchange.h"
-#include "dispatch/engine_reservation.h"
+#include "dispatch/request/engine_exchange.h"
+#include "dispatch/request/engine_reservation.h"
 
 namespace dandelionscale::internal {
 
@@ -50,4 +50,4 @@
 
 }  // namespace dandelionscale::internal
 
-#endif  // DANDELIONSCALE_SRC_DISPATCH_BACKUP_SEND_H_
+#endif  // DANDELIONSCALE_SRC_DISPATCH_REQUEST_BACKUP_SEND_H_
--- a/src/dispatch/client_connection.cc
+++ b/src/dispatch/request/client_connection.cc
@@ -1,4 +1,4 @@
-#include "dispatch/client_connection.h"
+#include "dispatch/request/client_connection.h"
 
 #include <fmt/format.h>
 
@@ -11,9 +11,9 @@
 #include "dandelionscale/runtime/logger.h"
 #include "dandelionscale/transport/http_fields.h"
 #include "dandelionscale/transport/http_status.h"
-#include "dispatch/http_text.h"
-#include "dispatch/request_dispatch.h"
-#include "dispatch/socket_options.h"
+#include "dispatch/request/http_text.h"
+#include "dispatch/request/request_dispatch.h"
+#include "dispatch/request/socket_options.h"
 #include "transport/socket_helpers.h"
 
 namespace dandelionscale::internal {
--- a/src/dispatch/client_connection.h
+++ b/src/dispatch/request/client_connection.h
@@ -1,7 +1,7 @@
 /// \file
 /// \brief One client connection: reads requests and writes responses.
-#ifndef DANDELIONSCALE_SRC_DISPATCH_CLIENT_CONNECTION_H_
-#define DANDELIONSCALE_SRC_DISPATCH_CLIENT_CONNECTION_H_
+#ifndef DANDELIONSCALE_SRC_DISPATCH_REQUEST_CLIENT_CONNECTION_H_
+#define DANDELIONSCALE_SRC_DISPATCH_REQUEST_CLIENT_CONNECTION_H_
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -139,4 +139,4 @@
 
 }  // namespace dandelionscale::internal
 
-#endif  // DANDELIONSCALE_SRC_DISPATCH_CLIENT_CONNECTION_H_
+#endif  // DANDELIONSCALE_SRC_DISPATCH_REQUEST_CLIENT_CONNECTION_H_
--- a/src/dispatch/engine_connection_pool.cc
+++ b/src/dispatch/request/engine_connection_pool.cc
@@ -1,11 +1,11 @@
-#include "dispatch/engine_connection_pool.h"
+#include "dispatch/request/engine_connection_pool.h"
 
 #include <netinet/tcp.h>
 
 #include <algorithm>
 
 #include "dandelionscale/transport/address.h"
-#include "dispatch/socket_options.h"
+#include "dispatch/request/socket_options.h"
 #include "transport/socket_helpers.h"
 
 namespace dandelionscale::internal {
--- a/src/dispatch/engine_connection_pool.h
+++ b/src/dispatch/request/engine_connection_pool.h
@@ -1,7 +1,7 @@
 /// \file
 /// \brief Pool of connections to engines.
-#ifndef DANDELIONSCALE_SRC_DISPATCH_ENGINE_CONNECTION_POOL_H_
-#define DANDELIONSCALE_SRC_DISPATCH_ENGINE_CONNECTION_POOL_H_
+#ifndef DANDELIONSCALE_SRC_DISPATCH_REQUEST_ENGINE_CONNECTION_POOL_H_
+#define DANDELIONSCALE_SRC_DISPATCH_REQUEST_ENGINE_CONNECTION_POOL_H_
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -83,4 +83,4 @@
 
 }  // namespace dandelionscale::internal
 
-#endif  // DANDELIONSCALE_SRC_DISPATCH_ENGINE_CONNECTION_POOL_H_
+#endif  // DANDELIONSCALE_SRC_DISPATCH_REQUEST_ENGINE_CONNECTION_POOL_H_
--- a/src/dispatch/engine_exchange.cc
+++ b/src/dispatch/request/engine_exchange.cc
@@ -1,4 +1,4 @@
-#include "dispatch/engine_exchange.h"
+#include "dispatch/request/engine_exchange.h"
 
 #include <fmt/format.h>
 
@@ -8,8 +8,8 @@
 
 #include "dandelionscale/runtime/logger.h"
 #include "dandelionscale/transport/http_fields.h"
-#include "dispatch/http_text.h"
-#include "dispatch/permit_exchange.h"
+#include "dispatch/peers/permit_exchange.h"
+#include "dispatch/request/http_text.h"
 #include "engine_response/connection_reuse.h"
 #include "engine_response/response_match.h"
 #include "transport/socket_helpers.h"
--- a/src/dispatch/engine_exchange.h
+++ b/src/dispatch/request/engine_exchange.h
@@ -1,7 +1,7 @@
 /// \file
 /// \brief One request to one engine, and its response.
-#ifndef DANDELIONSCALE_SRC_DISPATCH_ENGINE_EXCHANGE_H_
-#define DANDELIONSCALE_SRC_DISPATCH_ENGINE_EXCHANGE_H_
+#ifndef DANDELIONSCALE_SRC_DISPATCH_REQUEST_ENGINE_EXCHANGE_H_
+#define DANDELIONSCALE_SRC_DISPATCH_REQUEST_ENGINE_EXCHANGE_H_
 
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -12,7 +12,7 @@
 #include "dandelionscale/core/attempt_policy.h"
 #include "dandelionscale/transport/http_types.h"
 #include "dispatch/dispatch_state.h"
-#include "dispatch/engine_connection_pool.h"
+#include "dispatch/request/engine_connection_pool.h"
 #include "engine_response/body_framing.h"
 
 namespace dandelionscale::internal {
@@ -163,4 +163,4 @@
 
 }  // namespace dandelionscale::internal
 
-#endif  // DANDELIONSCALE_SRC_DISPATCH_ENGINE_EXCHANGE_H_
+#endif  // DANDELIONSCALE_SRC_DISPATCH_REQUEST_ENGINE_EXCHANGE_H_
--- a/src/dispatch/engine_reservation.h
+++ b/src/dispatch/request/engine_reservation.h
@@ -1,7 +1,7 @@
 /// \file
 /// \brief A place at an engine for one request.
-#ifndef DANDELIONSCALE_SRC_DISPATCH_ENGINE_RESERVATION_H_
-#define DANDELIONSCALE_SRC_DISPATCH_ENGINE_RESERVATION_H_
+#ifndef DANDELIONSCALE_SRC_DISPATCH_REQUEST_ENGINE_RESERVATION_H_
+#define DANDELIONSCALE_SRC_DISPATCH_REQUEST_ENGINE_RESERVATION_H_
 
 #include <memory>
 #include <utility>
@@ -29,4 +29,4 @@
 
 }  // namespace dandelionscale::internal
 
-#endif  // DANDELIONSCALE_SRC_DISPATCH_ENGINE_RESERVATION_H_
+#endif  // DANDELIONSCALE_SRC_DISPATCH_REQUEST_ENGINE_RESERVATION_H_
--- a/src/dispatch/http_text.cc
+++ b/src/dispatch/request/http_text.cc
@@ -1,4 +1,4 @@
-#include "dispatch/http_text.h"
+#include "dispatch/request/http_text.h"
 
 #include <fmt/format.h>
 
--- a/src/dispatch/http_text.h
+++ b/src/dispatch/request/http_text.h
@@ -1,7 +1,7 @@
 /// \file
 /// \brief Formats HTTP/1.1 messages; reads and copies their header fields.
-#ifndef DANDELIONSCALE_SRC_DISPATCH_HTTP_TEXT_H_
-#define DANDELIONSCALE_SRC_DISPATCH_HTTP_TEXT_H_
+#ifndef DANDELIONSCALE_SRC_DISPATCH_REQUEST_HTTP_TEXT_H_
+#define DANDELIONSCALE_SRC_DISPATCH_REQUEST_HTTP_TEXT_H_
 
 #include <boost/beast/http/fields.hpp>
 #include <string>
@@ -40,4 +40,4 @@
 
 }  // namespace dandelionscale::internal
 
-#endif  // DANDELIONSCALE_SRC_DISPATCH_HTTP_TEXT_H_
+#endif  // DANDELIONSCALE_SRC_DISPATCH_REQUEST_HTTP_TEXT_H_
--- a/src/dispatch/request_backup.cc
+++ b/src/dispatch/request/request_backup.cc
@@ -6,8 +6,8 @@
 
 #include "dandelionscale/runtime/logger.h"
 #include "dandelionscale/transport/http_status.h"
-#include "dispatch/backup_send.h"
-#include "dispatch/request_dispatch.h"
+#include "dispatch/request/backup_send.h"
+#include "dispatch/request/request_dispatch.h"
 
 namespace dandelionscale::internal {
 
--- a/src/dispatch/request_dispatch.cc
+++ b/src/dispatch/request/request_dispatch.cc
@@ -1,4 +1,4 @@
-#include "dispatch/request_dispatch.h"
+#include "dispatch/request/request_dispatch.h"
 
 #include <fmt/format.h>
 
@@ -8,7 +8,7 @@
 #include "dandelionscale/core/request_fingerprint.h"
 #include "dandelionscale/runtime/logger.h"
 #include "dandelionscale/transport/http_status.h"
-#include "dispatch/backup_send.h"
+#include "dispatch/request/backup_send.h"
 #include "transport/socket_helpers.h"
 
 namespace dandelionscale::internal {
--- a/src/dispatch/request_dispatch.h
+++ b/src/dispatch/request/request_dispatch.h
@@ -1,7 +1,7 @@
 /// \file
 /// \brief Handling of one client request from its arrival to its response.
-#ifndef DANDELIONSCALE_SRC_DISPATCH_REQUEST_DISPATCH_H_
-#define DANDELIONSCALE_SRC_DISPATCH_REQUEST_DISPATCH_H_
+#ifndef DANDELIONSCALE_SRC_DISPATCH_REQUEST_REQUEST_DISPATCH_H_
+#define DANDELIONSCALE_SRC_DISPATCH_REQUEST_REQUEST_DISPATCH_H_
 
 #include <memory>
 #include <optional>
@@ -9,12 +9,12 @@
 #include <vector>
 
 #include "dandelionscale/core/attempt_policy.h"
-#include "dandelionscale/core/placement.h"
+#include "dandelionscale/core/load/placement.h"
 #include "dandelionscale/core/silence_policy.h"
-#include "dispatch/answer_beginning.h"
-#include "dispatch/client_connection.h"
 #include "dispatch/dispatch_state.h"
-#include "dispatch/engine_exchange.h"
+#include "dispatch/request/answer_beginning.h"
+#include "dispatch/request/client_connection.h"
+#include "dispatch/request/engine_exchange.h"
 #include "engine_response/event_splitter.h"
 #include "engine_response/unframed_body.h"
 
@@ -328,4 +328,4 @@
 
 }  // namespace dandelionscale::internal
 
-#endif  // DANDELIONSCALE_SRC_DISPATCH_REQUEST_DISPATCH_H_
+#endif  // DANDELIONSCALE_SRC_DISPATCH_REQUEST_REQUEST_DISPATCH_H_
--- a/src/dispatch/request_ending.cc
+++ b/src/dispatch/request/request_ending.cc
@@ -6,7 +6,7 @@
 #include "dandelionscale/core/hash.h"
 #include "dandelionscale/runtime/logger.h"
 #include "dandelionscale/transport/http_status.h"
-#include "dispatch/request_dispatch.h"
+#include "dispatch/request/request_dispatch.h"
 
 namespace dandelionscale::internal {
 
--- a/src/dispatch/request_placement.cc
+++ b/src/dispatch/request/request_placement.cc
@@ -5,11 +5,11 @@
 #include <algorithm>
 
 #include "dandelionscale/core/hash.h"
-#include "dandelionscale/core/placement_record.h"
+#include "dandelionscale/core/load/placement_record.h"
 #include "dandelionscale/runtime/logger.h"
 #include "dandelionscale/transport/http_status.h"
-#include "dispatch/permit_exchange.h"
-#include "dispatch/request_dispatch.h"
+#include "dispatch/peers/permit_exchange.h"
+#include "dispatch/request/request_dispatch.h"
 #include "transport/socket_helpers.h"
 
 namespace dandelionscale::internal {
--- a/src/dispatch/request_silence.cc
+++ b/src/dispatch/request/request_silence.cc
@@ -5,10 +5,10 @@
 
 #include "dandelionscale/runtime/logger.h"
 #include "dandelionscale/transport/http_status.h"
-#include "dispatch/backup_send.h"
 #include "dispatch/engine_reports.h"
-#include "dispatch/permit_exchange.h"
-#include "dispatch/request_dispatch.h"
+#include "dispatch/peers/permit_exchange.h"
+#include "dispatch/request/backup_send.h"
+#include "dispatch/request/request_dispatch.h"
 
 namespace dandelionscale::internal {
 
--- a/src/dispatch/response_relay.cc
+++ b/src/dispatch/request/response_relay.cc
@@ -3,7 +3,7 @@
 
 #include "dandelionscale/runtime/logger.h"
 #include "dandelionscale/transport/http_status.h"
-#include "dispatch/request_dispatch.h"
+#include "dispatch/request/request_dispatch.h"
 #include "engine_response/following_response.h"
 
 namespace dandelionscale::internal {
--- a/src/dispatch/socket_options.cc
+++ b/src/dispatch/request/socket_options.cc
@@ -1,4 +1,4 @@
-#include "dispatch/socket_options.h"
+#include "dispatch/request/socket_options.h"
 
 #include <netinet/tcp.h>
 
--- a/src/dispatch/socket_options.h
+++ b/src/dispatch/request/socket_options.h
@@ -1,7 +1,7 @@
 /// \file
 /// \brief Options of TCP connections to clients and engines.
-#ifndef DANDELIONSCALE_SRC_DISPATCH_SOCKET_OPTIONS_H_
-#define DANDELIONSCALE_SRC_DISPATCH_SOCKET_OPTIONS_H_
+#ifndef DANDELIONSCALE_SRC_DISPATCH_REQUEST_SOCKET_OPTIONS_H_
+#define DANDELIONSCALE_SRC_DISPATCH_REQUEST_SOCKET_OPTIONS_H_
 
 #include <boost/asio/ip/tcp.hpp>
 
@@ -13,4 +13,4 @@
 
 }  // namespace dandelionscale::internal
 
-#endif  // DANDELIONSCALE_SRC_DISPATCH_SOCKET_OPTIONS_H_
+#endif  // DANDELIONSCALE_SRC_DISPATCH_REQUEST_SOCKET_OPTIONS_H_
--- a/src/dispatch/stream_resumption.cc
+++ b/src/dispatch/request/stream_resumption.cc
@@ -4,9 +4,9 @@
 
 #include "dandelionscale/runtime/logger.h"
 #include "dandelionscale/transport/http_status.h"
-#include "dispatch/origin_exchange.h"
-#include "dispatch/request_dispatch.h"
-#include "dispatch/version_reader.h"
+#include "dispatch/peers/origin_exchange.h"
+#include "dispatch/request/request_dispatch.h"
+#include "dispatch/store/version_reader.h"
 
 namespace dandelionscale::internal {
 
--- a/src/dispatch/store_watcher.cc
+++ b/src/dispatch/store/store_watcher.cc
@@ -1,4 +1,4 @@
-#include "dispatch/store_watcher.h"
+#include "dispatch/store/store_watcher.h"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
@@ -9,8 +9,8 @@
 #include "dandelionscale/runtime/trace.h"
 #include "dandelionscale/transport/address.h"
 #include "dandelionscale/transport/remote_endpoint.h"
-#include "dispatch/peer_messages.h"
-#include "dispatch/version_reader.h"
+#include "dispatch/peers/peer_messages.h"
+#include "dispatch/store/version_reader.h"
 
 namespace dandelionscale::internal {
 
--- a/src/dispatch/store_watcher.h
+++ b/src/dispatch/store/store_watcher.h
@@ -1,7 +1,7 @@
 /// \file
 /// \brief Reads configuration, engines and peers from the store.
-#ifndef DANDELIONSCALE_SRC_DISPATCH_STORE_WATCHER_H_
-#define DANDELIONSCALE_SRC_DISPATCH_STORE_WATCHER_H_
+#ifndef DANDELIONSCALE_SRC_DISPATCH_STORE_STORE_WATCHER_H_
+#define DANDELIONSCALE_SRC_DISPATCH_STORE_STORE_WATCHER_H_
 
 #include <functional>
 #include <memory>
@@ -76,4 +76,4 @@
 
 }  // namespace dandelionscale::internal
 
-#endif  // DANDELIONSCALE_SRC_DISPATCH_STORE_WATCHER_H_
+#endif  // DANDELIONSCALE_SRC_DISPATCH_STORE_STORE_WATCHER_H_
--- a/src/dispatch/version_reader.cc
+++ b/src/dispatch/store/version_reader.cc
@@ -1,4 +1,4 @@
-#include "dispatch/version_reader.h"
+#include "dispatch/store/version_reader.h"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
--- a/src/dispatch/version_reader.h
+++ b/src/dispatch/store/version_reader.h
@@ -1,8 +1,8 @@
 /// \file
 /// \brief Reads from the store at which software versions streams may have
 ///        begun.
-#ifndef DANDELIONSCALE_SRC_DISPATCH_VERSION_READER_H_
-#define DANDELIONSCALE_SRC_DISPATCH_VERSION_READER_H_
+#ifndef DANDELIONSCALE_SRC_DISPATCH_STORE_VERSION_READER_H_
+#define DANDELIONSCALE_SRC_DISPATCH_STORE_VERSION_READER_H_
 
 #include <functional>
 #include <memory>
@@ -49,4 +49,4 @@
 
 }  // namespace dandelionscale::internal
 
-#endif  // DANDELIONSCALE_SRC_DISPATCH_VERSION_READER_H_
+#endif  // DANDELIONSCALE_SRC_DISPATCH_STORE_VERSION_READER_H_
--- a/src/tunnel/engine_connector.h
+++ b/src/tunnel/engine_connector.h
@@ -7,7 +7,7 @@
 #include <string>
 
 #include "dispatch/dispatch_state.h"
-#include "dispatch/engine_connection_pool.h"
+#include "dispatch/request/engine_connection_pool.h"
 #include "tunnel/reachability_monitor.h"
 #include "tunnel/tunnel_client.h"
 #include "tunnel/tunnel_server.h"
--- a/src/tunnel/reachability_monitor.h
+++ b/src/tunnel/reachability_monitor.h
@@ -10,7 +10,7 @@
 
 #include "dandelionscale/core/engine_reachability.h"
 #include "dispatch/dispatch_state.h"
-#include "dispatch/engine_connection_pool.h"
+#include "dispatch/request/engine_connection_pool.h"
 
 namespace dandelionscale::internal {
 
--- a/src/tunnel/tunnel_client.cc
+++ b/src/tunnel/tunnel_client.cc
@@ -11,8 +11,8 @@
 #include "dandelionscale/runtime/logger.h"
 #include "dandelionscale/transport/address.h"
 #include "dandelionscale/transport/http_status.h"
-#include "dispatch/http_text.h"
-#include "dispatch/socket_options.h"
+#include "dispatch/request/http_text.h"
+#include "dispatch/request/socket_options.h"
 #include "transport/socket_helpers.h"
 
 namespace dandelionscale::internal {
--- a/src/tunnel/tunnel_server.cc
+++ b/src/tunnel/tunnel_server.cc
@@ -14,8 +14,8 @@
 
 #include "dandelionscale/core/hash.h"
 #include "dandelionscale/runtime/logger.h"
-#include "dispatch/http_text.h"
-#include "dispatch/socket_options.h"
+#include "dispatch/request/http_text.h"
+#include "dispatch/request/socket_options.h"
 #include "transport/socket_helpers.h"
 
 namespace dandelionscale::internal {
--- a/src/tunnel/tunnel_server.h
+++ b/src/tunnel/tunnel_server.h
@@ -10,7 +10,7 @@
 #include <unordered_map>
 
 #include "dispatch/dispatch_state.h"
-#include "dispatch/engine_connection_pool.h"
+#include "dispatch/request/engine_connection_pool.h"
 #include "tunnel/tunnel_message.h"
 
 namespace dandelionscale::internal {
--- a/tests/admission_queue_test.cc
+++ b/tests/admission_queue_test.cc
@@ -1,5 +1,5 @@
 // Waiting, refusal and order of service of requests while no engine has room.
-#include "dandelionscale/core/admission_queue.h"
+#include "dandelionscale/core/load/admission_queue.h"
 
 #include <catch2/catch.hpp>
 #include <map>
--- a/tests/fair_queue_test.cc
+++ b/tests/fair_queue_test.cc
@@ -1,5 +1,5 @@
 // Order of service of waiting requests.
-#include "dandelionscale/core/fair_queue.h"
+#include "dandelionscale/core/load/fair_queue.h"
 
 #include <catch2/catch.hpp>
 #include <map>
--- a/tests/fleet_retry_budget_test.cc
+++ b/tests/fleet_retry_budget_test.cc
@@ -1,5 +1,5 @@
 // Retries of all routers stay within the fleet's budget without coordination.
-#include "dandelionscale/core/fleet_retry_budget.h"
+#include "dandelionscale/core/load/fleet_retry_budget.h"
 
 #include <catch2/catch.hpp>
 #include <random>
--- a/tests/load_bound_test.cc
+++ b/tests/load_bound_test.cc
@@ -1,13 +1,13 @@
 // The load bound of an engine, and how owners place requests at the bound.
-#include "dandelionscale/core/load_bound.h"
+#include "dandelionscale/core/load/load_bound.h"
 
 #include <rapidcheck.h>
 
 #include <algorithm>
 #include <catch2/catch.hpp>
 
-#include "dandelionscale/core/baseline_policy.h"
 #include "dandelionscale/core/hash.h"
+#include "dandelionscale/core/load/baseline_policy.h"
 #include "dandelionscale/core/owner_core.h"
 #include "load_monitor.h"
 
--- a/tests/peer_load_test.cc
+++ b/tests/peer_load_test.cc
@@ -1,6 +1,6 @@
 // Load reports between routers that arrive late, repeated or reordered, or are
 // lost.
-#include "dandelionscale/core/peer_load.h"
+#include "dandelionscale/core/load/peer_load.h"
 
 #include <rapidcheck.h>
 
--- a/tests/placement_test.cc
+++ b/tests/placement_test.cc
@@ -1,6 +1,6 @@
 // Choice of an engine for a request: single decisions, and simulations of load
 // patterns that are difficult to balance.
-#include "dandelionscale/core/placement.h"
+#include "dandelionscale/core/load/placement.h"
 
 #include <rapidcheck.h>
 
@@ -8,7 +8,7 @@
 #include <numeric>
 
 #include "dandelionscale/core/hash.h"
-#include "dandelionscale/core/placement_record.h"
+#include "dandelionscale/core/load/placement_record.h"
 #include "tests/support/engine_simulator.h"
 
 namespace dandelionscale::tests {
--- a/tests/rate_permits_test.cc
+++ b/tests/rate_permits_test.cc
@@ -1,7 +1,7 @@
 // How many requests a fleet sends to an engine that limits its rate, in a model
 // of routers that ask the engine's issuer for permits: the limit is kept while
 // issuers fail and come back, and it is used.
-#include "dandelionscale/core/rate_permits.h"
+#include "dandelionscale/core/load/rate_permits.h"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
@@ -10,7 +10,7 @@
 #include <set>
 
 #include "dandelionscale/core/digest_schedule.h"
-#include "dandelionscale/core/engine_rate_limit.h"
+#include "dandelionscale/core/load/engine_rate_limit.h"
 #include "tests/support/rate_limit_rule.h"
 
 namespace dandelionscale {
--- a/tests/store_watcher_test.cc
+++ b/tests/store_watcher_test.cc
@@ -1,6 +1,6 @@
 // Tests how a router handles the store's responses while its role changes. The
 // clock is paused and advanced by the tests.
-#include "dispatch/store_watcher.h"
+#include "dispatch/store/store_watcher.h"
 
 #include <algorithm>
 #include <boost/asio/io_context.hpp>
@@ -8,7 +8,7 @@
 #include <map>
 #include <set>
 
-#include "dispatch/peer_messages.h"
+#include "dispatch/peers/peer_messages.h"
 #include "platform/platform_codec.h"
 
 namespace dandelionscale::internal {
--- a/tests/support/engine_simulator.h
+++ b/tests/support/engine_simulator.h
@@ -12,7 +12,7 @@
 #include <set>
 #include <vector>
 
-#include "dandelionscale/core/placement.h"
+#include "dandelionscale/core/load/placement.h"
 #include "dandelionscale/core/prefix_index.h"
 
 namespace dandelionscale::tests {
