Decode Instance-Load with a pace, Token-Count and Length-Hint

An Instance-Load with four values, as newer engines send it, was discarded as a whole. It is now decoded with slots and pace; what can't be read is counted (engine_loads_malformed_total) and logged once an engine. Token-Count and Length-Hint are decoded for estimates of a request's work and still forwarded. No decision uses them yet.

--- a/include/dandelionscale/dispatch/protocol_codec.h
+++ b/include/dandelionscale/dispatch/protocol_codec.h
@@ -28,6 +28,10 @@
   /// Hash of model and all prompt parts, the last one included; 0 if there is
   /// no prompt.
   std::uint64_t prompt_key = 0;
+  std::optional<std::uint32_t> prompt_tokens;
+  std::optional<std::uint32_t> max_output_tokens;
+  /// The client's estimate; often wrong by a factor.
+  std::optional<std::uint32_t> expected_output_tokens;
   /// Id of the last stream event that the client has received.
   std::string resume_after;
   /// Id of the client's request that brought the first event of the stream to
@@ -53,6 +57,10 @@
 struct ReportedLoad {
   std::uint32_t running = 0;  ///< Requests that the engine is processing.
   std::uint32_t waiting = 0;  ///< Requests in the engine's queue.
+  std::uint32_t slots = 0;    ///< Requests that it can process at a time.
+  /// How long work takes at the moment, in percent of the usual time; none if
+  /// it is not stated.
+  std::optional<double> pace;
 };
 
 /// \brief The head of an engine's response, independent of the wire format.
@@ -68,7 +76,8 @@
   /// produced. Such a success response is rejected.
   bool has_content_encoding = false;
   std::optional<ReportedLoad> load;
-  bool leaving = false;  ///< The engine is shutting down.
+  bool has_malformed_load = false;  ///< It is stated, but can't be read.
+  bool leaving = false;             ///< The engine is shutting down.
   /// The engine wants no requests from this router for this time.
   std::optional<Duration> requested_pause;
   bool has_malformed_pause = false;  ///< The requested time is not a number.
--- a/src/dispatch/dispatch_state.cc
+++ b/src/dispatch/dispatch_state.cc
@@ -272,6 +272,10 @@
   if (response.has_malformed_pause) {
     this->WarnOnce("engine_pause_malformed", engine);
   }
+  if (response.has_malformed_load) {
+    this->metrics.Add("engine_loads_malformed_total");
+    this->WarnOnce("engine_load_malformed", engine);
+  }
 }
 
 void DispatchState::OnCarriedPause(const Engine& engine,
--- a/tests/platform_translation_test.cc
+++ b/tests/platform_translation_test.cc
@@ -164,6 +164,9 @@
   CHECK_FALSE(ok.not_run);
   REQUIRE(ok.load);
   CHECK(ok.load->running == 3);
+  CHECK(ok.load->waiting == 1);
+  CHECK(ok.load->slots == 8);
+  CHECK_FALSE(ok.load->pace);
   CHECK(ok.end_to_end.Find("Response-Seal") == "s");
   CHECK(ok.end_to_end.Find("Content-Length").empty());
   CHECK(codec.DecodeResponse(503, {{"Not-Executed", "1"}}).not_run);
@@ -173,6 +176,60 @@
             .has_content_encoding);
 }
 
+// Guards against the loss of the whole report when engines add a value to it.
+TEST_CASE("an engine's load is decoded with and without its pace") {
+  const PlatformCodec codec;
+  const auto decode = [&](std::string_view text) {
+    return codec.DecodeResponse(200, {{"Instance-Load", std::string(text)}});
+  };
+  const EngineResponse paced = decode("3, 1, 8, 250");
+  REQUIRE(paced.load);
+  CHECK(paced.load->slots == 8);
+  CHECK(paced.load->pace == 250.0);
+  CHECK(decode("3,1,8,99.5").load->pace == 99.5);
+  // HTTP ignores empty items of a list.
+  CHECK(decode("3,1,8,").load);
+  CHECK_FALSE(decode("").has_malformed_load);
+  CHECK_FALSE(codec.DecodeResponse(200, {}).has_malformed_load);
+  for (const char* text :
+       {"3", "3,1", "3,1,8,100,1", "3,1,x", "3,1,8,x", "3,1,8,-1", "3,1,8,nan",
+        ",,", "-3,1,8", "3.5,1,8", "99999999999,1,8"}) {
+    CAPTURE(text);
+    CHECK_FALSE(decode(text).load);
+    CHECK(decode(text).has_malformed_load);
+  }
+}
+
+TEST_CASE("token counts and the length hint are decoded and forwarded") {
+  const PlatformCodec codec;
+  const auto decode = [&](const char* counts, const char* hint) {
+    HttpRequest http = ClientHttp();
+    http.headers.Add("Token-Count", counts);
+    http.headers.Add("Length-Hint", hint);
+    return codec.DecodeRequest(http);
+  };
+  const ClientRequest request = decode("900,40", "17");
+  CHECK(request.prompt_tokens == 900U);
+  CHECK(request.max_output_tokens == 40U);
+  CHECK(request.expected_output_tokens == 17U);
+  const HttpHeaders sent = codec.EncodeEngineRequest(
+      request, {"e1", std::chrono::milliseconds(900), "t1", 2, "", ""});
+  CHECK(sent.Find("Token-Count") == "900,40");
+  CHECK(sent.Find("Length-Hint") == "17");
+  CHECK(decode("900,40", "16.6").expected_output_tokens == 17U);
+  CHECK(decode("900,40", "1e30").expected_output_tokens == 4294967295U);
+  for (const char* text : {"", "900", "900,", "x,40", "900,40,1", "-1,40"}) {
+    CAPTURE(text);
+    CHECK_FALSE(decode(text, "17").prompt_tokens);
+    CHECK_FALSE(decode(text, "17").max_output_tokens);
+  }
+  for (const char* text : {"", "x", "-1", "nan", "inf"}) {
+    CAPTURE(text);
+    CHECK_FALSE(decode("900,40", text).expected_output_tokens);
+  }
+  CHECK_FALSE(codec.DecodeRequest(ClientHttp()).prompt_tokens);
+}
+
 TEST_CASE(
     "a configuration is decoded; one with a malformed route is rejected") {
   const auto table = DecodeTable(kConfiguration);
