A stopping router takes what it can finish and refuses the rest at once

Cause: after SIGTERM a router took every request for 2.8 s, also streams that can't end within the grace, and cut them at its end; after that it refused calls of some milliseconds only because their clients would have waited longer. Change: a request that arrives after SIGTERM is refused (503, nothing sent) if the conservative estimate of its service ends after the last answers and its own time limit too. Requests read before SIGTERM are served as before. One that was taken is judged again before each look for an engine while it waits or after an engine has turned it away. Without an estimate the earlier rule holds. request_while_draining and draining_requests_total tell each decision.

--- a/src/dispatch/dispatch_router.cc
+++ b/src/dispatch/dispatch_router.cc
@@ -247,6 +247,7 @@
   const TimePoint end =
       began + this->state.options.shutdown_grace - kGraceMargin;
   this->state.draining = true;
+  this->state.draining_since = began;
   this->state.answers_end_at = end;
   this->state.refusals_begin_at = began + kBalancerDelay;
   for (internal::RequestDispatch* request : this->state.requests) {
--- a/src/dispatch/dispatch_state.h
+++ b/src/dispatch/dispatch_state.h
@@ -20,6 +20,7 @@
 #include "dandelionscale/core/load/fleet_retry_budget.h"
 #include "dandelionscale/core/load/peer_load.h"
 #include "dandelionscale/core/load/rate_limit_news.h"
+#include "dandelionscale/core/load/service_times.h"
 #include "dandelionscale/core/memory_budget.h"
 #include "dandelionscale/core/prefix_index.h"
 #include "dandelionscale/core/prefix_update_queue.h"
@@ -51,12 +52,13 @@
   TimePoint until{};
 };
 
-/// \brief Queue and retry budget of one service.
+/// \brief Queue, retry budget and observed answer times of one service.
 struct ServiceState {
   explicit ServiceState(RetryBudgetLimits budget_limits)
       : budget(budget_limits) {}
   AdmissionQueue queue;
   FleetRetryBudget budget;
+  ServiceTimes times;
 };
 
 /// \brief When a peer was last known to be alive.
@@ -233,10 +235,13 @@
   MemoryBudget request_memory;   ///< For the bodies of all requests.
   MemoryBudget response_memory;  ///< For all responses that are buffered.
   bool draining = false;         ///< The router is shutting down.
+  /// While it is: since when. Requests that arrive later are taken only if they
+  /// are expected to be answered in time.
+  TimePoint draining_since = TimePoint::max();
   /// While it is: when the last answers are to be ready.
   TimePoint answers_end_at = TimePoint::max();
-  /// While it is: requests that arrive later are taken only if they are sure to
-  /// be answered by then.
+  /// While it is: requests that arrive later, and whose time nothing is known
+  /// of, are taken only if their own timeout ends before that.
   TimePoint refusals_begin_at = TimePoint::max();
 
  private:
--- a/src/dispatch/log_explanation.cc
+++ b/src/dispatch/log_explanation.cc
@@ -61,6 +61,9 @@
        "request in time; it was not run"},
       {"no_room", "no engine had room while the request waited"},
       {"no_engine", "no engine of the service could be used"},
+      {"shutting_down",
+       "the router was shutting down and could not be expected to answer the "
+       "request before its end; it was not run"},
       {"deadline", "the client's deadline or the route's timeout passed"},
       {"no_answer",
        "the connection to the engine broke after the request was "
--- a/src/dispatch/request/request_dispatch.cc
+++ b/src/dispatch/request/request_dispatch.cc
@@ -70,6 +70,7 @@
     auto failure = co_await this->Attempt(engine);
     this->OnAttemptEnded(*engine, failure);
     if (!failure) {
+      this->ObserveTimes();
       this->LogOutcome("answered", this->status, "");
       co_return;
     }
@@ -146,10 +147,6 @@
     co_return false;
   }
   this->timeout = this->route->timeout;
-  if (this->MayOutliveRouter()) {
-    co_await this->Refuse(http_status::kServiceUnavailable, "shutting_down");
-    co_return false;
-  }
   this->request_key = HashText(this->decoded.id);
   if (!this->decoded.prefix.empty()) {
     this->affinity_key = this->decoded.prefix.back().key;
@@ -162,6 +159,15 @@
   this->service =
       ChooseService(*this->route, this->affinity_key != 0 ? this->affinity_key
                                                           : this->request_key);
+  this->work = this->EstimateWork();
+  if (this->arrived_at >= this->state.draining_since) {
+    const ShutdownForecast forecast = this->ForecastShutdown();
+    this->LogForecast(forecast);
+    if (forecast.may_outlive_router) {
+      co_await this->Refuse(http_status::kServiceUnavailable, "shutting_down");
+      co_return false;
+    }
+  }
   this->state.Service(this->service).budget.OnRequest(this->arrived_at);
   this->state.metrics.Add("requests_total");
   co_return true;
@@ -347,9 +353,77 @@
   return false;
 }
 
-bool RequestDispatch::MayOutliveRouter() const {
-  return this->arrived_at >= this->state.refusals_begin_at &&
-         this->OwnDeadline() > this->state.answers_end_at;
+RequestWork RequestDispatch::EstimateWork() const {
+  RequestWork estimate;
+  estimate.is_stream = this->route->kind == RouteKind::kStreaming;
+  estimate.expected_output = this->decoded.expected_output_tokens;
+  estimate.max_output = this->decoded.max_output_tokens;
+  const std::uint32_t prompt = this->decoded.prompt_tokens.value_or(0);
+  if (prompt == 0) return estimate;
+  // An engine that has cached most of the prompt usually gets the request.
+  const std::vector<PrefixMatch> matches =
+      this->state.prefixes.FindMatches(this->arrived_at, this->decoded.prefix);
+  const std::uint32_t cached = matches.empty() ? 0 : matches.front().tokens;
+  estimate.uncached_tokens = prompt - std::min(prompt, cached);
+  return estimate;
+}
+
+void RequestDispatch::ObserveTimes() {
+  // The rest of a stream tells nothing of whole ones, nor an error of answers.
+  if (this->IsResumption()) return;
+  if (!http_status::IsBelowRedirection(this->status)) return;
+  const TimePoint now = RuntimeClock::now();
+  ServiceTimes& times = this->state.Service(this->service).times;
+  if (!this->work.is_stream) {
+    times.OnCallAnswered(now - this->arrived_at);
+  } else if (this->events.EventCount() > 0) {
+    times.OnStreamAnswered(
+        this->work, {this->first_event_at - this->arrived_at,
+                     now - this->first_event_at, this->events.EventCount()});
+  }
+}
+
+RequestDispatch::ShutdownForecast RequestDispatch::ForecastShutdown() const {
+  ShutdownForecast forecast;
+  // What has arrived before is served, however long it takes.
+  if (this->arrived_at < this->state.draining_since) return forecast;
+  forecast.estimate =
+      this->state.Service(this->service).times.ConservativeEstimate(this->work);
+  if (this->OwnDeadline() <= this->state.answers_end_at) return forecast;
+  forecast.may_outlive_router =
+      forecast.estimate ? RuntimeClock::now() + *forecast.estimate >
+                              this->state.answers_end_at
+                        : this->arrived_at >= this->state.refusals_begin_at;
+  return forecast;
+}
+
+void RequestDispatch::LogForecast(const ShutdownForecast& forecast) const {
+  const bool taken = !forecast.may_outlive_router;
+  this->state.metrics.Add(
+      fmt::format("draining_requests_total{{decision=\"{}\",estimated=\"{}\"}}",
+                  taken ? "taken" : "refused", forecast.estimate.has_value()));
+  const TimePoint now = RuntimeClock::now();
+  const ServiceTimes& times = this->state.Service(this->service).times;
+  Logger::Info(
+      "request_while_draining",
+      {{"request", this->decoded.id},
+       {"service", this->service},
+       {"taken", taken},
+       {"estimate_ms", forecast.estimate ? ToMilliseconds(*forecast.estimate)
+                                         : std::int64_t{-1}},
+       {"observations", ToInt64(times.Observations(this->work))},
+       {"uncached_tokens", ToInt64(this->work.uncached_tokens)},
+       {"expected_output", ToInt64(this->work.expected_output.value_or(0))},
+       {"max_output", ToInt64(this->work.max_output.value_or(0))},
+       {"router_ends_ms", ToMilliseconds(this->state.answers_end_at - now)},
+       {"time_left_ms", ToMilliseconds(this->OwnDeadline() - now)}});
+}
+
+bool RequestDispatch::IsTooLateToBegin() const {
+  if (this->may_have_run || this->stream_started) return false;
+  const ShutdownForecast forecast = this->ForecastShutdown();
+  if (forecast.may_outlive_router) this->LogForecast(forecast);
+  return forecast.may_outlive_router;
 }
 
 TimePoint RequestDispatch::OwnDeadline() const {
--- a/src/dispatch/request/request_dispatch.h
+++ b/src/dispatch/request/request_dispatch.h
@@ -10,6 +10,7 @@
 
 #include "dandelionscale/core/attempt_policy.h"
 #include "dandelionscale/core/load/placement.h"
+#include "dandelionscale/core/load/service_times.h"
 #include "dandelionscale/core/silence_policy.h"
 #include "dispatch/dispatch_state.h"
 #include "dispatch/request/answer_beginning.h"
@@ -245,8 +246,22 @@
   Awaitable<void> SendError(unsigned status,
                             std::optional<Duration> retry_after);
 
-  // Returns true if the router may end before the request has its response.
-  bool MayOutliveRouter() const;
+  // What the request asks of an engine, as far as it can be known on arrival.
+  RequestWork EstimateWork() const;
+  // Records how long the answer has taken.
+  void ObserveTimes();
+  // Whether the request can be answered before a router that shuts down ends.
+  struct ShutdownForecast {
+    bool may_outlive_router = false;
+    /// Until the end of the answer; none if nothing is known of the service.
+    std::optional<Duration> estimate;
+  };
+  ShutdownForecast ForecastShutdown() const;
+  // Logs and counts the decision for a request that arrives during a shutdown.
+  void LogForecast(const ShutdownForecast& forecast) const;
+  // Returns true if a request that has not run is to be refused, since waiting
+  // or failed sends have left it too little time before the router ends.
+  bool IsTooLateToBegin() const;
   // The earlier one of the client's timeout and the route's.
   TimePoint OwnDeadline() const;
   // The same, but not after the end of a router that shuts down, unless a
@@ -289,7 +304,9 @@
 
   TimePoint arrived_at;
   TimePoint client_deadline;
-  Duration timeout{};  ///< Of the route, in the newest routing table.
+  RequestWork work;
+  TimePoint first_event_at{};  ///< When the stream began.
+  Duration timeout{};          ///< Of the route, in the newest routing table.
   Watchdog::Guard timeout_guard;
   /// When to look at an engine that sends nothing.
   TimePoint silence_check_at = TimePoint::max();
--- a/src/dispatch/request/request_placement.cc
+++ b/src/dispatch/request/request_placement.cc
@@ -40,6 +40,10 @@
     co_await this->FinishUnplaced("quarantined");
     co_return nullptr;
   }
+  if (!this->tried_engine_keys.empty() && this->IsTooLateToBegin()) {
+    co_await this->FinishUnplaced("shutting_down");
+    co_return nullptr;
+  }
   std::shared_ptr<Engine> engine = co_await this->TryPlace();
   if (engine) co_return engine;
   co_return co_await this->WaitForEngine();
@@ -197,11 +201,12 @@
     co_return nullptr;
   }
   this->wait_timer = std::make_unique<Timer>(this->state.executor);
-  bool quarantined = false;
+  std::string_view reason = "no_room";
   while (RuntimeClock::now() < grant->until &&
          this->interruption == Interruption::kNone) {
-    quarantined = this->IsQuarantined();
-    if (quarantined) break;
+    if (this->IsQuarantined()) reason = "quarantined";
+    if (this->IsTooLateToBegin()) reason = "shutting_down";
+    if (reason != "no_room") break;
     if (queue.IsFirst(grant->ticket)) {
       if (auto engine = co_await this->TryPlace()) {
         queue.OnPlaced(RuntimeClock::now(), grant->ticket);
@@ -216,7 +221,7 @@
   if (this->interruption == Interruption::kClientGone) {
     co_await this->FinishForGoneClient("waiting");
   } else {
-    co_await this->FinishUnplaced(quarantined ? "quarantined" : "no_room");
+    co_await this->FinishUnplaced(reason);
   }
   co_return nullptr;
 }
--- a/src/dispatch/request/response_relay.cc
+++ b/src/dispatch/request/response_relay.cc
@@ -216,8 +216,9 @@
   if (this->stream_started) co_return co_await this->client.SendData(events);
   this->stream_started = true;
   this->OnStreamBegun();
+  this->first_event_at = RuntimeClock::now();
   this->state.metrics.ObserveLatency("first_event_seconds",
-                                     RuntimeClock::now() - this->arrived_at);
+                                     this->first_event_at - this->arrived_at);
   co_return co_await this->client.StartStream(
       this->exchange->Response().status, this->exchange->Response().end_to_end,
       events);
--- a/tests/shutdown_grace_test.cc
+++ b/tests/shutdown_grace_test.cc
@@ -8,7 +8,10 @@
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
+#include <future>
+#include <set>
 #include <thread>
+#include <vector>
 
 #include "tests/support/platform_fleet.h"
 #include "tests/support/process_fleet.h"
@@ -22,6 +25,7 @@
 using emulator::MakeStreamHead;
 using emulator::Pause;
 using emulator::Script;
+using emulator::ScriptMaker;
 using emulator::SendBytes;
 using std::chrono::milliseconds;
 
@@ -161,5 +165,233 @@
   CHECK(fleet.WaitForExit(1) == 0);
 }
 
+constexpr milliseconds kTokenTime(25);
+constexpr int kPatientDeadlineMs = 15'000;
+constexpr std::string_view kLongRoutes =
+    R"({"name":"stream","host":"h.example","prefix":"/stream/","kind":"streaming","timeout_ms":15000,"target_latency_ms":600,"priority":0,"service":"chat","max_attempts":2,"stream_resume":true},)"
+    R"({"name":"once","host":"h.example","prefix":"/once/","kind":"non_idempotent","timeout_ms":15000,"target_latency_ms":300,"priority":2,"service":"plain","max_attempts":2})";
+
+// A stream of as many events as the request states in `Output`.
+Script AnswerOutput(const HttpRequest& request) {
+  const int output = std::stoi(std::string(request.headers.Find("Output")));
+  Script script = {Pause{milliseconds(60)}, SendBytes{MakeStreamHead(request)}};
+  for (int id = 1; id <= output; ++id) {
+    script.push_back(SendBytes{MakeEventChunk(id)});
+    script.push_back(Pause{kTokenTime});
+  }
+  script.push_back(SendBytes{std::string(emulator::kStreamEnd)});
+  return script;
+}
+
+Script AnswerBooking(const HttpRequest& request) {
+  return {Pause{milliseconds(50)},
+          SendBytes{MakeResponse(request, 200, "booked")}};
+}
+
+struct StreamLength {
+  int hint = 0;
+  int output = 0;
+};
+
+// Routers and clients with streams of different lengths.
+struct MixedFleet : PlatformFleet {
+  explicit MixedFleet(int routers) : PlatformFleet(0) {
+    this->SetMaxSlots(100);
+    this->PutConfiguration(3, std::string(kLongRoutes));
+    this->chat = this->AddEngine("chat", AnswerOutput);
+    this->AddEngine("plain", AnswerBooking);
+    for (int n = 1; n <= routers; ++n) this->StartRouter(n);
+    for (int n = 1; n <= routers; ++n) this->WaitUntilReady(n);
+  }
+
+  std::string Stream(int router, const std::string& id, StreamLength length) {
+    const std::string lines =
+        fmt::format("Token-Count: 50,400\r\nLength-Hint: {}\r\nOutput: {}\r\n",
+                    length.hint, length.output);
+    return this->Exchange(
+        router,
+        MakeClientRequest("POST", "/stream/", id, lines, "body of " + id,
+                          milliseconds(kPatientDeadlineMs)),
+        milliseconds(100));
+  }
+
+  std::future<std::string> BeginStream(int router, const std::string& id,
+                                       StreamLength length) {
+    return std::async(std::launch::async, [this, router, id, length] {
+      return this->Stream(router, id, length);
+    });
+  }
+
+  // Lets a router answer streams whose hints are wrong by a factor of up to 2.
+  void Teach(int router) {
+    std::vector<std::future<std::string>> streams;
+    for (int n = 0; n < 24; ++n) {
+      const int hint = 8 + n % 3;
+      const int output = n % 2 == 0 ? hint * 2 : hint / 2;
+      streams.push_back(this->BeginStream(
+          router, fmt::format("teach-{}-{}", router, n), {hint, output}));
+    }
+    for (auto& stream : streams) CHECK(stream.get().ends_with(kLastChunk));
+  }
+
+  // The ids of the streams that the engine has got.
+  std::set<std::string> SentStreams() {
+    std::set<std::string> ids;
+    for (const HttpRequest& request : this->Requests(this->chat)) {
+      ids.emplace(request.headers.Find("Request-Id"));
+    }
+    return ids;
+  }
+
+  int chat = 0;
+};
+
+// 400 tokens take 10 s, longer than any router has left after SIGTERM.
+constexpr StreamLength kLongStream = {300, 400};
+// Twice as long as its hint.
+constexpr StreamLength kShortStream = {10, 20};
+
+// Guards against streams that a stopping router accepts and then cuts, and
+// against refusals of those that it could finish. The routers are stopped one
+// after the other; a client that is refused goes to the other router.
+TEST_CASE("no stream is cut by a rolling stop, and short ones are accepted") {
+  MixedFleet fleet(2);
+  for (int router = 1; router <= 2; ++router) fleet.Teach(router);
+  struct LongStream {
+    std::string id;
+    std::future<std::string> refused;
+  };
+  for (int router = 1; router <= 2; ++router) {
+    // 3.4 s, accepted before the signal although only its hint fits.
+    auto earlier =
+        fleet.BeginStream(router, fmt::format("earlier-{}", router), {50, 130});
+    std::this_thread::sleep_for(milliseconds(300));
+    fleet.Signal(router, SIGTERM);
+    const auto signalled_at = std::chrono::steady_clock::now();
+    std::vector<std::future<std::string>> streams;
+    std::vector<LongStream> long_streams;
+    // Clients arrive until the load balancer has left the router.
+    for (int n = 0; n < 12; ++n) {
+      std::this_thread::sleep_until(signalled_at + milliseconds(50) +
+                                    n * milliseconds(200));
+      const std::string id = fmt::format("{}-{}", router, n);
+      streams.push_back(fleet.BeginStream(router, "short-" + id, kShortStream));
+      if (n % 3 != 0) continue;
+      long_streams.push_back({"long-" + id, {}});
+      LongStream& added = long_streams.back();
+      added.refused = fleet.BeginStream(router, added.id, kLongStream);
+    }
+    for (LongStream& stream : long_streams) {
+      CheckRefused(stream.refused.get());
+      CHECK_FALSE(fleet.SentStreams().contains(stream.id));
+      streams.push_back(
+          fleet.BeginStream(3 - router, stream.id + "-again", kLongStream));
+    }
+    CHECK(earlier.get().ends_with(kLastChunk));
+    for (auto& stream : streams) {
+      const std::string response = stream.get();
+      CAPTURE(response.substr(0, 200));
+      CHECK(response.starts_with("HTTP/1.1 200"));
+      CHECK(response.ends_with(kLastChunk));
+    }
+    CHECK(fleet.WaitForExit(router) == 0);
+    const std::string log = fleet.Log(router);
+    CHECK(Occurrences(log, R"("reason":"shutting_down")") == 4);
+    CHECK(Occurrences(log, R"("outcome":"stream_broken")") == 0);
+    CHECK(log.find(R"("unfinished":0)") != std::string::npos);
+    fleet.StartRouter(router);
+    fleet.WaitUntilReady(router);
+  }
+}
+
+// Guards against refusals for want of knowledge: a router that has seen no
+// answers of a service takes what comes until the balancer has left it, and
+// after that what its own timeout ends in time.
+TEST_CASE("a service never seen before is served while the balancer reacts") {
+  MixedFleet fleet(1);
+  auto before = fleet.BeginStream(1, "before", kShortStream);
+  fleet.Signal(1, SIGTERM);
+  CHECK(fleet.Stream(1, "first", kShortStream).ends_with(kLastChunk));
+  CHECK(fleet.Stream(1, "long-hint", {300, 20}).ends_with(kLastChunk));
+  CHECK(before.get().ends_with(kLastChunk));
+  CHECK(fleet.WaitForExit(1) == 0);
+  CHECK(Occurrences(fleet.Log(1), R"("reason":"shutting_down")") == 0);
+}
+
+// Guards against refusals late in the grace of calls that take a few
+// milliseconds, only because their clients would wait longer.
+TEST_CASE("a call that fits is answered late in the grace, another refused") {
+  Fleet fleet;
+  fleet.PutConfiguration(4, std::string(kLongRoutes));
+  fleet.AddEngine("chat", AnswerStream);
+  fleet.AddEngine("plain", AnswerBooking);
+  fleet.WaitUntilReady(1);
+  fleet.WaitForConfiguration(1, 4);
+  for (int n = 0; n < 12; ++n) {
+    const std::string response = fleet.Exchange(
+        1, MakeClientRequest("POST", "/once/", fmt::format("teach{}", n)),
+        milliseconds(10));
+    CHECK(response.ends_with("booked"));
+  }
+  SlowClient booking(fleet, "/once/", "booking");
+  SlowClient late_booking(fleet, "/once/", "late-booking");
+  SlowClient stream(fleet, "/stream/", "stream");
+  fleet.ShutDown();
+  fleet.WaitUntil(milliseconds(6300));
+  booking.SendRest();
+  stream.SendRest();
+  CHECK(booking.ReadAll().ends_with("booked"));
+  // Nothing is known of streams.
+  CheckRefused(stream.ReadAll());
+  fleet.WaitUntil(milliseconds(7480));
+  late_booking.SendRest();
+  CheckRefused(late_booking.ReadAll());
+  CHECK(fleet.WaitForExit(1) == 0);
+}
+
+// Guards against calls that are taken in time, turned away by an engine, and
+// then sent to another one too late, so that their clients get 504 for what may
+// have run.
+TEST_CASE("a call that an engine turns away late in the grace is refused") {
+  Fleet fleet;
+  fleet.PutConfiguration(4, std::string(kLongRoutes));
+  fleet.AddEngine("chat", AnswerStream);
+  const ScriptMaker answer = [](const HttpRequest& request) -> Script {
+    if (request.headers.Find("Request-Id") == "turned-away") {
+      return {Pause{milliseconds(900)},
+              SendBytes{MakeResponse(request, 503, "", "Not-Executed: 1\r\n")}};
+    }
+    return {Pause{milliseconds(400)},
+            SendBytes{MakeResponse(request, 200, "booked")}};
+  };
+  const int first = fleet.AddEngine("plain", answer);
+  const int second = fleet.AddEngine("plain", answer);
+  fleet.WaitUntilReady(1);
+  fleet.WaitForConfiguration(1, 4);
+  std::vector<std::future<std::string>> calls;
+  for (int n = 0; n < 10; ++n) {
+    calls.push_back(std::async(std::launch::async, [&fleet, n] {
+      return fleet.Exchange(
+          1, MakeClientRequest("POST", "/once/", fmt::format("teach{}", n)),
+          milliseconds(10));
+    }));
+  }
+  for (auto& call : calls) CHECK(call.get().ends_with("booked"));
+  SlowClient late(fleet, "/once/", "turned-away");
+  fleet.ShutDown();
+  fleet.WaitUntil(milliseconds(6300));
+  late.SendRest();
+  CheckRefused(late.ReadAll());
+  CHECK(fleet.WaitForExit(1) == 0);
+  int sends = 0;
+  for (const int engine : {first, second}) {
+    for (const HttpRequest& request : fleet.Requests(engine)) {
+      if (request.headers.Find("Request-Id") == "turned-away") ++sends;
+    }
+  }
+  CHECK(sends == 1);
+  CHECK(fleet.Log(1).find(R"("reason":"shutting_down")") != std::string::npos);
+}
+
 }  // namespace
 }  // namespace dandelionscale::tests
