Limit the rate of requests to engines that warm up

An engine that has just started accepts a limited rate from all routers together and crashes well above it. Routers sent it its share of the load from the first moment on.

A service's configuration states time and rate (cold_s, cold_per_s), an engine's row the time that is left. EngineWarmUp keeps when a warm-up ends, and whether the engine was lost and may have restarted. While it is in force, the issuer of permits limits the engine to 0.85 of the rate, with a burst of 0.05 s and permits that are valid for 0.2 s. Routers tell each other of warm-ups and losses in RateLimitReport and EngineEntry (new optional fields). DispatchState::BeginWarmUp() starts one in a zone. Services without a rate are not limited.

A report without a stated limit no longer counts as a statement that there is none if its sender never heard one.

--- a/include/dandelionscale/core/engine_directory.h
+++ b/include/dandelionscale/core/engine_directory.h
@@ -16,6 +16,7 @@
 #include "dandelionscale/core/engine_health.h"
 #include "dandelionscale/core/load/engine_pause.h"
 #include "dandelionscale/core/load/engine_rate_limit.h"
+#include "dandelionscale/core/load/engine_warm_up.h"
 #include "dandelionscale/core/store_version.h"
 #include "dandelionscale/runtime/runtime_clock.h"
 
@@ -33,6 +34,9 @@
   /// Of its software, not of the model's weights; absent if a router of an
   /// older build has reported the engine.
   std::optional<std::string> software_version;
+  /// How much longer it warms up; absent if its row or a router of an older
+  /// build does not state it.
+  std::optional<Duration> warm_up_left{};
 };
 
 /// \returns the low half of an engine's key, by which routers identify the
@@ -56,6 +60,7 @@
   EngineHealth health;
   EnginePause pause;           ///< Requested by the engine from this router.
   EngineRateLimit rate_limit;  ///< Stated by the engine for all routers.
+  EngineWarmUp warm_up;
 };
 
 /// \brief A change of the directory, for logs and metrics.
@@ -64,14 +69,17 @@
     kAdded,
     kRestarted,  ///< Replaced: new incarnation, address or service.
     kDraining,
-    kHeldBack,  ///< Listed after a restoration, but was known to have left.
-    kUnlisted,  ///< No longer listed, but kept for a grace period.
-    kRelisted,  ///< Listed again within the grace period.
-    kGone       ///< Removed from the directory.
+    kWarmingUp,  ///< Its row states a warm-up that ends later than known.
+    kHeldBack,   ///< Listed after a restoration, but was known to have left.
+    kUnlisted,   ///< No longer listed, but kept for a grace period.
+    kRelisted,   ///< Listed again within the grace period.
+    kGone        ///< Removed from the directory.
   };
   Kind kind = Kind::kAdded;
   std::string id;
   std::string service;
+  /// Listed for the first time, after an earlier list of this router.
+  bool is_new_incarnation = false;
 };
 
 /// \returns the name used in logs.
@@ -142,7 +150,7 @@
   std::uint64_t InitialEra() const { return this->initial_era; }
   /// \returns the records of the listed engines, for a peer with an older
   ///          version of the list.
-  std::vector<EngineRecord> Listed() const;
+  std::vector<EngineRecord> Listed(TimePoint now) const;
 
  private:
   // The last known state of a removed engine.
@@ -157,7 +165,8 @@
     TimePoint until{};
   };
 
-  void Upsert(const EngineRecord& record, std::vector<EngineChange>& changes);
+  void Upsert(TimePoint now, const EngineRecord& record,
+              std::vector<EngineChange>& changes);
   bool MayHaveLeft(const EngineRecord& record) const;
   bool IsHeldBack(const EngineRecord& record) const;
   void HoldBack(TimePoint now, const EngineRecord& record,
@@ -181,6 +190,7 @@
   void Reindex();
 
   StoreVersion version;
+  bool has_earlier_list = false;  ///< While a list is applied.
   std::uint64_t initial_era = 0;
   bool store_lost = false;
   TimePoint store_regained_at{};
--- a/include/dandelionscale/core/load/engine_rate_limit.h
+++ b/include/dandelionscale/core/load/engine_rate_limit.h
@@ -32,17 +32,17 @@
 
   /// \returns true if the engine limits its rate.
   bool IsActive() const { return this->rate.has_value(); }
-  /// \returns true if this router may ask for a permit to send a request, or
-  ///          needs none.
-  bool MayAsk(TimePoint now) const {
-    return !this->rate || now >= this->denied_until;
-  }
+  /// \returns true if this router, which needs a permit to send a request, may
+  ///          ask for one.
+  bool MayAsk(TimePoint now) const { return now >= this->denied_until; }
   /// \returns the time until that; zero if it may.
   Duration TimeUntilMayAsk(TimePoint now) const;
   /// \returns the limit in requests per second; 0 if there is none.
   double Rate() const { return this->rate.value_or(0); }
   /// \returns the stated limit, or none.
   std::optional<double> Statement() const { return this->rate; }
+  /// \returns true if a limit was ever stated.
+  bool WasStated() const { return this->stated_at != TimePoint{}; }
   /// \returns the time since the last statement, of a limit or of its end; zero
   ///          before the first.
   Duration Age(TimePoint now) const;
--- a/include/dandelionscale/core/load/placement.h
+++ b/include/dandelionscale/core/load/placement.h
@@ -8,6 +8,10 @@
 
 namespace dandelionscale {
 
+/// A shared prompt prefix of fewer tokens is short: any engine recomputes it
+/// cheaply.
+inline constexpr std::uint32_t kMinLongPrefixTokens = 4000;
+
 /// \brief An engine and the part of its state that placement considers.
 struct PlacementCandidate {
   std::uint64_t engine_key = 0;
--- a/include/dandelionscale/core/load/rate_permits.h
+++ b/include/dandelionscale/core/load/rate_permits.h
@@ -3,8 +3,11 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <unordered_map>
 
+#include "dandelionscale/core/load/engine_rate_limit.h"
+#include "dandelionscale/core/load/engine_warm_up.h"
 #include "dandelionscale/runtime/runtime_clock.h"
 
 namespace dandelionscale {
@@ -34,6 +37,19 @@
 /// own share.
 double IssuerShare(const IssuerView& view);
 
+/// \brief The rate of requests that an engine takes from all routers together.
+struct RateInForce {
+  double per_second = 0;
+  bool is_warm_up = false;  ///< It warms up, and may state a limit besides.
+};
+
+/// \returns the rate for which permits are issued: the lower one of the stated
+///          limit and that of a warm-up; none if neither is in force.
+/// \param warm_up_rate of the engine's service; 0: no limit.
+std::optional<RateInForce> FindRate(TimePoint now, const EngineRateLimit& limit,
+                                    const EngineWarmUp& warm_up,
+                                    double warm_up_rate);
+
 /// \brief The response to a request for permission.
 struct PermitDecision {
   bool granted = false;
@@ -50,11 +66,11 @@
 /// router asks.
 class RatePermits {
  public:
-  /// \param rate limit of the engine in requests per second.
+  /// \param rate of the engine; an engine that warms up gets no bursts.
   /// \param share of the rate that this router may permit; see
   ///        `IssuerShare()`.
-  PermitDecision Decide(TimePoint now, std::uint64_t engine_key, double rate,
-                        double share);
+  PermitDecision Decide(TimePoint now, std::uint64_t engine_key,
+                        const RateInForce& rate, double share);
   /// \brief Forgets engines for which nobody has asked for some time.
   void Expire(TimePoint now);
 
--- a/include/dandelionscale/core/routing_table.h
+++ b/include/dandelionscale/core/routing_table.h
@@ -54,6 +54,10 @@
   std::string name;
   std::uint32_t max_connections = 100;  ///< To one engine, from all routers.
   bool is_model = false;                ///< Its engines cache prompts.
+  Duration warm_up_time{};  ///< After the start of an engine; 0: it has none.
+  /// Requests per second that an engine takes from all routers together while
+  /// it warms up; 0: no limit.
+  double warm_up_rate = 0;
 };
 
 /// \brief Limits on the size and duration of client requests.
--- a/src/core/engine_directory.cc
+++ b/src/core/engine_directory.cc
@@ -54,6 +54,7 @@
   engine.draining = known.draining;
   engine.pause = known.pause;
   engine.rate_limit = known.rate_limit;
+  engine.warm_up = known.warm_up;
 }
 
 EngineChange MakeChange(EngineChange::Kind kind, const Engine& engine) {
@@ -70,6 +71,8 @@
       return "restarted";
     case EngineChange::Kind::kDraining:
       return "draining";
+    case EngineChange::Kind::kWarmingUp:
+      return "warming_up";
     case EngineChange::Kind::kHeldBack:
       return "held_back";
     case EngineChange::Kind::kUnlisted:
@@ -89,6 +92,7 @@
   if (version < this->version) return changes;
   const bool is_first = this->version == StoreVersion{};
   const bool is_restored = !is_first && version.era > this->version.era;
+  this->has_earlier_list = !is_first;
   if (is_first) this->initial_era = version.era;
   if (is_restored) this->store_regained_at = now;
   this->version = version;
@@ -100,7 +104,7 @@
       this->HoldBack(now, record, changes);
     } else {
       this->held_back.erase(record.id);
-      this->Upsert(record, changes);
+      this->Upsert(now, record, changes);
     }
   }
   std::erase_if(this->held_back, [&listed](const auto& entry) {
@@ -120,6 +124,7 @@
     std::span<const EngineUpdate> updates) {
   std::vector<EngineChange> changes;
   if (version < this->version) return changes;
+  this->has_earlier_list = true;
   this->version = version;
   std::vector<std::string> removed;
   for (const EngineUpdate& update : updates) {
@@ -129,7 +134,7 @@
       removed.push_back(update.id);
     } else {
       std::erase(removed, update.id);
-      this->Upsert(update.record, changes);
+      this->Upsert(now, update.record, changes);
     }
   }
   this->Unlist(now, removed, changes);
@@ -162,7 +167,7 @@
   }
   for (const EngineRecord& record : released) {
     this->held_back.erase(record.id);
-    this->Upsert(record, changes);
+    this->Upsert(now, record, changes);
   }
   std::erase_if(this->departed, [now](const auto& entry) {
     return now - entry.second.since > kDepartedMemory;
@@ -200,17 +205,18 @@
   return found == this->by_short_key.end() ? nullptr : found->second;
 }
 
-std::vector<EngineRecord> EngineDirectory::Listed() const {
+std::vector<EngineRecord> EngineDirectory::Listed(TimePoint now) const {
   std::vector<EngineRecord> records;
   for (const auto& [id, engine] : this->engines) {
     if (this->unlisted.contains(id)) continue;
     records.push_back(engine->record);
     records.back().draining = engine->draining;
+    records.back().warm_up_left = engine->warm_up.Left(now);
   }
   return records;
 }
 
-void EngineDirectory::Upsert(const EngineRecord& record,
+void EngineDirectory::Upsert(TimePoint now, const EngineRecord& record,
                              std::vector<EngineChange>& changes) {
   auto found = this->engines.find(record.id);
   const bool known = found != this->engines.end();
@@ -237,9 +243,15 @@
     engine->draining = record.draining || engine->draining ||
                        (is_known_departed && departed->second.draining &&
                         departed->second.born_unix_ms == record.born_unix_ms);
-    changes.push_back(MakeChange(
+    EngineChange change = MakeChange(
         known ? EngineChange::Kind::kRestarted : EngineChange::Kind::kAdded,
-        *engine));
+        *engine);
+    const bool was_known =
+        (known && found->second->key == engine->key) ||
+        (is_known_departed &&
+         departed->second.born_unix_ms == record.born_unix_ms);
+    change.is_new_incarnation = this->has_earlier_list && !was_known;
+    changes.push_back(std::move(change));
     this->engines[record.id] = std::move(engine);
     this->unlisted.erase(record.id);
     return;
@@ -252,6 +264,11 @@
     engine.draining = true;
     changes.push_back(MakeChange(EngineChange::Kind::kDraining, engine));
   }
+  const Duration known_left = engine.warm_up.Left(now);
+  if (record.warm_up_left &&
+      *record.warm_up_left > known_left + EngineWarmUp::kTolerance) {
+    changes.push_back(MakeChange(EngineChange::Kind::kWarmingUp, engine));
+  }
   SetRecord(record, engine);
 }
 
--- a/src/core/load/engine_rate_limit.cc
+++ b/src/core/load/engine_rate_limit.cc
@@ -31,8 +31,7 @@
 }
 
 Duration EngineRateLimit::Age(TimePoint now) const {
-  const bool is_stated = this->stated_at != TimePoint{};
-  return is_stated ? now - this->stated_at : Duration::zero();
+  return this->WasStated() ? now - this->stated_at : Duration::zero();
 }
 
 }  // namespace dandelionscale
--- a/src/core/load/placement.cc
+++ b/src/core/load/placement.cc
@@ -15,7 +15,6 @@
 constexpr double kLongPrefixBoundShare = 0.9;
 // The same for a short prefix, which another engine recomputes cheaply.
 constexpr double kShortPrefixBoundShare = 0.75;
-constexpr std::uint32_t kMinLongPrefixTokens = 4000;
 // An engine selected by hash only, which usually has to recompute the prefix,
 // is used up to this multiple of the mean load, plus one request.
 constexpr double kMaxHashedLoadFactor = 1.25;
--- a/src/core/load/rate_permits.cc
+++ b/src/core/load/rate_permits.cc
@@ -11,6 +11,14 @@
 // Tokens that are kept while no router asks: for one request, for one more if
 // the whole rate is permitted, and what the rate yields in this time.
 constexpr double kBurstSeconds = 0.25;
+// The same for an engine that warms up, which tolerates 1.5 times its rate and
+// 5 requests in any second. Permits of three routers together, one with the
+// whole rate and two with a substitute's share, that are used up to 0.2 s after
+// they were asked for, amount to 3 + kWarmUpShare * (1 + 0.2 + 0.05) * 1.4 = 3
+// + 1.49 times the rate in a second.
+constexpr double kWarmUpBurstSeconds = 0.05;
+// Share of a warm-up's rate that is permitted.
+constexpr double kWarmUpShare = 0.85;
 // Lowest rate that is permitted. An engine that takes none is asked now and
 // then, since only its responses tell when its limit has ended.
 constexpr double kMinRate = 0.1;
@@ -23,6 +31,17 @@
 
 }  // namespace
 
+std::optional<RateInForce> FindRate(TimePoint now, const EngineRateLimit& limit,
+                                    const EngineWarmUp& warm_up,
+                                    double warm_up_rate) {
+  std::optional<RateInForce> rate;
+  if (limit.IsActive()) rate = RateInForce{limit.Rate(), false};
+  if (warm_up_rate <= 0 || !warm_up.IsActive(now)) return rate;
+  const double permitted = kWarmUpShare * warm_up_rate;
+  return RateInForce{rate ? std::min(rate->per_second, permitted) : permitted,
+                     true};
+}
+
 double IssuerShare(const IssuerView& view) {
   if (view.live_routers * 2 <= view.known_routers) {
     return 1.0 / static_cast<double>(view.known_routers);
@@ -33,13 +52,15 @@
 }
 
 PermitDecision RatePermits::Decide(TimePoint now, std::uint64_t engine_key,
-                                   double rate, double share) {
+                                   const RateInForce& rate, double share) {
   if (share <= 0) return {false, FromSeconds(1 / kMinRate)};
-  const double permitted_rate = std::max(rate, kMinRate) * share;
+  const double permitted_rate = std::max(rate.per_second, kMinRate) * share;
   Bucket& bucket =
       this->buckets.try_emplace(engine_key, Bucket{1, now}).first->second;
   const std::chrono::duration<double> elapsed = now - bucket.updated_at;
-  const double capacity = 1 + share + permitted_rate * kBurstSeconds;
+  const double capacity = rate.is_warm_up
+                              ? 1 + permitted_rate * kWarmUpBurstSeconds
+                              : 1 + share + permitted_rate * kBurstSeconds;
   bucket.tokens =
       std::min(capacity, bucket.tokens + permitted_rate * elapsed.count());
   bucket.updated_at = now;
--- a/src/dispatch/dispatch_router.cc
+++ b/src/dispatch/dispatch_router.cc
@@ -214,6 +214,14 @@
   this->state.metrics.Set(
       "engines_known",
       static_cast<double>(this->state.engines.Engines().size()));
+  const auto& engines = this->state.engines.Engines();
+  this->state.metrics.Set(
+      "engines_warming_up",
+      static_cast<double>(
+          std::count_if(engines.begin(), engines.end(), [&](const auto& entry) {
+            const auto rate = this->state.RateOf(*entry.second, now);
+            return rate && rate->is_warm_up;
+          })));
   this->state.metrics.Set(
       "peers_heard", static_cast<double>(this->state.peer_load.RouterCount()));
   this->state.metrics.Set(
--- a/src/dispatch/dispatch_state.h
+++ b/src/dispatch/dispatch_state.h
@@ -20,6 +20,7 @@
 #include "dandelionscale/core/load/fleet_retry_budget.h"
 #include "dandelionscale/core/load/peer_load.h"
 #include "dandelionscale/core/load/rate_limit_news.h"
+#include "dandelionscale/core/load/rate_permits.h"
 #include "dandelionscale/core/memory_budget.h"
 #include "dandelionscale/core/prefix_index.h"
 #include "dandelionscale/core/prefix_update_queue.h"
@@ -135,6 +136,22 @@
   /// \param stated_at when the engine stated it.
   void OnRateLimitReported(Engine& engine, std::optional<double> rate,
                            TimePoint stated_at, std::string_view source);
+  /// \brief Applies what a peer reports of an engine's warm-up.
+  /// \param left time until its end; zero if there is none.
+  /// \param lost_at when a router lost the engine; none if it was reached
+  /// since.
+  void OnWarmUpReported(Engine& engine, Duration left,
+                        std::optional<TimePoint> lost_at,
+                        std::string_view source);
+  /// \brief Records that this router could not reach an engine or lost its
+  ///        connection to it: the engine may have restarted.
+  void OnEngineLost(Engine& engine);
+  /// \brief Treats all engines of a zone as if they had just started, where
+  ///        their service has a rate for this.
+  void BeginWarmUp(std::string_view availability_zone);
+  /// \returns the rate of requests that the engine takes from all routers; none
+  ///          if it is not limited. Requests to a limited engine need a permit.
+  std::optional<RateInForce> RateOf(const Engine& engine, TimePoint now) const;
   /// \brief Records a successful store call; logs the end of an outage.
   void OnStoreAnswered(std::string_view store_table);
   /// \brief Records a failed store call; logs the start of an outage.
@@ -241,6 +258,13 @@
 
  private:
   void UpdateSoftwareVersions();
+  // Begins the warm-up that an engine's row states or that its start requires.
+  void ApplyRowWarmUp(const EngineChange& change, std::string_view source);
+  // Returns the configuration of the engine's service, or an empty one.
+  const ServiceSpec& SpecOf(const Engine& engine) const;
+  // Logs a warm-up that has begun or was extended, and tells the peers.
+  void OnWarmUpChanged(const Engine& engine, std::string_view reason,
+                       std::string_view source);
   void OnRateLimitChanged(const Engine& engine, const EngineRateLimit& before,
                           std::string_view source);
   // Logs a warning that concerns an engine, once for each engine and event.
--- a/src/dispatch/peers/peer_messages.cc
+++ b/src/dispatch/peers/peer_messages.cc
@@ -248,7 +248,17 @@
   if (const auto rate = engine.rate_limit.Statement()) {
     report.set_per_second(static_cast<float>(*rate));
   }
-  report.set_age_ms(ToAgeMs(engine.rate_limit.Age(now)));
+  // No statement is older than any.
+  report.set_age_ms(engine.rate_limit.WasStated()
+                        ? ToAgeMs(engine.rate_limit.Age(now))
+                        : static_cast<std::uint32_t>(kMaxAgeMs));
+  const Duration warm_up_left = engine.warm_up.Left(now);
+  if (warm_up_left > Duration::zero()) {
+    report.set_warm_up_left_ms(ToAgeMs(warm_up_left));
+  }
+  if (const auto lost_at = engine.warm_up.LostAt()) {
+    report.set_lost_age_ms(ToAgeMs(now - *lost_at));
+  }
 }
 
 EngineRecord ToRecord(const wire::EngineEntry& entry) {
@@ -263,6 +273,9 @@
   if (entry.has_software_version()) {
     record.software_version = entry.software_version();
   }
+  if (entry.has_warm_up_left_ms()) {
+    record.warm_up_left = std::chrono::milliseconds(entry.warm_up_left_ms());
+  }
   return record;
 }
 
@@ -277,6 +290,9 @@
   if (record.software_version) {
     entry.set_software_version(*record.software_version);
   }
+  if (record.warm_up_left) {
+    entry.set_warm_up_left_ms(ToAgeMs(*record.warm_up_left));
+  }
 }
 
 }  // namespace dandelionscale::internal
--- a/src/dispatch/peers/peer_messages.h
+++ b/src/dispatch/peers/peer_messages.h
@@ -73,7 +73,7 @@
 /// \returns when the engine stated it.
 /// \param now when the report was received.
 TimePoint StatedAt(const wire::RateLimitReport& report, TimePoint now);
-/// \brief Writes the engine's rate limit to an empty report.
+/// \brief Writes the engine's rate limit and warm-up to an empty report.
 void FillRateLimit(const Engine& engine, TimePoint now,
                    wire::RateLimitReport& report);
 
--- a/src/dispatch/peers/peer_reports.cc
+++ b/src/dispatch/peers/peer_reports.cc
@@ -25,8 +25,16 @@
     state.metrics.Add("peer_rate_limits_malformed_total");
     return;
   }
-  state.OnRateLimitReported(engine, rate.value(),
-                            StatedAt(report, RuntimeClock::now()), sender);
+  const TimePoint now = RuntimeClock::now();
+  state.OnRateLimitReported(engine, rate.value(), StatedAt(report, now),
+                            sender);
+  std::optional<TimePoint> lost_at;
+  if (report.has_lost_age_ms()) {
+    lost_at = now - std::chrono::milliseconds(report.lost_age_ms());
+  }
+  state.OnWarmUpReported(engine,
+                         std::chrono::milliseconds(report.warm_up_left_ms()),
+                         lost_at, sender);
 }
 
 void ApplyRateLimits(
--- a/src/dispatch/peers/peer_reports.h
+++ b/src/dispatch/peers/peer_reports.h
@@ -22,8 +22,8 @@
 /// \param dropped the engines have dropped the parts.
 void ApplyPlacements(DispatchState& state, std::span<const std::uint64_t> parts,
                      std::span<const std::uint32_t> short_keys, bool dropped);
-/// \brief Applies what a peer reports of an engine's rate limit; a report of a
-///        rate that is no number is ignored.
+/// \brief Applies what a peer reports of an engine's rate limit and warm-up; a
+///        report of a rate that is no number is ignored.
 void ApplyRateLimit(DispatchState& state, Engine& engine,
                     const wire::RateLimitReport& report,
                     const std::string& sender);
--- a/src/dispatch/peers/permit_exchange.cc
+++ b/src/dispatch/peers/permit_exchange.cc
@@ -42,7 +42,9 @@
   }
   const TimePoint now = RuntimeClock::now();
   // A process that was paused meanwhile may hold an old permit.
-  const bool is_late = now - asked_at > kPermitLifetime;
+  const RateInForce rate =
+      this->state.RateOf(*engine, now).value_or(RateInForce());
+  const bool is_late = now - asked_at > PermitLifetime(rate);
   const bool granted = outcome && outcome->decision.granted && !is_late;
   const Duration retry_after =
       outcome ? std::min(outcome->decision.retry_after, kMaxRetryDelay)
@@ -55,7 +57,8 @@
                 {"granted", granted},
                 {"answered", outcome.has_value()},
                 {"issuer", issuer ? *issuer : "self"},
-                {"per_second", engine->rate_limit.Rate()},
+                {"per_second", rate.per_second},
+                {"warm_up", rate.is_warm_up},
                 {"stated_ms", ToMilliseconds(engine->rate_limit.Age(now))},
                 {"share", outcome ? outcome->share : 0},
                 {"took_ms", ToMilliseconds(now - asked_at)},
@@ -129,10 +132,12 @@
 
 PermitExchange::Outcome PermitExchange::Issue(TimePoint now,
                                               const Engine& engine) {
+  const auto rate = this->state.RateOf(engine, now);
+  if (!rate) return {{true, Duration::zero()}, 1};
   Outcome outcome;
   outcome.share = IssuerShare(this->ViewOf(now, engine.key));
-  outcome.decision = this->permits.Decide(
-      now, engine.key, engine.rate_limit.Rate(), outcome.share);
+  outcome.decision =
+      this->permits.Decide(now, engine.key, *rate, outcome.share);
   return outcome;
 }
 
@@ -168,8 +173,7 @@
   wire::PermitMessage message;
   wire::PermitResponse& response = *message.mutable_response();
   response.set_id(request.id());
-  Outcome outcome{{true, Duration::zero()}, 1};
-  if (engine->rate_limit.IsActive()) outcome = this->Issue(now, *engine);
+  const Outcome outcome = this->Issue(now, *engine);
   response.set_granted(outcome.decision.granted);
   response.set_retry_after_ms(
       static_cast<std::uint32_t>(ToMilliseconds(outcome.decision.retry_after)));
--- a/src/dispatch/peers/permit_exchange.h
+++ b/src/dispatch/peers/permit_exchange.h
@@ -26,6 +26,15 @@
 /// Time for which a permit is valid. A router that did not run for longer must
 /// ask again.
 inline constexpr Duration kPermitLifetime = std::chrono::milliseconds(600);
+/// The same for an engine that warms up. Its bound holds in any second, so that
+/// permits that wait must be few.
+inline constexpr Duration kWarmUpPermitLifetime =
+    std::chrono::milliseconds(200);
+
+/// \returns the time from the request for a permit until it expires.
+inline Duration PermitLifetime(const RateInForce& rate) {
+  return rate.is_warm_up ? kWarmUpPermitLifetime : kPermitLifetime;
+}
 
 /// \brief Asks for permits and issues them.
 ///
@@ -42,8 +51,8 @@
   void SetSender(Sender new_sender) { this->send = std::move(new_sender); }
 
   /// \brief Asks for a permit to send one request to the engine.
-  /// \returns true if it is granted, and valid for `kPermitLifetime`. If not,
-  ///          the engine's limit records when to ask again.
+  /// \returns true if it is granted, and valid for `PermitLifetime()` from the
+  ///          call on. If not, the engine's limit records when to ask again.
   Awaitable<bool> Acquire(std::shared_ptr<Engine> engine);
 
   /// \returns true if the datagram is a message of this exchange.
--- a/src/dispatch/peers/snapshot_exchange.cc
+++ b/src/dispatch/peers/snapshot_exchange.cc
@@ -219,7 +219,8 @@
 void SnapshotExchange::FillEngines(wire::BeliefSnapshot& snapshot) const {
   snapshot.set_engines_version(this->state.engines.Version().number);
   snapshot.set_store_era(this->state.engines.Version().era);
-  for (const EngineRecord& record : this->state.engines.Listed()) {
+  for (const EngineRecord& record :
+       this->state.engines.Listed(RuntimeClock::now())) {
     FillEntry(record, *snapshot.add_engines());
   }
 }
@@ -234,7 +235,7 @@
     FillReport(blocked, now, *snapshot.add_quarantines());
   }
   for (const auto& [id, engine] : this->state.engines.Engines()) {
-    if (!engine->rate_limit.IsActive()) continue;
+    if (!this->state.RateOf(*engine, now)) continue;
     FillRateLimit(*engine, now, *snapshot.add_rate_limits());
   }
   for (const PrefixUpdate& update :
--- a/src/dispatch/request/engine_exchange.cc
+++ b/src/dispatch/request/engine_exchange.cc
@@ -68,8 +68,10 @@
   const TimePoint now = RuntimeClock::now();
   if (this->engine->draining || this->engine->gone) return false;
   if (this->engine->pause.IsActive(now)) return false;
-  if (!this->engine->rate_limit.IsActive()) return true;
-  return this->permitted_at && now - *this->permitted_at <= kPermitLifetime;
+  const auto rate = this->state.RateOf(*this->engine, now);
+  if (!rate) return true;
+  return this->permitted_at &&
+         now - *this->permitted_at <= PermitLifetime(*rate);
 }
 
 bool EngineExchange::Write(const HttpRequest& request,
--- a/src/dispatch/request/request_dispatch.cc
+++ b/src/dispatch/request/request_dispatch.cc
@@ -257,7 +257,12 @@
 
 void RequestDispatch::OnSendFailed(Engine& engine, const SendEnd& end,
                                    AttemptFailure failure) {
-  if (!end.withheld && !end.path_lost) this->RecordFailure(engine, failure);
+  if (!end.withheld && !end.path_lost) {
+    this->RecordFailure(engine, failure);
+    const bool was_lost =
+        end.connection_lost || failure == AttemptFailure::kNotConnected;
+    if (was_lost) this->state.OnEngineLost(engine);
+  }
   if (end.connection_lost && !end.path_lost && !end.answer_begun) {
     this->OnLostBeforeAnswer(engine);
   }
--- a/src/dispatch/request/request_dispatch.h
+++ b/src/dispatch/request/request_dispatch.h
@@ -92,18 +92,19 @@
     PlacementInputs inputs;
     std::vector<PlacementCandidate> candidates;  ///< `inputs` refers to them.
     std::string cache_source_address;
-    /// When the engine's permit was granted, if it needs one.
+    /// When the engine's permit was asked for, if it needs one.
     std::optional<TimePoint> permitted_at;
   };
   // Engines that are not to be chosen.
   struct PlacementLimits {
     bool avoid_limited = false;  ///< Those that limit their rate.
+    bool avoid_warm_up = false;  ///< Those that warm up and lack the prompt.
     bool only_healthy = false;   ///< Unhealthy ones if no other can be chosen.
   };
   std::optional<PlacementPlan> PlanPlacement(
       const PlacementLimits& limits) const;
-  std::vector<PlacementCandidate> BuildCandidates(bool ignore_health,
-                                                  bool avoid_limited) const;
+  std::vector<PlacementCandidate> BuildCandidates(
+      bool ignore_health, const PlacementLimits& limits) const;
   void OnPlaced(const PlacementPlan& plan);
   // Waits in the admission queue of the service for an engine with capacity.
   Awaitable<std::shared_ptr<Engine>> WaitForEngine();
@@ -303,7 +304,7 @@
 
   /// Address of the engine whose prompt cache the chosen engine may copy from.
   std::string cache_source_address;
-  /// When the permit for the chosen engine was granted, if it needed one.
+  /// When the permit for the chosen engine was asked for, if it needed one.
   std::optional<TimePoint> permitted_at;
   std::vector<std::uint64_t> tried_engine_keys;  ///< Engines attempted so far.
   std::uint32_t sends = 0;  ///< Those of which at least one byte was sent.
--- a/src/dispatch/request/request_placement.cc
+++ b/src/dispatch/request/request_placement.cc
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <utility>
 
 #include "dandelionscale/core/hash.h"
 #include "dandelionscale/core/load/placement_record.h"
@@ -52,9 +53,10 @@
     std::optional<PlacementPlan> plan = this->PlanPlacement(limits);
     if (!plan) break;
     Engine& engine = *plan->engine;
-    if (engine.rate_limit.IsActive()) {
+    const TimePoint asked_at = RuntimeClock::now();
+    if (this->state.RateOf(engine, asked_at)) {
       if (!co_await this->state.permits->Acquire(plan->engine)) continue;
-      plan->permitted_at = RuntimeClock::now();
+      plan->permitted_at = asked_at;
     }
     if (this->interruption != Interruption::kNone) break;
     if (engine.draining || engine.gone) continue;
@@ -74,11 +76,17 @@
   if (!this->decoded.prefix.empty()) {
     plan.inputs.shared_tokens = TotalTokens(this->decoded.prefix);
   }
-  // If no healthy engine is usable, an unhealthy one is better than none.
-  for (bool ignore_health : {false, true}) {
+  // An engine that warms up is slow to compute a long prompt. If no healthy
+  // engine is usable, an unhealthy one is better than none.
+  const bool is_long = plan.inputs.shared_tokens >= kMinLongPrefixTokens;
+  for (const auto& [avoid_warm_up, ignore_health] :
+       {std::pair(true, false), std::pair(false, false),
+        std::pair(false, true)}) {
+    if (avoid_warm_up && !is_long) continue;
     if (ignore_health && limits.only_healthy) break;
-    plan.candidates =
-        this->BuildCandidates(ignore_health, limits.avoid_limited);
+    PlacementLimits pass = limits;
+    pass.avoid_warm_up = avoid_warm_up;
+    plan.candidates = this->BuildCandidates(ignore_health, pass);
     plan.inputs.candidates = plan.candidates;
     const auto decision = ChooseEngine(plan.inputs);
     if (!decision) continue;
@@ -92,7 +100,7 @@
 }
 
 std::vector<PlacementCandidate> RequestDispatch::BuildCandidates(
-    bool ignore_health, bool avoid_limited) const {
+    bool ignore_health, const PlacementLimits& limits) const {
   const TimePoint now = RuntimeClock::now();
   const auto engines = this->state.engines.Find(this->service);
   double failure_rate = 0;
@@ -113,17 +121,21 @@
     candidate.cached_tokens = MatchedTokens(matches, engine->key);
     candidate.same_zone = engine->record.availability_zone ==
                           this->state.options.availability_zone;
-    candidate.limits_rate = engine->rate_limit.IsActive();
+    const auto rate = this->state.RateOf(*engine, now);
+    candidate.limits_rate = rate.has_value();
     const bool was_tried = this->WasTried(*engine);
     const bool ejected = engine->health.IsEjected(now, failure_rate);
     const bool probe_in_flight =
         engine->health.IsHalfOpen(now) && engine->in_flight > 0;
     const bool healthy = ignore_health || (!ejected && !probe_in_flight);
-    const bool may_permit = avoid_limited ? !engine->rate_limit.IsActive()
-                                          : engine->rate_limit.MayAsk(now);
+    const bool may_permit =
+        !rate || (!limits.avoid_limited && engine->rate_limit.MayAsk(now));
+    const bool must_warm_up =
+        limits.avoid_warm_up && rate && rate->is_warm_up &&
+        candidate.cached_tokens < TotalTokens(this->decoded.prefix);
     candidate.usable = this->FitsVersion(*engine) && !engine->draining &&
                        !was_tried && healthy && !engine->pause.IsActive(now) &&
-                       may_permit;
+                       may_permit && !must_warm_up;
     candidate.reachable = !ejected && !was_tried;
     candidates.push_back(candidate);
   }
@@ -272,8 +284,10 @@
   for (const auto& engine : this->state.engines.Find(this->service)) {
     if (!this->FitsVersion(*engine)) continue;
     if (engine->draining || this->WasTried(*engine)) continue;
-    const Duration pause = std::max(engine->pause.Remaining(now),
-                                    engine->rate_limit.TimeUntilMayAsk(now));
+    const Duration denial = this->state.RateOf(*engine, now)
+                                ? engine->rate_limit.TimeUntilMayAsk(now)
+                                : Duration::zero();
+    const Duration pause = std::max(engine->pause.Remaining(now), denial);
     shortest = std::min(shortest.value_or(pause), pause);
   }
   return shortest.value_or(Duration::zero());
--- a/src/dispatch/request/request_silence.cc
+++ b/src/dispatch/request/request_silence.cc
@@ -115,7 +115,8 @@
   request = weak.lock();
   if (!request || !request->IsSilent(silence)) co_return;
   std::optional<PlacementPlan> plan = request->PlanBackup();
-  if (plan && plan->engine->rate_limit.IsActive()) {
+  const TimePoint asked_at = RuntimeClock::now();
+  if (plan && state.RateOf(*plan->engine, asked_at)) {
     const std::shared_ptr<Engine> limited = plan->engine;
     plan.reset();
     request.reset();
@@ -124,7 +125,7 @@
     if (!request || !request->IsSilent(silence)) co_return;
     if (permitted) plan = request->PlanBackup();
     if (plan && plan->engine != limited) plan.reset();
-    if (plan) plan->permitted_at = RuntimeClock::now();
+    if (plan) plan->permitted_at = asked_at;
   }
   request->DecideOnSilence(plan);
 }
@@ -202,9 +203,10 @@
 void RequestDispatch::OnBackupSilent() {
   const EngineExchange& silent = *this->backup->exchange;
   const std::optional<PlacementPlan> plan = this->PlanBackup();
-  const bool is_replaceable = plan && !plan->engine->rate_limit.IsActive() &&
-                              !this->backup->has_answer &&
-                              !silent.HasUnreadBytes() && this->TakeRetry();
+  const bool is_replaceable =
+      plan && !this->state.RateOf(*plan->engine, RuntimeClock::now()) &&
+      !this->backup->has_answer && !silent.HasUnreadBytes() &&
+      this->TakeRetry();
   if (!is_replaceable) {
     this->CheckSilenceAt(RuntimeClock::now() + kSilenceCheckInterval);
     return;
--- a/src/dispatch/store/store_watcher.cc
+++ b/src/dispatch/store/store_watcher.cc
@@ -459,6 +459,12 @@
         std::max(this->state.newest_engine_version,
                  StoreVersion{rows.version.era, row.version});
     EngineUpdate update = this->DecodeEngineRow(row);
+    // What a row stated before the list in use was read holds no longer.
+    const StoreVersion written{rows.version.era, row.version};
+    if (is_whole_table && written.era == this->state.engines.Version().era &&
+        written <= this->state.engines.Version()) {
+      update.record.warm_up_left = Duration::zero();
+    }
     if (!update.removed) records.push_back(update.record);
     updates.push_back(std::move(update));
   }
--- a/tests/engine_directory_test.cc
+++ b/tests/engine_directory_test.cc
@@ -270,7 +270,7 @@
   directory.OnUpdates(At(10), {0, 2},
                       std::vector<EngineUpdate>{{"e0", false, Record("e0")}});
   CHECK(directory.Engines().at("e0")->draining);
-  CHECK(directory.Listed().front().draining);
+  CHECK(directory.Listed(At(10)).front().draining);
   // Its entry lapses and returns.
   directory.OnUpdates(At(20), {0, 3}, std::vector<EngineUpdate>{Removal("e0")});
   directory.OnUpdates(At(30), {0, 4},
--- a/tests/platform_translation_test.cc
+++ b/tests/platform_translation_test.cc
@@ -19,7 +19,8 @@
    "max_attempts":2,"public":false,"session_affinity":true,"stream_resume":true},
   {"name":"r2","host":"h.example","prefix":"/b/","kind":"non_idempotent",
    "timeout_ms":1500,"service":"s2","public":true}],
- "services":[{"name":"s1","max_connections":300,"engine":{"max_slots":48}},
+ "services":[{"name":"s1","max_connections":300,"engine":{"max_slots":48},
+    "cold_s":6,"cold_per_s":17},
    {"name":"s2","max_connections":110}],
  "limits":{"max_header_bytes":8000,"max_body_bytes":100000,
    "header_timeout_ms":3000,"idle_timeout_ms":15000},
@@ -189,6 +190,10 @@
   CHECK(table->FindWorkspace("k3") == nullptr);
   CHECK(table->services.at("s1").is_model);
   CHECK_FALSE(table->services.at("s2").is_model);
+  CHECK(table->services.at("s1").warm_up_time == std::chrono::seconds(6));
+  CHECK(table->services.at("s1").warm_up_rate == 17);
+  CHECK(table->services.at("s2").warm_up_time == Duration::zero());
+  CHECK(table->services.at("s2").warm_up_rate == 0);
   CHECK(table->limits.header_bytes == 8000);
   CHECK_FALSE(DecodeTable("{\"version\":1,\"routes\":[{\"name\":3}]}"));
   CHECK_FALSE(DecodeTable("not json"));
--- a/tests/rate_permits_test.cc
+++ b/tests/rate_permits_test.cc
@@ -30,11 +30,11 @@
 // in the order by which issuers are chosen, router 1 second, and so on.
 class PermitModel {
  public:
-  PermitModel(std::size_t count, double rate, double demand, unsigned seed)
+  PermitModel(std::size_t count, RateInForce rate, double demand, unsigned seed)
       : rate(rate), demand(demand), random(seed), routers(count) {
     for (Router& router : this->routers) {
       router.knows_alive.assign(kOrdered, true);
-      router.limit.OnStated(this->now, rate);
+      router.limit.OnStated(this->now, rate.per_second);
     }
   }
 
@@ -44,7 +44,7 @@
       this->LearnWhoLives();
       const int arrivals =
           std::poisson_distribution<int>(this->demand / 1000)(this->random);
-      for (int n = 0; n < arrivals; ++n) this->Arrive();
+      for (int n = 0; n < arrivals && this->HasDemand(); ++n) this->Arrive();
       while (!this->messages.empty() &&
              this->messages.front().at <= this->now) {
         const Message message = this->messages.front();
@@ -70,8 +70,10 @@
                        DigestRotationPeriod(this->routers.size() - 1));
   }
 
-  std::size_t MostInWindow(TimePoint from) const {
-    return tests::MostInWindow(this->sends, from);
+  std::size_t MostInWindow(TimePoint from,
+                           Duration window = tests::kRateWindow) {
+    std::sort(this->sends.begin(), this->sends.end());
+    return tests::MostInWindow(this->sends, from, window);
   }
   double SentSince(TimePoint from) const {
     return static_cast<double>(
@@ -81,6 +83,9 @@
 
   TimePoint now = TimePoint(seconds(1000));
   double loss = 0.002;  ///< Share of the datagrams that are lost.
+  /// Clients send requests in surges. At the beginning of each, all hosts hold
+  /// the requests back for this time, so that their permits are used at once.
+  Duration hold_time{};
 
  private:
   // Only the first routers in order are ever asked.
@@ -114,6 +119,16 @@
     return std::uniform_real_distribution<double>(0, 1)(this->random);
   }
 
+  // Returns the time since the last surge began.
+  Duration SurgePhase() const {
+    constexpr Duration kSurgeInterval = seconds(3);
+    return this->now.time_since_epoch() % kSurgeInterval;
+  }
+  bool HasDemand() const {
+    return this->hold_time == Duration::zero() ||
+           this->SurgePhase() < this->hold_time + seconds(1);
+  }
+
   void ScheduleNews(std::size_t router, bool alive, Duration latest) {
     for (std::size_t n = 0; n < this->routers.size(); ++n) {
       const auto delay = std::chrono::duration_cast<Duration>(
@@ -179,7 +194,10 @@
 
   void OnOutcome(Router& router, const PermitDecision& decision) {
     if (decision.granted) {
-      this->sends.push_back(this->now);
+      const Duration phase = this->SurgePhase();
+      const bool is_held = phase < this->hold_time;
+      this->sends.push_back(is_held ? this->now + this->hold_time - phase
+                                    : this->now);
     } else {
       router.limit.OnDenied(this->now + decision.retry_after);
     }
@@ -211,7 +229,7 @@
     this->messages.insert(place, message);
   }
 
-  double rate;
+  RateInForce rate;
   double demand;
   std::mt19937 random;
   std::vector<Router> routers;
@@ -233,7 +251,7 @@
     for (unsigned seed = 1; seed <= 5; ++seed) {
       INFO("routers " << fleet.routers << " rate " << fleet.rate << " seed "
                       << seed);
-      PermitModel model(fleet.routers, fleet.rate, fleet.rate * 2.2, seed);
+      PermitModel model(fleet.routers, {fleet.rate}, fleet.rate * 2.2, seed);
       model.Run(seconds(30));
       const TimePoint from = model.now;
       model.Run(seconds(60));
@@ -248,7 +266,7 @@
     for (unsigned seed = 1; seed <= 5; ++seed) {
       INFO("routers " << fleet.routers << " rate " << fleet.rate << " seed "
                       << seed);
-      PermitModel model(fleet.routers, fleet.rate, fleet.rate * 4, seed);
+      PermitModel model(fleet.routers, {fleet.rate}, fleet.rate * 4, seed);
       model.loss = 0.02;
       model.Run(seconds(30));
       const TimePoint from = model.now;
@@ -270,6 +288,66 @@
   }
 }
 
+// Permits for an engine of a service with this rate for warm-ups.
+RateInForce WarmUpRate(double rate) {
+  EngineWarmUp warm_up;
+  const TimePoint now(seconds(1000));
+  warm_up.Extend(now, seconds(6), seconds(6));
+  return FindRate(now, EngineRateLimit(), warm_up, rate).value();
+}
+
+TEST_CASE("in no second an engine that warms up gets more than it tolerates") {
+  constexpr std::size_t kRouters = 84;
+  constexpr milliseconds kPermitLifetime(200);
+  for (double rate : {4.0, 8.0, 17.0, 60.0}) {
+    for (unsigned seed = 1; seed <= 6; ++seed) {
+      INFO("rate " << rate << " seed " << seed);
+      PermitModel model(kRouters, WarmUpRate(rate), rate * 6, seed);
+      model.loss = 0.02;
+      model.hold_time = kPermitLifetime;
+      std::mt19937 random(seed);
+      const TimePoint from = model.now;
+      for (int n = 0; n < 12; ++n) {
+        const std::size_t issuer = random() % 3;
+        model.Stop(issuer);
+        // Often shorter than the time in which a loss is found.
+        model.Run(milliseconds(200 + random() % 9000));
+        model.Resume(issuer);
+        model.Run(milliseconds(random() % 4000));
+      }
+      CHECK(static_cast<double>(model.MostInWindow(from, seconds(1))) <=
+            tests::ToleratedInSecondOfWarmUp(rate));
+    }
+  }
+}
+
+TEST_CASE("the rate of an engine that warms up is used") {
+  constexpr double kMinWarmUpUse = 0.7;
+  for (double rate : {4.0, 17.0}) {
+    PermitModel model(84, WarmUpRate(rate), rate * 3, 1);
+    model.Run(seconds(30));
+    const TimePoint from = model.now;
+    model.Run(seconds(30));
+    CHECK(model.SentSince(from) >= kMinWarmUpUse * rate * 30);
+  }
+}
+
+TEST_CASE("the lower one of a stated limit and a warm-up's rate is in force") {
+  const TimePoint now(seconds(1000));
+  EngineRateLimit limit;
+  EngineWarmUp warm_up;
+  CHECK_FALSE(FindRate(now, limit, warm_up, 17));
+  warm_up.Extend(now, seconds(6), seconds(6));
+  CHECK_FALSE(FindRate(now, limit, warm_up, 0));
+  CHECK(FindRate(now, limit, warm_up, 17)->per_second <= 17);
+  limit.OnStated(now, 3);
+  CHECK(FindRate(now, limit, warm_up, 17)->per_second == 3);
+  CHECK(FindRate(now, limit, warm_up, 17)->is_warm_up);
+  CHECK_FALSE(FindRate(now, limit, warm_up, 0)->is_warm_up);
+  limit.OnStated(now, 30);
+  CHECK(FindRate(now, limit, warm_up, 17)->per_second <= 17);
+}
+
 TEST_CASE("routers that are cut off from each other share the rate") {
   IssuerView view;
   view.live_routers = 1;
@@ -286,7 +364,7 @@
   TimePoint now(seconds(1000));
   int granted = 0;
   for (int n = 0; n < 600; ++n, now += milliseconds(100)) {
-    if (permits.Decide(now, 1, 0, 1).granted) ++granted;
+    if (permits.Decide(now, 1, {0}, 1).granted) ++granted;
   }
   CHECK(granted >= 3);
   CHECK(granted <= 8);
@@ -295,11 +373,11 @@
 TEST_CASE("a denial tells when the next permit is due") {
   RatePermits permits;
   const TimePoint now(seconds(1000));
-  CHECK(permits.Decide(now, 1, 2, 1).granted);
-  const PermitDecision denied = permits.Decide(now, 1, 2, 1);
+  CHECK(permits.Decide(now, 1, {2}, 1).granted);
+  const PermitDecision denied = permits.Decide(now, 1, {2}, 1);
   CHECK_FALSE(denied.granted);
   CHECK(denied.retry_after == milliseconds(500));
-  CHECK(permits.Decide(now + denied.retry_after, 1, 2, 1).granted);
+  CHECK(permits.Decide(now + denied.retry_after, 1, {2}, 1).granted);
 }
 
 TEST_CASE(
--- a/tests/store_watcher_test.cc
+++ b/tests/store_watcher_test.cc
@@ -133,7 +133,8 @@
   fixture.store->FailWatches();
   fixture.BecomeListener();
   CHECK(fixture.state.unreachable_tables.empty());
-  const EngineRecord remaining = fixture.state.engines.Listed().front();
+  const EngineRecord remaining =
+      fixture.state.engines.Listed(RuntimeClock::now()).front();
   fixture.state.engines.OnSnapshot(RuntimeClock::now(), {1, 3},
                                    std::array{remaining});
   CHECK(fixture.state.engines.Engines().size() == 1);
--- a/tests/support/rate_limit_rule.h
+++ b/tests/support/rate_limit_rule.h
@@ -23,15 +23,23 @@
   return kToleratedFactor * rate * kRateWindow.count() + kToleratedRequests;
 }
 
+/// \returns the most requests in a second that an engine tolerates while it
+///          warms up.
+/// \param rate of its service in requests per second.
+constexpr double ToleratedInSecondOfWarmUp(double rate) {
+  constexpr double kToleratedFactor = 1.5;
+  constexpr double kToleratedRequests = 5;
+  return kToleratedFactor * rate + kToleratedRequests;
+}
+
 /// \returns the most arrivals in a window that begins at `from` or later.
 /// \param times of the arrivals, in order.
 inline std::size_t MostInWindow(std::span<const TimePoint> times,
-                                TimePoint from) {
+                                TimePoint from, Duration window = kRateWindow) {
   std::size_t most = 0;
   for (auto first = times.begin(); first != times.end(); ++first) {
     if (*first < from) continue;
-    const auto end =
-        std::upper_bound(first, times.end(), *first + Duration(kRateWindow));
+    const auto end = std::upper_bound(first, times.end(), *first + window);
     most = std::max(most, static_cast<std::size_t>(end - first));
   }
   return most;
