--- a/tests/support/platform_fleet.cc
+++ b/tests/support/platform_fleet.cc
@@ -167,12 +167,19 @@
     this->store->Put(
         "servers", fmt::format("e{}", engine),
         fmt::format(
-            R"({{"service":"{}","address":"127.0.0.1:{}","zone":"north","version":"{}","max_slots":{},"state":"{}","cold_remaining_ms":0,"call_seq":1,"born":{}}})",
+            R"({{"service":"{}","address":"127.0.0.1:{}","zone":"north","version":"{}","max_slots":{},"state":"{}","cold_remaining_ms":{},"call_seq":1,"born":{}}})",
             entry.service, entry.port, entry.version, this->max_slots, state,
-            entry.born_unix_ms));
+            entry.warm_up_left.count(), entry.born_unix_ms));
   });
 }
 
+void PlatformFleet::StateWarmUp(int engine, std::chrono::milliseconds left) {
+  RegisteredEngine& entry = this->engines[static_cast<std::size_t>(engine)];
+  entry.warm_up_left = left;
+  this->RegisterEngine(engine);
+  entry.warm_up_left = std::chrono::milliseconds(0);
+}
+
 void PlatformFleet::RestartEngine(int engine) {
   constexpr std::int64_t kTimeBetweenStartsMs = 5'000;
   this->engines[static_cast<std::size_t>(engine)].born_unix_ms +=
@@ -222,9 +229,9 @@
       R"({"name":"single","host":"h.example","prefix":"/single/","kind":"non_idempotent","timeout_ms":2000,"target_latency_ms":300,"priority":2,"service":"plain","max_attempts":1},)"
       R"({"name":"any","host":"h.example","prefix":"/any/","kind":"idempotent","timeout_ms":2000,"target_latency_ms":300,"priority":2,"service":"plain","max_attempts":2})";
   const std::string text = fmt::format(
-      R"({{"version":{},"routes":[{}],"services":[{{"name":"chat","max_connections":100,"engine":{{"max_slots":8}}}},{{"name":"plain","max_connections":100}}],"limits":{{"max_header_bytes":16384,"max_body_bytes":{},"header_timeout_ms":3000,"idle_timeout_ms":{}}},"tenants":[{{"name":"t1","api_keys":["k1"],"priority":1}}]}})",
-      version, routes.empty() ? usual : routes, this->max_body_bytes,
-      this->idle_timeout.count());
+      R"({{"version":{},"routes":[{}],"services":[{{"name":"chat","max_connections":100,"engine":{{"max_slots":8}}}},{{"name":"plain","max_connections":100,"cold_s":{},"cold_per_s":{}}}],"limits":{{"max_header_bytes":16384,"max_body_bytes":{},"header_timeout_ms":3000,"idle_timeout_ms":{}}},"tenants":[{{"name":"t1","api_keys":["k1"],"priority":1}}]}})",
+      version, routes.empty() ? usual : routes, this->warm_up_time.count(),
+      this->warm_up_rate, this->max_body_bytes, this->idle_timeout.count());
   this->RunOnLoop([&] { this->store->Put("op", "config", text); });
 }
 
--- a/tests/support/platform_fleet.h
+++ b/tests/support/platform_fleet.h
@@ -53,6 +53,8 @@
   void RegisterEngine(int engine, const std::string& state = "ready");
   /// \brief Writes the entry of an engine that has crashed and started again.
   void RestartEngine(int engine);
+  /// \brief Writes the entry of an engine that states that it warms up.
+  void StateWarmUp(int engine, std::chrono::milliseconds left);
   /// \brief Deletes the entry of an engine from the store.
   void DeregisterEngine(int engine);
   /// \brief Replaces the script of all later requests to an engine.
@@ -77,6 +79,13 @@
   void SetIdleTimeout(std::chrono::milliseconds timeout) {
     this->idle_timeout = timeout;
   }
+  /// \brief Sets the warm-up of the service `plain` in configurations from now
+  ///        on.
+  /// \param rate in requests per second.
+  void SetWarmUp(std::chrono::seconds time, double rate) {
+    this->warm_up_time = time;
+    this->warm_up_rate = rate;
+  }
   /// \brief Sets the slots in engines' entries from now on.
   void SetMaxSlots(int slots) { this->max_slots = slots; }
   void SetStoreMode(emulator::StoreMode mode);
@@ -143,6 +152,7 @@
     std::string version;
     std::uint16_t port = 0;
     std::int64_t born_unix_ms = 1'700'000'000'000;
+    std::chrono::milliseconds warm_up_left{0};
   };
 
   std::string Ip(int router) const;
@@ -152,6 +162,8 @@
   std::size_t max_body_bytes = 100'000;
   std::chrono::milliseconds idle_timeout{15'000};
   int max_slots = 8;
+  std::chrono::seconds warm_up_time{0};
+  double warm_up_rate = 0;
   std::string program;  ///< Path of the router's.
   boost::asio::io_context loop;
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work;
