Operators evacuate an availability zone by a row in the store

EvacuatedZones holds the set of zones as of one store version; the newest version replaces it, from the table, from a watch or from a peer's digest.

Permits in transit are not used, and what was placed before is withheld. Requests with no other engine left are refused at once, waiting ones too. Carriers refuse tunnels to the zone, and reachability checks leave it out, since its engines may be shut down.

--- a/include/dandelionscale/dispatch/table_store.h
+++ b/include/dandelionscale/dispatch/table_store.h
@@ -29,8 +29,9 @@
 
 /// \brief Tables of the shared store.
 enum class StoreTable {
-  kConfiguration,  ///< Written by operators; a single row.
-  kEngines,        ///< Each engine writes its own row.
+  /// Written by operators: the configuration and the evacuated zones.
+  kConfiguration,
+  kEngines,  ///< Each engine writes its own row.
   /// Each router writes its peer address; one row holds the quarantine.
   kRouters,
 };
@@ -63,8 +64,11 @@
                                            Duration timeout) = 0;
 };
 
-/// \brief Key of the single row in `kConfiguration`.
+/// \brief Key of the configuration's row in `kConfiguration`.
 inline constexpr std::string_view kConfigurationRowKey = "config";
+/// \brief Precedes the name of an availability zone in the key of the row by
+///        which operators evacuate it, in the same table.
+inline constexpr std::string_view kEvacuationRowPrefix = "/evacuated_zones/";
 /// \brief Key of the row of `kRouters` with what crashes engines. Names of
 ///        routers have no slash.
 inline constexpr std::string_view kQuarantineRowKey = "/quarantine";
--- a/src/dispatch/cache_observer.cc
+++ b/src/dispatch/cache_observer.cc
@@ -55,8 +55,8 @@
     for (const auto& [id, engine] : this->state.engines.Engines()) {
       const ServiceSpec* service =
           this->state.FindService(engine->record.service);
-      const bool is_assigned = service != nullptr && service->is_model &&
-                               !engine->draining && this->IsObserver(*engine);
+      const bool is_assigned =
+          service != nullptr && service->is_model && this->MayObserve(*engine);
       if (!is_assigned || !this->observed.insert(engine->key).second) continue;
       asio::co_spawn(this->state.executor, this->Observe(engine),
                      asio::detached);
@@ -71,7 +71,7 @@
   std::string epoch;
   bool is_resync = true;
   Duration retry_delay = kMinRetryDelay;
-  while (!engine->gone && !engine->draining && this->IsObserver(*engine)) {
+  while (this->MayObserve(*engine)) {
     HttpRequest call =
         this->state.codec->EncodeCacheEventsRequest(since, kLongPollWait);
     auto batch = co_await this->Call(engine, std::move(call),
@@ -79,7 +79,7 @@
     const bool missed_events =
         batch.has_value() &&
         (batch->has_gap || (!epoch.empty() && batch->epoch != epoch));
-    if (missed_events) {
+    if (missed_events && this->MayObserve(*engine)) {
       // Events are missing or the engine has restarted: replaces the record of
       // its cache by a list of the whole content.
       HttpRequest list = this->state.codec->EncodeCacheListRequest();
@@ -133,8 +133,9 @@
       });
 }
 
-bool CacheObserver::IsObserver(const Engine& engine) const {
-  return this->state.IsFirstAmongPeers(engine.key);
+bool CacheObserver::MayObserve(const Engine& engine) const {
+  return !engine.gone && !engine.draining && !this->state.IsEvacuated(engine) &&
+         this->state.IsFirstAmongPeers(engine.key);
 }
 
 void CacheObserver::ApplyEvents(const Engine& engine,
--- a/src/dispatch/cache_observer.h
+++ b/src/dispatch/cache_observer.h
@@ -31,8 +31,8 @@
   Awaitable<Result<CacheEventBatch>> Call(std::shared_ptr<Engine> engine,
                                           HttpRequest request,
                                           Duration timeout);
-  // True if the engine is assigned to this router.
-  bool IsObserver(const Engine& engine) const;
+  // True if the engine is assigned to this router and may be called.
+  bool MayObserve(const Engine& engine) const;
   // \param is_resync the events give the whole content of the cache: all events
   //        since its start, or a list.
   void ApplyEvents(const Engine& engine, const CacheEventBatch& batch,
--- a/src/dispatch/dispatch_router.cc
+++ b/src/dispatch/dispatch_router.cc
@@ -224,6 +224,9 @@
   this->state.metrics.Set(
       "services_cut_off",
       static_cast<double>(this->state.reachability.CutOffServices().size()));
+  this->state.metrics.Set(
+      "zones_evacuated",
+      static_cast<double>(this->state.evacuated_zones.Current().size()));
   this->state.metrics.Set("store_lost",
                           this->state.unreachable_tables.empty() ? 0 : 1);
 }
--- a/src/dispatch/dispatch_state.cc
+++ b/src/dispatch/dispatch_state.cc
@@ -159,6 +159,30 @@
       std::max(this->newest_engine_version, this->engines.Version());
 }
 
+void DispatchState::OnZoneChanges(
+    const std::vector<EvacuatedZones::Change>& changes,
+    std::string_view source) {
+  const StoreVersion version = this->evacuated_zones.Version();
+  for (const EvacuatedZones::Change& change : changes) {
+    Logger::Warning(change.is_evacuated ? "zone_evacuated" : "zone_restored",
+                    {{"zone", change.zone},
+                     {"source", source},
+                     {"era", static_cast<std::int64_t>(version.era)},
+                     {"version", static_cast<std::int64_t>(version.number)}});
+    if (!change.is_evacuated) this->OnZoneRestored(change.zone);
+  }
+  if (!changes.empty()) this->state_changed.NotifyAll();
+}
+
+void DispatchState::OnZoneRestored(std::string_view zone) {
+  std::int64_t returning = 0;
+  for (const auto& [id, engine] : this->engines.Engines()) {
+    if (engine->record.availability_zone == zone) ++returning;
+  }
+  this->metrics.Add("zone_restorations_total");
+  Logger::Info("zone_engines_return", {{"zone", zone}, {"engines", returning}});
+}
+
 void DispatchState::UpdateSoftwareVersions() {
   const TimePoint now = RuntimeClock::now();
   const std::set<std::string> services =
--- a/src/dispatch/dispatch_state.h
+++ b/src/dispatch/dispatch_state.h
@@ -16,6 +16,7 @@
 
 #include "dandelionscale/core/engine_directory.h"
 #include "dandelionscale/core/engine_reachability.h"
+#include "dandelionscale/core/evacuated_zones.h"
 #include "dandelionscale/core/load/admission_queue.h"
 #include "dandelionscale/core/load/fleet_retry_budget.h"
 #include "dandelionscale/core/load/peer_load.h"
@@ -90,6 +91,18 @@
   /// \brief Lets digests announce the current list of engines if `changes` hold
   ///        a removal that no row of the store shows.
   void AnnounceRemovals(std::span<const EngineChange> changes);
+  /// \brief Logs zones that were evacuated or restored, and triggers a digest
+  /// to
+  ///        the peers. To be called after each event that is passed to
+  ///        `evacuated_zones`.
+  /// \param source origin of the changes, for the log.
+  void OnZoneChanges(const std::vector<EvacuatedZones::Change>& changes,
+                     std::string_view source);
+  /// \returns true if no request may be sent to the engine because its zone is
+  ///          evacuated.
+  bool IsEvacuated(const Engine& engine) const {
+    return this->evacuated_zones.Contains(engine.record.availability_zone);
+  }
   /// \brief Logs and counts changes of the quarantine, and triggers a digest to
   ///        the peers if they should know at once. To be called after each
   ///        event that is passed to `quarantine`.
@@ -189,6 +202,7 @@
   /// Version of the newest change of the engines that this router knows of;
   /// peers whose list is older fetch it.
   StoreVersion newest_engine_version;
+  EvacuatedZones evacuated_zones;
   bool engines_known = false;  ///< The engine list was loaded.
   PeerLoad peer_load;          ///< Load that the peers report.
   /// Decides whether this router watches the store or relies on the digests of
@@ -241,6 +255,7 @@
 
  private:
   void UpdateSoftwareVersions();
+  void OnZoneRestored(std::string_view zone);
   void OnRateLimitChanged(const Engine& engine, const EngineRateLimit& before,
                           std::string_view source);
   // Logs a warning that concerns an engine, once for each engine and event.
--- a/src/dispatch/log_explanation.cc
+++ b/src/dispatch/log_explanation.cc
@@ -100,7 +100,9 @@
       "engine_pause",
       "watch_role",
       "reachability_lost",
-      "reachability_regained"};
+      "reachability_regained",
+      "zone_evacuated",
+      "zone_restored"};
   return kStateChangeEvents.contains(line.Text("event"));
 }
 
--- a/src/dispatch/peers/peer_exchange.cc
+++ b/src/dispatch/peers/peer_exchange.cc
@@ -111,6 +111,7 @@
   FillQuarantineUpdate(this->state.quarantine.TakeForDigest(), now, digest);
   this->FillRateLimits(digest);
   this->FillTunnels(digest);
+  this->FillEvacuation(digest);
   FillWatchReport(this->state.watcher_election.Report(now), digest);
   const std::string bytes = digest.SerializeAsString();
   const std::vector<std::string> peers(this->state.peers.begin(),
@@ -200,6 +201,33 @@
   }
 }
 
+void PeerExchange::FillEvacuation(wire::RouterDigest& digest) const {
+  const EvacuatedZones& evacuated = this->state.evacuated_zones;
+  if (!evacuated.IsReported()) return;
+  digest.set_evacuation_version(evacuated.Version().number);
+  // The tables of configuration and engines are read one after the other, so
+  // that only one of them may be of a new era.
+  if (evacuated.Version().era != digest.store_era()) {
+    digest.set_evacuation_era(evacuated.Version().era);
+  }
+  for (const std::string& zone : evacuated.Current()) {
+    digest.add_evacuated_zones(zone);
+  }
+}
+
+void PeerExchange::ApplyEvacuation(const wire::RouterDigest& digest,
+                                   const std::string& sender) {
+  if (!digest.has_evacuation_version()) return;
+  const std::uint64_t era = digest.has_evacuation_era()
+                                ? digest.evacuation_era()
+                                : digest.store_era();
+  const EvacuatedZones::Zones zones(digest.evacuated_zones().begin(),
+                                    digest.evacuated_zones().end());
+  this->state.OnZoneChanges(this->state.evacuated_zones.OnReport(
+                                {era, digest.evacuation_version()}, zones),
+                            sender);
+}
+
 Awaitable<void> PeerExchange::ReceiveDigests() {
   while (true) {
     udp::endpoint sender;
@@ -263,6 +291,8 @@
       sender);
   ApplyRateLimits(this->state, digest.rate_limits(), sender);
   this->ApplyTunnels(digest, sender);
+  // Before the snapshot, which may complete the start of this router.
+  this->ApplyEvacuation(digest, sender);
   this->snapshots.OnDigest(digest, sender);
 }
 
--- a/src/dispatch/peers/peer_exchange.h
+++ b/src/dispatch/peers/peer_exchange.h
@@ -45,6 +45,9 @@
   void FillPlacements(wire::RouterDigest& digest);
   void FillRateLimits(wire::RouterDigest& digest);
   void FillTunnels(wire::RouterDigest& digest);
+  void FillEvacuation(wire::RouterDigest& digest) const;
+  void ApplyEvacuation(const wire::RouterDigest& digest,
+                       const std::string& sender);
   void ApplyTunnels(const wire::RouterDigest& digest,
                     const std::string& sender);
   Awaitable<void> ReceiveDigests();
--- a/src/dispatch/request/engine_exchange.cc
+++ b/src/dispatch/request/engine_exchange.cc
@@ -62,11 +62,12 @@
   return this->FailureOnLostConnection();
 }
 
-// The engine may have started to drain, asked for a pause or stated a limit
-// while the connection was opened.
+// The engine may have started to drain, asked for a pause or stated a limit, or
+// its zone may have been evacuated, while the connection was opened.
 bool EngineExchange::MaySend() const {
   const TimePoint now = RuntimeClock::now();
   if (this->engine->draining || this->engine->gone) return false;
+  if (this->state.IsEvacuated(*this->engine)) return false;
   if (this->engine->pause.IsActive(now)) return false;
   if (!this->engine->rate_limit.IsActive()) return true;
   return this->permitted_at && now - *this->permitted_at <= kPermitLifetime;
--- a/src/dispatch/request/request_dispatch.h
+++ b/src/dispatch/request/request_dispatch.h
@@ -114,10 +114,17 @@
   // Time until such a request may be tried; zero if none blocks this one.
   Duration TimeUntilProbe() const;
   bool WasTried(const Engine& engine) const;
+  // Returns true if the engine may be sent the request as soon as it has room
+  // and wants requests.
+  bool MayTry(const Engine& engine) const;
   bool HasUntriedEngine() const;
+  // Returns true if the request can only wait for the end of an evacuation.
+  bool IsLeftToEvacuatedZones() const;
   // Time until one of the engines that may be tried wants requests; zero if one
   // does or if there is none.
   Duration TimeUntilUsableEngine() const;
+  // Sends the final response if there is no engine to wait for.
+  Awaitable<void> FinishWithoutEngine();
   // Sends the final response if no engine can be chosen.
   Awaitable<void> FinishUnplaced(std::string_view reason);
 
--- a/src/dispatch/request/request_placement.cc
+++ b/src/dispatch/request/request_placement.cc
@@ -57,7 +57,9 @@
       plan->permitted_at = RuntimeClock::now();
     }
     if (this->interruption != Interruption::kNone) break;
-    if (engine.draining || engine.gone) continue;
+    const bool is_unwanted =
+        engine.draining || engine.gone || this->state.IsEvacuated(engine);
+    if (is_unwanted) continue;
     this->OnPlaced(*plan);
     co_return plan->engine;
   }
@@ -115,16 +117,16 @@
                           this->state.options.availability_zone;
     candidate.limits_rate = engine->rate_limit.IsActive();
     const bool was_tried = this->WasTried(*engine);
+    const bool evacuated = this->state.IsEvacuated(*engine);
     const bool ejected = engine->health.IsEjected(now, failure_rate);
     const bool probe_in_flight =
         engine->health.IsHalfOpen(now) && engine->in_flight > 0;
     const bool healthy = ignore_health || (!ejected && !probe_in_flight);
     const bool may_permit = avoid_limited ? !engine->rate_limit.IsActive()
                                           : engine->rate_limit.MayAsk(now);
-    candidate.usable = this->FitsVersion(*engine) && !engine->draining &&
-                       !was_tried && healthy && !engine->pause.IsActive(now) &&
-                       may_permit;
-    candidate.reachable = !ejected && !was_tried;
+    candidate.usable = this->MayTry(*engine) && healthy &&
+                       !engine->pause.IsActive(now) && may_permit;
+    candidate.reachable = !ejected && !was_tried && !evacuated;
     candidates.push_back(candidate);
   }
   return candidates;
@@ -185,23 +187,22 @@
     grant = queue.TryEnqueue(now, wait_request);
     this->LogWait(grant ? "request_waits" : "wait_refused", inputs);
   }
-  const bool is_unsent_resumption =
-      this->IsResumption() && this->required_version && this->sends == 0;
-  if (!has_untried_engine && is_unsent_resumption) {
-    co_await this->RefuseResumption("no_engine_of_version");
+  if (!has_untried_engine) {
+    co_await this->FinishWithoutEngine();
     co_return nullptr;
   }
   if (!grant) {
-    co_await this->FinishUnplaced(has_untried_engine ? "queue_full"
-                                                     : "no_engine");
+    co_await this->FinishUnplaced("queue_full");
     co_return nullptr;
   }
   this->wait_timer = std::make_unique<Timer>(this->state.executor);
   bool quarantined = false;
+  bool evacuated = false;
   while (RuntimeClock::now() < grant->until &&
          this->interruption == Interruption::kNone) {
     quarantined = this->IsQuarantined();
-    if (quarantined) break;
+    evacuated = this->IsLeftToEvacuatedZones();
+    if (quarantined || evacuated) break;
     if (queue.IsFirst(grant->ticket)) {
       if (auto engine = co_await this->TryPlace()) {
         queue.OnPlaced(RuntimeClock::now(), grant->ticket);
@@ -215,6 +216,8 @@
   queue.OnAbandoned(grant->ticket);
   if (this->interruption == Interruption::kClientGone) {
     co_await this->FinishForGoneClient("waiting");
+  } else if (evacuated) {
+    co_await this->FinishWithoutEngine();
   } else {
     co_await this->FinishUnplaced(quarantined ? "quarantined" : "no_room");
   }
@@ -266,12 +269,16 @@
                    engine.key) != this->tried_engine_keys.end();
 }
 
+bool RequestDispatch::MayTry(const Engine& engine) const {
+  return this->FitsVersion(engine) && !engine.draining &&
+         !this->state.IsEvacuated(engine) && !this->WasTried(engine);
+}
+
 Duration RequestDispatch::TimeUntilUsableEngine() const {
   const TimePoint now = RuntimeClock::now();
   std::optional<Duration> shortest;
   for (const auto& engine : this->state.engines.Find(this->service)) {
-    if (!this->FitsVersion(*engine)) continue;
-    if (engine->draining || this->WasTried(*engine)) continue;
+    if (!this->MayTry(*engine)) continue;
     const Duration pause = std::max(engine->pause.Remaining(now),
                                     engine->rate_limit.TimeUntilMayAsk(now));
     shortest = std::min(shortest.value_or(pause), pause);
@@ -281,11 +288,27 @@
 
 bool RequestDispatch::HasUntriedEngine() const {
   const auto engines = this->state.engines.Find(this->service);
-  return std::any_of(engines.begin(), engines.end(),
-                     [this](const auto& engine) {
-                       return this->FitsVersion(*engine) && !engine->draining &&
-                              !this->WasTried(*engine);
-                     });
+  return std::any_of(
+      engines.begin(), engines.end(),
+      [this](const auto& engine) { return this->MayTry(*engine); });
+}
+
+bool RequestDispatch::IsLeftToEvacuatedZones() const {
+  const auto engines = this->state.engines.Find(this->service);
+  const bool has_evacuated = std::any_of(
+      engines.begin(), engines.end(),
+      [this](const auto& engine) { return this->state.IsEvacuated(*engine); });
+  return has_evacuated && !this->HasUntriedEngine();
+}
+
+Awaitable<void> RequestDispatch::FinishWithoutEngine() {
+  const bool is_unsent_resumption =
+      this->IsResumption() && this->required_version && this->sends == 0;
+  if (is_unsent_resumption) {
+    co_await this->RefuseResumption("no_engine_of_version");
+  } else {
+    co_await this->FinishUnplaced("no_engine");
+  }
 }
 
 Awaitable<void> RequestDispatch::FinishUnplaced(std::string_view reason) {
--- a/src/dispatch/store/store_watcher.cc
+++ b/src/dispatch/store/store_watcher.cc
@@ -216,7 +216,7 @@
       continue;
     }
     if (table == StoreTable::kConfiguration) {
-      this->OnConfigurationRows(*rows);
+      this->OnConfigurationRows(*rows, !has_table);
     } else {
       this->OnEngineRows(*rows, !has_table);
     }
@@ -443,13 +443,33 @@
       "store");
 }
 
-void StoreWatcher::OnConfigurationRows(const StoreRows& rows) {
+void StoreWatcher::OnConfigurationRows(const StoreRows& rows,
+                                       bool is_whole_table) {
+  this->OnEvacuationRows(rows, is_whole_table);
   for (const StoreRow& row : rows.rows) {
     if (row.key != kConfigurationRowKey || row.removed) continue;
     this->state.ApplyConfiguration(row.value, "store");
   }
 }
 
+void StoreWatcher::OnEvacuationRows(const StoreRows& rows,
+                                    bool is_whole_table) {
+  std::vector<EvacuatedZones::Change> changes;
+  EvacuatedZones::Zones listed;
+  for (const StoreRow& row : rows.rows) {
+    if (!row.key.starts_with(kEvacuationRowPrefix)) continue;
+    std::string zone = row.key.substr(kEvacuationRowPrefix.size());
+    if (!row.removed) listed.insert(zone);
+    changes.push_back({std::move(zone), !row.removed});
+  }
+  EvacuatedZones& evacuated = this->state.evacuated_zones;
+  if (is_whole_table) {
+    this->state.OnZoneChanges(evacuated.OnTable(rows.version, listed), "store");
+  } else if (!changes.empty()) {
+    this->state.OnZoneChanges(evacuated.OnRows(rows.version, changes), "store");
+  }
+}
+
 void StoreWatcher::OnEngineRows(const StoreRows& rows, bool is_whole_table) {
   const TimePoint now = RuntimeClock::now();
   std::vector<EngineUpdate> updates;
--- a/src/dispatch/store/store_watcher.h
+++ b/src/dispatch/store/store_watcher.h
@@ -59,7 +59,8 @@
   void OnRouterTable(const StoreRows& rows);
   void OnRouterRows(const StoreRows& rows);
   void OnQuarantineRow(const StoreRow& row);
-  void OnConfigurationRows(const StoreRows& rows);
+  void OnConfigurationRows(const StoreRows& rows, bool is_whole_table);
+  void OnEvacuationRows(const StoreRows& rows, bool is_whole_table);
   void OnEngineRows(const StoreRows& rows, bool is_whole_table);
   // A malformed row counts as removed: it names no engine.
   EngineUpdate DecodeEngineRow(const StoreRow& row);
--- a/src/tunnel/reachability_monitor.cc
+++ b/src/tunnel/reachability_monitor.cc
@@ -120,7 +120,11 @@
   std::vector<std::shared_ptr<Engine>> healthy;
   std::vector<std::shared_ptr<Engine>> doubtful;
   for (const auto& engine : this->state.engines.Find(service)) {
-    if (engine->draining || engine->gone) continue;
+    // Engines of an evacuated zone may be shut down, which says nothing about
+    // this router's links.
+    const bool is_left_out =
+        engine->draining || engine->gone || this->state.IsEvacuated(*engine);
+    if (is_left_out) continue;
     const bool was_unreachable =
         engine->health.IsHalfOpen(now) || engine->health.IsEjected(now, 1);
     (was_unreachable ? doubtful : healthy).push_back(engine);
--- a/src/tunnel/tunnel_message.h
+++ b/src/tunnel/tunnel_message.h
@@ -20,9 +20,10 @@
 
 /// \brief Why a router opens no tunnel.
 enum class TunnelRefusal {
-  kNotListed,    ///< The caller is no router of the fleet.
-  kUnknown,      ///< The engine is not known, or has another incarnation.
-  kUnwanted,     ///< The engine is leaving or wants no requests now.
+  kNotListed,  ///< The caller is no router of the fleet.
+  kUnknown,    ///< The engine is not known, or has another incarnation.
+  /// The engine is leaving or wants no requests now, or its zone is evacuated.
+  kUnwanted,
   kCutOff,       ///< The router does not reach this service itself.
   kBusy,         ///< The router carries as many tunnels as it may.
   kUnreachable,  ///< The engine could not be connected to.
--- a/src/tunnel/tunnel_server.cc
+++ b/src/tunnel/tunnel_server.cc
@@ -154,7 +154,7 @@
   if (engine == nullptr || engine->key != session.request.engine_key) {
     return TunnelRefusal::kUnknown;
   }
-  if (engine->draining || engine->gone ||
+  if (engine->draining || engine->gone || this->state.IsEvacuated(*engine) ||
       engine->pause.IsActive(RuntimeClock::now())) {
     return TunnelRefusal::kUnwanted;
   }
@@ -179,7 +179,8 @@
   }
   const TimePoint started_at = RuntimeClock::now();
   auto connected = co_await this->pool.Connect(engine, kConnectTimeout);
-  // The engine may have begun to leave meanwhile.
+  // The engine may have begun to leave meanwhile, or its zone may have been
+  // evacuated.
   refusal = this->FindRefusal(*session, engine.get());
   if (!refusal && connected.has_error()) refusal = TunnelRefusal::kUnreachable;
   if (refusal) {
--- a/tests/store_watcher_test.cc
+++ b/tests/store_watcher_test.cc
@@ -190,6 +190,36 @@
   CHECK(fixture.state.engines.Engines().contains("e2"));
 }
 
+// Guards against an evacuation that gets lost with a configuration that can't
+// be read, or with a change that comes as one row.
+TEST_CASE("rows of the table decide which zones are evacuated") {
+  WatcherFixture fixture;
+  auto& table = fixture.store->tables[StoreTable::kConfiguration];
+  auto& changes = fixture.store->watch_rows[StoreTable::kConfiguration];
+  const std::string prefix(kEvacuationRowPrefix);
+  const auto zones = [&] { return fixture.state.evacuated_zones.Current(); };
+  table.rows = {{std::string(kConfigurationRowKey), "no configuration", 3},
+                {prefix + "a", "{}", 4}};
+  table.version = {1, 4};
+  fixture.Advance(kStartUpTime + milliseconds(200));
+  CHECK(zones() == EvacuatedZones::Zones{"a"});
+  // In the order of their keys, as a store may send them.
+  changes.rows = {{prefix + "a", "", 7, true}, {prefix + "b", "{}", 6}};
+  changes.version = {1, 7};
+  fixture.store->EndWatches();
+  fixture.Advance(milliseconds(200));
+  CHECK(zones() == EvacuatedZones::Zones{"b"});
+  CHECK(fixture.state.evacuated_zones.Version() == StoreVersion{1, 7});
+  // A restored copy from before the first evacuation.
+  table.rows.pop_back();
+  table.version = {2, 3};
+  changes.version = {2, 3};
+  changes.rows.clear();
+  fixture.store->EndWatches();
+  fixture.Advance(milliseconds(500));
+  CHECK(zones().empty());
+}
+
 // Load pattern: hundreds of routers start together, and each has received the
 // digests of few. A router that counts only those as its peers takes itself for
 // the observer of most engines' caches.
