--- a/tests/support/platform_fleet.cc
+++ b/tests/support/platform_fleet.cc
@@ -152,6 +152,7 @@
     entry.port = entry.engine->Listen(Any()).value().port();
     entry.service = service;
     entry.version = version;
+    entry.zone = this->zone;
     this->engines.push_back(std::move(entry));
   });
   const int number = static_cast<int>(this->engines.size()) - 1;
@@ -167,9 +168,9 @@
     this->store->Put(
         "servers", fmt::format("e{}", engine),
         fmt::format(
-            R"({{"service":"{}","address":"127.0.0.1:{}","zone":"north","version":"{}","max_slots":{},"state":"{}","cold_remaining_ms":0,"call_seq":1,"born":{}}})",
-            entry.service, entry.port, entry.version, this->max_slots, state,
-            entry.born_unix_ms));
+            R"({{"service":"{}","address":"127.0.0.1:{}","zone":"{}","version":"{}","max_slots":{},"state":"{}","cold_remaining_ms":0,"call_seq":1,"born":{}}})",
+            entry.service, entry.port, entry.zone, entry.version,
+            this->max_slots, state, entry.born_unix_ms));
   });
 }
 
--- a/tests/support/platform_fleet.h
+++ b/tests/support/platform_fleet.h
@@ -77,6 +77,8 @@
   void SetIdleTimeout(std::chrono::milliseconds timeout) {
     this->idle_timeout = timeout;
   }
+  /// \brief Sets the availability zone of engines that are added from now on.
+  void SetZone(const std::string& name) { this->zone = name; }
   /// \brief Sets the slots in engines' entries from now on.
   void SetMaxSlots(int slots) { this->max_slots = slots; }
   void SetStoreMode(emulator::StoreMode mode);
@@ -141,6 +143,7 @@
     std::unique_ptr<emulator::ScriptedEngine> engine;
     std::string service;
     std::string version;
+    std::string zone;
     std::uint16_t port = 0;
     std::int64_t born_unix_ms = 1'700'000'000'000;
   };
@@ -151,6 +154,7 @@
   std::string folder;
   std::size_t max_body_bytes = 100'000;
   std::chrono::milliseconds idle_timeout{15'000};
+  std::string zone = "north";
   int max_slots = 8;
   std::string program;  ///< Path of the router's.
   boost::asio::io_context loop;
