Placement weighs load reports by their age

A router hears each peer once per rotation of digests (0.25 s at 12 routers, 1.75 s at 84). For work of 30 ms such loads have long changed, and all routers choose the engine that once was idle.

PeerLoad now takes exp(-age / work time) of a report's requests to be still in flight and spreads the others evenly over the service's usable engines. The work time is a moving mean in ServiceState; until it is known, reports count in full. Requests with a prefix count reports in full as before: a prefix in use keeps its holder busy beyond one request, and the load bound relies on it.

--- a/include/dandelionscale/core/load/peer_load.h
+++ b/include/dandelionscale/core/load/peer_load.h
@@ -6,7 +6,10 @@
 #include <span>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
+#include "dandelionscale/core/load/placement.h"
+#include "dandelionscale/core/load/work_time.h"
 #include "dandelionscale/runtime/runtime_clock.h"
 
 namespace dandelionscale {
@@ -15,10 +18,16 @@
 struct EngineLoad {
   std::uint64_t engine_key = 0;
   std::uint32_t in_flight = 0;
+  /// How long the requests of the engine's service are in flight.
+  Duration work_time = WorkTime::kUnknown;
 };
 
 /// \brief In-flight requests that the other routers of the fleet report, summed
 ///        for each engine.
+///
+/// Of the requests in a report of age `a`, `exp(-a / work_time)` are taken to
+/// be still in flight. The others have ended, and others have taken their
+/// place, at an engine of the service that the report does not tell.
 class PeerLoad {
  public:
   /// \brief Replaces the previous report of `router`; ignores the report if it
@@ -36,24 +45,56 @@
 
   /// \returns requests that the other routers have in flight at the engine.
   std::uint32_t InFlight(std::uint64_t engine_key) const;
+  /// \returns those of them that are taken to be still in flight.
+  double StillInFlight(TimePoint now, std::uint64_t engine_key) const;
+  /// \brief Spreads the reported requests that are not taken to be still in
+  ///        flight evenly over the engines.
+  ///
+  /// If all routers relied on stale reports, they would all choose the engine
+  /// that was idle when these were made. Engines that may not be chosen or that
+  /// limit their rate don't take part.
+  /// \param candidates the engines of one service; their `in_flight` includes
+  ///        `InFlight()`. The sum of it is kept, but for rounding.
+  void SpreadStaleLoad(TimePoint now,
+                       std::span<PlacementCandidate> candidates) const;
   /// \returns the number of routers with a current report.
   std::size_t RouterCount() const { return this->reports.size(); }
   /// \returns the age of the oldest report in use.
   Duration OldestAge(TimePoint now) const;
 
  private:
+  struct ReportedEngine {
+    std::uint64_t key = 0;
+    std::uint32_t in_flight = 0;
+    double decay = 0;  // `Total::decay` when the report arrived.
+  };
   struct Report {
     std::uint64_t incarnation = 0;
     std::uint64_t sequence = 0;
     TimePoint received_at{};
-    std::vector<EngineLoad> loads;
+    std::vector<ReportedEngine> engines;
+  };
+  // Sums over the reports for one engine.
+  struct Total {
+    std::uint32_t in_flight = 0;
+    // Requests still in flight at `decayed_at`.
+    double still_in_flight = 0;
+    TimePoint decayed_at{};
+    // Integral of 1 / work_time from the first report to `decayed_at`. A
+    // report's weight is exp(-increase of the integral since its arrival), so
+    // that it leaves the sum exactly as it has entered it.
+    double decay = 0;
+    Duration work_time{};
+
+    double StillInFlight(TimePoint now) const;
+    void Decay(TimePoint now);
   };
 
-  void Add(const Report& report);
-  void Subtract(const Report& report);
+  void Add(TimePoint now, Report& report, std::span<const EngineLoad> loads);
+  void Subtract(TimePoint now, const Report& report);
 
   std::map<std::string, Report, std::less<>> reports;
-  std::unordered_map<std::uint64_t, std::uint32_t> totals;
+  std::unordered_map<std::uint64_t, Total> totals;
 };
 
 }  // namespace dandelionscale
--- a/src/dispatch/dispatch_state.h
+++ b/src/dispatch/dispatch_state.h
@@ -20,6 +20,7 @@
 #include "dandelionscale/core/load/fleet_retry_budget.h"
 #include "dandelionscale/core/load/peer_load.h"
 #include "dandelionscale/core/load/rate_limit_news.h"
+#include "dandelionscale/core/load/work_time.h"
 #include "dandelionscale/core/memory_budget.h"
 #include "dandelionscale/core/prefix_index.h"
 #include "dandelionscale/core/prefix_update_queue.h"
@@ -51,12 +52,13 @@
   TimePoint until{};
 };
 
-/// \brief Queue and retry budget of one service.
+/// \brief Queue, retry budget and work time of one service.
 struct ServiceState {
   explicit ServiceState(RetryBudgetLimits budget_limits)
       : budget(budget_limits) {}
   AdmissionQueue queue;
   FleetRetryBudget budget;
+  WorkTime work_time;
 };
 
 /// \brief When a peer was last known to be alive.
--- a/src/dispatch/peers/peer_exchange.cc
+++ b/src/dispatch/peers/peer_exchange.cc
@@ -247,7 +247,10 @@
   for (int n = 0; n < digest.engine_keys_size(); ++n) {
     const auto engine =
         this->state.engines.FindByShortKey(digest.engine_keys(n));
-    if (engine != nullptr) loads.push_back({engine->key, digest.loads(n)});
+    if (engine == nullptr) continue;
+    const WorkTime& work_time =
+        this->state.Service(engine->record.service).work_time;
+    loads.push_back({engine->key, digest.loads(n), work_time.Mean()});
   }
   this->state.peer_load.OnReport(now, digest.router(), digest.incarnation(),
                                  digest.sequence(), loads);
--- a/src/dispatch/request/request_dispatch.cc
+++ b/src/dispatch/request/request_dispatch.cc
@@ -170,6 +170,7 @@
 Awaitable<std::optional<AttemptFailure>> RequestDispatch::Attempt(
     std::shared_ptr<Engine> engine) {
   ++engine->in_flight;
+  this->attempt_began_at = RuntimeClock::now();
   this->answer_begun = false;
   std::optional<AttemptFailure> failure;
   if (this->backup) {
@@ -232,11 +233,13 @@
   end.answer_begun = this->answer_begun;
   end.silent = this->interruption == Interruption::kStalled;
   this->exchange.reset();
-  this->state.Service(this->service).queue.OnCompleted(now);
+  ServiceState& service_state = this->state.Service(this->service);
+  service_state.queue.OnCompleted(now);
   const bool ended_by_client_or_deadline =
       this->interruption == Interruption::kClientGone ||
       this->interruption == Interruption::kDeadline;
   if (!failure) {
+    service_state.work_time.OnAnswered(now - this->attempt_began_at);
     engine.health.OnSuccess(now);
     return;
   }
--- a/src/dispatch/request/request_dispatch.h
+++ b/src/dispatch/request/request_dispatch.h
@@ -283,6 +283,7 @@
   std::string service;
   std::uint64_t affinity_key = 0;  ///< Of the last prompt part; 0 for none.
   std::uint64_t request_key = 0;   ///< Hash of the request id.
+  TimePoint attempt_began_at{};    ///< Start of the newest attempt.
   /// Keys by which the quarantine knows requests as alike.
   RequestKeySet quarantine_keys;
   std::uint64_t fingerprint = 0;  ///< See `Fingerprint()`.
--- a/src/dispatch/request/request_placement.cc
+++ b/src/dispatch/request/request_placement.cc
@@ -79,6 +79,12 @@
     if (ignore_health && limits.only_healthy) break;
     plan.candidates =
         this->BuildCandidates(ignore_health, limits.avoid_limited);
+    // Requests with the same prefix keep their engine busy beyond the time of
+    // one of them, and the load bound relies on their number.
+    if (this->affinity_key == 0) {
+      this->state.peer_load.SpreadStaleLoad(RuntimeClock::now(),
+                                            plan.candidates);
+    }
     plan.inputs.candidates = plan.candidates;
     const auto decision = ChooseEngine(plan.inputs);
     if (!decision) continue;
--- /dev/null
+++ b/tests/support/stale_load_fleet.h
@@ -0,0 +1,255 @@
+/// \file
+/// \brief Simulates many routers that place requests on the engines of one
+/// service by load reports that are up to a rotation of digests old.
+#ifndef DANDELIONSCALE_TESTS_SUPPORT_STALE_LOAD_FLEET_H_
+#define DANDELIONSCALE_TESTS_SUPPORT_STALE_LOAD_FLEET_H_
+
+#include <algorithm>
+#include <cmath>
+#include <cstdint>
+#include <optional>
+#include <queue>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "dandelionscale/core/digest_schedule.h"
+#include "dandelionscale/core/load/peer_load.h"
+#include "dandelionscale/core/load/placement.h"
+#include "dandelionscale/core/load/work_time.h"
+
+namespace dandelionscale::tests {
+
+/// \brief How the simulated routers use reports.
+enum class ReportUse {
+  kFull,    ///< Each report counts in full, however old it is.
+  kSpread,  ///< `PeerLoad::SpreadStaleLoad()`.
+  kNone     ///< A random engine.
+};
+
+/// \brief The routers and engines of one availability zone.
+struct SimulatedZone {
+  int routers = 0;
+  int engines = 0;
+  double requests_per_s = 0;
+};
+
+/// \brief A fleet and its load.
+struct StaleLoadSettings {
+  std::vector<SimulatedZone> zones;
+  std::uint32_t slots = 6;  ///< Of each engine; further requests wait there.
+  int work_ms = 30;         ///< Mean; exponentially distributed if `varied`.
+  bool varied = false;
+  ReportUse use = ReportUse::kSpread;
+  std::uint64_t seed = 1;
+};
+
+/// \brief What happened in a span of simulated time.
+struct StaleLoadResult {
+  int requests = 0;
+  int found_full = 0;  ///< All slots of the chosen engine were in use.
+  int not_placed = 0;  ///< No engine had room, as far as the router knew.
+  /// Standard deviation of an engine's requests in flight, sampled each 10 ms.
+  double load_deviation = 0;
+
+  double FoundFullShare() const {
+    return static_cast<double>(this->found_full) / std::max(1, this->requests);
+  }
+};
+
+/// \brief Simulates a fleet in steps of 1 ms.
+class StaleLoadFleet {
+ public:
+  explicit StaleLoadFleet(StaleLoadSettings settings)
+      : settings(std::move(settings)), random(this->settings.seed) {
+    for (std::size_t zone = 0; zone < this->settings.zones.size(); ++zone) {
+      for (int n = 0; n < this->settings.zones[zone].engines; ++n) {
+        this->engines.push_back({1000 + this->engines.size(), zone, 0, {}});
+      }
+    }
+    for (std::size_t zone = 0; zone < this->settings.zones.size(); ++zone) {
+      for (int n = 0; n < this->settings.zones[zone].routers; ++n) {
+        Router router;
+        router.zone = zone;
+        router.name = std::to_string(this->routers.size());
+        router.next_peer = this->random();
+        router.phase_ms = static_cast<int>(this->random() % kDigestMs);
+        router.in_flight.resize(this->engines.size());
+        this->routers.push_back(std::move(router));
+      }
+    }
+  }
+
+  /// \brief Runs the fleet; the state is kept from the previous call.
+  StaleLoadResult Run(int duration_ms) {
+    StaleLoadResult result;
+    double sum = 0;
+    double squares = 0;
+    int samples = 0;
+    for (const int end = this->now_ms + duration_ms; this->now_ms < end;
+         ++this->now_ms) {
+      this->Finish();
+      for (Router& router : this->routers) {
+        if (this->now_ms % kDigestMs == router.phase_ms) this->Report(router);
+      }
+      for (std::size_t zone = 0; zone < this->settings.zones.size(); ++zone) {
+        std::poisson_distribution<int> arrivals(
+            this->settings.zones[zone].requests_per_s / 1000);
+        for (int n = arrivals(this->random); n > 0; --n) {
+          this->Place(this->RandomRouter(zone), result);
+        }
+      }
+      if (this->now_ms % 10 != 0) continue;
+      for (const SimEngine& engine : this->engines) {
+        sum += engine.in_flight;
+        squares += static_cast<double>(engine.in_flight) * engine.in_flight;
+        ++samples;
+      }
+    }
+    const double mean = sum / samples;
+    result.load_deviation = std::sqrt(squares / samples - mean * mean);
+    return result;
+  }
+
+ private:
+  static constexpr int kDigestMs = 250;
+  static_assert(kDigestInterval == std::chrono::milliseconds(kDigestMs));
+
+  struct SimEngine {
+    std::uint64_t key = 0;
+    std::size_t zone = 0;
+    std::uint32_t in_flight = 0;
+    std::priority_queue<double, std::vector<double>, std::greater<>>
+        slots_free_ms{};
+  };
+  struct Router {
+    std::size_t zone = 0;
+    std::string name;
+    std::uint64_t next_peer = 0;
+    int phase_ms = 0;
+    std::uint64_t sequence = 0;
+    std::vector<std::uint32_t> in_flight;
+    PeerLoad peer_load{};
+    WorkTime work_time{};
+  };
+  struct Running {
+    double ends_ms = 0;
+    double began_ms = 0;
+    std::size_t router = 0;
+    std::size_t engine = 0;
+    bool operator>(const Running& other) const {
+      return this->ends_ms > other.ends_ms;
+    }
+  };
+
+  TimePoint Now() const {
+    return TimePoint(std::chrono::hours(1)) +
+           std::chrono::milliseconds(this->now_ms);
+  }
+
+  std::size_t RandomRouter(std::size_t zone) {
+    std::size_t first = 0;
+    for (std::size_t n = 0; n < zone; ++n) {
+      first += static_cast<std::size_t>(this->settings.zones[n].routers);
+    }
+    return first + this->random() % static_cast<std::size_t>(
+                                        this->settings.zones[zone].routers);
+  }
+
+  void Finish() {
+    while (!this->running.empty() &&
+           this->running.top().ends_ms <= this->now_ms) {
+      const Running& done = this->running.top();
+      Router& router = this->routers[done.router];
+      --router.in_flight[done.engine];
+      --this->engines[done.engine].in_flight;
+      router.work_time.OnAnswered(std::chrono::duration_cast<Duration>(
+          std::chrono::duration<double, std::milli>(done.ends_ms -
+                                                    done.began_ms)));
+      this->running.pop();
+    }
+  }
+
+  // Sends the router's loads to the next peers in its rotation.
+  void Report(Router& router) {
+    const std::size_t peers = this->routers.size() - 1;
+    router.peer_load.Expire(this->Now(), DigestRotationPeriod(peers));
+    ++router.sequence;
+    for (std::size_t n = 0; n < std::min(kDigestFanout, peers); ++n) {
+      Router* peer = &this->routers[router.next_peer++ % this->routers.size()];
+      if (peer == &router) {
+        peer = &this->routers[router.next_peer++ % this->routers.size()];
+      }
+      std::vector<EngineLoad> loads;
+      for (std::size_t engine = 0; engine < this->engines.size(); ++engine) {
+        if (router.in_flight[engine] == 0) continue;
+        loads.push_back({this->engines[engine].key, router.in_flight[engine],
+                         peer->work_time.Mean()});
+      }
+      peer->peer_load.OnReport(this->Now(), router.name, 1, router.sequence,
+                               loads);
+    }
+  }
+
+  std::optional<std::size_t> Choose(Router& router) {
+    if (this->settings.use == ReportUse::kNone) {
+      return this->random() % this->engines.size();
+    }
+    std::vector<PlacementCandidate> candidates;
+    for (std::size_t n = 0; n < this->engines.size(); ++n) {
+      PlacementCandidate candidate;
+      candidate.engine_key = this->engines[n].key;
+      candidate.in_flight =
+          router.in_flight[n] + router.peer_load.InFlight(candidate.engine_key);
+      candidate.max_slots = this->settings.slots;
+      candidate.same_zone = this->engines[n].zone == router.zone;
+      candidates.push_back(candidate);
+    }
+    PlacementInputs inputs;
+    inputs.candidates = candidates;
+    inputs.request_key = this->random();
+    if (this->settings.use == ReportUse::kSpread) {
+      router.peer_load.SpreadStaleLoad(this->Now(), candidates);
+    }
+    const auto decision = ChooseEngine(inputs);
+    if (!decision) return std::nullopt;
+    return decision->index;
+  }
+
+  void Place(std::size_t router, StaleLoadResult& result) {
+    ++result.requests;
+    const auto chosen = this->Choose(this->routers[router]);
+    if (!chosen) {
+      ++result.not_placed;
+      return;
+    }
+    SimEngine& engine = this->engines[*chosen];
+    if (engine.in_flight >= this->settings.slots) ++result.found_full;
+    double began_ms = this->now_ms;
+    if (engine.slots_free_ms.size() == this->settings.slots) {
+      began_ms = std::max(began_ms, engine.slots_free_ms.top());
+      engine.slots_free_ms.pop();
+    }
+    double work_ms = this->settings.work_ms;
+    if (this->settings.varied) {
+      work_ms = std::exponential_distribution<double>(1 / work_ms)(random);
+    }
+    const double ends_ms = began_ms + work_ms;
+    engine.slots_free_ms.push(ends_ms);
+    ++engine.in_flight;
+    ++this->routers[router].in_flight[*chosen];
+    this->running.push(
+        {ends_ms, static_cast<double>(this->now_ms), router, *chosen});
+  }
+
+  StaleLoadSettings settings;
+  std::mt19937_64 random;
+  int now_ms = 0;
+  std::vector<SimEngine> engines;
+  std::vector<Router> routers;
+  std::priority_queue<Running, std::vector<Running>, std::greater<>> running;
+};
+
+}  // namespace dandelionscale::tests
+
+#endif  // DANDELIONSCALE_TESTS_SUPPORT_STALE_LOAD_FLEET_H_
