Requests leave the availability zone by a share that loads decide

Another zone counted as half a request in one placement rule of three, so that half of the requests without a prefix left their zone without need, and a zone with too few engines had no rule of its own.

ZoneSpill compares the utilization of the own zone's engines with that of the others and adapts, for each service, the share of the requests that leave. ChooseEngine applies it to requests without a prefix and those with less than 4,000 shared tokens; a longer prefix is followed into any zone, a holder in the own one first. With one zone, no engine of the service in the zone, or routing.zone_cost 0, decisions are as before. The rule is logged and replayed.

decision_replay_test also replays tests/golden/zone_decisions.txt.

--- a/include/dandelionscale/core/load/placement.h
+++ b/include/dandelionscale/core/load/placement.h
@@ -8,6 +8,10 @@
 
 namespace dandelionscale {
 
+/// Recomputing a prefix of this length costs more than sending the request to
+/// another availability zone.
+inline constexpr std::uint32_t kMinLongPrefixTokens = 4000;
+
 /// \brief An engine and the part of its state that placement considers.
 struct PlacementCandidate {
   std::uint64_t engine_key = 0;
@@ -25,6 +29,18 @@
   bool limits_rate = false;
 };
 
+/// \brief How a request treats availability zones; see `ZoneSpill`.
+enum class ZoneRule {
+  kIgnored,  ///< All zones alike, but for a small preference for the own one.
+  kStay,     ///< In the router's zone while an engine there has room.
+  kLeave     ///< In another zone while an engine there has room.
+};
+
+/// \returns the name used in log lines.
+std::string_view ToString(ZoneRule rule);
+/// \returns the rule with that name, or nothing.
+std::optional<ZoneRule> ParseZoneRule(std::string_view name);
+
 /// \brief All inputs of one placement decision.
 ///
 /// The shared parts of a prompt are all but its last one; see `PromptPart`.
@@ -41,13 +57,15 @@
   /// their rate, or over all if each does. If absent, it is computed from
   /// `candidates`, which must then be all engines of the service.
   std::optional<double> mean_in_flight{};
+  ZoneRule zone_rule = ZoneRule::kIgnored;
 };
 
 /// \brief The rule that selected an engine.
 enum class PlacementBasis {
   kHoldsPrefix,  ///< It has cached all shared parts of the prompt.
   kHashed,       ///< No usable engine has cached them; by rendezvous hash.
-  kSpilled,      ///< The engines preferred for the prefix are too loaded.
+  kSpilled,      ///< The engines preferred for the prefix are too loaded, or
+                 ///< in a zone that the request avoids.
   kLeastLoaded,  ///< The request has no shared parts.
 };
 
@@ -59,6 +77,8 @@
   std::size_t index = 0;  ///< Into `PlacementInputs::candidates`.
   PlacementBasis basis = PlacementBasis::kLeastLoaded;
   double mean_in_flight = 0;
+  /// With `ZoneRule::kStay`, an engine that shows that the zone has room.
+  std::optional<std::size_t> room{};
 };
 
 /// \brief Chooses an engine for a request.
@@ -72,6 +92,13 @@
 /// 2. all engines up to 1.25 times the mean load plus 1, by the same hash;
 /// 3. the least loaded engine.
 /// A prompt without shared parts goes to the least loaded engine.
+///
+/// The zone rule applies to prompts with less than `kMinLongPrefixTokens`
+/// shared tokens. With `kStay`, these rules choose among the engines of the own
+/// zone that are below the load bound, if one that does not limit its rate is
+/// among them. Otherwise, and with `kLeave`, they choose among the engines of
+/// the other zones, and if none has room, among all. A longer prefix is
+/// followed into any zone; a holder in the own zone comes first.
 /// \returns nothing if no engine is usable or all are full.
 std::optional<PlacementDecision> ChooseEngine(const PlacementInputs& inputs);
 
--- a/include/dandelionscale/core/load/placement_record.h
+++ b/include/dandelionscale/core/load/placement_record.h
@@ -21,7 +21,8 @@
 /// \returns the chosen candidate first; then, without repeats and among the
 ///          usable ones: the holder of the shared parts with the highest
 ///          rendezvous weight, the candidate with the highest weight of all,
-///          and the one with the fewest requests in flight.
+///          and the one that shows that the own zone has room, or else the
+///          one with the fewest requests in flight.
 std::vector<PlacementCandidate> DecisiveCandidates(
     const PlacementInputs& inputs, const PlacementDecision& decision);
 
--- a/include/dandelionscale/dispatch/dispatch_router.h
+++ b/include/dandelionscale/dispatch/dispatch_router.h
@@ -32,6 +32,9 @@
   RetryBudgetLimits retry_budget;
   double load_factor = 2.0;  ///< Load bound of an engine, as a multiple of the
                              ///< service's mean load.
+  /// What a byte between availability zones may cost. Widens the difference in
+  /// load from which on requests leave the zone; 0: zones are no cost.
+  double zone_cost = 1.0;
   /// Memory limit; request bodies may use a fixed share of it.
   std::size_t memory_bytes = 256 * 1024 * 1024;
   std::size_t max_descriptors = 1024;  ///< File descriptors of the process.
--- a/src/core/load/placement.cc
+++ b/src/core/load/placement.cc
@@ -15,7 +15,6 @@
 constexpr double kLongPrefixBoundShare = 0.9;
 // The same for a short prefix, which another engine recomputes cheaply.
 constexpr double kShortPrefixBoundShare = 0.75;
-constexpr std::uint32_t kMinLongPrefixTokens = 4000;
 // An engine selected by hash only, which usually has to recompute the prefix,
 // is used up to this multiple of the mean load, plus one request.
 constexpr double kMaxHashedLoadFactor = 1.25;
@@ -51,16 +50,40 @@
   return static_cast<double>(sum) / static_cast<double>(count);
 }
 
+// The engines among which a rule chooses.
+enum class Scope { kAll, kOwnZone, kOtherZones };
+
+// The engines that the rules may choose, and the bounds on their loads.
+struct Eligibility {
+  Scope scope = Scope::kAll;
+  double load_bound = 0;
+};
+
+bool IsEligible(const Candidate& candidate, const Eligibility& eligibility) {
+  if (!HasRoom(candidate)) return false;
+  switch (eligibility.scope) {
+    case Scope::kAll:
+      return true;
+    case Scope::kOwnZone:
+      return candidate.same_zone &&
+             candidate.in_flight + 1 <= eligibility.load_bound;
+    case Scope::kOtherZones:
+      return !candidate.same_zone;
+  }
+  return true;
+}
+
 // Selects the engine with the lowest utilisation after the request is added.
 // Ties are broken by a hash that differs between requests, so that routers with
 // the same view do not all choose the same engine.
-std::optional<std::size_t> LeastLoaded(const PlacementInputs& inputs) {
+std::optional<std::size_t> LeastLoaded(const PlacementInputs& inputs,
+                                       const Eligibility& eligibility) {
   std::optional<std::size_t> best;
   double best_load = 0;
   std::uint64_t best_weight = 0;
   for (std::size_t n = 0; n < inputs.candidates.size(); ++n) {
     const Candidate& candidate = inputs.candidates[n];
-    if (!HasRoom(candidate)) continue;
+    if (!IsEligible(candidate, eligibility)) continue;
     const double penalty = candidate.same_zone ? 0 : kCrossZonePenalty;
     const double load = (candidate.in_flight + 1 + penalty) /
                         std::max<std::uint32_t>(1, candidate.max_slots);
@@ -80,6 +103,7 @@
 // those that have cached at least `min_tokens` of it and do not exceed `bound`
 // with the request added.
 std::optional<std::size_t> ChooseByHash(const PlacementInputs& inputs,
+                                        const Eligibility& eligibility,
                                         double bound,
                                         std::uint32_t min_tokens) {
   std::optional<std::size_t> best;
@@ -87,7 +111,8 @@
   for (std::size_t n = 0; n < inputs.candidates.size(); ++n) {
     const Candidate& candidate = inputs.candidates[n];
     if (candidate.cached_tokens < min_tokens) continue;
-    if (!HasRoom(candidate) || candidate.in_flight + 1 > bound) continue;
+    if (!IsEligible(candidate, eligibility)) continue;
+    if (candidate.in_flight + 1 > bound) continue;
     const std::uint64_t weight =
         RendezvousWeight(inputs.affinity_key, candidate.engine_key);
     if (!best || weight > best_weight) {
@@ -98,6 +123,79 @@
   return best;
 }
 
+struct Choice {
+  std::size_t index = 0;
+  PlacementBasis basis = PlacementBasis::kLeastLoaded;
+};
+
+bool HasLongPrefix(const PlacementInputs& inputs) {
+  return inputs.affinity_key != 0 &&
+         inputs.shared_tokens >= kMinLongPrefixTokens;
+}
+
+// Up to which load an engine is used that has cached the prefix.
+double HolderBound(const PlacementInputs& inputs, double load_bound) {
+  return load_bound * (HasLongPrefix(inputs) ? kLongPrefixBoundShare
+                                             : kShortPrefixBoundShare);
+}
+
+std::optional<Choice> ChooseHolder(const PlacementInputs& inputs,
+                                   const Eligibility& eligibility) {
+  const auto holder = ChooseByHash(inputs, eligibility,
+                                   HolderBound(inputs, eligibility.load_bound),
+                                   inputs.shared_tokens);
+  if (!holder) return std::nullopt;
+  return Choice{*holder, PlacementBasis::kHoldsPrefix};
+}
+
+// Applies the rules for a prompt with shared parts, but for the last one.
+std::optional<Choice> ChooseForPrefix(const PlacementInputs& inputs,
+                                      const Eligibility& eligibility,
+                                      double mean_in_flight) {
+  if (auto holder = ChooseHolder(inputs, eligibility)) return holder;
+  const bool has_holder =
+      std::any_of(inputs.candidates.begin(), inputs.candidates.end(),
+                  [&inputs](const Candidate& candidate) {
+                    return candidate.usable &&
+                           candidate.cached_tokens >= inputs.shared_tokens;
+                  });
+  // An engine that the first rule has refused is not chosen by the second.
+  const double hashed_bound =
+      std::min(kMaxHashedLoadFactor * mean_in_flight + 1,
+               HolderBound(inputs, eligibility.load_bound));
+  const auto hashed = ChooseByHash(inputs, eligibility, hashed_bound, 0);
+  if (!hashed) return std::nullopt;
+  return Choice{
+      *hashed, has_holder ? PlacementBasis::kSpilled : PlacementBasis::kHashed};
+}
+
+std::optional<Choice> Choose(const PlacementInputs& inputs,
+                             const Eligibility& eligibility,
+                             double mean_in_flight) {
+  const bool has_prefix = inputs.affinity_key != 0;
+  if (has_prefix) {
+    auto choice = ChooseForPrefix(inputs, eligibility, mean_in_flight);
+    if (choice) return choice;
+  }
+  const auto least = LeastLoaded(inputs, eligibility);
+  if (!least) return std::nullopt;
+  return Choice{*least, has_prefix ? PlacementBasis::kSpilled
+                                   : PlacementBasis::kLeastLoaded};
+}
+
+// Returns an engine of the own zone that may be chosen at any rate of requests.
+std::optional<std::size_t> FindRoomInZone(const PlacementInputs& inputs,
+                                          double load_bound) {
+  const auto found = std::find_if(
+      inputs.candidates.begin(), inputs.candidates.end(),
+      [load_bound](const Candidate& candidate) {
+        return !candidate.limits_rate &&
+               IsEligible(candidate, {Scope::kOwnZone, load_bound});
+      });
+  if (found == inputs.candidates.end()) return std::nullopt;
+  return static_cast<std::size_t>(found - inputs.candidates.begin());
+}
+
 }  // namespace
 
 std::string_view ToString(PlacementBasis basis) {
@@ -114,43 +212,48 @@
   return "least_loaded";
 }
 
+std::string_view ToString(ZoneRule rule) {
+  switch (rule) {
+    case ZoneRule::kIgnored:
+      return "ignored";
+    case ZoneRule::kStay:
+      return "stay";
+    case ZoneRule::kLeave:
+      return "leave";
+  }
+  return "ignored";
+}
+
+std::optional<ZoneRule> ParseZoneRule(std::string_view name) {
+  for (ZoneRule rule :
+       {ZoneRule::kIgnored, ZoneRule::kStay, ZoneRule::kLeave}) {
+    if (ToString(rule) == name) return rule;
+  }
+  return std::nullopt;
+}
+
 std::optional<PlacementDecision> ChooseEngine(const PlacementInputs& inputs) {
   PlacementDecision decision;
   decision.mean_in_flight =
       inputs.mean_in_flight.value_or(MeanInFlight(inputs.candidates));
-  if (inputs.affinity_key != 0) {
-    const double bound =
-        inputs.load_factor * decision.mean_in_flight + kBoundSlack;
-    const double share = inputs.shared_tokens >= kMinLongPrefixTokens
-                             ? kLongPrefixBoundShare
-                             : kShortPrefixBoundShare;
-    if (auto holder =
-            ChooseByHash(inputs, bound * share, inputs.shared_tokens)) {
-      decision.index = *holder;
-      decision.basis = PlacementBasis::kHoldsPrefix;
-      return decision;
-    }
-    const bool has_holder =
-        std::any_of(inputs.candidates.begin(), inputs.candidates.end(),
-                    [&inputs](const Candidate& candidate) {
-                      return candidate.usable &&
-                             candidate.cached_tokens >= inputs.shared_tokens;
-                    });
-    // An engine that the first rule has refused is not chosen by the second.
-    const double hashed_bound = std::min(
-        kMaxHashedLoadFactor * decision.mean_in_flight + 1, bound * share);
-    if (auto hashed = ChooseByHash(inputs, hashed_bound, 0)) {
-      decision.index = *hashed;
-      decision.basis =
-          has_holder ? PlacementBasis::kSpilled : PlacementBasis::kHashed;
-      return decision;
+  const double load_bound =
+      inputs.load_factor * decision.mean_in_flight + kBoundSlack;
+  const auto choose_in = [&](Scope scope) {
+    return Choose(inputs, {scope, load_bound}, decision.mean_in_flight);
+  };
+  std::optional<Choice> choice;
+  if (inputs.zone_rule != ZoneRule::kIgnored && HasLongPrefix(inputs)) {
+    choice = ChooseHolder(inputs, {Scope::kOwnZone, load_bound});
+  } else if (inputs.zone_rule != ZoneRule::kIgnored) {
+    if (inputs.zone_rule == ZoneRule::kStay) {
+      decision.room = FindRoomInZone(inputs, load_bound);
     }
+    choice = choose_in(decision.room ? Scope::kOwnZone : Scope::kOtherZones);
   }
-  auto least = LeastLoaded(inputs);
-  if (!least) return std::nullopt;
-  decision.index = *least;
-  decision.basis = inputs.affinity_key != 0 ? PlacementBasis::kSpilled
-                                            : PlacementBasis::kLeastLoaded;
+  if (!choice) choice = choose_in(Scope::kAll);
+  if (!choice) return std::nullopt;
+  decision.index = choice->index;
+  decision.basis = choice->basis;
   return decision;
 }
 
--- a/src/core/load/placement_record.cc
+++ b/src/core/load/placement_record.cc
@@ -63,6 +63,7 @@
     if (!hashed || weight(candidate) > weight(*hashed)) hashed = &candidate;
     if (!least || candidate.in_flight < least->in_flight) least = &candidate;
   }
+  if (decision.room) least = &inputs.candidates[*decision.room];
   const Candidate* chosen = &inputs.candidates[decision.index];
   std::vector<Candidate> selected{*chosen};
   for (const Candidate* extra : {holder, hashed, least}) {
--- a/src/dispatch/decision_replay.cc
+++ b/src/dispatch/decision_replay.cc
@@ -88,9 +88,13 @@
   inputs.load_factor = line.As<double>("load_factor");
   inputs.mean_in_flight = line.As<double>("mean_load");
   const std::string_view basis = line.Text("basis");
-  if (!line.IsComplete() || !candidates || candidates->empty()) {
+  // Older builds don't log it.
+  const auto zone_rule =
+      ParseZoneRule(line.Has("zone_rule") ? line.Text("zone_rule") : "ignored");
+  if (!line.IsComplete() || !candidates || candidates->empty() || !zone_rule) {
     return ReplayResult::kNoDecision;
   }
+  inputs.zone_rule = *zone_rule;
   inputs.candidates = *candidates;
   const auto decision = ChooseEngine(inputs);
   return ToReplayResult(decision && decision->index == 0 &&
--- a/src/dispatch/dispatch_state.cc
+++ b/src/dispatch/dispatch_state.cc
@@ -74,6 +74,7 @@
   this->options.shutdown_grace = new_options.shutdown_grace;
   this->options.retry_budget = new_options.retry_budget;
   this->options.load_factor = new_options.load_factor;
+  this->options.zone_cost = new_options.zone_cost;
   this->options.memory_bytes = new_options.memory_bytes;
   this->options.max_descriptors = new_options.max_descriptors;
   this->request_memory.SetLimit(new_options.memory_bytes /
@@ -85,6 +86,7 @@
   }
   Logger::Info("reload",
                {{"load_factor", new_options.load_factor},
+                {"zone_cost", new_options.zone_cost},
                 {"retry_ratio", new_options.retry_budget.ratio},
                 {"retry_extra", new_options.retry_budget.extra},
                 {"grace_ms", ToMilliseconds(new_options.shutdown_grace)}});
--- a/src/dispatch/dispatch_state.h
+++ b/src/dispatch/dispatch_state.h
@@ -21,6 +21,7 @@
 #include "dandelionscale/core/load/peer_load.h"
 #include "dandelionscale/core/load/rate_limit_news.h"
 #include "dandelionscale/core/load/work_time.h"
+#include "dandelionscale/core/load/zone_spill.h"
 #include "dandelionscale/core/memory_budget.h"
 #include "dandelionscale/core/prefix_index.h"
 #include "dandelionscale/core/prefix_update_queue.h"
@@ -52,13 +53,14 @@
   TimePoint until{};
 };
 
-/// \brief Queue, retry budget and work time of one service.
+/// \brief Queue, retry budget and loads of one service.
 struct ServiceState {
   explicit ServiceState(RetryBudgetLimits budget_limits)
       : budget(budget_limits) {}
   AdmissionQueue queue;
   FleetRetryBudget budget;
   WorkTime work_time;
+  ZoneSpill zone_spill;
 };
 
 /// \brief When a peer was last known to be alive.
--- a/src/dispatch/request/request_dispatch.h
+++ b/src/dispatch/request/request_dispatch.h
@@ -92,6 +92,7 @@
     PlacementInputs inputs;
     std::vector<PlacementCandidate> candidates;  ///< `inputs` refers to them.
     std::string cache_source_address;
+    double zone_share = 0;  ///< Share of the requests that leave the zone.
     /// When the engine's permit was granted, if it needs one.
     std::optional<TimePoint> permitted_at;
   };
@@ -104,6 +105,10 @@
       const PlacementLimits& limits) const;
   std::vector<PlacementCandidate> BuildCandidates(bool ignore_health,
                                                   bool avoid_limited) const;
+  // Returns true if the loads that peers report tell little of those to come.
+  bool MayHaveStaleLoads() const;
+  // Adapts to the loads which share of the requests leaves the zone.
+  void ApplyZoneRule(PlacementPlan& plan) const;
   void OnPlaced(const PlacementPlan& plan);
   // Waits in the admission queue of the service for an engine with capacity.
   Awaitable<std::shared_ptr<Engine>> WaitForEngine();
--- a/src/dispatch/request/request_placement.cc
+++ b/src/dispatch/request/request_placement.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 
+#include "dandelionscale/core/digest_schedule.h"
 #include "dandelionscale/core/hash.h"
 #include "dandelionscale/core/load/placement_record.h"
 #include "dandelionscale/runtime/logger.h"
@@ -20,6 +21,12 @@
 
 // Interval at which a waiting request checks for an engine with capacity.
 constexpr Duration kCapacityPollInterval = std::chrono::milliseconds(15);
+// If requests run for this many rotations of digests, nine in ten of those that
+// a report tells are still in flight when the next one arrives.
+constexpr int kMinRecentRotations = 10;
+// A work time beyond it, or an unknown one, counts as this when the share of
+// requests that leave the zone is adapted.
+constexpr Duration kMaxResponseTime = std::chrono::seconds(10);
 // Permits that a request asks for, one after the other, before it goes to an
 // engine that does not limit its rate.
 constexpr int kMaxPermitRequests = 2;
@@ -79,9 +86,8 @@
     if (ignore_health && limits.only_healthy) break;
     plan.candidates =
         this->BuildCandidates(ignore_health, limits.avoid_limited);
-    // Requests with the same prefix keep their engine busy beyond the time of
-    // one of them, and the load bound relies on their number.
-    if (this->affinity_key == 0) {
+    this->ApplyZoneRule(plan);
+    if (this->MayHaveStaleLoads()) {
       this->state.peer_load.SpreadStaleLoad(RuntimeClock::now(),
                                             plan.candidates);
     }
@@ -136,6 +142,33 @@
   return candidates;
 }
 
+bool RequestDispatch::MayHaveStaleLoads() const {
+  // Requests with the same prefix keep their engine busy beyond the time of one
+  // of them, and the load bound relies on their number.
+  if (this->affinity_key != 0) return false;
+  return this->state.Service(this->service).work_time.Mean() <
+         kMinRecentRotations * DigestRotationPeriod(this->state.peers.size());
+}
+
+void RequestDispatch::ApplyZoneRule(PlacementPlan& plan) const {
+  const double zone_cost = this->state.options.zone_cost;
+  plan.inputs.zone_rule = ZoneRule::kIgnored;
+  if (zone_cost == 0) return;
+  ServiceState& service_state = this->state.Service(this->service);
+  const ZoneLoads loads = SumZoneLoads(plan.candidates);
+  // For a repeat or a resumption, not all engines of the service are usable.
+  if (this->tried_engine_keys.empty() && !this->required_version) {
+    const Duration response_time =
+        DigestRotationPeriod(this->state.peers.size()) +
+        std::min(service_state.work_time.Mean(), kMaxResponseTime);
+    service_state.zone_spill.Update(RuntimeClock::now(), loads, response_time,
+                                    zone_cost);
+  }
+  plan.zone_share = service_state.zone_spill.Share();
+  plan.inputs.zone_rule =
+      service_state.zone_spill.RuleFor(loads, this->request_key);
+}
+
 void RequestDispatch::OnPlaced(const PlacementPlan& plan) {
   const Engine& engine = *plan.engine;
   const PlacementDecision& decision = plan.decision;
@@ -145,6 +178,10 @@
   const TimePoint now = RuntimeClock::now();
   this->state.metrics.ObserveLatency("placement_wait_seconds",
                                      now - this->arrived_at);
+  const bool same_zone = inputs.candidates[decision.index].same_zone;
+  this->state.metrics.Add(
+      fmt::format("requests_placed_total{{zone=\"{}\",service=\"{}\"}}",
+                  same_zone ? "own" : "other", this->service));
   for (const PrefixPart& part : this->decoded.prefix) {
     const PrefixUpdate update{part.key, engine.key};
     if (!this->state.prefixes.Observe(now, update)) continue;
@@ -175,6 +212,9 @@
        {"engines",
         static_cast<std::int64_t>(this->state.engines.Version().number)},
        {"waited_ms", ToMilliseconds(now - this->arrived_at)},
+       {"same_zone", same_zone},
+       {"zone_rule", ToString(inputs.zone_rule)},
+       {"zone_share", plan.zone_share},
        {"sends", static_cast<std::int64_t>(this->sends)}});
 }
 
--- a/tests/decision_replay_test.cc
+++ b/tests/decision_replay_test.cc
@@ -4,6 +4,7 @@
 
 #include <boost/json.hpp>
 #include <catch2/catch.hpp>
+#include <fstream>
 #include <map>
 #include <sstream>
 #include <thread>
@@ -96,6 +97,13 @@
       R"("a:9/10/0/ur b:0/10/500/ur","affinity":"7","spread":"8",)"
       R"("load_factor":2.0,"shared_tokens":500,"mean_load":4.5})";
   CHECK(ReplayDecision(placed) == ReplayResult::kDifferent);
+  // A request that stays in the zone, but was sent to another one's engine.
+  const std::string zone =
+      R"({"event":"request_placed","basis":"least_loaded","candidates":)"
+      R"("a:1/10/0/ur b:4/10/0/urz","affinity":"0","spread":"8",)"
+      R"("load_factor":2.0,"shared_tokens":0,"mean_load":2.5,)"
+      R"("zone_rule":"stay"})";
+  CHECK(ReplayDecision(zone) == ReplayResult::kDifferent);
   const std::string repeat =
       R"({"event":"attempt_decided","decision":"send_again",)"
       R"("failure":"no_answer","sends":1,"max_attempts":3,"repeatable":false,)"
@@ -104,10 +112,22 @@
   CHECK(ReplayDecision(repeat) == ReplayResult::kDifferent);
 }
 
+// `ignored` is also the rule of lines that an earlier build has logged.
+TEST_CASE("decisions are replayed by their zone rule") {
+  std::ifstream file(DANDELION_GOLDEN "/zone_decisions.txt");
+  std::ostringstream lines;
+  lines << file.rdbuf();
+  CHECK(ReplayLog(lines.str())["request_placed"] == 6);
+}
+
 TEST_CASE("lines without a decision, or without its inputs, are skipped") {
   for (const char* line :
        {"", "no JSON", "[]", R"({"event":"start"})", R"({"event":7})",
         R"({"event":"request_placed","basis":"hashed"})",
+        R"({"event":"request_placed","basis":"least_loaded",)"
+        R"("candidates":"a:1/10/0/ur","affinity":"0","spread":"8",)"
+        R"("load_factor":2.0,"shared_tokens":0,"mean_load":1.0,)"
+        R"("zone_rule":"unheard of"})",
         R"({"event":"request_waits","waiting":"many"})",
         R"({"event":"attempt_decided","failure":"unheard of"})"}) {
     CAPTURE(line);
--- a/tests/support/stale_load_fleet.h
+++ b/tests/support/stale_load_fleet.h
@@ -17,6 +17,7 @@
 #include "dandelionscale/core/load/peer_load.h"
 #include "dandelionscale/core/load/placement.h"
 #include "dandelionscale/core/load/work_time.h"
+#include "dandelionscale/core/load/zone_spill.h"
 
 namespace dandelionscale::tests {
 
@@ -41,6 +42,7 @@
   int work_ms = 30;         ///< Mean; exponentially distributed if `varied`.
   bool varied = false;
   ReportUse use = ReportUse::kSpread;
+  double zone_cost = 0;
   std::uint64_t seed = 1;
 };
 
@@ -49,9 +51,18 @@
   int requests = 0;
   int found_full = 0;  ///< All slots of the chosen engine were in use.
   int not_placed = 0;  ///< No engine had room, as far as the router knew.
+  int left_zone = 0;   ///< Placed in another zone than the router's.
+  std::vector<double> utilization;  ///< Mean of each zone's engines.
+  /// Share that leaves each zone: mean over its routers, sampled each 100 ms.
+  std::vector<double> mean_share;
+  std::vector<double> min_share;  ///< Lowest of these samples.
+  std::vector<double> max_share;  ///< Highest of these samples.
   /// Standard deviation of an engine's requests in flight, sampled each 10 ms.
   double load_deviation = 0;
 
+  double LeftZoneShare() const {
+    return static_cast<double>(this->left_zone) / std::max(1, this->requests);
+  }
   double FoundFullShare() const {
     return static_cast<double>(this->found_full) / std::max(1, this->requests);
   }
@@ -64,7 +75,7 @@
       : settings(std::move(settings)), random(this->settings.seed) {
     for (std::size_t zone = 0; zone < this->settings.zones.size(); ++zone) {
       for (int n = 0; n < this->settings.zones[zone].engines; ++n) {
-        this->engines.push_back({1000 + this->engines.size(), zone, 0, {}});
+        this->engines.push_back({1000 + this->engines.size(), zone});
       }
     }
     for (std::size_t zone = 0; zone < this->settings.zones.size(); ++zone) {
@@ -82,7 +93,12 @@
 
   /// \brief Runs the fleet; the state is kept from the previous call.
   StaleLoadResult Run(int duration_ms) {
+    const std::size_t zones = this->settings.zones.size();
     StaleLoadResult result;
+    result.utilization.resize(zones);
+    result.mean_share.resize(zones);
+    result.min_share.resize(zones, 1.0);
+    result.max_share.resize(zones);
     double sum = 0;
     double squares = 0;
     int samples = 0;
@@ -104,6 +120,17 @@
         sum += engine.in_flight;
         squares += static_cast<double>(engine.in_flight) * engine.in_flight;
         ++samples;
+        result.utilization[engine.zone] +=
+            10.0 * engine.in_flight /
+            (duration_ms * this->settings.slots *
+             this->settings.zones[engine.zone].engines);
+      }
+      if (this->now_ms % 100 != 0) continue;
+      for (std::size_t zone = 0; zone < zones; ++zone) {
+        const double share = this->Share(zone);
+        result.mean_share[zone] += 100 * share / duration_ms;
+        result.min_share[zone] = std::min(result.min_share[zone], share);
+        result.max_share[zone] = std::max(result.max_share[zone], share);
       }
     }
     const double mean = sum / samples;
@@ -111,6 +138,24 @@
     return result;
   }
 
+  /// \brief Makes the engines of a zone usable or not. Running requests end.
+  void SetUsable(std::size_t zone, bool usable) {
+    for (SimEngine& engine : this->engines) {
+      if (engine.zone == zone) engine.usable = usable;
+    }
+  }
+  void SetRequestsPerSecond(std::size_t zone, double rate) {
+    this->settings.zones[zone].requests_per_s = rate;
+  }
+  /// \returns the share that leaves a zone, as a mean over its routers.
+  double Share(std::size_t zone) const {
+    double sum = 0;
+    for (const Router& router : this->routers) {
+      if (router.zone == zone) sum += router.zone_spill.Share();
+    }
+    return sum / this->settings.zones[zone].routers;
+  }
+
  private:
   static constexpr int kDigestMs = 250;
   static_assert(kDigestInterval == std::chrono::milliseconds(kDigestMs));
@@ -119,6 +164,7 @@
     std::uint64_t key = 0;
     std::size_t zone = 0;
     std::uint32_t in_flight = 0;
+    bool usable = true;
     std::priority_queue<double, std::vector<double>, std::greater<>>
         slots_free_ms{};
   };
@@ -131,6 +177,7 @@
     std::vector<std::uint32_t> in_flight;
     PeerLoad peer_load{};
     WorkTime work_time{};
+    ZoneSpill zone_spill{};
   };
   struct Running {
     double ends_ms = 0;
@@ -202,12 +249,22 @@
       candidate.in_flight =
           router.in_flight[n] + router.peer_load.InFlight(candidate.engine_key);
       candidate.max_slots = this->settings.slots;
+      candidate.usable = this->engines[n].usable;
       candidate.same_zone = this->engines[n].zone == router.zone;
       candidates.push_back(candidate);
     }
     PlacementInputs inputs;
     inputs.candidates = candidates;
     inputs.request_key = this->random();
+    if (this->settings.zone_cost > 0) {
+      const ZoneLoads loads = SumZoneLoads(candidates);
+      const Duration response_time =
+          DigestRotationPeriod(this->routers.size() - 1) +
+          std::min<Duration>(router.work_time.Mean(), std::chrono::seconds(10));
+      router.zone_spill.Update(this->Now(), loads, response_time,
+                               this->settings.zone_cost);
+      inputs.zone_rule = router.zone_spill.RuleFor(loads, inputs.request_key);
+    }
     if (this->settings.use == ReportUse::kSpread) {
       router.peer_load.SpreadStaleLoad(this->Now(), candidates);
     }
@@ -224,6 +281,7 @@
       return;
     }
     SimEngine& engine = this->engines[*chosen];
+    if (engine.zone != this->routers[router].zone) ++result.left_zone;
     if (engine.in_flight >= this->settings.slots) ++result.found_full;
     double began_ms = this->now_ms;
     if (engine.slots_free_ms.size() == this->settings.slots) {
