--- a/src/dispatch/dispatch_state.h
+++ b/src/dispatch/dispatch_state.h
@@ -23,6 +23,8 @@
 #include "dandelionscale/core/load/rate_limit_news.h"
 #include "dandelionscale/core/load/rate_permits.h"
 #include "dandelionscale/core/load/service_times.h"
+#include "dandelionscale/core/load/work_time.h"
+#include "dandelionscale/core/load/zone_spill.h"
 #include "dandelionscale/core/memory_budget.h"
 #include "dandelionscale/core/prefix_index.h"
 #include "dandelionscale/core/prefix_update_queue.h"
@@ -54,13 +56,15 @@
   TimePoint until{};
 };
 
-/// \brief Queue, retry budget and observed answer times of one service.
+/// \brief Queue, retry budget, observed times and loads of one service.
 struct ServiceState {
   explicit ServiceState(RetryBudgetLimits budget_limits)
       : budget(budget_limits) {}
   AdmissionQueue queue;
   FleetRetryBudget budget;
   ServiceTimes times;
+  WorkTime work_time;
+  ZoneSpill zone_spill;
 };
 
 /// \brief When a peer was last known to be alive.
--- a/src/dispatch/request/request_dispatch.h
+++ b/src/dispatch/request/request_dispatch.h
@@ -93,6 +93,7 @@
     PlacementInputs inputs;
     std::vector<PlacementCandidate> candidates;  ///< `inputs` refers to them.
     std::string cache_source_address;
+    double zone_share = 0;  ///< Share of the requests that leave the zone.
     /// When the engine's permit was asked for, if it needs one.
     std::optional<TimePoint> permitted_at;
   };
@@ -106,6 +107,10 @@
       const PlacementLimits& limits) const;
   std::vector<PlacementCandidate> BuildCandidates(
       bool ignore_health, const PlacementLimits& limits) const;
+  // Returns true if the loads that peers report tell little of those to come.
+  bool MayHaveStaleLoads() const;
+  // Adapts to the loads which share of the requests leaves the zone.
+  void ApplyZoneRule(PlacementPlan& plan) const;
   void OnPlaced(const PlacementPlan& plan);
   // Waits in the admission queue of the service for an engine with capacity.
   Awaitable<std::shared_ptr<Engine>> WaitForEngine();
@@ -306,6 +311,7 @@
   std::string service;
   std::uint64_t affinity_key = 0;  ///< Of the last prompt part; 0 for none.
   std::uint64_t request_key = 0;   ///< Hash of the request id.
+  TimePoint attempt_began_at{};    ///< Start of the newest attempt.
   /// Keys by which the quarantine knows requests as alike.
   RequestKeySet quarantine_keys;
   std::uint64_t fingerprint = 0;  ///< See `Fingerprint()`.
