A status below 100 or above 599 is no answer

Cause: 000 counted as an interim response, so that what came behind it was the answer, or the connection was waited for; 600 and 999 were passed to the client. Change: such a head fails the send (bad_answer: it may have run), the connection is closed, and it is logged (invalid_status) and counted.

--- a/include/dandelionscale/transport/http_status.h
+++ b/include/dandelionscale/transport/http_status.h
@@ -21,6 +21,10 @@
 inline constexpr unsigned kServiceUnavailable = 503;
 inline constexpr unsigned kGatewayTimeout = 504;
 
+/// \returns true if HTTP has such a status.
+inline constexpr bool IsValid(unsigned status) {
+  return status >= 100 && status < 600;
+}
 /// \returns true for a success (2xx) or an interim response (1xx).
 inline constexpr bool IsBelowRedirection(unsigned status) {
   return status < 300;
--- a/src/dispatch/request/engine_exchange.cc
+++ b/src/dispatch/request/engine_exchange.cc
@@ -8,6 +8,7 @@
 
 #include "dandelionscale/runtime/logger.h"
 #include "dandelionscale/transport/http_fields.h"
+#include "dandelionscale/transport/http_status.h"
 #include "dispatch/peers/permit_exchange.h"
 #include "dispatch/request/http_text.h"
 #include "engine_response/connection_reuse.h"
@@ -110,6 +111,10 @@
     if (!co_await this->ReadFinalHead(method))
       co_return this->FailureOnLostConnection();
     if (this->IsSpliced(request_id)) co_return AttemptFailure::kBadAnswer;
+    if (this->HasInvalidStatus(request_id)) {
+      this->Cancel();
+      co_return AttemptFailure::kBadAnswer;
+    }
     this->DecodeHead();
     const std::string& echoed = this->response.request_id;
     if (echoed.empty()) this->LogResponseWithoutId(request_id);
@@ -154,7 +159,10 @@
     if (error) this->OnReadFailed(error);
     if (!error) this->OnBytesReceived();
     if (error || this->cancelled) co_return false;
-    if (this->parser->get().result_int() >= kFirstFinalStatus) co_return true;
+    const unsigned status = this->parser->get().result_int();
+    const bool is_interim =
+        http_status::IsValid(status) && status < kFirstFinalStatus;
+    if (!is_interim) co_return true;
   }
   this->OnExcessiveBytes("interim_responses");
   co_return false;
@@ -182,6 +190,17 @@
   return true;
 }
 
+bool EngineExchange::HasInvalidStatus(std::string_view request_id) const {
+  const unsigned status = this->parser->get().result_int();
+  if (http_status::IsValid(status)) return false;
+  this->state.metrics.Add("engine_statuses_invalid_total");
+  Logger::Warning("invalid_status",
+                  {{"request", request_id},
+                   {"engine", this->engine->record.id},
+                   {"status", static_cast<std::int64_t>(status)}});
+  return true;
+}
+
 void EngineExchange::LogResponseWithoutId(std::string_view request_id) const {
   Logger::Info(
       "answer_without_id",
--- a/src/dispatch/request/engine_exchange.h
+++ b/src/dispatch/request/engine_exchange.h
@@ -128,6 +128,9 @@
   void ApplyStatements();
   // Whether the head was cut off and continued by another one.
   bool IsSpliced(std::string_view request_id) const;
+  // Whether the status of the head is none that HTTP has, so that the response
+  // is no answer.
+  bool HasInvalidStatus(std::string_view request_id) const;
   void DecodeHead();
   void LogResponseWithoutId(std::string_view request_id) const;
   // Logs bytes that were received behind the end of a complete response.
--- a/tests/broken_answer_test.cc
+++ b/tests/broken_answer_test.cc
@@ -16,6 +16,7 @@
 using emulator::MakeStreamHead;
 using emulator::ResetConnection;
 using emulator::Script;
+using emulator::ScriptMaker;
 using emulator::ScriptStep;
 using emulator::SendBytes;
 using std::chrono::milliseconds;
@@ -266,5 +267,103 @@
   }
 }
 
+// Heads with a status that HTTP doesn't have, and such a head before a valid
+// one, which looks like an interim response.
+std::vector<std::string> InvalidHeads() {
+  std::vector<std::string> heads;
+  for (const char* status : {"000", "001", "099", "600", "999"}) {
+    heads.push_back(
+        fmt::format("HTTP/1.1 {} Odd\r\nRequest-Id: {{0}}\r\n"
+                    "Response-Seal: seal\r\n",
+                    status));
+  }
+  const std::vector<std::string> statuses = heads;
+  for (const std::string& head : statuses) {
+    heads.push_back(head +
+                    "\r\nHTTP/1.1 200 OK\r\nRequest-Id: {0}\r\n"
+                    "Response-Seal: seal\r\n");
+  }
+  heads.push_back("HTTP/1.1 000\r\n\r\nHTTP/1.1 200 OK\r\nRequest-Id: {0}\r\n");
+  return heads;
+}
+
+std::string CompleteHead(const HttpRequest& request, std::string head) {
+  const std::string_view id = request.headers.Find("Request-Id");
+  for (auto at = head.find("{0}"); at != std::string::npos;
+       at = head.find("{0}")) {
+    head.replace(at, 3, id);
+  }
+  return head;
+}
+
+std::string MakeInvalidAnswer(const HttpRequest& request,
+                              const std::string& head, Framing framing) {
+  const std::string complete = CompleteHead(request, head);
+  switch (framing) {
+    case Framing::kLength:
+      return fmt::format("{}Content-Length: {}\r\n\r\n{}", complete,
+                         kErrorText.size(), kErrorText);
+    case Framing::kChunked:
+      return fmt::format("{}Transfer-Encoding: chunked\r\n\r\n{:x}\r\n{}\r\n{}",
+                         complete, kErrorText.size(), kErrorText,
+                         emulator::kStreamEnd);
+    case Framing::kUntilClose:
+      return complete + "\r\n" + std::string(kErrorText);
+  }
+  return complete;
+}
+
+// Guards against answers with a status that means nothing to a client.
+TEST_CASE("a response with a status outside of 100 to 599 is no answer") {
+  Fleet fleet;
+  for (const std::string& head : InvalidHeads()) {
+    for (Framing framing :
+         {Framing::kLength, Framing::kChunked, Framing::kUntilClose}) {
+      CAPTURE(head, static_cast<int>(framing));
+      fleet.SetScripts([&](const HttpRequest& request) -> Script {
+        return {SendBytes{MakeInvalidAnswer(request, head, framing)},
+                CloseConnection{}};
+      });
+      for (const char* target : {"/once/", "/any/", "/stream/"}) {
+        const std::string response = fleet.Send(target);
+        CAPTURE(target, response);
+        CHECK(response.starts_with("HTTP/1.1 502"));
+        CHECK(response.find(kErrorText) == std::string::npos);
+        CHECK(response.find("Retry-After") == std::string::npos);
+      }
+    }
+  }
+}
+
+TEST_CASE("what may have run is not sent again after an invalid status") {
+  Fleet fleet;
+  fleet.AddEngine("plain", [](const HttpRequest&) { return Script{}; });
+  fleet.WaitUntilReady(1);
+  const ScriptMaker answer = [](const HttpRequest& request) -> Script {
+    return {SendBytes{MakeInvalidAnswer(
+        request, "HTTP/1.1 000 Odd\r\nRequest-Id: {0}\r\n", Framing::kLength)}};
+  };
+  fleet.SetScripts(answer);
+  fleet.SetScript(3, answer);
+  CHECK(fleet.Send("/once/").starts_with("HTTP/1.1 502"));
+  CHECK(fleet.TotalRequests() == 1);
+}
+
+TEST_CASE("an invalid status does not go on with a stream that has begun") {
+  Fleet fleet;
+  const std::string events = MakeEventChunk(1) + MakeEventChunk(2);
+  for (const std::string& head : InvalidHeads()) {
+    CAPTURE(head);
+    fleet.SetScripts([&](const HttpRequest& request) -> Script {
+      if (request.headers.Find("Last-Event-Id").empty()) {
+        return {SendBytes{MakeStreamHead(request) + events}, CloseConnection{}};
+      }
+      return {SendBytes{MakeInvalidAnswer(request, head, Framing::kLength)},
+              CloseConnection{}};
+    });
+    CheckBrokenStream(fleet.Send("/stream/"));
+  }
+}
+
 }  // namespace
 }  // namespace dandelionscale::tests
