A body that ends with the connection is a part if the upload was cut off

Cause: the system reports a reset once. While an upload is being written, the write gets the report, and the read after it finds an end of the connection that looks orderly. So a part of an answer without a length reached the client as a whole one, and a part of a stream with its last chunk. Change: such an end counts only once the whole request has been written; a write under way has 1 s to end, since an engine may end its answer and read on. ScriptedEngine can answer before the body and end its sending side.

--- a/emulator/scripted_engine.cc
+++ b/emulator/scripted_engine.cc
@@ -87,6 +87,7 @@
   std::vector<asio::ip::address_v4> cut_sources;
   CutKind cut_kind = CutKind::kHang;
   ReportKind report = ReportKind::kNone;
+  bool answers_before_body = false;
   std::multiset<std::string> running;  ///< Ids of the requests.
 };
 
@@ -164,7 +165,12 @@
     http::request_parser<http::string_body> parser;
     parser.body_limit(boost::none);
     error_code error;
-    co_await http::async_read(socket, buffer, parser, RedirectError(error));
+    if (this->answers_before_body) {
+      co_await http::async_read_header(socket, buffer, parser,
+                                       RedirectError(error));
+    } else {
+      co_await http::async_read(socket, buffer, parser, RedirectError(error));
+    }
     if (error) co_return;
     auto& message = parser.get();
     HttpRequest request;
@@ -199,6 +205,9 @@
     const bool is_open = co_await this->RunScript(socket, std::move(script));
     this->running.erase(run);
     if (!is_open) co_return;
+    if (parser.is_done()) continue;
+    co_await http::async_read(socket, buffer, parser, RedirectError(error));
+    if (error) co_return;
   }
 }
 
@@ -245,6 +254,8 @@
     } else if (const auto* pause = std::get_if<Pause>(&step)) {
       const Duration duration = pause->duration;
       co_await SleepFor(duration);
+    } else if (std::holds_alternative<EndSending>(step)) {
+      socket.shutdown(asio::socket_base::shutdown_send, error);
     } else if (std::holds_alternative<ResetConnection>(step)) {
       ResetSocket(socket);
       co_return false;
@@ -300,6 +311,10 @@
   this->state->CutOff(std::move(sources), kind);
 }
 
+void ScriptedEngine::AnswerBeforeBody() {
+  this->state->answers_before_body = true;
+}
+
 void ScriptedEngine::SetReport(ReportKind kind) { this->state->report = kind; }
 
 void ScriptedEngine::SetScript(ScriptMaker maker) {
--- a/emulator/scripted_engine.h
+++ b/emulator/scripted_engine.h
@@ -28,11 +28,14 @@
   std::string bytes;
   Duration interval{};  ///< Pause after each time.
 };
+/// \brief Shuts the sending side down (TCP FIN); what the router sends is still
+///        read.
+struct EndSending {};
 /// \brief Shuts the connection down (TCP FIN).
 struct CloseConnection {};
 /// \brief Resets the connection (TCP RST).
 struct ResetConnection {};
-using ScriptStep = std::variant<SendBytes, SendEndlessly, Pause,
+using ScriptStep = std::variant<SendBytes, SendEndlessly, Pause, EndSending,
                                 CloseConnection, ResetConnection>;
 
 /// \brief Steps by which an engine responds to one request.
@@ -97,6 +100,10 @@
   /// \brief Replaces the script of all later requests.
   void SetScript(ScriptMaker maker);
 
+  /// \brief From now on, a script runs as soon as the head of its request has
+  ///        arrived. The body is read only when the script has ended.
+  void AnswerBeforeBody();
+
   /// \brief Sets how the engine reports from now on; `kNone` at first.
   void SetReport(ReportKind kind);
 
--- a/src/dispatch/request/engine_exchange.cc
+++ b/src/dispatch/request/engine_exchange.cc
@@ -31,6 +31,10 @@
 // fails, and the limit of their bodies together.
 constexpr int kMaxMismatchedResponses = 3;
 constexpr std::size_t kMaxDiscardedBytes = 1024 * 1024;
+// An engine that has ended its response may read the rest of the request within
+// this time.
+constexpr Duration kMaxWriteWait = std::chrono::seconds(1);
+constexpr Duration kWritePollInterval = std::chrono::milliseconds(10);
 // Interim (1xx) responses that may precede a response.
 constexpr int kMaxInterimResponses = 8;
 
@@ -95,12 +99,14 @@
   // The engine may respond before it has read the whole request, so the rest is
   // written concurrently with reading the response.
   this->sent = true;
-  *this->write_done = false;
+  *this->write_state = WriteState::kUnderWay;
   auto rest = asio::buffer(*text) + written;
   asio::async_write(
       this->connection->socket, rest,
-      [text, connection = this->connection, done = this->write_done](
-          error_code failed, std::size_t) { *done = !failed; });
+      [text, connection = this->connection, state = this->write_state](
+          error_code failed, std::size_t) {
+        *state = failed ? WriteState::kFailed : WriteState::kDone;
+      });
   return true;
 }
 
@@ -275,16 +281,35 @@
     }
   }
   if (this->Framing() == BodyFraming::kUntilClose) {
-    const bool in_order =
-        co_await this->connector.EndedInOrder(this->connection);
+    const bool in_order = co_await this->HasEndedInOrder();
+    if (this->cancelled) co_return Fault{FaultKind::kCancelled, "cancelled"};
     if (!in_order) {
       this->lost = true;
-      co_return Fault{FaultKind::kConnectionLost, "tunnel lost"};
+      co_return Fault{FaultKind::kConnectionLost, "not ended in order"};
     }
   }
   co_return std::string();
 }
 
+// The system reports the reset of a connection once. If the write of the
+// request gets the report, a later read finds an end that looks orderly.
+Awaitable<bool> EngineExchange::HasEndedInOrder() {
+  const TimePoint until = RuntimeClock::now() + kMaxWriteWait;
+  while (*this->write_state == WriteState::kUnderWay && !this->cancelled &&
+         RuntimeClock::now() < until) {
+    const Duration interval = kWritePollInterval;
+    co_await SleepFor(interval);
+  }
+  if (*this->write_state != WriteState::kDone) {
+    Logger::Info("answer_ended_before_request",
+                 {{"engine", this->engine->record.id},
+                  {"status", static_cast<std::int64_t>(this->response.status)},
+                  {"write_failed", *this->write_state == WriteState::kFailed}});
+    co_return false;
+  }
+  co_return co_await this->connector.EndedInOrder(this->connection);
+}
+
 void EngineExchange::OnBytesReceived() {
   if (this->connection->tunnel) return;
   this->state.reachability.OnReceived(this->engine->record.service);
@@ -324,7 +349,7 @@
 void EngineExchange::Release() {
   if (this->connection == nullptr || this->cancelled) return;
   ExchangeEnd end;
-  end.request_written = *this->write_done;
+  end.request_written = *this->write_state == WriteState::kDone;
   end.response_complete = this->parser != nullptr && this->parser->is_done();
   end.keep_alive = end.response_complete && this->parser->get().keep_alive();
   end.has_id = !this->response.request_id.empty();
--- a/src/dispatch/request/engine_exchange.h
+++ b/src/dispatch/request/engine_exchange.h
@@ -123,6 +123,9 @@
   // the exchange was cancelled.
   Awaitable<bool> ReadFinalHead(std::string_view method);
   Awaitable<Result<std::string>> ReadNextFragment();
+  // Whether the end of the connection ends the response: the engine has ended
+  // it in order, and could be sent the whole request.
+  Awaitable<bool> HasEndedInOrder();
   void OnReadFailed(const boost::system::error_code& error);
   void OnBytesReceived();
   void ApplyStatements();
@@ -148,10 +151,11 @@
   EngineResponse response;
   TimePoint sent_at{};            ///< When the first byte was written.
   Duration keep_alive_timeout{};  ///< From the Keep-Alive field; 0 if absent.
-  /// False while the rest of the request is written in the background, and
-  /// after a failure of that. Shared with the write handler, which may outlive
-  /// the exchange.
-  std::shared_ptr<bool> write_done = std::make_shared<bool>(true);
+  enum class WriteState { kDone, kUnderWay, kFailed };
+  /// Of the rest of the request, which is written in the background. Shared
+  /// with the write handler, which may outlive the exchange.
+  std::shared_ptr<WriteState> write_state =
+      std::make_shared<WriteState>(WriteState::kDone);
   std::string read_ahead;  ///< Of the body, not returned yet.
   bool event_stream = false;
   bool sent = false;
