Counters of bytes by kind of message

What a large fleet costs was only known as one sum (peer_digest_bytes_sent_total). Adds peer_bytes_sent_total by kind, store_bytes_read_total by table, and the log line `traffic` with their sums every 10 s and at the end, so that later changes can be measured against each kind.

--- a/include/dandelionscale/dispatch/table_store.h
+++ b/include/dandelionscale/dispatch/table_store.h
@@ -61,6 +61,9 @@
   /// \brief Writes a row of `kRouters` unconditionally.
   virtual Awaitable<Result<void>> WriteRow(std::string key, std::string value,
                                            Duration timeout) = 0;
+  /// \returns the size of all responses to reads and watches of a table, also
+  ///          of those to calls that failed in the end.
+  virtual std::uint64_t BytesRead(StoreTable table) const = 0;
 };
 
 /// \brief Key of the single row in `kConfiguration`.
--- a/src/dispatch/dispatch_router.cc
+++ b/src/dispatch/dispatch_router.cc
@@ -15,6 +15,7 @@
 #include "dispatch/request/client_connection.h"
 #include "dispatch/request/request_dispatch.h"
 #include "dispatch/store/store_watcher.h"
+#include "dispatch/traffic.h"
 #include "transport/socket_helpers.h"
 #include "tunnel/engine_connector.h"
 
@@ -29,6 +30,7 @@
 // Interval at which `Watchdog` deadlines are checked, which is their precision.
 constexpr Duration kSweepInterval = internal::kLoopCheckInterval;
 constexpr Duration kHousekeepingInterval = std::chrono::milliseconds(250);
+constexpr Duration kTrafficLogInterval = std::chrono::seconds(10);
 // The load balancer needs this long to stop sending requests after the
 // readiness endpoint reports "not ready". The listener is closed then, so that
 // the accepted requests can finish within the shutdown grace.
@@ -52,8 +54,9 @@
        std::shared_ptr<const ProtocolCodec> codec,
        std::shared_ptr<TableStore> store)
       : state(executor, std::move(options), std::move(codec)),
+        store(std::move(store)),
         connector(this->state),
-        watcher(this->state, std::move(store)),
+        watcher(this->state, this->store),
         peers(this->state),
         observer(this->state),
         acceptor(executor),
@@ -76,12 +79,14 @@
   Awaitable<void> ServeReadiness(HttpExchange& exchange);
   Awaitable<void> ServeMetrics(HttpExchange& exchange);
   void RunHousekeeping(TimePoint now);
+  void LogTraffic();
   // A copy: a client may be removed while it is used.
   std::vector<std::shared_ptr<ClientConnection>> OpenClients() const {
     return {this->clients.begin(), this->clients.end()};
   }
 
   internal::DispatchState state;
+  std::shared_ptr<TableStore> store;
   internal::EngineConnector connector;
   internal::StoreWatcher watcher;
   internal::PeerExchange peers;
@@ -91,6 +96,7 @@
   HttpServer metrics_server;
   std::set<std::shared_ptr<ClientConnection>> clients;
   TimePoint last_housekeeping_at{};
+  TimePoint traffic_logged_at = RuntimeClock::now();
   bool was_ready = false;
 };
 
@@ -226,6 +232,16 @@
       static_cast<double>(this->state.reachability.CutOffServices().size()));
   this->state.metrics.Set("store_lost",
                           this->state.unreachable_tables.empty() ? 0 : 1);
+  internal::UpdateBytesRead(this->state.metrics, *this->store);
+  if (now - this->traffic_logged_at < kTrafficLogInterval) return;
+  this->traffic_logged_at = now;
+  this->LogTraffic();
+}
+
+void DispatchRouter::Impl::LogTraffic() {
+  internal::UpdateBytesRead(this->state.metrics, *this->store);
+  internal::LogTraffic(this->state.metrics,
+                       RuntimeClock::now() - this->state.started_at);
 }
 
 Awaitable<void> DispatchRouter::Impl::ServeReadiness(HttpExchange& exchange) {
@@ -273,6 +289,7 @@
     const Duration poll = kDrainPollInterval;
     co_await SleepFor(poll);
   }
+  this->LogTraffic();
   const auto digest_bytes = static_cast<std::int64_t>(
       this->state.metrics.Counter("peer_digest_bytes_sent_total"));
   const Duration uptime = RuntimeClock::now() - this->state.started_at;
--- a/src/dispatch/peers/peer_exchange.cc
+++ b/src/dispatch/peers/peer_exchange.cc
@@ -13,6 +13,7 @@
 #include "dispatch/peers/peer_messages.h"
 #include "dispatch/peers/peer_reports.h"
 #include "dispatch/peers/permit_exchange.h"
+#include "dispatch/traffic.h"
 #include "transport/socket_helpers.h"
 #include "tunnel/tunnel_peers.h"
 
@@ -43,12 +44,14 @@
       next_peer(HashText(ToText(state.options.peer_address))) {}
 
 Result<void> PeerExchange::Start() {
-  const auto sender = [this](const std::string& peer,
-                             const std::string& datagram) {
-    this->SendTo(peer, datagram);
+  const auto sender_of = [this](PeerTraffic kind) {
+    return [this, kind](const std::string& peer, const std::string& datagram) {
+      CountSent(this->state.metrics, kind, datagram.size());
+      this->SendTo(peer, datagram);
+    };
   };
-  this->state.permits->SetSender(sender);
-  this->state.origins->SetSender(sender);
+  this->state.permits->SetSender(sender_of(PeerTraffic::kPermits));
+  this->state.origins->SetSender(sender_of(PeerTraffic::kOrigins));
   const Endpoint& own = this->state.options.peer_address;
   error_code error;
   const udp::endpoint endpoint(own.address(), own.port());
@@ -98,21 +101,19 @@
   digest.set_configuration_version(this->state.ConfigurationVersion());
   digest.set_engines_changed(this->state.newest_engine_version.number);
   digest.set_store_era(this->state.newest_engine_version.era);
-  for (const auto& [id, engine] : this->state.engines.Engines()) {
-    if (engine->in_flight == 0) continue;
-    digest.add_engine_keys(ShortKey(engine->key));
-    digest.add_loads(engine->in_flight);
-  }
+  DigestSizes sizes;
+  sizes.loads = this->FillLoads(digest);
   for (std::uint32_t short_key : this->state.engines.LeavingKeys()) {
     digest.add_leaving_engines(short_key);
   }
   const TimePoint now = RuntimeClock::now();
-  this->FillPlacements(digest);
+  sizes.placements = this->FillPlacements(digest);
   FillQuarantineUpdate(this->state.quarantine.TakeForDigest(), now, digest);
   this->FillRateLimits(digest);
   this->FillTunnels(digest);
   FillWatchReport(this->state.watcher_election.Report(now), digest);
   const std::string bytes = digest.SerializeAsString();
+  sizes.rest = bytes.size() - sizes.loads - sizes.placements;
   const std::vector<std::string> peers(this->state.peers.begin(),
                                        this->state.peers.end());
   const std::size_t count = std::min(kDigestFanout, peers.size());
@@ -120,12 +121,19 @@
   for (std::size_t n = 0; n < count; ++n) {
     this->SendTo(peers[this->next_peer++ % peers.size()], bytes);
   }
+  this->CountDigests(sizes, count);
   if (count == peers.size()) return;
   // Peers that carry tunnels must know at once what engines state on these.
-  for (const std::string& peer :
-       this->state.tunnel_peers->RecentCarriers(now)) {
-    this->SendTo(peer, bytes);
-  }
+  const auto carriers = this->state.tunnel_peers->RecentCarriers(now);
+  for (const std::string& peer : carriers) this->SendTo(peer, bytes);
+  this->CountDigests(sizes, carriers.size());
+}
+
+void PeerExchange::CountDigests(const DigestSizes& sizes, std::size_t copies) {
+  Metrics& metrics = this->state.metrics;
+  CountSent(metrics, PeerTraffic::kDigestLoads, copies * sizes.loads);
+  CountSent(metrics, PeerTraffic::kDigestPlacements, copies * sizes.placements);
+  CountSent(metrics, PeerTraffic::kDigestRest, copies * sizes.rest);
 }
 
 void PeerExchange::SendTo(const std::string& peer,
@@ -140,7 +148,18 @@
                        ignored);
 }
 
-void PeerExchange::FillPlacements(wire::RouterDigest& digest) {
+std::size_t PeerExchange::FillLoads(wire::RouterDigest& digest) const {
+  const std::size_t size_before = digest.ByteSizeLong();
+  for (const auto& [id, engine] : this->state.engines.Engines()) {
+    if (engine->in_flight == 0) continue;
+    digest.add_engine_keys(ShortKey(engine->key));
+    digest.add_loads(engine->in_flight);
+  }
+  return digest.ByteSizeLong() - size_before;
+}
+
+std::size_t PeerExchange::FillPlacements(wire::RouterDigest& digest) {
+  const std::size_t size_before = digest.ByteSizeLong();
   const std::size_t rotation = DigestsPerRotation(this->state.peers.size());
   for (const PrefixUpdate& update : this->state.prefix_updates.TakeForDigest(
            rotation, kMaxUpdatesPerDigest)) {
@@ -152,6 +171,7 @@
       digest.add_placed_engines(ShortKey(update.engine_key));
     }
   }
+  return digest.ByteSizeLong() - size_before;
 }
 
 void PeerExchange::FillRateLimits(wire::RouterDigest& digest) {
--- a/src/dispatch/peers/peer_exchange.h
+++ b/src/dispatch/peers/peer_exchange.h
@@ -40,9 +40,19 @@
   void SendDigest();
 
  private:
+  // Encoded size of the sections of a digest.
+  struct DigestSizes {
+    std::size_t loads = 0;
+    std::size_t placements = 0;
+    std::size_t rest = 0;
+  };
+
   Awaitable<void> SendDigests();
   void SendTo(const std::string& peer, const std::string& datagram);
-  void FillPlacements(wire::RouterDigest& digest);
+  void CountDigests(const DigestSizes& sizes, std::size_t copies);
+  // Both return the encoded size of what they add.
+  std::size_t FillLoads(wire::RouterDigest& digest) const;
+  std::size_t FillPlacements(wire::RouterDigest& digest);
   void FillRateLimits(wire::RouterDigest& digest);
   void FillTunnels(wire::RouterDigest& digest);
   void ApplyTunnels(const wire::RouterDigest& digest,
--- a/src/dispatch/peers/snapshot_exchange.cc
+++ b/src/dispatch/peers/snapshot_exchange.cc
@@ -11,6 +11,7 @@
 #include "dandelionscale/transport/remote_endpoint.h"
 #include "dispatch/peers/peer_messages.h"
 #include "dispatch/peers/peer_reports.h"
+#include "dispatch/traffic.h"
 
 namespace dandelionscale::internal {
 
@@ -198,19 +199,27 @@
     co_await exchange.Respond(std::move(response));
     co_return;
   }
+  Metrics& metrics = this->state.metrics;
   wire::BeliefSnapshot snapshot;
   snapshot.set_configuration_version(this->state.ConfigurationVersion());
   if (this->state.ConfigurationVersion() >
       snapshot_request.configuration_version()) {
     snapshot.set_configuration(this->state.routing_table_text);
   }
+  const std::size_t configuration_size = snapshot.ByteSizeLong();
   if (this->state.engines.Version() > this->VersionOf(snapshot_request)) {
     this->FillEngines(snapshot);
   }
+  const std::size_t size_with_engines = snapshot.ByteSizeLong();
   if (!snapshot_request.without_placements())
     this->FillPeersAndPrefixes(snapshot);
   response.headers.Add("Content-Type", "application/octet-stream");
   response.body = snapshot.SerializeAsString();
+  CountSent(metrics, PeerTraffic::kSnapshotConfiguration, configuration_size);
+  CountSent(metrics, PeerTraffic::kSnapshotEngines,
+            size_with_engines - configuration_size);
+  CountSent(metrics, PeerTraffic::kSnapshotPrefixes,
+            response.body.size() - size_with_engines);
   ++this->serving;
   co_await exchange.Respond(std::move(response));
   --this->serving;
--- a/tests/dispatch_router_test.cc
+++ b/tests/dispatch_router_test.cc
@@ -50,6 +50,7 @@
                                    Duration) override {
     co_return Result<void>();
   }
+  std::uint64_t BytesRead(StoreTable) const override { return 0; }
 
   void Open() {
     this->open = true;
--- a/tests/store_watcher_test.cc
+++ b/tests/store_watcher_test.cc
@@ -43,6 +43,7 @@
         {std::move(key), std::move(value), 1, false});
     co_return Result<void>();
   }
+  std::uint64_t BytesRead(StoreTable) const override { return 0; }
   void FailWatches() { this->end.NotifyAll(); }
   void EndWatches() { this->end.NotifyAll(); }
 
