Directory keeps which engines have changed since a version

Each change of the list of engines makes every router that does not watch the store fetch the whole list (180 KB for 3,000 engines).

--- a/include/dandelionscale/core/engine_directory.h
+++ b/include/dandelionscale/core/engine_directory.h
@@ -13,6 +13,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "dandelionscale/core/engine_change_log.h"
 #include "dandelionscale/core/engine_health.h"
 #include "dandelionscale/core/load/engine_pause.h"
 #include "dandelionscale/core/load/engine_rate_limit.h"
@@ -33,6 +34,8 @@
   /// Of its software, not of the model's weights; absent if a router of an
   /// older build has reported the engine.
   std::optional<std::string> software_version;
+
+  friend bool operator==(const EngineRecord&, const EngineRecord&) = default;
 };
 
 /// \returns the low half of an engine's key, by which routers identify the
@@ -47,6 +50,9 @@
   EngineRecord record;
   /// Hash of id and start time; the same on every router.
   std::uint64_t key = 0;
+  /// Hash of what the list states of it, without `draining` and
+  /// `software_version`, which not all routers know.
+  std::uint64_t record_hash = 0;
   /// `VersionKey()` of its service and software version; 0 if that is unknown.
   std::uint64_t version_key = 0;
   std::uint32_t in_flight = 0;  ///< Requests from this router in progress.
@@ -111,6 +117,16 @@
   /// \returns the changes; none if a newer version was applied before.
   std::vector<EngineChange> OnUpdates(TimePoint now, StoreVersion version,
                                       std::span<const EngineUpdate> updates);
+  /// \brief Applies the changes that lead from this router's list to a peer's,
+  ///        to the same effect as that list would have.
+  /// \param version of the peer's list.
+  /// \param list_hash `ListHash()` of the peer.
+  /// \returns the changes; none if a newer version was applied before. Returns
+  ///          nothing, and applies nothing, if the changes would not lead to
+  ///          the peer's list, which is needed as a whole then.
+  std::optional<std::vector<EngineChange>> OnPeerChanges(
+      TimePoint now, StoreVersion version,
+      std::span<const EngineUpdate> updates, std::uint64_t list_hash);
   /// \brief Records that an engine has stated that it is shutting down.
   /// \returns the change; none if it was known to drain.
   std::vector<EngineChange> OnLeaving(Engine& engine);
@@ -143,6 +159,18 @@
   /// \returns the records of the listed engines, for a peer with an older
   ///          version of the list.
   std::vector<EngineRecord> Listed() const;
+  /// \returns the changes of `Listed()` after `since`, for a peer whose list
+  /// has
+  ///          that version; nothing if it needs the whole list.
+  std::optional<std::vector<EngineUpdate>> ChangesSince(
+      StoreVersion since) const;
+  /// \returns a hash of `Listed()` that does not depend on its order.
+  std::uint64_t ListHash() const;
+  /// \returns true if `OnPeerChanges()` may be called. A list of a new era is
+  ///          taken as a whole until nothing is held back.
+  bool AcceptsChanges() const {
+    return this->version != StoreVersion{} && this->held_back.empty();
+  }
 
  private:
   // The last known state of a removed engine.
@@ -178,9 +206,16 @@
   TimePoint RetentionDeadline(const Unlisted& entry) const;
   void Remove(TimePoint now, const std::string& id,
               std::vector<EngineChange>& changes);
+  // `ListHash()` after `updates`.
+  std::uint64_t ListHashAfter(std::span<const EngineUpdate> updates) const;
+  bool IsListed(const std::string& id) const {
+    return this->engines.contains(id) && !this->unlisted.contains(id);
+  }
+  EngineRecord ListedRecord(const Engine& engine) const;
   void Reindex();
 
   StoreVersion version;
+  EngineChangeLog change_log;  ///< Of `Listed()`.
   std::uint64_t initial_era = 0;
   bool store_lost = false;
   TimePoint store_regained_at{};
--- a/src/core/engine_directory.cc
+++ b/src/core/engine_directory.cc
@@ -1,6 +1,9 @@
 #include "dandelionscale/core/engine_directory.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
+#include <bit>
 #include <set>
 
 #include "dandelionscale/core/hash.h"
@@ -36,12 +39,31 @@
          *one.software_version == *other.software_version;
 }
 
+std::uint64_t RecordHash(const EngineRecord& record) {
+  return HashText(fmt::format(
+      "{}/{}/{}/{}/{}/{}", record.id, record.born_unix_ms, record.service,
+      record.address, record.availability_zone, record.max_slots));
+}
+
+std::uint64_t ListedHash(std::uint64_t record_hash, bool is_draining) {
+  return is_draining ? std::rotl(record_hash, 1) : record_hash;
+}
+
+// Returns true if `record` states nothing that `known` does not.
+bool StatesNothingNew(const EngineRecord& record, const EngineRecord& known) {
+  if (record.software_version) return record == known;
+  EngineRecord completed = record;
+  completed.software_version = known.software_version;
+  return completed == known;
+}
+
 void SetRecord(const EngineRecord& record, Engine& engine) {
   const auto known_version = std::move(engine.record.software_version);
   engine.record = record;
   if (!record.software_version) {
     engine.record.software_version = known_version;
   }
+  engine.record_hash = RecordHash(record);
   const auto& version = engine.record.software_version;
   engine.version_key = version ? VersionKey(record.service, *version) : 0;
 }
@@ -112,6 +134,7 @@
   }
   this->Unlist(now, missing, changes);
   this->Reindex();
+  if (is_first || is_restored) this->change_log.Reset(version);
   return changes;
 }
 
@@ -137,6 +160,33 @@
   return changes;
 }
 
+std::optional<std::vector<EngineChange>> EngineDirectory::OnPeerChanges(
+    TimePoint now, StoreVersion version, std::span<const EngineUpdate> updates,
+    std::uint64_t list_hash) {
+  std::vector<EngineChange> changes;
+  if (version < this->version) return changes;
+  const bool is_possible =
+      this->AcceptsChanges() && version.era == this->version.era;
+  if (!is_possible || this->ListHashAfter(updates) != list_hash) {
+    return std::nullopt;
+  }
+  this->version = version;
+  std::vector<std::string> missing;
+  for (const EngineUpdate& update : updates) {
+    if (!update.removed) {
+      this->Upsert(update.record, changes);
+    } else if (this->IsListed(update.id)) {
+      missing.push_back(update.id);
+    }
+  }
+  // The peer's whole list would lack these, too.
+  for (const auto& [id, entry] : this->unlisted) missing.push_back(id);
+  std::sort(missing.begin(), missing.end());
+  this->Unlist(now, missing, changes);
+  if (!changes.empty()) this->Reindex();
+  return changes;
+}
+
 std::vector<EngineChange> EngineDirectory::OnLeaving(Engine& engine) {
   if (engine.draining) return {};
   engine.draining = true;
@@ -164,6 +214,10 @@
     this->held_back.erase(record.id);
     this->Upsert(record, changes);
   }
+  // The peers' lists of this version lack what was held back.
+  if (!released.empty()) {
+    this->change_log.Reset({this->version.era, this->version.number + 1});
+  }
   std::erase_if(this->departed, [now](const auto& entry) {
     return now - entry.second.since > kDepartedMemory;
   });
@@ -204,12 +258,63 @@
   std::vector<EngineRecord> records;
   for (const auto& [id, engine] : this->engines) {
     if (this->unlisted.contains(id)) continue;
-    records.push_back(engine->record);
-    records.back().draining = engine->draining;
+    records.push_back(this->ListedRecord(*engine));
   }
   return records;
 }
 
+EngineRecord EngineDirectory::ListedRecord(const Engine& engine) const {
+  EngineRecord record = engine.record;
+  record.draining = engine.draining;
+  return record;
+}
+
+std::optional<std::vector<EngineUpdate>> EngineDirectory::ChangesSince(
+    StoreVersion since) const {
+  const bool is_possible = this->AcceptsChanges() &&
+                           since.era == this->version.era &&
+                           this->change_log.Covers(since);
+  if (!is_possible) return std::nullopt;
+  std::set<std::string_view> ids;
+  for (std::string_view id : this->change_log.Since(since)) ids.insert(id);
+  for (const auto& [id, engine] : this->engines) {
+    // Routers learn in different ways that an engine is draining, so that the
+    // peer's list of the same version may not say it.
+    if (engine->draining && this->IsListed(id)) ids.insert(id);
+  }
+  std::vector<EngineUpdate> updates;
+  for (std::string_view id : ids) {
+    EngineUpdate& update = updates.emplace_back();
+    update.id = id;
+    update.removed = !this->IsListed(update.id);
+    if (update.removed) continue;
+    update.record = this->ListedRecord(*this->engines.find(id)->second);
+  }
+  return updates;
+}
+
+std::uint64_t EngineDirectory::ListHash() const {
+  return this->ListHashAfter({});
+}
+
+std::uint64_t EngineDirectory::ListHashAfter(
+    std::span<const EngineUpdate> updates) const {
+  std::uint64_t hash = 0;
+  for (const auto& [id, engine] : this->engines) {
+    if (this->unlisted.contains(id)) continue;
+    hash += ListedHash(engine->record_hash, engine->draining);
+  }
+  for (const EngineUpdate& update : updates) {
+    if (this->IsListed(update.id)) {
+      const Engine& engine = *this->engines.find(update.id)->second;
+      hash -= ListedHash(engine.record_hash, engine.draining);
+    }
+    if (update.removed) continue;
+    hash += ListedHash(RecordHash(update.record), update.record.draining);
+  }
+  return hash;
+}
+
 void EngineDirectory::Upsert(const EngineRecord& record,
                              std::vector<EngineChange>& changes) {
   auto found = this->engines.find(record.id);
@@ -242,17 +347,23 @@
         *engine));
     this->engines[record.id] = std::move(engine);
     this->unlisted.erase(record.id);
+    this->change_log.Record(this->version, record.id);
     return;
   }
   Engine& engine = *found->second;
-  if (this->unlisted.erase(record.id) > 0) {
+  const bool is_relisted = this->unlisted.erase(record.id) > 0;
+  const bool is_changed = !StatesNothingNew(record, engine.record);
+  if (is_relisted || is_changed) {
+    this->change_log.Record(this->version, record.id);
+  }
+  if (is_relisted) {
     changes.push_back(MakeChange(EngineChange::Kind::kRelisted, engine));
   }
   if (record.draining && !engine.draining) {
     engine.draining = true;
     changes.push_back(MakeChange(EngineChange::Kind::kDraining, engine));
   }
-  SetRecord(record, engine);
+  if (is_changed) SetRecord(record, engine);
 }
 
 bool EngineDirectory::MayHaveLeft(const EngineRecord& record) const {
@@ -291,6 +402,9 @@
       reason = RetentionReason::kMassRemoval;
     }
     // A draining engine has announced its shutdown, so its removal is final.
+    if (!this->unlisted.contains(id)) {
+      this->change_log.Record(this->version, id);
+    }
     if (reason == RetentionReason::kNone || found->second->draining) {
       this->Remove(now, id, changes);
       continue;
