Each page of a table has the whole timeout

The six pages of a table of 3,000 engines shared one limit of 1.2 s, so that a read on a slow link failed as a whole and was repeated from the first page.

--- a/include/dandelionscale/dispatch/table_store.h
+++ b/include/dandelionscale/dispatch/table_store.h
@@ -50,7 +50,9 @@
  public:
   virtual ~TableStore() = default;
 
-  /// \returns all rows of a table.
+  /// \brief Reads a table, which may take several requests.
+  /// \param timeout of each request.
+  /// \returns all rows of the table.
   virtual Awaitable<Result<StoreRows>> Read(StoreTable table,
                                             Duration timeout) = 0;
   /// \brief Long-polls for changes after `version`.
--- a/tests/odd_entry_test.cc
+++ b/tests/odd_entry_test.cc
@@ -212,6 +212,8 @@
                  HttpResponse response;
                  response.body = this->bodies.at(
                      std::min(this->targets.size(), this->bodies.size()) - 1);
+                 const Duration pause = this->response_time;
+                 if (pause > Duration::zero()) co_await SleepFor(pause);
                  co_await exchange.Respond(std::move(response));
                }),
         store(this->loop.get_executor(),
@@ -226,8 +228,7 @@
     asio::co_spawn(
         this->loop,
         [&]() -> Awaitable<void> {
-          rows = co_await this->store.Read(StoreTable::kEngines,
-                                           std::chrono::seconds(5));
+          rows = co_await this->store.Read(StoreTable::kEngines, this->timeout);
         },
         asio::detached);
     this->loop.restart();
@@ -239,6 +240,8 @@
   asio::io_context loop;
   std::vector<std::string> bodies;
   std::vector<std::string> targets;
+  Duration response_time{};  // Of each response.
+  Duration timeout = std::chrono::seconds(5);
   HttpServer server;
   PlatformStore store;
 };
@@ -280,6 +283,24 @@
   }
 }
 
+// Guards against a large table that can never be read: its pages shared one
+// timeout, which six of them exceeded on a slow link.
+TEST_CASE("each page of a table has the whole timeout") {
+  PageFixture fixture;
+  fixture.timeout = std::chrono::milliseconds(400);
+  fixture.response_time = std::chrono::milliseconds(150);
+  std::vector<std::string> pages;
+  for (int n = 1; n <= 5; ++n) {
+    pages.push_back(R"({"ver":3,"rows":[{"key":"e)" + std::to_string(n) +
+                    R"(","ver":2,"value":"e30="}],"has_more":)" +
+                    (n < 5 ? "true" : "false") + "}");
+  }
+  const auto rows = fixture.Read(pages);
+  REQUIRE(rows.has_value());
+  CHECK(rows->rows.size() == 5);
+  CHECK(fixture.store.BytesRead(StoreTable::kEngines) > 5 * 50);
+}
+
 TEST_CASE("a page that ends at an odd key is followed by the next") {
   PageFixture fixture;
   const std::string page =
