--- /dev/null
+++ b/include/dandelionscale/core/start_up_source.h
@@ -0,0 +1,63 @@
+#ifndef DANDELIONSCALE_CORE_START_UP_SOURCE_H_
+#define DANDELIONSCALE_CORE_START_UP_SOURCE_H_
+
+#include <cstdint>
+#include <optional>
+#include <span>
+
+#include "dandelionscale/runtime/runtime_clock.h"
+
+namespace dandelionscale {
+
+/// Listed routers from which on a starting router asks peers before it reads
+/// the store.
+inline constexpr std::size_t kMinLargeFleet = 16;
+
+/// \brief Where a starting router gets configuration and engines from.
+///
+/// In a small fleet it reads them from the store as soon as it knows the table
+/// of routers. In a large one, only the first few of the listed routers do, so
+/// that hundreds that start together do not read the whole tables. The others
+/// ask peers, and read the store if these have not supplied them by a time that
+/// depends on the rank: the number of readers doubles in equal intervals, as
+/// does the number of peers that can supply others.
+class StartUpSource {
+ public:
+  /// \param own_key unique to the router; higher keys rank first, as in
+  ///        `WatcherElection`.
+  StartUpSource(TimePoint started_at, std::uint64_t own_key)
+      : started_at(started_at), own_key(own_key) {}
+
+  /// \brief Records the other routers that the store lists; only the first call
+  ///        counts.
+  void OnRoutersListed(TimePoint now, std::span<const std::uint64_t> peer_keys);
+  /// \brief Records that the table of routers could not be read.
+  void OnListFailed() { this->list_failed = true; }
+  /// \brief Records that a peer has responded, even if it refuses.
+  void OnPeerAnswered() { this->peer_answered = true; }
+  /// \brief Records that configuration and engines are known from a peer.
+  void OnPeerSupplied() { this->supplied = true; }
+
+  /// \returns true if this router should read the store.
+  bool ReadsStore(TimePoint now) const;
+  /// \returns true once the table of routers is known.
+  bool IsDecided() const { return this->listed_at.has_value(); }
+  /// \returns true if this router should ask peers.
+  bool AsksPeers() const;
+  /// \returns true if at least `kMinLargeFleet` routers are listed.
+  bool IsLargeFleet() const;
+
+ private:
+  TimePoint started_at;
+  std::uint64_t own_key;
+  bool list_failed = false;
+  bool peer_answered = false;
+  bool supplied = false;
+  std::optional<TimePoint> listed_at;
+  std::size_t peers = 0;
+  std::size_t rank = 0;  ///< Of this router among the listed, from 0.
+};
+
+}  // namespace dandelionscale
+
+#endif  // DANDELIONSCALE_CORE_START_UP_SOURCE_H_
--- a/include/dandelionscale/core/watcher_election.h
+++ b/include/dandelionscale/core/watcher_election.h
@@ -64,6 +64,9 @@
   ///        should have sent a digest.
   void OnPeerListed(TimePoint now, const std::string& peer,
                     std::uint64_t peer_key);
+  /// \brief Records that this router has taken configuration and engines from a
+  ///        peer whose view of the store was current at `view_at`.
+  void OnPeerSupplied(TimePoint view_at);
   /// \brief Records that a call of this router to the store succeeded.
   void OnStoreAnswered(TimePoint now);
   /// \brief Records that a call of this router to the store failed.
--- a/src/core/watcher_election.cc
+++ b/src/core/watcher_election.cc
@@ -74,9 +74,13 @@
   this->peers.try_emplace(peer, Peer{peer_key, now, false});
 }
 
+void WatcherElection::OnPeerSupplied(TimePoint view_at) {
+  this->view_at = std::max(this->view_at.value_or(TimePoint::min()), view_at);
+}
+
 void WatcherElection::OnStoreAnswered(TimePoint now) {
   // A single read does not show later changes.
-  this->store_answers = this->role != WatchRole::kStarting;
+  this->store_answers = WatchesStore(this->role);
   this->store_lost = false;
   this->view_at = now;
 }
--- a/tests/watcher_election_test.cc
+++ b/tests/watcher_election_test.cc
@@ -246,6 +246,23 @@
   CHECK(election.Decide(now, 5) == WatchRole::kStandIn);
 }
 
+// Guards against reads of the whole tables by all routers of a large fleet that
+// have just started: a router without a view watches the store itself.
+TEST_CASE("a router that a peer has supplied need not read the store") {
+  WatcherElection election(0);
+  const TimePoint now{kSecond};
+  for (std::uint64_t peer = 1; peer <= 5; ++peer) {
+    election.OnPeerListed(now, std::to_string(peer), peer);
+  }
+  election.Decide(now, 5);
+  election.OnPeerSupplied(now + std::chrono::milliseconds(400));
+  CHECK(election.Decide(now + std::chrono::milliseconds(650), 5) ==
+        WatchRole::kListener);
+  // Nobody has told that the view is still current.
+  CHECK(election.Decide(now + std::chrono::milliseconds(1100), 5) ==
+        WatchRole::kStandIn);
+}
+
 TEST_CASE("a digest without a view age does not refresh the view") {
   WatcherElection election(0);
   const TimePoint now{kSecond};
