Routers of a large fleet fetch changes, from their own zone, and start from peers

Digests name engines that have begun to drain for 2 s, so that draining does not wait for a fetch. A read in progress when a router becomes a listener is used. A restoration of the store while a router waits to register again is no longer missed.

--- a/src/dispatch/dispatch_state.cc
+++ b/src/dispatch/dispatch_state.cc
@@ -37,6 +37,9 @@
 constexpr Duration kMaxPeerSilence = std::chrono::milliseconds(1000);
 // Number of routers that is assumed until a peer has been discovered.
 constexpr std::size_t kAssumedRouters = 8;
+// Digests name an engine that has begun to drain for this time, so that peers
+// know it before they have fetched the change of the list.
+constexpr Duration kDrainNewsTime = std::chrono::seconds(2);
 
 }  // namespace
 
@@ -46,8 +49,12 @@
     : executor(executor),
       started_at(RuntimeClock::now()),
       options(std::move(options)),
+      zone_key(ShortKey(HashText(this->options.availability_zone))),
       codec(std::move(codec)),
       start_up(this->started_at),
+      start_up_source(this->started_at,
+                      HashText(ToText(this->options.peer_address))),
+      start_up_source_changed(executor),
       watcher_election(HashText(ToText(this->options.peer_address))),
       state_changed(executor),
       store_restored(executor),
@@ -141,12 +148,20 @@
          {"version",
           static_cast<std::int64_t>(this->engines.Version().number)}});
     this->metrics.Add("engine_changes_total");
+    if (change.kind == EngineChange::Kind::kDraining) this->OnDrain(change.id);
   }
   if (changes.empty()) return;
   this->state_changed.NotifyAll();
   this->UpdateSoftwareVersions();
 }
 
+void DispatchState::OnDrain(const std::string& id) {
+  const auto engine = this->engines.Engines().find(id);
+  if (engine == this->engines.Engines().end()) return;
+  this->new_drains.emplace_back(engine->second->key,
+                                RuntimeClock::now() + kDrainNewsTime);
+}
+
 // A watch brings a removal as a row with a version. In a read of the whole
 // table it is only an absence, which may be as new as the read.
 void DispatchState::AnnounceRemovals(std::span<const EngineChange> changes) {
@@ -389,6 +404,22 @@
   };
 }
 
+bool DispatchState::IsInOtherZone(const std::string& peer) const {
+  const auto contact = this->live_peers.find(peer);
+  return contact != this->live_peers.end() && contact->second.zone_key &&
+         *contact->second.zone_key != this->zone_key;
+}
+
+bool DispatchState::IsZoneForerunner() const {
+  const auto comes_first = this->ComesBeforeThisRouter(this->zone_key);
+  std::size_t before = 0;
+  for (const auto& [peer, contact] : this->live_peers) {
+    if (contact.zone_key != this->zone_key || !comes_first(peer)) continue;
+    if (++before >= kZoneForerunners) return false;
+  }
+  return true;
+}
+
 bool DispatchState::IsReady() const {
   return this->routing_table != nullptr && this->engines_known &&
          this->start_up.IsComplete(RuntimeClock::now()) && !this->draining;
--- a/src/dispatch/dispatch_state.h
+++ b/src/dispatch/dispatch_state.h
@@ -25,8 +25,10 @@
 #include "dandelionscale/core/prefix_update_queue.h"
 #include "dandelionscale/core/request_quarantine.h"
 #include "dandelionscale/core/routing_table.h"
+#include "dandelionscale/core/snapshot_sources.h"
 #include "dandelionscale/core/software_versions.h"
 #include "dandelionscale/core/start_up_check.h"
+#include "dandelionscale/core/start_up_source.h"
 #include "dandelionscale/core/stream_origins.h"
 #include "dandelionscale/core/watcher_election.h"
 #include "dandelionscale/dispatch/dispatch_router.h"
@@ -64,6 +66,8 @@
   /// Arrival of its last digest, or when it was found in the store's table.
   TimePoint at{};
   bool has_sent_digest = false;
+  /// As in `DispatchState::zone_key`; none if it is not known.
+  std::optional<std::uint32_t> zone_key{};
 };
 
 /// Interval of `DispatchState::OnLoopCheck()`.
@@ -165,6 +169,12 @@
   /// \returns true if that position is the first; stops at the first peer that
   ///          comes before this router.
   bool IsFirstAmongPeers(std::uint64_t key) const;
+  /// \returns true if the peer is in another availability zone, as far as is
+  ///          known.
+  bool IsInOtherZone(const std::string& peer) const;
+  /// \returns true if one of the first `kZoneForerunners` live routers of this
+  ///          router's zone, in an order that all routers share, is this one.
+  bool IsZoneForerunner() const;
   /// \returns true if the load balancer should send clients to this router.
   bool IsReady() const;
   /// \returns a uniform random number in [0, 1).
@@ -175,6 +185,8 @@
   boost::asio::any_io_executor executor;
   TimePoint started_at;  ///< When this router was created.
   DispatchOptions options;
+  /// Low half of the hash of the name of this router's availability zone.
+  std::uint32_t zone_key;
   std::shared_ptr<const ProtocolCodec> codec;
   Metrics metrics;
   Watchdog watchdog;
@@ -186,6 +198,9 @@
   EngineDirectory engines;
   /// Whether peers have confirmed what this router read when it started.
   StartUpCheck start_up;
+  /// Where this router reads when it starts.
+  StartUpSource start_up_source;
+  Event start_up_source_changed;
   /// Version of the newest change of the engines that this router knows of;
   /// peers whose list is older fetch it.
   StoreVersion newest_engine_version;
@@ -194,6 +209,9 @@
   /// Decides whether this router watches the store or relies on the digests of
   /// its peers.
   WatcherElection watcher_election;
+  /// Keys of engines that have begun to drain, and until when digests name
+  /// them.
+  std::vector<std::pair<std::uint64_t, TimePoint>> new_drains;
   /// Signals a change that should be sent in a digest soon.
   Event state_changed;
   std::optional<std::uint64_t> store_era;  ///< Newest known era of the store.
@@ -241,6 +259,7 @@
 
  private:
   void UpdateSoftwareVersions();
+  void OnDrain(const std::string& id);
   void OnRateLimitChanged(const Engine& engine, const EngineRateLimit& before,
                           std::string_view source);
   // Logs a warning that concerns an engine, once for each engine and event.
--- a/src/dispatch/peers/peer_exchange.cc
+++ b/src/dispatch/peers/peer_exchange.cc
@@ -103,10 +103,9 @@
   digest.set_store_era(this->state.newest_engine_version.era);
   DigestSizes sizes;
   sizes.loads = this->FillLoads(digest);
-  for (std::uint32_t short_key : this->state.engines.LeavingKeys()) {
-    digest.add_leaving_engines(short_key);
-  }
   const TimePoint now = RuntimeClock::now();
+  digest.set_zone(this->state.zone_key);
+  this->FillLeavingEngines(now, digest);
   sizes.placements = this->FillPlacements(digest);
   FillQuarantineUpdate(this->state.quarantine.TakeForDigest(), now, digest);
   this->FillRateLimits(digest);
@@ -118,8 +117,8 @@
                                        this->state.peers.end());
   const std::size_t count = std::min(kDigestFanout, peers.size());
   this->state.metrics.Add("peer_digest_bytes_sent_total", count * bytes.size());
-  for (std::size_t n = 0; n < count; ++n) {
-    this->SendTo(peers[this->next_peer++ % peers.size()], bytes);
+  for (const std::string& peer : this->NextRecipients(peers, count)) {
+    this->SendTo(peer, bytes);
   }
   this->CountDigests(sizes, count);
   if (count == peers.size()) return;
@@ -129,6 +128,23 @@
   this->CountDigests(sizes, carriers.size());
 }
 
+std::vector<std::string> PeerExchange::NextRecipients(
+    const std::vector<std::string>& peers, std::size_t count) {
+  if (count == peers.size()) {
+    this->new_peers.clear();
+    return peers;
+  }
+  std::vector<std::string> recipients;
+  while (!this->new_peers.empty() && recipients.size() < count) {
+    recipients.push_back(std::move(this->new_peers.back()));
+    this->new_peers.pop_back();
+  }
+  while (recipients.size() < count) {
+    recipients.push_back(peers[this->next_peer++ % peers.size()]);
+  }
+  return recipients;
+}
+
 void PeerExchange::CountDigests(const DigestSizes& sizes, std::size_t copies) {
   Metrics& metrics = this->state.metrics;
   CountSent(metrics, PeerTraffic::kDigestLoads, copies * sizes.loads);
@@ -158,6 +174,19 @@
   return digest.ByteSizeLong() - size_before;
 }
 
+void PeerExchange::FillLeavingEngines(TimePoint now,
+                                      wire::RouterDigest& digest) {
+  std::vector<std::uint32_t> keys = this->state.engines.LeavingKeys();
+  std::erase_if(this->state.new_drains,
+                [now](const auto& drain) { return now >= drain.second; });
+  for (const auto& [key, until] : this->state.new_drains) {
+    keys.push_back(ShortKey(key));
+  }
+  std::sort(keys.begin(), keys.end());
+  keys.erase(std::unique(keys.begin(), keys.end()), keys.end());
+  digest.mutable_leaving_engines()->Add(keys.begin(), keys.end());
+}
+
 std::size_t PeerExchange::FillPlacements(wire::RouterDigest& digest) {
   const std::size_t size_before = digest.ByteSizeLong();
   const std::size_t rotation = DigestsPerRotation(this->state.peers.size());
@@ -260,8 +289,10 @@
   PeerContact& contact = this->state.live_peers[sender];
   if (!contact.has_sent_digest) {
     Logger::Info("peer_heard", {{"peer", sender}, {"name", digest.router()}});
+    this->new_peers.push_back(sender);
   }
-  contact = {now, true};
+  contact = {now, true, contact.zone_key};
+  if (digest.has_zone()) contact.zone_key = digest.zone();
   this->state.permits->OnPeerHeard(sender);
   std::vector<EngineLoad> loads;
   for (int n = 0; n < digest.engine_keys_size(); ++n) {
--- a/src/dispatch/peers/peer_exchange.h
+++ b/src/dispatch/peers/peer_exchange.h
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <span>
 #include <string>
+#include <vector>
 
 #include "dispatch/dispatch_state.h"
 #include "dispatch/peers/snapshot_exchange.h"
@@ -49,6 +50,11 @@
 
   Awaitable<void> SendDigests();
   void SendTo(const std::string& peer, const std::string& datagram);
+  // Returns the `count` peers that the next digest goes to: those heard of
+  // lately, which may have just started, then the next ones in rotation.
+  std::vector<std::string> NextRecipients(const std::vector<std::string>& peers,
+                                          std::size_t count);
+  void FillLeavingEngines(TimePoint now, wire::RouterDigest& digest);
   void CountDigests(const DigestSizes& sizes, std::size_t copies);
   // Both return the encoded size of what they add.
   std::size_t FillLoads(wire::RouterDigest& digest) const;
@@ -68,6 +74,8 @@
   SnapshotExchange snapshots;
   std::uint64_t incarnation;
   std::uint64_t sequence = 0;
+  /// Peers that were heard for the first time and sent no digest since.
+  std::vector<std::string> new_peers;
   std::size_t next_peer;  ///< Position in the rotation through `state.peers`.
 };
 
--- a/src/dispatch/peers/snapshot_exchange.cc
+++ b/src/dispatch/peers/snapshot_exchange.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <random>
 
 #include "dandelionscale/core/engine_record_check.h"
 #include "dandelionscale/runtime/logger.h"
@@ -23,11 +24,20 @@
 // behind for this long; normally its own watch returns the change sooner.
 constexpr Duration kWatcherFetchDelay = std::chrono::milliseconds(120);
 constexpr Duration kFetchTimeout = std::chrono::milliseconds(600);
+// Limit for whole lists and prefix indexes: 400 KB take 0.3 s on a link of
+// 10 Mbit/s, which a peer may share among `kMaxSnapshotsServed` of them.
+constexpr Duration kLargeFetchTimeout = std::chrono::milliseconds(1500);
+// A starting router asks a further peer after each interval, while at most so
+// many have not responded.
+constexpr Duration kAskInterval = std::chrono::milliseconds(50);
+constexpr int kMaxAsksAtStart = 3;
 // Snapshot responses that a router sends at the same time; further requests get
 // status 503. A refused router fetches from the sender of a later digest, which
 // is often a router that has fetched a snapshot in the meantime. This keeps the
 // network link of a host from overload when many routers are behind.
 constexpr int kMaxSnapshotsServed = 4;
+// Responses up to this size do not count: changes of the list, for example.
+constexpr std::size_t kMaxSmallSnapshotBytes = 16 * 1024;
 // Each entry of the prefix index takes 12 bytes of the snapshot.
 constexpr std::size_t kMaxPrefixesPerSnapshot = 20'000;
 // Limit of a snapshot, several times the size of one of a large fleet.
@@ -47,6 +57,7 @@
 Result<void> SnapshotExchange::Start() {
   auto bound = this->server.Listen(this->state.options.peer_address);
   if (bound.has_error()) return bound.error();
+  asio::co_spawn(this->state.executor, this->AskPeersAtStart(), asio::detached);
   return {};
 }
 
@@ -92,60 +103,196 @@
          engines_changed > this->state.engines.Version();
 }
 
+bool SnapshotExchange::HasRows() const {
+  return this->state.engines_known && this->state.routing_table != nullptr;
+}
+
+RowVersions SnapshotExchange::OwnVersions() const {
+  return {this->state.ConfigurationVersion(), this->state.engines.Version()};
+}
+
 void SnapshotExchange::OnDigest(const wire::RouterDigest& digest,
                                 const std::string& sender) {
-  const bool sender_is_newer = this->UpdateNewestVersions(digest);
+  const TimePoint now = RuntimeClock::now();
+  const bool is_own_zone = !this->state.IsInOtherZone(sender);
+  if (this->UpdateNewestVersions(digest)) {
+    this->sources.OnNewer(
+        now, sender, {digest.configuration_version(), this->VersionOf(digest)},
+        is_own_zone, this->CrossZoneWait());
+  }
+  this->FetchFromSources();
   // Digests carry only changes of the prefix index, so a newly started router
   // fetches the earlier entries once. It does so after it has received the
   // engines, because entries of unknown engines are discarded.
   const bool needs_prefixes = !this->has_prefixes && this->state.engines_known;
-  if (!sender_is_newer && !needs_prefixes) return;
+  if (!needs_prefixes || this->fetching || now < this->MayFetchAt(now)) return;
+  if (!is_own_zone && this->HearsOwnZone()) return;
+  this->fetching = true;
+  asio::co_spawn(this->state.executor, this->FetchSnapshot(sender, true),
+                 asio::detached);
+}
+
+bool SnapshotExchange::IsLargeFleet() const {
+  return this->state.peers.size() + 1 >= kMinLargeFleet;
+}
+
+Duration SnapshotExchange::CrossZoneWait() {
+  if (this->state.IsZoneForerunner()) return Duration::zero();
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(kOwnZoneWait) * (1 + this->state.Random()));
+}
+
+bool SnapshotExchange::HearsOwnZone() const {
+  return std::any_of(this->state.live_peers.begin(),
+                     this->state.live_peers.end(), [this](const auto& peer) {
+                       return peer.second.has_sent_digest &&
+                              peer.second.zone_key == this->state.zone_key;
+                     });
+}
+
+TimePoint SnapshotExchange::MayFetchAt(TimePoint now) const {
   const bool watches = WatchesStore(this->state.watcher_election.Role());
-  const bool waits_for_store =
-      watches && this->state.routing_table != nullptr &&
-      this->state.unreachable_tables.empty() && this->behind_since &&
-      RuntimeClock::now() - *this->behind_since < kWatcherFetchDelay;
-  if (waits_for_store || this->fetching) return;
+  const bool waits_for_store = watches &&
+                               this->state.routing_table != nullptr &&
+                               this->state.unreachable_tables.empty();
+  if (!waits_for_store || !this->behind_since) return now;
+  return std::max(now, *this->behind_since + kWatcherFetchDelay);
+}
+
+void SnapshotExchange::FetchFromSources() {
+  const TimePoint now = RuntimeClock::now();
+  this->sources.OnVersions(this->OwnVersions());
+  const auto next = this->sources.NextAt();
+  if (!next || this->fetching) return;
+  const TimePoint at = std::max(*next, this->MayFetchAt(now));
+  if (at > now) {
+    if (this->fetch_is_due) return;
+    this->fetch_is_due = true;
+    asio::co_spawn(this->state.executor, this->FetchLater(at), asio::detached);
+    return;
+  }
+  auto peer = this->sources.Take(now);
+  if (!peer) return;
   this->fetching = true;
-  asio::co_spawn(this->state.executor, this->FetchSnapshot(sender),
+  const bool with_prefixes =
+      !this->has_prefixes &&
+      (this->state.engines_known || !this->IsLargeFleet()) &&
+      (!this->state.IsInOtherZone(*peer) || !this->HearsOwnZone());
+  asio::co_spawn(this->state.executor,
+                 this->FetchSnapshot(std::move(*peer), with_prefixes),
                  asio::detached);
 }
 
-Awaitable<void> SnapshotExchange::FetchSnapshot(std::string peer) {
+Awaitable<void> SnapshotExchange::FetchLater(TimePoint at) {
+  const Duration wait = at - RuntimeClock::now();
+  co_await SleepFor(wait);
+  this->fetch_is_due = false;
+  this->FetchFromSources();
+}
+
+wire::SnapshotRequest SnapshotExchange::MakeRequest(bool with_prefixes) const {
+  wire::SnapshotRequest request;
+  request.set_configuration_version(this->state.ConfigurationVersion());
+  request.set_engines_version(this->state.engines.Version().number);
+  request.set_store_era(this->state.engines.Version().era);
+  request.set_without_placements(!with_prefixes);
+  request.set_accepts_changes(!this->needs_whole_list &&
+                              this->state.engines.AcceptsChanges());
+  return request;
+}
+
+Awaitable<Result<wire::BeliefSnapshot>> SnapshotExchange::Ask(
+    std::string peer, wire::SnapshotRequest request) {
   auto endpoint = ParseEndpoint(peer);
-  wire::SnapshotRequest snapshot_request;
-  snapshot_request.set_configuration_version(
-      this->state.ConfigurationVersion());
-  snapshot_request.set_engines_version(this->state.engines.Version().number);
-  snapshot_request.set_store_era(this->state.engines.Version().era);
-  snapshot_request.set_without_placements(this->has_prefixes);
-  HttpRequest request;
-  request.method = "POST";
-  request.target = kSnapshotPath;
-  request.body = snapshot_request.SerializeAsString();
-  auto response =
-      co_await this->client.Fetch(endpoint.value(), std::move(request),
-                                  ConnectionUse::kFresh, kFetchTimeout);
-  this->fetching = false;
+  if (endpoint.has_error()) co_return endpoint.error();
+  const bool is_small =
+      request.accepts_changes() && request.without_placements();
+  HttpRequest http_request;
+  http_request.method = "POST";
+  http_request.target = kSnapshotPath;
+  http_request.body = request.SerializeAsString();
+  auto response = co_await this->client.Fetch(
+      endpoint.value(), std::move(http_request), ConnectionUse::kFresh,
+      is_small ? kFetchTimeout : kLargeFetchTimeout);
+  if (response.has_error()) co_return response.error();
+  const bool is_cross_zone = this->state.IsInOtherZone(peer);
+  this->state.metrics.Add(
+      is_cross_zone ? "peer_snapshot_bytes_received_total{zone=\"other\"}"
+                    : "peer_snapshot_bytes_received_total{zone=\"own\"}",
+      response->body.size());
   wire::BeliefSnapshot snapshot;
-  const bool is_answered = response.has_value() &&
-                           response->status == http_status::kOk &&
-                           snapshot.ParseFromString(response->body);
-  if (!is_answered) {
-    Logger::Info("peer_snapshot_failed",
-                 {{"peer", peer},
-                  {"status", response.has_value()
-                                 ? static_cast<std::int64_t>(response->status)
-                                 : std::int64_t{0}}});
-    co_return;
+  if (response->status != http_status::kOk) {
+    co_return Fault{FaultKind::kUnexpectedStatus,
+                    std::to_string(response->status)};
+  }
+  if (!snapshot.ParseFromString(response->body)) {
+    co_return Fault{FaultKind::kMalformedMessage, "no snapshot"};
+  }
+  co_return std::move(snapshot);
+}
+
+Awaitable<void> SnapshotExchange::FetchSnapshot(std::string peer,
+                                                bool with_prefixes) {
+  auto snapshot = co_await this->Ask(peer, this->MakeRequest(with_prefixes));
+  this->fetching = false;
+  if (snapshot.has_value()) {
+    this->ApplySnapshot(snapshot.value(), peer);
+    this->has_prefixes =
+        this->has_prefixes || (with_prefixes && this->state.engines_known);
+  } else {
+    const Fault& fault = snapshot.error();
+    Logger::Info("peer_snapshot_failed", {{"peer", peer},
+                                          {"fault", ToString(fault.kind)},
+                                          {"detail", fault.detail}});
+  }
+  this->FetchFromSources();
+}
+
+Awaitable<void> SnapshotExchange::AskPeersAtStart() {
+  StartUpSource& source = this->state.start_up_source;
+  while (!source.IsDecided()) {
+    co_await this->state.start_up_source_changed.Wait();
+  }
+  std::vector<std::string> peers(this->state.peers.begin(),
+                                 this->state.peers.end());
+  // At random, so that routers that start together supply each other.
+  std::shuffle(
+      peers.begin(), peers.end(),
+      std::minstd_rand(static_cast<std::uint32_t>(this->state.RandomBits())));
+  for (std::size_t n = 0; source.AsksPeers() && !this->HasRows(); ++n) {
+    if (this->asks_at_start < kMaxAsksAtStart) {
+      ++this->asks_at_start;
+      asio::co_spawn(this->state.executor,
+                     this->AskAtStart(peers[n % peers.size()]), asio::detached);
+    }
+    const Duration interval = kAskInterval;
+    co_await SleepFor(interval);
   }
-  this->ApplySnapshot(snapshot, peer);
+}
+
+Awaitable<void> SnapshotExchange::AskAtStart(std::string peer) {
+  const TimePoint asked_at = RuntimeClock::now();
+  wire::SnapshotRequest request = this->MakeRequest(false);
+  request.set_is_start_up(true);
+  auto snapshot = co_await this->Ask(peer, std::move(request));
+  --this->asks_at_start;
+  const bool has_answered =
+      snapshot.has_value() ||
+      snapshot.error().kind == FaultKind::kUnexpectedStatus;
+  if (has_answered) this->state.start_up_source.OnPeerAnswered();
+  if (snapshot.has_error()) co_return;
+  const bool had_rows = this->HasRows();
+  this->ApplySnapshot(snapshot.value(), peer);
+  if (had_rows || !this->HasRows()) co_return;
+  if (!snapshot->has_view_age_ms()) co_return;
+  const std::chrono::milliseconds view_age(snapshot->view_age_ms());
+  this->state.watcher_election.OnPeerSupplied(asked_at - view_age);
 }
 
 void SnapshotExchange::ApplySnapshot(const wire::BeliefSnapshot& snapshot,
                                      const std::string& peer) {
   this->state.metrics.Add("peer_snapshots_total");
-  this->has_prefixes = this->has_prefixes || this->state.engines_known;
+  const bool had_rows = this->HasRows();
   for (const std::string& router : snapshot.routers()) {
     if (ParseRemoteEndpoint(router).has_value()) {
       this->state.peers.insert(router);
@@ -156,6 +303,11 @@
     this->state.ApplyConfiguration(snapshot.configuration(), peer);
   }
   this->ApplyEngines(snapshot, peer);
+  if (!had_rows && this->HasRows()) {
+    Logger::Info("started_from_peer", {{"peer", peer}});
+    this->state.start_up_source.OnPeerSupplied();
+    this->state.start_up_source_changed.NotifyAll();
+  }
   const TimePoint now = RuntimeClock::now();
   this->state.OnQuarantineChanges(
       this->state.quarantine.Apply(now, ToQuarantineUpdate(snapshot, now)),
@@ -169,6 +321,10 @@
                                     const std::string& peer) {
   const StoreVersion version = this->VersionOf(snapshot);
   if (version.number == 0 || version <= this->state.engines.Version()) return;
+  if (snapshot.engines_are_changes()) {
+    this->ApplyEngineChanges(snapshot, version, peer);
+    return;
+  }
   std::vector<EngineRecord> records;
   for (const wire::EngineEntry& entry : snapshot.engines()) {
     EngineRecord record = ToRecord(entry);
@@ -181,6 +337,45 @@
   this->state.engines_known = true;
   const auto changes =
       this->state.engines.OnSnapshot(RuntimeClock::now(), version, records);
+  this->needs_whole_list = false;
+  this->OnEnginesApplied(version, changes, peer);
+}
+
+void SnapshotExchange::ApplyEngineChanges(const wire::BeliefSnapshot& snapshot,
+                                          StoreVersion version,
+                                          const std::string& peer) {
+  std::vector<EngineUpdate> updates;
+  for (const wire::EngineEntry& entry : snapshot.engines()) {
+    EngineRecord record = ToRecord(entry);
+    if (!FindInvalidMember(record).empty()) {
+      this->state.metrics.Add("peer_engine_entries_malformed_total");
+      continue;
+    }
+    updates.push_back({record.id, false, std::move(record)});
+  }
+  for (const std::string& id : snapshot.removed_engines()) {
+    updates.push_back({id, true, {}});
+  }
+  const auto changes = this->state.engines.OnPeerChanges(
+      RuntimeClock::now(), version, updates, snapshot.list_hash());
+  if (!changes) {
+    this->needs_whole_list = true;
+    this->state.metrics.Add("peer_engine_changes_refused_total");
+    Logger::Info("peer_engine_changes_refused",
+                 {{"peer", peer},
+                  {"version", static_cast<std::int64_t>(version.number)}});
+    // The same peer can send its whole list at once.
+    this->sources.OnNewer(RuntimeClock::now(), peer, {0, version},
+                          !this->state.IsInOtherZone(peer), Duration::zero());
+    return;
+  }
+  this->state.metrics.Add("peer_engine_changes_applied_total");
+  this->OnEnginesApplied(version, *changes, peer);
+}
+
+void SnapshotExchange::OnEnginesApplied(
+    StoreVersion version, const std::vector<EngineChange>& changes,
+    const std::string& peer) {
   this->state.newest_engine_version =
       std::max(this->state.newest_engine_version, version);
   this->state.OnEngineChanges(changes, peer);
@@ -194,9 +389,8 @@
     co_await exchange.Respond(std::move(response));
     co_return;
   }
-  if (this->serving >= kMaxSnapshotsServed) {
-    response.status = http_status::kServiceUnavailable;
-    co_await exchange.Respond(std::move(response));
+  if (this->Refuses(snapshot_request, RuntimeClock::now())) {
+    co_await this->Refuse(exchange);
     co_return;
   }
   Metrics& metrics = this->state.metrics;
@@ -208,33 +402,80 @@
   }
   const std::size_t configuration_size = snapshot.ByteSizeLong();
   if (this->state.engines.Version() > this->VersionOf(snapshot_request)) {
-    this->FillEngines(snapshot);
+    this->FillEngines(snapshot_request, snapshot);
   }
   const std::size_t size_with_engines = snapshot.ByteSizeLong();
-  if (!snapshot_request.without_placements())
-    this->FillPeersAndPrefixes(snapshot);
-  response.headers.Add("Content-Type", "application/octet-stream");
+  const bool is_start_up = snapshot_request.is_start_up();
+  const bool has_prefixes = !snapshot_request.without_placements();
+  const bool has_no_list = snapshot_request.engines_version() == 0;
+  if (has_no_list || has_prefixes) this->FillPeers(snapshot);
+  if (has_prefixes) this->FillPrefixes(snapshot);
+  if (is_start_up) this->FillViewAge(snapshot);
   response.body = snapshot.SerializeAsString();
+  const bool is_large = response.body.size() > kMaxSmallSnapshotBytes;
+  if (is_large && this->serving >= kMaxSnapshotsServed) {
+    co_await this->Refuse(exchange);
+    co_return;
+  }
+  response.headers.Add("Content-Type", "application/octet-stream");
   CountSent(metrics, PeerTraffic::kSnapshotConfiguration, configuration_size);
   CountSent(metrics, PeerTraffic::kSnapshotEngines,
             size_with_engines - configuration_size);
   CountSent(metrics, PeerTraffic::kSnapshotPrefixes,
             response.body.size() - size_with_engines);
-  ++this->serving;
+  if (is_large) ++this->serving;
   co_await exchange.Respond(std::move(response));
-  --this->serving;
+  if (is_large) --this->serving;
+}
+
+Awaitable<void> SnapshotExchange::Refuse(HttpExchange& exchange) {
+  this->state.metrics.Add("peer_snapshots_refused_total");
+  HttpResponse response;
+  response.status = http_status::kServiceUnavailable;
+  co_await exchange.Respond(std::move(response));
+}
+
+bool SnapshotExchange::Refuses(const wire::SnapshotRequest& request,
+                               TimePoint now) const {
+  const bool can_supply = this->HasRows() && this->state.IsViewCurrent(now);
+  if (request.is_start_up() && !can_supply) return true;
+  const bool is_small =
+      request.accepts_changes() && request.without_placements();
+  return !is_small && this->serving >= kMaxSnapshotsServed;
 }
 
-void SnapshotExchange::FillEngines(wire::BeliefSnapshot& snapshot) const {
+void SnapshotExchange::FillEngines(const wire::SnapshotRequest& request,
+                                   wire::BeliefSnapshot& snapshot) const {
   snapshot.set_engines_version(this->state.engines.Version().number);
   snapshot.set_store_era(this->state.engines.Version().era);
+  std::optional<std::vector<EngineUpdate>> updates;
+  if (request.accepts_changes()) {
+    updates = this->state.engines.ChangesSince(this->VersionOf(request));
+  }
+  if (updates) {
+    snapshot.set_engines_are_changes(true);
+    snapshot.set_list_hash(this->state.engines.ListHash());
+    for (const EngineUpdate& update : *updates) {
+      if (update.removed) {
+        snapshot.add_removed_engines(update.id);
+      } else {
+        FillEntry(update.record, *snapshot.add_engines());
+      }
+    }
+    return;
+  }
   for (const EngineRecord& record : this->state.engines.Listed()) {
     FillEntry(record, *snapshot.add_engines());
   }
 }
 
-void SnapshotExchange::FillPeersAndPrefixes(
-    wire::BeliefSnapshot& snapshot) const {
+void SnapshotExchange::FillViewAge(wire::BeliefSnapshot& snapshot) const {
+  const auto age = this->state.watcher_election.ViewAge(RuntimeClock::now());
+  if (!age) return;
+  snapshot.set_view_age_ms(static_cast<std::uint32_t>(ToMilliseconds(*age)));
+}
+
+void SnapshotExchange::FillPeers(wire::BeliefSnapshot& snapshot) const {
   for (const std::string& peer : this->state.peers) {
     snapshot.add_routers(peer);
   }
@@ -246,6 +487,10 @@
     if (!engine->rate_limit.IsActive()) continue;
     FillRateLimit(*engine, now, *snapshot.add_rate_limits());
   }
+}
+
+void SnapshotExchange::FillPrefixes(wire::BeliefSnapshot& snapshot) const {
+  const TimePoint now = RuntimeClock::now();
   for (const PrefixUpdate& update :
        this->state.prefixes.Snapshot(now, kMaxPrefixesPerSnapshot)) {
     snapshot.add_placed_parts(update.part_key);
--- a/src/dispatch/peers/snapshot_exchange.h
+++ b/src/dispatch/peers/snapshot_exchange.h
@@ -3,9 +3,11 @@
 #ifndef DANDELIONSCALE_SRC_DISPATCH_PEERS_SNAPSHOT_EXCHANGE_H_
 #define DANDELIONSCALE_SRC_DISPATCH_PEERS_SNAPSHOT_EXCHANGE_H_
 
+#include <cstdint>
 #include <optional>
 #include <string>
 
+#include "dandelionscale/core/snapshot_sources.h"
 #include "dandelionscale/transport/http_client.h"
 #include "dandelionscale/transport/http_server.h"
 #include "dispatch/dispatch_state.h"
@@ -24,7 +26,8 @@
  public:
   explicit SnapshotExchange(DispatchState& state);
 
-  /// \brief Starts to serve snapshots.
+  /// \brief Starts to serve snapshots, and asks peers for one if this router
+  ///        should not read the store at its start.
   /// \returns the fault of the HTTP server.
   Result<void> Start();
   /// \brief Fetches a snapshot from the sender of a digest if this router lacks
@@ -40,25 +43,63 @@
   StoreVersion VersionOf(const wire::RouterDigest& digest) const;
   StoreVersion VersionOf(const wire::SnapshotRequest& request) const;
   StoreVersion VersionOf(const wire::BeliefSnapshot& snapshot) const;
+  // True if configuration and engines are known.
+  bool HasRows() const;
+  RowVersions OwnVersions() const;
   // Records the newest versions among peers and whether this router is behind
   // them. True if the sender of the digest has a newer version than this
   // router.
   bool UpdateNewestVersions(const wire::RouterDigest& digest);
-  Awaitable<void> FetchSnapshot(std::string peer);
+  bool IsLargeFleet() const;
+  // For how long this router waits for its own zone to have newer rows.
+  Duration CrossZoneWait();
+  // True if a peer of this router's zone sends digests.
+  bool HearsOwnZone() const;
+  // When this router may fetch; later than `now` if it expects its own watch to
+  // return the rows.
+  TimePoint MayFetchAt(TimePoint now) const;
+  // Fetches from the best of the peers that are known to be newer, now or as
+  // soon as one may be asked.
+  void FetchFromSources();
+  Awaitable<void> FetchLater(TimePoint at);
+  Awaitable<void> FetchSnapshot(std::string peer, bool with_prefixes);
+  // Asks peers in a random order until one has supplied configuration and
+  // engines, or this router has read them from the store.
+  Awaitable<void> AskPeersAtStart();
+  Awaitable<void> AskAtStart(std::string peer);
+  wire::SnapshotRequest MakeRequest(bool with_prefixes) const;
+  Awaitable<Result<wire::BeliefSnapshot>> Ask(std::string peer,
+                                              wire::SnapshotRequest request);
   void ApplySnapshot(const wire::BeliefSnapshot& snapshot,
                      const std::string& peer);
   void ApplyEngines(const wire::BeliefSnapshot& snapshot,
                     const std::string& peer);
+  void ApplyEngineChanges(const wire::BeliefSnapshot& snapshot,
+                          StoreVersion version, const std::string& peer);
+  void OnEnginesApplied(StoreVersion version,
+                        const std::vector<EngineChange>& changes,
+                        const std::string& peer);
   Awaitable<void> ServeSnapshot(HttpExchange& exchange);
-  void FillEngines(wire::BeliefSnapshot& snapshot) const;
-  void FillPeersAndPrefixes(wire::BeliefSnapshot& snapshot) const;
+  Awaitable<void> Refuse(HttpExchange& exchange);
+  bool Refuses(const wire::SnapshotRequest& request, TimePoint now) const;
+  void FillEngines(const wire::SnapshotRequest& request,
+                   wire::BeliefSnapshot& snapshot) const;
+  void FillViewAge(wire::BeliefSnapshot& snapshot) const;
+  void FillPeers(wire::BeliefSnapshot& snapshot) const;
+  void FillPrefixes(wire::BeliefSnapshot& snapshot) const;
 
   DispatchState& state;
   HttpServer server;
   HttpClient client;
   bool fetching = false;      ///< A snapshot is being fetched.
-  int serving = 0;            ///< Snapshot responses that are being sent.
+  bool fetch_is_due = false;  ///< `FetchLater()` waits.
+  int asks_at_start = 0;      ///< Requests of `AskAtStart()` in progress.
+  /// The next request does not accept changes: the last ones led to another
+  /// list than the peer's.
+  bool needs_whole_list = false;
+  int serving = 0;            ///< Large snapshot responses that are being sent.
   bool has_prefixes = false;  ///< A snapshot with prefixes was fetched.
+  SnapshotSources sources;    ///< Peers that are newer than this router.
   std::uint64_t newest_configuration = 0;  ///< Newest in received digests.
   StoreVersion newest_engines;             ///< Newest in received digests.
   /// Since when peers have newer versions; none if they have not.
--- a/src/dispatch/store/store_watcher.cc
+++ b/src/dispatch/store/store_watcher.cc
@@ -27,6 +27,9 @@
 // Longest wait of one watch call. The store can stop sending changes without
 // closing the watch, so the call is repeated after this time.
 constexpr Duration kWatchWait = std::chrono::milliseconds(1600);
+// Of the first watch after the read at the start; its result shows at once that
+// this router's view of the store is current.
+constexpr Duration kFirstWatchWait = std::chrono::milliseconds(20);
 // Largest fraction of a delay that is subtracted at random, so that routers do
 // not call the store in step.
 constexpr double kMaxJitter = 0.4;
@@ -68,6 +71,8 @@
 // Within this time after the store was restored, engines write their rows
 // again.
 constexpr Duration kRelistTime = std::chrono::seconds(2);
+// Interval at which a starting router decides whether it reads the store.
+constexpr Duration kStartUpInterval = std::chrono::milliseconds(20);
 // Interval at which the router decides whether it watches the store itself.
 constexpr Duration kRoleInterval = std::chrono::milliseconds(50);
 
@@ -161,30 +166,49 @@
   bool has_table = false;
   StoreVersion version;
   Duration pause = kMinRetryDelay;
+  Duration wait = WithJitter(kWatchWait, this->state.Random());
   while (true) {
     const WatchRole role = this->state.watcher_election.Role();
-    const bool is_read_once = role == WatchRole::kStarting && has_table;
-    if (role == WatchRole::kListener || is_read_once) {
+    if (role == WatchRole::kListener) {
       co_await this->role_changed.Wait();
-      // The table may have changed since it was read.
+      // Peers have supplied changes since the table was read.
       has_table = false;
       continue;
     }
+    if (role == WatchRole::kStarting && has_table) {
+      co_await this->role_changed.Wait();
+      // The table may have changed since it was read. In a large fleet, where
+      // it is large, a watch that does not wait returns the changes.
+      has_table = this->state.start_up_source.IsLargeFleet();
+      if (has_table) wait = kFirstWatchWait;
+      continue;
+    }
+    if (!has_table && !this->MayRead()) {
+      co_await this->state.start_up_source_changed.WaitFor(kStartUpInterval);
+      continue;
+    }
     Result<StoreRows> rows = StoreRows();
     if (has_table) {
-      const Duration wait = WithJitter(kWatchWait, this->state.Random());
       rows = co_await this->store->Watch(table, version, wait);
+      wait = WithJitter(kWatchWait, this->state.Random());
     } else {
       const TimePoint began = RuntimeClock::now();
       rows = co_await this->store->Read(table, kReadTimeout);
       this->state.metrics.ObserveLatency("store_read_seconds",
                                          RuntimeClock::now() - began);
     }
-    // Discards the result of a call that was in flight when this router became
-    // a listener: peers supply the state now. A failure would mark the list of
-    // engines as stale until this router watches again, and engines that peers
-    // report as removed would stay in the list.
-    if (this->state.watcher_election.Role() == WatchRole::kListener) continue;
+    // A call that was in flight when this router became a listener: peers
+    // supply the state now. A whole table is used unless it is older than that.
+    // A failure would mark the list of engines as stale until this router
+    // watches again, and engines that peers report as removed would stay in the
+    // list.
+    if (this->state.watcher_election.Role() == WatchRole::kListener) {
+      if (rows.has_value() && !has_table) {
+        this->state.OnStoreEra(rows->version.era);
+        this->OnRows(table, *rows, true);
+      }
+      continue;
+    }
     if (rows.has_error()) {
       const Fault& fault = rows.error();
       if (fault.kind == FaultKind::kUnexpectedStatus) {
@@ -215,11 +239,7 @@
       co_await SleepFor(jittered);
       continue;
     }
-    if (table == StoreTable::kConfiguration) {
-      this->OnConfigurationRows(*rows);
-    } else {
-      this->OnEngineRows(*rows, !has_table);
-    }
+    this->OnRows(table, *rows, !has_table);
     version = rows->version;
     has_table = true;
     this->OnTableCallSucceeded(table);
@@ -229,9 +249,30 @@
   }
 }
 
+bool StoreWatcher::MayRead() const {
+  const bool has_rows =
+      this->state.engines_known && this->state.routing_table != nullptr;
+  const WatchRole role = this->state.watcher_election.Role();
+  const bool may_be_supplied = role == WatchRole::kStarting ||
+                               (role == WatchRole::kStandIn && !has_rows);
+  return !may_be_supplied ||
+         this->state.start_up_source.ReadsStore(RuntimeClock::now());
+}
+
+void StoreWatcher::OnRows(StoreTable table, const StoreRows& rows,
+                          bool is_whole_table) {
+  if (table == StoreTable::kConfiguration) {
+    this->OnConfigurationRows(rows);
+  } else {
+    this->OnEngineRows(rows, is_whole_table);
+  }
+}
+
 Awaitable<void> StoreWatcher::RegisterAndFindPeers() {
   const std::string address = ToText(this->state.options.peer_address);
   bool written = false;
+  // The store may be restored while this router does not wait for that.
+  std::uint64_t generation = this->state.store_restored.Generation();
   while (true) {
     // The own row is written before the table is read: of two routers that
     // start at the same time, at least the later writer reads the row of the
@@ -242,14 +283,20 @@
       written = result.has_value();
     }
     auto rows = co_await this->store->Read(StoreTable::kRouters, kReadTimeout);
-    if (rows.has_value()) this->OnRouterTable(*rows);
+    if (rows.has_value()) {
+      this->OnRouterTable(*rows);
+      this->OnRoutersKnown();
+    } else {
+      this->state.start_up_source.OnListFailed();
+    }
     // The store may have been restored from a copy without the row.
     if (rows.has_value()) written = written && this->HasOwnRow(*rows);
     const bool is_registered = written && rows.has_value();
     const Duration pause = is_registered ? kRouterReadInterval : kMaxRetryDelay;
     const Duration jittered = WithJitter(pause, this->state.Random());
-    const bool restored = co_await this->WaitForNextRead(jittered);
+    const bool restored = co_await this->WaitForNextRead(jittered, generation);
     if (restored) {
+      generation = this->state.store_restored.Generation();
       this->state.versions_changed.NotifyAll();
       // One router writes the quarantine again, if there is any.
       if (!this->state.quarantine.Blocked().empty() &&
@@ -263,13 +310,15 @@
   }
 }
 
-Awaitable<bool> StoreWatcher::WaitForNextRead(Duration interval) {
+Awaitable<bool> StoreWatcher::WaitForNextRead(Duration interval,
+                                              std::uint64_t generation) {
   const TimePoint end = RuntimeClock::now() + interval;
   while (true) {
+    if (this->state.store_restored.Generation() != generation) co_return true;
     const Duration left = end - RuntimeClock::now();
     if (left <= Duration::zero()) co_return false;
     const Duration step = std::min(left, kIsolatedReadInterval);
-    if (co_await this->state.store_restored.WaitFor(step)) co_return true;
+    co_await this->state.store_restored.WaitFor(step);
     if (this->IsIsolated()) co_return false;
   }
 }
@@ -409,6 +458,16 @@
   this->state.versions_changed.NotifyAll();
 }
 
+void StoreWatcher::OnRoutersKnown() {
+  if (this->state.start_up_source.IsDecided()) return;
+  std::vector<std::uint64_t> keys;
+  for (const std::string& peer : this->state.peers) {
+    keys.push_back(HashText(peer));
+  }
+  this->state.start_up_source.OnRoutersListed(RuntimeClock::now(), keys);
+  this->state.start_up_source_changed.NotifyAll();
+}
+
 void StoreWatcher::OnRouterRows(const StoreRows& rows) {
   for (const StoreRow& row : rows.rows) {
     if (row.key == kQuarantineRowKey && !row.removed) {
--- a/src/dispatch/store/store_watcher.h
+++ b/src/dispatch/store/store_watcher.h
@@ -17,8 +17,9 @@
 
 /// \brief Applies the rows of the store's tables to the router's state.
 ///
-/// Configuration and engines are read once at the start, and watched if the
-/// router's role demands it; a listener receives them from its peers. In every
+/// Configuration and engines are read once at the start unless peers supply
+/// them, and watched if the router's role demands it; a listener receives them
+/// from its peers. In every
 /// role, the router's own row is written to the table of routers, and the other
 /// rows are read as the list of peers.
 class StoreWatcher {
@@ -33,12 +34,16 @@
   Awaitable<void> ChooseRole();
   void OnRoleChanged(WatchRole before, WatchRole role);
   void OnTableCallSucceeded(StoreTable table);
+  void OnRows(StoreTable table, const StoreRows& rows, bool is_whole_table);
   void OnTableCallFailed(StoreTable table, const Fault& fault);
   Awaitable<void> WatchTable(StoreTable table);
+  // True if a table that this router does not have may be read. At the start,
+  // peers may supply it instead.
+  bool MayRead() const;
   Awaitable<void> RegisterAndFindPeers();
   // Waits until the table of routers should be read again. Returns true if the
-  // store has been restored.
-  Awaitable<bool> WaitForNextRead(Duration interval);
+  // store has been restored since `store_restored` had the given generation.
+  Awaitable<bool> WaitForNextRead(Duration interval, std::uint64_t generation);
   // Returns true if peers are listed, but none is reached.
   bool IsIsolated() const;
   // Writes a row that routers share `delay` after each change. `format` returns
@@ -57,6 +62,7 @@
   std::optional<std::string> FormatVersions() const;
   bool HasOwnRow(const StoreRows& rows) const;
   void OnRouterTable(const StoreRows& rows);
+  void OnRoutersKnown();
   void OnRouterRows(const StoreRows& rows);
   void OnQuarantineRow(const StoreRow& row);
   void OnConfigurationRows(const StoreRows& rows);
--- a/tests/dispatch_store_test.cc
+++ b/tests/dispatch_store_test.cc
@@ -6,6 +6,8 @@
 #include <boost/asio/connect.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
+#include <numeric>
+#include <sstream>
 #include <thread>
 
 #include "tests/support/platform_fleet.h"
@@ -166,6 +168,72 @@
   CHECK(IsServed(fleet, 2, "/three/"));
 }
 
+// Sum of a counter over the routers, with all its labels.
+std::uint64_t SumOf(PlatformFleet& fleet, const std::vector<int>& routers,
+                    const std::string& counter) {
+  std::uint64_t sum = 0;
+  for (int n : routers) {
+    std::istringstream lines(fleet.Metrics(n));
+    for (std::string line; std::getline(lines, line);) {
+      if (!line.starts_with(counter)) continue;
+      sum += std::stoull(line.substr(line.rfind(' ') + 1));
+    }
+  }
+  return sum;
+}
+
+// Load pattern: a release of a large fleet, and a crash of all of it. Guards
+// against starts that all read the whole tables from the store, and against a
+// fleet that waits for itself.
+TEST_CASE("routers of a large fleet start from their peers") {
+  constexpr int kRouters = 18;
+  constexpr std::size_t kElected = 3;
+  constexpr const char* kReads = "store_bytes_read_total{table=\"engines\"}";
+  PlatformFleet fleet(kRouters);
+  fleet.PutConfiguration(3, OnlyRoute("/three/"));
+  fleet.AddEngine("plain", AnswerOk);
+  for (int n = 1; n <= kRouters; ++n) fleet.WaitUntilReady(n);
+  const WatchRoles roles = fleet.WaitForElection(kElected);
+  SECTION("one after the other") {
+    const std::vector<int> released(roles.listeners.begin(),
+                                    roles.listeners.begin() + 4);
+    for (int n : released) {
+      fleet.RestartRouters({n});
+      CHECK(IsServed(fleet, n, "/three/"));
+      const std::string log = fleet.Log(n);
+      CHECK(log.find("started_from_peer", log.rfind(R"("event":"start")")) !=
+            std::string::npos);
+    }
+    CHECK(SumOf(fleet, released, kReads) == 0);
+  }
+  SECTION("all at the same time") {
+    std::vector<int> all = roles.watchers;
+    all.insert(all.end(), roles.listeners.begin(), roles.listeners.end());
+    fleet.RestartRouters(all);
+    std::size_t readers = 0;
+    for (int n : all) {
+      CHECK(IsServed(fleet, n, "/three/"));
+      if (SumOf(fleet, {n}, kReads) > 0) ++readers;
+    }
+    CAPTURE(readers);
+    CHECK(readers >= 1);
+    CHECK(readers <= kRouters / 2);
+  }
+  // Later changes reach all, as changes and not as whole lists.
+  fleet.WaitForElection(kElected);
+  fleet.AddEngine("plain", AnswerOk);
+  for (int n = 1; n <= kRouters; ++n) {
+    Eventually([&] {
+      const std::string log = fleet.Log(n);
+      return log.find(R"("engine":"e1")", log.rfind(R"("event":"start")")) !=
+             std::string::npos;
+    });
+  }
+  std::vector<int> all(kRouters);
+  std::iota(all.begin(), all.end(), 1);
+  CHECK(SumOf(fleet, all, "peer_engine_changes_applied_total") > 0);
+}
+
 // Guards against a race at the start: if two routers both read the table before
 // either has written its row, neither finds the other until the next read, 20 s
 // later.
--- a/tests/store_watcher_test.cc
+++ b/tests/store_watcher_test.cc
@@ -19,13 +19,16 @@
 // Time after which a router without peers watches the store.
 constexpr Duration kStartUpTime = milliseconds(900);
 
-// A store whose watches stay open until `FailWatches()`.
+// A store whose watches stay open until `FailWatches()`, and its reads of slow
+// tables until `EndReads()`.
 class HangingStore : public TableStore {
  public:
   explicit HangingStore(const boost::asio::any_io_executor& executor)
-      : end(executor) {}
+      : end(executor), reads_end(executor) {}
 
   Awaitable<Result<StoreRows>> Read(StoreTable table, Duration) override {
+    ++this->reads[table];
+    if (this->slow.contains(table)) co_await this->reads_end.Wait();
     if (this->unreadable.contains(table)) co_return this->watch_fault;
     co_return this->tables[table];
   }
@@ -46,6 +49,7 @@
   std::uint64_t BytesRead(StoreTable) const override { return 0; }
   void FailWatches() { this->end.NotifyAll(); }
   void EndWatches() { this->end.NotifyAll(); }
+  void EndReads() { this->reads_end.NotifyAll(); }
 
   bool HasRow(std::string_view key) const {
     const auto& rows = this->tables.at(StoreTable::kRouters).rows;
@@ -55,6 +59,8 @@
 
   std::map<StoreTable, StoreRows> tables;
   std::set<StoreTable> unreadable;  ///< Their reads fail.
+  std::set<StoreTable> slow;        ///< Their reads stay open.
+  std::map<StoreTable, int> reads;
   /// Response of watches that end, if they do not fail.
   std::map<StoreTable, StoreRows> watch_rows;
   Fault watch_fault{FaultKind::kConnectionLost, "cut"};
@@ -63,6 +69,7 @@
 
  private:
   Event end;
+  Event reads_end;
 };
 
 struct WatcherFixture {
@@ -114,6 +121,14 @@
     }
   }
 
+  void ListRouters(int count) {
+    for (int n = 1; n <= count; ++n) {
+      this->store->tables[StoreTable::kRouters].rows.push_back(
+          {"router-" + std::to_string(n),
+           "10.0.0.1:" + std::to_string(1000 + n), 1, false});
+    }
+  }
+
   boost::asio::io_context loop;
   std::shared_ptr<HangingStore> store;
   DispatchState state;
@@ -140,6 +155,71 @@
   CHECK(fixture.state.engines.Engines().size() == 1);
 }
 
+// Guards against a start without a list of engines: the read of a slow store
+// was in progress when the router became a listener, and its result was
+// discarded.
+TEST_CASE("a read that ends after its router became a listener is used") {
+  WatcherFixture fixture;
+  fixture.store->slow.insert(StoreTable::kEngines);
+  SECTION("it is newer than what peers have supplied") {
+    fixture.BecomeListener();
+    fixture.store->EndReads();
+    fixture.BecomeListener();
+    CHECK(fixture.state.engines.Version() == StoreVersion{1, 2});
+    CHECK(fixture.state.engines.Engines().size() == 2);
+  }
+  SECTION("peers have supplied a newer list meanwhile") {
+    fixture.BecomeListener();
+    fixture.state.engines.OnSnapshot(RuntimeClock::now(), {1, 3}, {});
+    fixture.store->EndReads();
+    fixture.BecomeListener();
+    CHECK(fixture.state.engines.Version() == StoreVersion{1, 3});
+    CHECK(fixture.state.engines.Engines().empty());
+  }
+  REQUIRE(fixture.state.watcher_election.Role() == WatchRole::kListener);
+  CHECK(fixture.store->reads[StoreTable::kEngines] == 1);
+  // The router does not watch, so that its view grows old.
+  CHECK(fixture.state.watcher_election.ViewAge(
+            RuntimeClock::now() + milliseconds(500)) != Duration::zero());
+}
+
+// Load pattern of the next cases: a router starts in a large fleet. Hundreds of
+// starts have read 1.8 GB from the store in a day.
+TEST_CASE("a router that a peer supplies at its start reads no whole table") {
+  WatcherFixture fixture;
+  fixture.ListRouters(294);
+  fixture.Advance(milliseconds(100));
+  REQUIRE(fixture.state.start_up_source.AsksPeers());
+  const TimePoint now = RuntimeClock::now();
+  fixture.state.engines.OnSnapshot(now, {1, 2}, {});
+  fixture.state.engines_known = true;
+  fixture.state.watcher_election.OnPeerSupplied(now);
+  fixture.state.start_up_source.OnPeerSupplied();
+  fixture.BecomeListener();
+  REQUIRE(fixture.state.watcher_election.Role() == WatchRole::kListener);
+  CHECK(fixture.store->reads[StoreTable::kEngines] == 0);
+  CHECK(fixture.store->reads[StoreTable::kConfiguration] == 0);
+}
+
+TEST_CASE("a router that no peer supplies reads the store within 2 s") {
+  WatcherFixture fixture;
+  fixture.ListRouters(294);
+  fixture.Advance(milliseconds(150));
+  REQUIRE(fixture.state.start_up_source.AsksPeers());
+  CHECK(fixture.store->reads[StoreTable::kEngines] == 0);
+  fixture.Advance(milliseconds(2000));
+  CHECK(fixture.store->reads[StoreTable::kEngines] == 1);
+  CHECK(fixture.state.engines.Engines().size() == 2);
+}
+
+TEST_CASE("a router of a small fleet reads the store at its start") {
+  WatcherFixture fixture;
+  fixture.ListRouters(5);
+  fixture.Advance(milliseconds(50));
+  CHECK(fixture.store->reads[StoreTable::kEngines] == 1);
+  CHECK(fixture.store->reads[StoreTable::kConfiguration] == 1);
+}
+
 TEST_CASE("a listener that watches again reads the whole table first") {
   WatcherFixture fixture;
   fixture.Advance(kStartUpTime);
@@ -196,11 +276,7 @@
 // the observer of most engines' caches.
 TEST_CASE("listed routers count as peers until they should have been heard") {
   WatcherFixture fixture;
-  for (int n = 1; n <= 294; ++n) {
-    fixture.store->tables[StoreTable::kRouters].rows.push_back(
-        {"router-" + std::to_string(n), "10.0.0.1:" + std::to_string(1000 + n),
-         1, false});
-  }
+  fixture.ListRouters(294);
   fixture.Advance(milliseconds(200));
   CHECK(fixture.state.live_peers.size() == 294);
 }
