--- a/include/dandelionscale/dispatch/table_store.h
+++ b/include/dandelionscale/dispatch/table_store.h
@@ -51,7 +51,9 @@
  public:
   virtual ~TableStore() = default;
 
-  /// \returns all rows of a table.
+  /// \brief Reads a table, which may take several requests.
+  /// \param timeout of each request.
+  /// \returns all rows of the table.
   virtual Awaitable<Result<StoreRows>> Read(StoreTable table,
                                             Duration timeout) = 0;
   /// \brief Long-polls for changes after `version`.
@@ -62,6 +64,9 @@
   /// \brief Writes a row of `kRouters` unconditionally.
   virtual Awaitable<Result<void>> WriteRow(std::string key, std::string value,
                                            Duration timeout) = 0;
+  /// \returns the size of all responses to reads and watches of a table, also
+  ///          of those to calls that failed in the end.
+  virtual std::uint64_t BytesRead(StoreTable table) const = 0;
 };
 
 /// \brief Key of the configuration's row in `kConfiguration`.
--- a/src/dispatch/peers/peer_reports.h
+++ b/src/dispatch/peers/peer_reports.h
@@ -33,6 +33,39 @@
     const google::protobuf::RepeatedPtrField<wire::RateLimitReport>& reports,
     const std::string& sender);
 
+/// \brief Writes the evacuated zones to a digest or a snapshot, whose
+///        `store_era` is set; nothing if no evacuation is known.
+template <typename Message>
+void FillEvacuation(const DispatchState& state, Message& message) {
+  const EvacuatedZones& evacuated = state.evacuated_zones;
+  if (!evacuated.IsReported()) return;
+  message.set_evacuation_version(evacuated.Version().number);
+  // The tables of configuration and engines are read one after the other, so
+  // that only one of them may be of a new era.
+  if (evacuated.Version().era != message.store_era()) {
+    message.set_evacuation_era(evacuated.Version().era);
+  }
+  for (const std::string& zone : evacuated.Current()) {
+    message.add_evacuated_zones(zone);
+  }
+}
+
+/// \brief Applies the evacuated zones of a digest or a snapshot, if it has any
+///        statement on them.
+template <typename Message>
+void ApplyEvacuation(DispatchState& state, const Message& message,
+                     const std::string& sender) {
+  if (!message.has_evacuation_version()) return;
+  const std::uint64_t era = message.has_evacuation_era()
+                                ? message.evacuation_era()
+                                : message.store_era();
+  const EvacuatedZones::Zones zones(message.evacuated_zones().begin(),
+                                    message.evacuated_zones().end());
+  state.OnZoneChanges(state.evacuated_zones.OnReport(
+                          {era, message.evacuation_version()}, zones),
+                      sender);
+}
+
 }  // namespace dandelionscale::internal
 
 #endif  // DANDELIONSCALE_SRC_DISPATCH_PEERS_PEER_REPORTS_H_
