A prefix is followed into any zone; the mean counts engines that warm up

A holder in the own zone now comes first, then one in any zone; zones decide where no holder takes it.

--- a/include/dandelionscale/core/load/placement.h
+++ b/include/dandelionscale/core/load/placement.h
@@ -93,12 +93,14 @@
 /// 3. the least loaded engine.
 /// A prompt without shared parts goes to the least loaded engine.
 ///
-/// The zone rule applies to prompts with less than `kMinLongPrefixTokens`
-/// shared tokens. With `kStay`, these rules choose among the engines of the own
-/// zone that are below the load bound, if one that does not limit its rate is
-/// among them. Otherwise, and with `kLeave`, they choose among the engines of
-/// the other zones, and if none has room, among all. A longer prefix is
-/// followed into any zone; a holder in the own zone comes first.
+/// With a zone rule, a holder in the own zone comes first, and a holder in
+/// another zone next: to read a prefix once more takes longer than the way. A
+/// prompt with less than `kMinLongPrefixTokens` shared tokens that no holder
+/// takes, or one without shared parts, is placed by zone. With `kStay`, these
+/// rules choose among the engines of the own zone that are below the load
+/// bound, if one that does not limit its rate is among them. Otherwise, and
+/// with `kLeave`, they choose among the engines of the other zones, and if none
+/// has room, among all.
 /// \returns nothing if no engine is usable or all are full.
 std::optional<PlacementDecision> ChooseEngine(const PlacementInputs& inputs);
 
--- a/include/dandelionscale/core/snapshot_sources.h
+++ b/include/dandelionscale/core/snapshot_sources.h
@@ -17,7 +17,7 @@
 inline constexpr Duration kOwnZoneWait = std::chrono::milliseconds(120);
 /// Routers of each zone that fetch from another zone without that wait, so that
 /// the others find the rows in their own zone.
-inline constexpr std::size_t kZoneForerunners = 2;
+inline constexpr std::size_t kZoneFetchers = 2;
 
 /// \brief Versions of what a router has read from the store or from peers.
 struct RowVersions {
--- a/src/core/load/placement.cc
+++ b/src/core/load/placement.cc
@@ -241,13 +241,16 @@
   const auto choose_in = [&](Scope scope) {
     return Choose(inputs, {scope, load_bound}, decision.mean_in_flight);
   };
+  const bool has_zone_rule = inputs.zone_rule != ZoneRule::kIgnored;
+  const bool stays = inputs.zone_rule == ZoneRule::kStay;
   std::optional<Choice> choice;
-  if (inputs.zone_rule != ZoneRule::kIgnored && HasLongPrefix(inputs)) {
+  if (has_zone_rule && inputs.affinity_key != 0 &&
+      (stays || HasLongPrefix(inputs))) {
     choice = ChooseHolder(inputs, {Scope::kOwnZone, load_bound});
-  } else if (inputs.zone_rule != ZoneRule::kIgnored) {
-    if (inputs.zone_rule == ZoneRule::kStay) {
-      decision.room = FindRoomInZone(inputs, load_bound);
-    }
+    if (!choice) choice = ChooseHolder(inputs, {Scope::kAll, load_bound});
+  }
+  if (!choice && has_zone_rule && !HasLongPrefix(inputs)) {
+    if (stays) decision.room = FindRoomInZone(inputs, load_bound);
     choice = choose_in(decision.room ? Scope::kOwnZone : Scope::kOtherZones);
   }
   if (!choice) choice = choose_in(Scope::kAll);
--- a/src/dispatch/dispatch_state.cc
+++ b/src/dispatch/dispatch_state.cc
@@ -526,12 +526,12 @@
          *contact->second.zone_key != this->zone_key;
 }
 
-bool DispatchState::IsZoneForerunner() const {
+bool DispatchState::IsZoneFetcher() const {
   const auto comes_first = this->ComesBeforeThisRouter(this->zone_key);
   std::size_t before = 0;
   for (const auto& [peer, contact] : this->live_peers) {
     if (contact.zone_key != this->zone_key || !comes_first(peer)) continue;
-    if (++before >= kZoneForerunners) return false;
+    if (++before >= kZoneFetchers) return false;
   }
   return true;
 }
--- a/src/dispatch/dispatch_state.h
+++ b/src/dispatch/dispatch_state.h
@@ -208,9 +208,9 @@
   /// \returns true if the peer is in another availability zone, as far as is
   ///          known.
   bool IsInOtherZone(const std::string& peer) const;
-  /// \returns true if one of the first `kZoneForerunners` live routers of this
+  /// \returns true if one of the first `kZoneFetchers` live routers of this
   ///          router's zone, in an order that all routers share, is this one.
-  bool IsZoneForerunner() const;
+  bool IsZoneFetcher() const;
   /// \returns true if the load balancer should send clients to this router.
   bool IsReady() const;
   /// \returns a uniform random number in [0, 1).
--- a/src/dispatch/peers/snapshot_exchange.cc
+++ b/src/dispatch/peers/snapshot_exchange.cc
@@ -137,7 +137,7 @@
 }
 
 Duration SnapshotExchange::CrossZoneWait() {
-  if (this->state.IsZoneForerunner()) return Duration::zero();
+  if (this->state.IsZoneFetcher()) return Duration::zero();
   return std::chrono::duration_cast<Duration>(
       std::chrono::duration<double>(kOwnZoneWait) * (1 + this->state.Random()));
 }
--- a/src/dispatch/request/request_placement.cc
+++ b/src/dispatch/request/request_placement.cc
@@ -140,7 +140,8 @@
     candidate.same_zone = engine->record.availability_zone ==
                           this->state.options.availability_zone;
     const auto rate = this->state.RateOf(*engine, now);
-    candidate.limits_rate = rate.has_value();
+    // An engine that warms up takes its share of the load soon.
+    candidate.limits_rate = engine->rate_limit.IsActive();
     const bool was_tried = this->WasTried(*engine);
     const bool evacuated = this->state.IsEvacuated(*engine);
     const bool ejected = engine->health.IsEjected(now, failure_rate);
--- a/tests/snapshot_sources_test.cc
+++ b/tests/snapshot_sources_test.cc
@@ -75,7 +75,7 @@
  public:
   struct Router {
     int zone = 0;
-    bool is_forerunner = false;
+    bool is_zone_fetcher = false;
     Duration wait = kOwnZoneWait;
     bool knows = false;
     bool knows_drain = false;
@@ -92,8 +92,8 @@
     for (std::size_t n = 0; n < count; ++n) {
       Router& router = this->routers[n];
       router.zone = static_cast<int>(n) % zones;
-      router.is_forerunner =
-          in_zone[static_cast<std::size_t>(router.zone)]++ < kZoneForerunners;
+      router.is_zone_fetcher =
+          in_zone[static_cast<std::size_t>(router.zone)]++ < kZoneFetchers;
       router.next_peer = this->Draw(count);
       router.wait += milliseconds(this->Draw(ToMilliseconds(kOwnZoneWait)));
       router.rotation_at =
@@ -168,7 +168,7 @@
           static_cast<std::size_t>(&sender - this->routers.data());
       router.sources.OnNewer(
           this->now, std::to_string(index), kNew, sender.zone == router.zone,
-          router.is_forerunner ? Duration::zero() : router.wait);
+          router.is_zone_fetcher ? Duration::zero() : router.wait);
     }
   }
 
--- a/tests/zone_spill_test.cc
+++ b/tests/zone_spill_test.cc
@@ -228,14 +228,21 @@
   CHECK(Choose(candidates, ZoneRule::kStay) == 1);
 }
 
-TEST_CASE("a short prefix is recomputed in the zone, a long one followed") {
+// Guards against prompts that each zone computes again, or copies, although an
+// engine of another zone holds them.
+TEST_CASE("a prefix is followed into any zone, one without holder stays") {
   auto candidates = Candidates({2, 2, 2}, 1);
-  candidates[2].cached_tokens = 20'000;
   CHECK(Choose(candidates, ZoneRule::kStay, 3999) == 0);
-  for (ZoneRule rule : {ZoneRule::kStay, ZoneRule::kLeave}) {
-    CHECK(Choose(candidates, rule, 4000) == 2);
+  CHECK(Choose(candidates, ZoneRule::kLeave, 3999) != 0);
+  candidates[2].cached_tokens = 20'000;
+  for (std::uint32_t shared_tokens : {500U, 3999U, 4000U}) {
+    for (ZoneRule rule : {ZoneRule::kStay, ZoneRule::kLeave}) {
+      CHECK(Choose(candidates, rule, shared_tokens) == 2);
+    }
   }
   candidates[0].cached_tokens = 4000;
+  CHECK(Choose(candidates, ZoneRule::kStay, 3999) == 0);
+  CHECK(Choose(candidates, ZoneRule::kLeave, 3999) == 2);
   for (ZoneRule rule : {ZoneRule::kStay, ZoneRule::kLeave}) {
     CHECK(Choose(candidates, rule, 4000) == 0);
   }
