--- a/src/dispatch/peers/peer_exchange.cc
+++ b/src/dispatch/peers/peer_exchange.cc
@@ -13,6 +13,7 @@
 #include "dispatch/peers/peer_messages.h"
 #include "dispatch/peers/peer_reports.h"
 #include "dispatch/peers/permit_exchange.h"
+#include "dispatch/traffic.h"
 #include "transport/socket_helpers.h"
 #include "tunnel/tunnel_peers.h"
 
@@ -43,12 +44,14 @@
       next_peer(HashText(ToText(state.options.peer_address))) {}
 
 Result<void> PeerExchange::Start() {
-  const auto sender = [this](const std::string& peer,
-                             const std::string& datagram) {
-    this->SendTo(peer, datagram);
+  const auto sender_of = [this](PeerTraffic kind) {
+    return [this, kind](const std::string& peer, const std::string& datagram) {
+      CountSent(this->state.metrics, kind, datagram.size());
+      this->SendTo(peer, datagram);
+    };
   };
-  this->state.permits->SetSender(sender);
-  this->state.origins->SetSender(sender);
+  this->state.permits->SetSender(sender_of(PeerTraffic::kPermits));
+  this->state.origins->SetSender(sender_of(PeerTraffic::kOrigins));
   const Endpoint& own = this->state.options.peer_address;
   error_code error;
   const udp::endpoint endpoint(own.address(), own.port());
@@ -98,35 +101,56 @@
   digest.set_configuration_version(this->state.ConfigurationVersion());
   digest.set_engines_changed(this->state.newest_engine_version.number);
   digest.set_store_era(this->state.newest_engine_version.era);
-  for (const auto& [id, engine] : this->state.engines.Engines()) {
-    if (engine->in_flight == 0) continue;
-    digest.add_engine_keys(ShortKey(engine->key));
-    digest.add_loads(engine->in_flight);
-  }
-  for (std::uint32_t short_key : this->state.engines.LeavingKeys()) {
-    digest.add_leaving_engines(short_key);
-  }
+  DigestSizes sizes;
+  sizes.loads = this->FillLoads(digest);
   const TimePoint now = RuntimeClock::now();
-  this->FillPlacements(digest);
+  digest.set_zone(this->state.zone_key);
+  this->FillLeavingEngines(now, digest);
+  sizes.placements = this->FillPlacements(digest);
   FillQuarantineUpdate(this->state.quarantine.TakeForDigest(), now, digest);
   this->FillRateLimits(digest);
   this->FillTunnels(digest);
-  this->FillEvacuation(digest);
+  FillEvacuation(this->state, digest);
   FillWatchReport(this->state.watcher_election.Report(now), digest);
   const std::string bytes = digest.SerializeAsString();
+  sizes.rest = bytes.size() - sizes.loads - sizes.placements;
   const std::vector<std::string> peers(this->state.peers.begin(),
                                        this->state.peers.end());
   const std::size_t count = std::min(kDigestFanout, peers.size());
   this->state.metrics.Add("peer_digest_bytes_sent_total", count * bytes.size());
-  for (std::size_t n = 0; n < count; ++n) {
-    this->SendTo(peers[this->next_peer++ % peers.size()], bytes);
+  for (const std::string& peer : this->NextRecipients(peers, count)) {
+    this->SendTo(peer, bytes);
   }
+  this->CountDigests(sizes, count);
   if (count == peers.size()) return;
   // Peers that carry tunnels must know at once what engines state on these.
-  for (const std::string& peer :
-       this->state.tunnel_peers->RecentCarriers(now)) {
-    this->SendTo(peer, bytes);
+  const auto carriers = this->state.tunnel_peers->RecentCarriers(now);
+  for (const std::string& peer : carriers) this->SendTo(peer, bytes);
+  this->CountDigests(sizes, carriers.size());
+}
+
+std::vector<std::string> PeerExchange::NextRecipients(
+    const std::vector<std::string>& peers, std::size_t count) {
+  if (count == peers.size()) {
+    this->new_peers.clear();
+    return peers;
+  }
+  std::vector<std::string> recipients;
+  while (!this->new_peers.empty() && recipients.size() < count) {
+    recipients.push_back(std::move(this->new_peers.back()));
+    this->new_peers.pop_back();
+  }
+  while (recipients.size() < count) {
+    recipients.push_back(peers[this->next_peer++ % peers.size()]);
   }
+  return recipients;
+}
+
+void PeerExchange::CountDigests(const DigestSizes& sizes, std::size_t copies) {
+  Metrics& metrics = this->state.metrics;
+  CountSent(metrics, PeerTraffic::kDigestLoads, copies * sizes.loads);
+  CountSent(metrics, PeerTraffic::kDigestPlacements, copies * sizes.placements);
+  CountSent(metrics, PeerTraffic::kDigestRest, copies * sizes.rest);
 }
 
 void PeerExchange::SendTo(const std::string& peer,
@@ -141,7 +165,31 @@
                        ignored);
 }
 
-void PeerExchange::FillPlacements(wire::RouterDigest& digest) {
+std::size_t PeerExchange::FillLoads(wire::RouterDigest& digest) const {
+  const std::size_t size_before = digest.ByteSizeLong();
+  for (const auto& [id, engine] : this->state.engines.Engines()) {
+    if (engine->in_flight == 0) continue;
+    digest.add_engine_keys(ShortKey(engine->key));
+    digest.add_loads(engine->in_flight);
+  }
+  return digest.ByteSizeLong() - size_before;
+}
+
+void PeerExchange::FillLeavingEngines(TimePoint now,
+                                      wire::RouterDigest& digest) {
+  std::vector<std::uint32_t> keys = this->state.engines.LeavingKeys();
+  std::erase_if(this->state.new_drains,
+                [now](const auto& drain) { return now >= drain.second; });
+  for (const auto& [key, until] : this->state.new_drains) {
+    keys.push_back(ShortKey(key));
+  }
+  std::sort(keys.begin(), keys.end());
+  keys.erase(std::unique(keys.begin(), keys.end()), keys.end());
+  digest.mutable_leaving_engines()->Add(keys.begin(), keys.end());
+}
+
+std::size_t PeerExchange::FillPlacements(wire::RouterDigest& digest) {
+  const std::size_t size_before = digest.ByteSizeLong();
   const std::size_t rotation = DigestsPerRotation(this->state.peers.size());
   for (const PrefixUpdate& update : this->state.prefix_updates.TakeForDigest(
            rotation, kMaxUpdatesPerDigest)) {
@@ -153,6 +201,7 @@
       digest.add_placed_engines(ShortKey(update.engine_key));
     }
   }
+  return digest.ByteSizeLong() - size_before;
 }
 
 void PeerExchange::FillRateLimits(wire::RouterDigest& digest) {
@@ -201,33 +250,6 @@
   }
 }
 
-void PeerExchange::FillEvacuation(wire::RouterDigest& digest) const {
-  const EvacuatedZones& evacuated = this->state.evacuated_zones;
-  if (!evacuated.IsReported()) return;
-  digest.set_evacuation_version(evacuated.Version().number);
-  // The tables of configuration and engines are read one after the other, so
-  // that only one of them may be of a new era.
-  if (evacuated.Version().era != digest.store_era()) {
-    digest.set_evacuation_era(evacuated.Version().era);
-  }
-  for (const std::string& zone : evacuated.Current()) {
-    digest.add_evacuated_zones(zone);
-  }
-}
-
-void PeerExchange::ApplyEvacuation(const wire::RouterDigest& digest,
-                                   const std::string& sender) {
-  if (!digest.has_evacuation_version()) return;
-  const std::uint64_t era = digest.has_evacuation_era()
-                                ? digest.evacuation_era()
-                                : digest.store_era();
-  const EvacuatedZones::Zones zones(digest.evacuated_zones().begin(),
-                                    digest.evacuated_zones().end());
-  this->state.OnZoneChanges(this->state.evacuated_zones.OnReport(
-                                {era, digest.evacuation_version()}, zones),
-                            sender);
-}
-
 Awaitable<void> PeerExchange::ReceiveDigests() {
   while (true) {
     udp::endpoint sender;
@@ -268,8 +290,10 @@
   PeerContact& contact = this->state.live_peers[sender];
   if (!contact.has_sent_digest) {
     Logger::Info("peer_heard", {{"peer", sender}, {"name", digest.router()}});
+    this->new_peers.push_back(sender);
   }
-  contact = {now, true};
+  contact = {now, true, contact.zone_key};
+  if (digest.has_zone()) contact.zone_key = digest.zone();
   this->state.permits->OnPeerHeard(sender);
   std::vector<EngineLoad> loads;
   for (int n = 0; n < digest.engine_keys_size(); ++n) {
@@ -295,7 +319,7 @@
   ApplyRateLimits(this->state, digest.rate_limits(), sender);
   this->ApplyTunnels(digest, sender);
   // Before the snapshot, which may complete the start of this router.
-  this->ApplyEvacuation(digest, sender);
+  ApplyEvacuation(this->state, digest, sender);
   this->snapshots.OnDigest(digest, sender);
 }
 
