A carrier vouches for an engine's end only if the upload has got through

Cause: a router hands an upload over to its carrier long before the engine takes it. If the engine ended its side while the carrier still wrote, the carrier stated an orderly end, and a part of an answer passed for a whole one. Change: the carrier waits up to 1 s for what it has to pass on, and states an orderly end only if that got through. A failed write no longer closes the engine's connection: what the engine has sent before is passed on, and its end is stated as the engine's loss instead of being unknown.

--- a/src/tunnel/tunnel_server.cc
+++ b/src/tunnel/tunnel_server.cc
@@ -33,6 +33,9 @@
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(300);
 // After the engine's end of the response, the caller closes within this time.
 constexpr Duration kCloseTimeout = std::chrono::milliseconds(2000);
+// After that end, the engine may read the rest of the request within this time.
+constexpr Duration kMaxUploadWait = std::chrono::seconds(1);
+constexpr Duration kUploadPollInterval = std::chrono::milliseconds(10);
 constexpr Duration kAcceptPause = std::chrono::milliseconds(50);
 constexpr std::uint32_t kMaxRequestHeadBytes = 4096;
 constexpr std::size_t kPassBufferBytes = 16 * 1024;
@@ -68,7 +71,9 @@
   std::string caller_address;
   TunnelRequest request;
   std::shared_ptr<EngineConnection> engine;
-  Event caller_left;  ///< The caller has closed its connection.
+  Event caller_left;           ///< The caller has closed its connection.
+  bool is_writing = false;     ///< To the engine.
+  bool upload_failed = false;  ///< The engine could not be sent all.
   Watchdog::Guard timeout;
   std::uint64_t bytes = 0;  ///< Passed to the caller.
 };
@@ -246,10 +251,15 @@
     const std::size_t size = co_await session->caller.async_read_some(
         asio::buffer(buffer), RedirectError(error));
     if (error) break;
+    session->is_writing = true;
     co_await asio::async_write(session->engine->socket,
                                asio::buffer(buffer.data(), size),
                                RedirectError(error));
+    session->is_writing = false;
+    session->upload_failed = error.failed();
   }
+  // What the engine has sent before is still passed on.
+  if (session->upload_failed) co_return;
   // The caller has what it wants, or wants it no longer.
   error_code ignored;
   session->engine->socket.close(ignored);
@@ -272,7 +282,8 @@
   const bool ended_by_caller =
       write_error || !session->engine->socket.is_open();
   if (!ended_by_caller) {
-    const bool in_order = error == asio::error::eof;
+    const bool in_order =
+        error == asio::error::eof && co_await this->HasPassedUpload(session);
     const TunnelEnd end =
         in_order ? TunnelEnd::kEngineClosed : TunnelEnd::kEngineLost;
     if (this->ends.size() < kMaxEnds) {
@@ -288,6 +299,22 @@
                 {"bytes", static_cast<std::int64_t>(session->bytes)}});
 }
 
+// The system reports the reset of a connection once. If a write gets the
+// report, a later read finds an end that looks orderly.
+Awaitable<bool> TunnelServer::HasPassedUpload(
+    std::shared_ptr<Session> session) {
+  const TimePoint until = RuntimeClock::now() + kMaxUploadWait;
+  while (!session->upload_failed && RuntimeClock::now() < until) {
+    error_code ignored;
+    const bool is_passing =
+        session->is_writing || session->caller.available(ignored) > 0;
+    if (!is_passing) co_return true;
+    const Duration interval = kUploadPollInterval;
+    co_await SleepFor(interval);
+  }
+  co_return false;
+}
+
 Awaitable<void> TunnelServer::EndForCaller(std::shared_ptr<Session> session,
                                            bool in_order) {
   if (!in_order) {
--- a/tests/early_answer_test.cc
+++ b/tests/early_answer_test.cc
@@ -176,6 +176,25 @@
   }
 }
 
+// Guards against a carrier that vouches for the end of an answer while the
+// upload, which the router has handed over whole, does not get to the engine.
+TEST_CASE("a carrier vouches for no answer whose upload it can't pass on") {
+  Fleet fleet(1, 2);
+  fleet.LeadOverTunnel();
+  fleet.SetScripts([&](const HttpRequest& request) {
+    Script script = SendPart(EndSending{})(request);
+    script.push_back(Pause{milliseconds(1500)});
+    script.push_back(ResetConnection{});
+    return script;
+  });
+  constexpr std::size_t kMegabyte = 1024 * 1024;
+  for (std::size_t size = 5; size <= 12; ++size) {
+    const std::string response = fleet.Upload("/once/", size * kMegabyte);
+    CAPTURE(size, response.substr(0, 300));
+    CHECK(response.starts_with("HTTP/1.1 502"));
+  }
+}
+
 // Guards against answers that a carrier loses since the upload that it passes
 // on is cut off.
 TEST_CASE("an early answer with a length is whole over a tunnel") {
