--- a/tests/dispatch_store_test.cc
+++ b/tests/dispatch_store_test.cc
@@ -200,9 +200,12 @@
     for (int n : released) {
       fleet.RestartRouters({n});
       CHECK(IsServed(fleet, n, "/three/"));
-      const std::string log = fleet.Log(n);
-      CHECK(log.find("started_from_peer", log.rfind(R"("event":"start")")) !=
-            std::string::npos);
+      // Lines are written to the log a moment later.
+      Eventually([&] {
+        const std::string log = fleet.Log(n);
+        return log.find("started_from_peer", log.rfind(R"("event":"start")")) !=
+               std::string::npos;
+      });
     }
     CHECK(SumOf(fleet, released, kReads) == 0);
   }
