Routers of fleets below 128 read the store when they start, as before

Peers that start as well have nothing to give yet. The size is now a setting, start.min_large_fleet.

--- a/include/dandelionscale/core/start_up_source.h
+++ b/include/dandelionscale/core/start_up_source.h
@@ -9,9 +9,10 @@
 
 namespace dandelionscale {
 
-/// Listed routers from which on a starting router asks peers before it reads
-/// the store.
-inline constexpr std::size_t kMinLargeFleet = 16;
+/// Default of the listed routers from which on a starting router asks peers
+/// before it reads the store. The store bears the reads of smaller fleets, and
+/// peers that start as well supply each other later than it does.
+inline constexpr std::size_t kMinLargeFleet = 128;
 
 /// \brief Where a starting router gets configuration and engines from.
 ///
@@ -25,8 +26,12 @@
  public:
   /// \param own_key unique to the router; higher keys rank first, as in
   ///        `WatcherElection`.
-  StartUpSource(TimePoint started_at, std::uint64_t own_key)
-      : started_at(started_at), own_key(own_key) {}
+  /// \param min_large_fleet listed routers from which on peers are asked.
+  StartUpSource(TimePoint started_at, std::uint64_t own_key,
+                std::size_t min_large_fleet)
+      : started_at(started_at),
+        own_key(own_key),
+        min_large_fleet(min_large_fleet) {}
 
   /// \brief Records the other routers that the store lists; only the first call
   ///        counts.
@@ -44,12 +49,13 @@
   bool IsDecided() const { return this->listed_at.has_value(); }
   /// \returns true if this router should ask peers.
   bool AsksPeers() const;
-  /// \returns true if at least `kMinLargeFleet` routers are listed.
+  /// \returns true if so many routers are listed that peers are asked.
   bool IsLargeFleet() const;
 
  private:
   TimePoint started_at;
   std::uint64_t own_key;
+  std::size_t min_large_fleet;
   bool list_failed = false;
   bool peer_answered = false;
   bool supplied = false;
--- a/include/dandelionscale/dispatch/dispatch_router.h
+++ b/include/dandelionscale/dispatch/dispatch_router.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "dandelionscale/core/load/fleet_retry_budget.h"
+#include "dandelionscale/core/start_up_source.h"
 #include "dandelionscale/dispatch/protocol_codec.h"
 #include "dandelionscale/dispatch/table_store.h"
 #include "dandelionscale/runtime/fault.h"
@@ -35,6 +36,9 @@
   /// What a byte between availability zones may cost. Widens the difference in
   /// load from which on requests leave the zone; 0: zones are no cost.
   double zone_cost = 1.0;
+  /// Listed routers from which on a starting router asks peers for
+  /// configuration and engines before it reads the store.
+  std::size_t min_large_fleet = kMinLargeFleet;
   /// Memory limit; request bodies may use a fixed share of it.
   std::size_t memory_bytes = 256 * 1024 * 1024;
   std::size_t max_descriptors = 1024;  ///< File descriptors of the process.
--- a/src/core/start_up_source.cc
+++ b/src/core/start_up_source.cc
@@ -57,7 +57,7 @@
 }
 
 bool StartUpSource::IsLargeFleet() const {
-  return this->peers + 1 >= kMinLargeFleet;
+  return this->peers + 1 >= this->min_large_fleet;
 }
 
 }  // namespace dandelionscale
--- a/src/dispatch/peers/snapshot_exchange.cc
+++ b/src/dispatch/peers/snapshot_exchange.cc
@@ -133,7 +133,7 @@
 }
 
 bool SnapshotExchange::IsLargeFleet() const {
-  return this->state.peers.size() + 1 >= kMinLargeFleet;
+  return this->state.peers.size() + 1 >= this->state.options.min_large_fleet;
 }
 
 Duration SnapshotExchange::CrossZoneWait() {
--- a/tests/platform_translation_test.cc
+++ b/tests/platform_translation_test.cc
@@ -348,7 +348,7 @@
       "listen.ready=10.0.0.1:2\nport_range=7340,7355\n"
       "platform.address=10.0.0.2:3\nbounds.grace_s=6\nbounds.cap_x=1.5\n"
       "bounds.budget_extra=56\nlimits.max_fds=4100\n"
-      "routing.zone_cost=2.5\nsomething.new=1\n";
+      "routing.zone_cost=2.5\nstart.min_large_fleet=40\nsomething.new=1\n";
   const auto options =
       ValueOrNone<DispatchOptions>([&] { return ParseSettingsFile(kGood); });
   REQUIRE(options);
@@ -356,6 +356,7 @@
   CHECK(options->shutdown_grace == std::chrono::seconds(6));
   CHECK(options->load_factor == 1.5);
   CHECK(options->zone_cost == 2.5);
+  CHECK(options->min_large_fleet == 40);
   CHECK(options->retry_budget.extra == 56);
   std::size_t faults = 0;
   leaf::try_handle_all(
--- a/tests/start_up_source_test.cc
+++ b/tests/start_up_source_test.cc
@@ -28,9 +28,10 @@
 }
 
 constexpr std::uint64_t kOwnKey = 1000;
+constexpr std::size_t kLargeFleet = 16;
 
 TEST_CASE("a router of a small fleet reads the store once it knows that") {
-  StartUpSource source(kStart, kOwnKey);
+  StartUpSource source(kStart, kOwnKey, kLargeFleet);
   CHECK_FALSE(source.ReadsStore(At(10)));
   source.OnRoutersListed(At(20), PeerKeys(14, 15));
   CHECK(source.ReadsStore(At(20)));
@@ -42,7 +43,7 @@
 
 TEST_CASE("the first three routers of a large fleet read the store at once") {
   const auto rank = GENERATE(range<std::size_t>(0, 6));
-  StartUpSource source(kStart, kOwnKey);
+  StartUpSource source(kStart, kOwnKey, kLargeFleet);
   source.OnRoutersListed(At(20), PeerKeys(rank, 300));
   CHECK(source.ReadsStore(At(20)) == (rank < 3));
   CHECK(source.AsksPeers());
@@ -51,7 +52,7 @@
 // Load pattern: a router starts while its peers are dead, but still listed.
 TEST_CASE("a router that no peer supplies reads the store within 2 s") {
   const auto rank = GENERATE(as<std::size_t>(), 3, 10, 100, 299);
-  StartUpSource source(kStart, kOwnKey);
+  StartUpSource source(kStart, kOwnKey, kLargeFleet);
   source.OnRoutersListed(At(20), PeerKeys(rank, 300));
   CHECK(source.ReadsStore(At(2020)));
   source.OnPeerSupplied();
@@ -60,7 +61,7 @@
 }
 
 TEST_CASE("a router that does not learn the listed routers reads the store") {
-  StartUpSource source(kStart, kOwnKey);
+  StartUpSource source(kStart, kOwnKey, kLargeFleet);
   SECTION("the call fails") {
     source.OnListFailed();
     CHECK(source.ReadsStore(At(10)));
@@ -82,7 +83,8 @@
     // The dead ones rank first.
     std::sort(keys.rbegin(), keys.rend());
     for (std::size_t n = 0; n < count; ++n) {
-      this->routers.push_back({StartUpSource(kStart, keys[n]), n < dead});
+      this->routers.push_back(
+          {StartUpSource(kStart, keys[n], kLargeFleet), n < dead});
       std::vector<std::uint64_t> peers = keys;
       peers.erase(peers.begin() + static_cast<std::ptrdiff_t>(n));
       const TimePoint listed_at = kStart + milliseconds(this->Draw(100));
--- a/tests/support/platform_fleet.cc
+++ b/tests/support/platform_fleet.cc
@@ -249,7 +249,8 @@
       "engines.source_ip={1}\n"
       "platform.address=127.0.0.1:{5}\nbounds.grace_s=8\n"
       "bounds.retry_budget_ratio=0.2\nbounds.budget_extra=800\n"
-      "limits.max_fds=1000\nlimits.memory_mb=260\n",
+      "limits.max_fds=1000\nlimits.memory_mb=260\n"
+      "start.min_large_fleet=16\n",
       router, this->Ip(router), kFrontPort, kReadyPort, kPeerPort,
       this->store_port, kPeerPort + kPeerPorts - 1);
   this->AppendSettings(router, more_settings);
