--- a/include/dandelionscale/core/engine_change_log.h
+++ b/include/dandelionscale/core/engine_change_log.h
@@ -14,14 +14,14 @@
 
 namespace dandelionscale {
 
-/// Engines whose latest change is kept; a few hundred bytes each.
+/// Most engines whose latest change is kept; each takes a few hundred bytes.
 inline constexpr std::size_t kMaxLoggedEngines = 2000;
 
 /// \brief Which engines of a list have changed since a version of it.
 ///
-/// The latest change of each engine is kept, and its state is taken from the
-/// list itself. The log is bounded: the oldest changes are dropped, and from
-/// then on it does not cover the versions before them.
+/// Only the version of the latest change of each engine is kept; the state of
+/// the engine is taken from the list itself. The log is bounded: it drops the
+/// oldest changes and then no longer covers the versions before them.
 class EngineChangeLog {
  public:
   explicit EngineChangeLog(std::size_t max_engines = kMaxLoggedEngines)
@@ -30,8 +30,8 @@
   /// \brief Forgets all changes. The log covers `version` and later ones.
   void Reset(StoreVersion version);
   /// \brief Records that the entry of an engine was added, changed or removed
-  ///        by the list of `version`, which is not older than that of the
-  ///        former change.
+  ///        by the list of `version`. Versions must not decrease from call to
+  ///        call.
   void Record(StoreVersion version, const std::string& id);
   /// \returns true if all changes after `since` are known.
   bool Covers(StoreVersion since) const;
@@ -43,7 +43,7 @@
   std::optional<StoreVersion> complete_from;
   /// Version of the latest change, by id.
   std::map<std::string, StoreVersion, std::less<>> versions;
-  /// The same, in order.
+  /// The same entries, ordered by version.
   std::set<std::pair<StoreVersion, std::string>> by_version;
 };
 
--- a/include/dandelionscale/core/engine_directory.h
+++ b/include/dandelionscale/core/engine_directory.h
@@ -35,7 +35,7 @@
   /// Of its software, not of the model's weights; absent if a router of an
   /// older build has reported the engine.
   std::optional<std::string> software_version;
-  /// How much longer it warms up; absent if its row or a router of an older
+  /// Time until it has warmed up; absent if its row or a router of an older
   /// build does not state it.
   std::optional<Duration> warm_up_left{};
 
@@ -54,8 +54,10 @@
   EngineRecord record;
   /// Hash of id and start time; the same on every router.
   std::uint64_t key = 0;
-  /// Hash of what the list states of it, without `draining` and
-  /// `software_version`, which not all routers know.
+  /// Hash of the members of `record` that are the same at all routers with the
+  /// same list: without `software_version`, which older builds lack, without
+  /// `warm_up_left`, which runs down, and without `draining`, which is added by
+  /// `ListHash()`.
   std::uint64_t record_hash = 0;
   /// `VersionKey()` of its service and software version; 0 if that is unknown.
   std::uint64_t version_key = 0;
@@ -84,7 +86,8 @@
   Kind kind = Kind::kAdded;
   std::string id;
   std::string service;
-  /// Listed for the first time, after an earlier list of this router.
+  /// The incarnation was not known from an earlier list, and there was one.
+  /// Engines of the first list may have started long ago.
   bool is_new_incarnation = false;
 };
 
@@ -214,7 +217,7 @@
   TimePoint RetentionDeadline(const Unlisted& entry) const;
   void Remove(TimePoint now, const std::string& id,
               std::vector<EngineChange>& changes);
-  // `ListHash()` after `updates`.
+  // Returns what `ListHash()` would return after `updates`.
   std::uint64_t ListHashAfter(std::span<const EngineUpdate> updates) const;
   bool IsListed(const std::string& id) const {
     return this->engines.contains(id) && !this->unlisted.contains(id);
@@ -223,8 +226,9 @@
   void Reindex();
 
   StoreVersion version;
-  bool has_earlier_list = false;  ///< While a list is applied.
-  EngineChangeLog change_log;     ///< Of `Listed()`.
+  /// Whether a list was applied before the one that is being applied.
+  bool has_earlier_list = false;
+  EngineChangeLog change_log;  ///< Of `Listed()`.
   std::uint64_t initial_era = 0;
   bool store_lost = false;
   TimePoint store_regained_at{};
--- a/include/dandelionscale/core/evacuated_zones.h
+++ b/include/dandelionscale/core/evacuated_zones.h
@@ -11,14 +11,14 @@
 
 namespace dandelionscale {
 
-/// \brief The availability zones whose engines operators want to receive no
-///        requests.
+/// \brief The availability zones that operators have evacuated: their engines
+///        receive no requests.
 ///
-/// The state is the whole set as of one version of the store. It is replaced as
-/// a whole by the set of a newer version, whoever reports it, so that routers
-/// that have received the same newest report agree, whatever they received
-/// before and in which order. A restored store has a higher era: its table
-/// replaces what earlier eras have said, and nothing else does.
+/// The state is the whole set as of one version of the store. A newer version
+/// replaces it as a whole, whoever reports it. So routers with the same newest
+/// version agree, whatever they received before and in which order. A store
+/// that is restored from an old copy starts a higher era: only its own table
+/// replaces the set of an earlier era.
 class EvacuatedZones {
  public:
   using Zones = std::set<std::string, std::less<>>;
@@ -51,9 +51,8 @@
   const Zones& Current() const { return this->zones; }
   /// \returns the version as of which the set is known.
   StoreVersion Version() const { return this->version; }
-  /// \returns true if peers have to be told: an evacuation is or was in force.
-  ///          An empty set counts too, since it ends the evacuations that peers
-  ///          may still know of.
+  /// \returns true if the set is to be sent to peers: an evacuation is in
+  ///          force, or has ended and peers may still know of it.
   bool IsReported() const { return this->is_reported; }
 
  private:
--- a/include/dandelionscale/core/load/engine_rate_limit.h
+++ b/include/dandelionscale/core/load/engine_rate_limit.h
@@ -35,7 +35,7 @@
   /// \returns true if this router, which needs a permit to send a request, may
   ///          ask for one.
   bool MayAsk(TimePoint now) const { return now >= this->denied_until; }
-  /// \returns the time until that; zero if it may.
+  /// \returns the time until this router may ask; zero if it may now.
   Duration TimeUntilMayAsk(TimePoint now) const;
   /// \returns the limit in requests per second; 0 if there is none.
   double Rate() const { return this->rate.value_or(0); }
--- a/include/dandelionscale/core/load/engine_warm_up.h
+++ b/include/dandelionscale/core/load/engine_warm_up.h
@@ -15,24 +15,25 @@
 /// end of its warm-up is unknown.
 class EngineWarmUp {
  public:
-  /// Difference between two routers' times of the same end that is put down to
-  /// the delay of their messages. An end that is later by no more than this
-  /// changes nothing, so that reports passed on in a circle don't extend a
-  /// warm-up without limit. A warm-up stays in force for this time beyond its
-  /// end, so that no ignored extension cuts it short.
-  static constexpr Duration kTolerance = std::chrono::milliseconds(250);
+  /// Largest difference between two routers' times of the same end that message
+  /// delay explains. An end that is later by no more than this is ignored:
+  /// otherwise reports that routers pass on in a circle would extend a warm-up
+  /// without limit. A warm-up stays in force for this time beyond its end, so
+  /// that no ignored extension makes it end early.
+  static constexpr Duration kTolerance = std::chrono::milliseconds(400);
 
   /// \brief Applies a statement that the engine warms up for `left` from now.
-  /// \param warm_up_time how long a warm-up of the service takes. An engine
-  ///        whose warm-up began after a loss has been reached since.
+  /// \param warm_up_time how long a warm-up of the service takes; the end less
+  ///        this time is the beginning. A warm-up that began after a loss ends
+  ///        the loss, since a router has reached the engine in between.
   /// \returns true if the warm-up has begun or was extended.
   bool Extend(TimePoint now, Duration left, Duration warm_up_time);
   /// \brief Records that a router could not reach the engine or lost its
   ///        connections to it.
   /// \param warm_up_time as for `Extend()`. A loss from before the warm-up is
   ///        ignored.
-  /// \returns true if peers should be told: of the first loss, and now and then
-  ///          of later ones.
+  /// \returns true if peers should be told: of the first loss, and of later
+  ///          ones at intervals of some seconds.
   bool OnLost(TimePoint at, Duration warm_up_time);
   /// \brief Records that the engine has answered this router.
   /// \returns true if the warm-up has begun or was extended, because the engine
--- a/include/dandelionscale/core/load/peer_load.h
+++ b/include/dandelionscale/core/load/peer_load.h
@@ -18,16 +18,16 @@
 struct EngineLoad {
   std::uint64_t engine_key = 0;
   std::uint32_t in_flight = 0;
-  /// How long the requests of the engine's service are in flight.
+  /// Mean time for which requests of the engine's service are in flight.
   Duration work_time = WorkTime::kUnknown;
 };
 
 /// \brief In-flight requests that the other routers of the fleet report, summed
 ///        for each engine.
 ///
-/// Of the requests in a report of age `a`, `exp(-a / work_time)` are taken to
-/// be still in flight. The others have ended, and others have taken their
-/// place, at an engine of the service that the report does not tell.
+/// Of the requests in a report of age `a`, the share `exp(-a / work_time)` is
+/// taken to be still in flight. The others are taken to have ended and to have
+/// been followed by as many new ones, at engines that the report can't show.
 class PeerLoad {
  public:
   /// \brief Replaces the previous report of `router`; ignores the report if it
@@ -52,9 +52,9 @@
   ///
   /// If all routers relied on stale reports, they would all choose the engine
   /// that was idle when these were made. Engines that may not be chosen or that
-  /// limit their rate don't take part.
+  /// limit their rate keep their counts and get none of what is spread.
   /// \param candidates the engines of one service; their `in_flight` includes
-  ///        `InFlight()`. The sum of it is kept, but for rounding.
+  ///        `InFlight()`. Their sum stays the same, but for rounding.
   void SpreadStaleLoad(TimePoint now,
                        std::span<PlacementCandidate> candidates) const;
   /// \returns the number of routers with a current report.
@@ -81,8 +81,9 @@
     double still_in_flight = 0;
     TimePoint decayed_at{};
     // Integral of 1 / work_time from the first report to `decayed_at`. A
-    // report's weight is exp(-increase of the integral since its arrival), so
-    // that it leaves the sum exactly as it has entered it.
+    // report's weight is exp(-increase of the integral since its arrival). So
+    // what is left of a report can be subtracted exactly, also if `work_time`
+    // has changed in between.
     double decay = 0;
     Duration work_time{};
 
--- a/include/dandelionscale/core/load/placement.h
+++ b/include/dandelionscale/core/load/placement.h
@@ -8,8 +8,8 @@
 
 namespace dandelionscale {
 
-/// A shared prompt prefix of fewer tokens is short: to recompute it costs less
-/// than to send the request to another availability zone.
+/// A shared prompt prefix of fewer tokens is short: an engine computes it fast,
+/// so that the zone counts more for the placement; see `ChooseEngine()`.
 inline constexpr std::uint32_t kMinLongPrefixTokens = 4000;
 
 /// \brief An engine and the part of its state that placement considers.
@@ -77,7 +77,8 @@
   std::size_t index = 0;  ///< Into `PlacementInputs::candidates`.
   PlacementBasis basis = PlacementBasis::kLeastLoaded;
   double mean_in_flight = 0;
-  /// With `ZoneRule::kStay`, an engine that shows that the zone has room.
+  /// With `ZoneRule::kStay`, an engine of the own zone that has room. It is
+  /// logged, since a replay needs it to decide by the same zone.
   std::optional<std::size_t> room{};
 };
 
@@ -93,14 +94,15 @@
 /// 3. the least loaded engine.
 /// A prompt without shared parts goes to the least loaded engine.
 ///
-/// With a zone rule, a holder in the own zone comes first, and a holder in
-/// another zone next: to read a prefix once more takes longer than the way. A
-/// prompt with less than `kMinLongPrefixTokens` shared tokens that no holder
-/// takes, or one without shared parts, is placed by zone. With `kStay`, these
-/// rules choose among the engines of the own zone that are below the load
-/// bound, if one that does not limit its rate is among them. Otherwise, and
-/// with `kLeave`, they choose among the engines of the other zones, and if none
-/// has room, among all.
+/// With a zone rule, an engine that has cached the shared parts comes first if
+/// it is in the own zone, and next if it is in another one, since computing
+/// them again takes longer than the transfer between zones. With `kLeave` this
+/// holds for at least `kMinLongPrefixTokens` shared tokens only. A prompt with
+/// fewer shared tokens that no such engine takes, or without shared parts, is
+/// placed by zone. With `kStay`, the rules above choose among the engines of
+/// the own zone that are below the load bound, if one of these does not limit
+/// its rate. Otherwise, and with `kLeave`, they choose among the engines of the
+/// other zones, and if none has room, among all.
 /// \returns nothing if no engine is usable or all are full.
 std::optional<PlacementDecision> ChooseEngine(const PlacementInputs& inputs);
 
--- a/include/dandelionscale/core/load/rate_permits.h
+++ b/include/dandelionscale/core/load/rate_permits.h
@@ -66,7 +66,7 @@
 /// router asks.
 class RatePermits {
  public:
-  /// \param rate of the engine; an engine that warms up gets no bursts.
+  /// \param rate of the engine; one that warms up gets hardly any bursts.
   /// \param share of the rate that this router may permit; see
   ///        `IssuerShare()`.
   PermitDecision Decide(TimePoint now, std::uint64_t engine_key,
--- a/include/dandelionscale/core/load/service_times.h
+++ b/include/dandelionscale/core/load/service_times.h
@@ -16,10 +16,10 @@
 
 /// \brief The work of a request, as far as it is known when it arrives.
 struct RequestWork {
-  /// Prompt tokens that no engine's cache saves; 0 also if unknown.
+  /// Prompt tokens that no engine has cached; 0 also if unknown.
   std::uint32_t uncached_tokens = 0;
-  /// Output tokens that the client expects. Right at the median, often wrong by
-  /// a factor of up to about 3.
+  /// Output tokens that the client expects. Correct at the median, but single
+  /// values are often wrong by a factor of up to about 3.
   std::optional<std::uint32_t> expected_output;
   std::optional<std::uint32_t> max_output;  ///< Limit of the output tokens.
   bool is_stream = false;                   ///< Answered by an event stream.
@@ -44,14 +44,14 @@
 
  private:
   std::vector<double> values;
-  std::size_t oldest = 0;  ///< Once the window is full.
+  std::size_t oldest = 0;  ///< Index of the oldest value in a full window.
 };
 
-/// \brief How long the answers of one service take, learnt from those that
+/// \brief Estimates how long the answers of one service take, from those that
 ///        this router has relayed.
 class ServiceTimes {
  public:
-  /// Estimates are made from this number of answers on: fewer show no spread.
+  /// Estimates need this many answers: fewer do not show the spread.
   static constexpr std::size_t kMinObservations = 8;
 
   /// \brief A stream was answered completely.
@@ -60,8 +60,8 @@
   void OnCallAnswered(Duration took);
 
   /// \returns the time from the arrival of a request to the end of its answer,
-  ///          which few such requests exceed; nothing while too few answers
-  ///          are known.
+  ///          which no more than about one in 20 such requests exceeds;
+  ///          nothing while too few answers are known.
   std::optional<Duration> ConservativeEstimate(const RequestWork& work) const;
   /// \returns the number of answers that such an estimate is based on.
   std::size_t Observations(const RequestWork& work) const;
@@ -86,8 +86,8 @@
 
   std::vector<FirstEvent> first_events;
   std::size_t oldest_first_event = 0;
-  /// Seconds of the output for each token that the client expected. Its spread
-  /// contains that of the engine's pace and that of the expectation.
+  /// Seconds of output for each token that the client expected. The spread
+  /// covers both the engines' pace and the errors of the expectations.
   ObservationWindow seconds_per_expected_token;
   ObservationWindow seconds_per_event;
   ObservationWindow output_seconds;
--- a/include/dandelionscale/core/load/work_time.h
+++ b/include/dandelionscale/core/load/work_time.h
@@ -10,8 +10,8 @@
 /// \brief Moving mean of the time for which a service's requests are in flight.
 class WorkTime {
  public:
-  /// Used until a request has been answered: so long that load reports count in
-  /// full.
+  /// Value until a request has been answered. It is so long that load reports
+  /// count in full.
   static constexpr Duration kUnknown = std::chrono::hours(1);
 
   /// \brief Records that a request was answered.
--- a/include/dandelionscale/core/load/zone_spill.h
+++ b/include/dandelionscale/core/load/zone_spill.h
@@ -48,8 +48,9 @@
 
   /// \returns the share of requests that leave the zone.
   double Share() const { return 1 - this->staying; }
-  /// \returns how one request treats zones. Requests of a share are selected by
-  ///          their key, so that all routers select the same ones.
+  /// \returns how one request treats zones. The requests that leave are
+  ///          selected by a hash of their key, so that all routers select the
+  ///          same ones.
   ZoneRule RuleFor(const ZoneLoads& loads, std::uint64_t request_key) const;
 
  private:
@@ -57,7 +58,7 @@
   void Adapt(double steps, double zone_cost);
 
   double staying = 1;  ///< Share of requests that stay.
-  /// Moving means.
+  /// Moving means of the utilizations.
   double own_utilization = 0;
   double other_utilization = 0;
   bool has_utilization = false;
--- a/include/dandelionscale/core/routing_table.h
+++ b/include/dandelionscale/core/routing_table.h
@@ -58,6 +58,11 @@
   /// Requests per second that an engine takes from all routers together while
   /// it warms up; 0: no limit.
   double warm_up_rate = 0;
+
+  /// \returns true if engines that warm up get a limited rate of requests.
+  bool HasWarmUp() const {
+    return this->warm_up_time > Duration::zero() && this->warm_up_rate > 0;
+  }
 };
 
 /// \brief Limits on the size and duration of client requests.
--- a/include/dandelionscale/core/snapshot_sources.h
+++ b/include/dandelionscale/core/snapshot_sources.h
@@ -11,9 +11,10 @@
 
 namespace dandelionscale {
 
-/// Time for which a router that has heard of newer rows from another zone waits
-/// for a peer of its own zone to have them; doubled at random, so that the
-/// first routers that leave the zone spare the others.
+/// Least time for which a router that has heard of newer rows from another zone
+/// waits for a peer of its own zone to have them. Each router adds up to the
+/// same time at random, so that the first ones that fetch from the other zone
+/// can supply the rest.
 inline constexpr Duration kOwnZoneWait = std::chrono::milliseconds(120);
 /// Routers of each zone that fetch from another zone without that wait, so that
 /// the others find the rows in their own zone.
@@ -40,7 +41,7 @@
 class SnapshotSources {
  public:
   /// \brief Records a digest with newer rows than this router's.
-  /// \param wait for a peer of the own zone, if this one is of another.
+  /// \param wait time before a peer of another zone may be asked.
   void OnNewer(TimePoint now, const std::string& peer,
                const RowVersions& versions, bool is_own_zone, Duration wait);
   /// \brief Forgets the peers that have nothing newer than `versions`.
@@ -61,7 +62,7 @@
   };
 
   std::vector<Source> sources;  ///< Latest digest last.
-  /// Since when peers are known that have newer rows.
+  /// Since when a peer with newer rows is known; none if there is none.
   std::optional<TimePoint> waiting_since;
 };
 
--- a/include/dandelionscale/core/start_up_source.h
+++ b/include/dandelionscale/core/start_up_source.h
@@ -9,9 +9,9 @@
 
 namespace dandelionscale {
 
-/// Default of the listed routers from which on a starting router asks peers
-/// before it reads the store. The store bears the reads of smaller fleets, and
-/// peers that start as well supply each other later than it does.
+/// Default number of listed routers from which on a starting router asks peers
+/// before it reads the store. The store can serve the reads of smaller fleets,
+/// and does so sooner than peers that are starting, too.
 inline constexpr std::size_t kMinLargeFleet = 128;
 
 /// \brief Where a starting router gets configuration and engines from.
@@ -26,7 +26,7 @@
  public:
   /// \param own_key unique to the router; higher keys rank first, as in
   ///        `WatcherElection`.
-  /// \param min_large_fleet listed routers from which on peers are asked.
+  /// \param min_large_fleet number of routers from which on peers are asked.
   StartUpSource(TimePoint started_at, std::uint64_t own_key,
                 std::size_t min_large_fleet)
       : started_at(started_at),
--- a/include/dandelionscale/dispatch/dispatch_router.h
+++ b/include/dandelionscale/dispatch/dispatch_router.h
@@ -33,10 +33,11 @@
   RetryBudgetLimits retry_budget;
   double load_factor = 2.0;  ///< Load bound of an engine, as a multiple of the
                              ///< service's mean load.
-  /// What a byte between availability zones may cost. Widens the difference in
-  /// load from which on requests leave the zone; 0: zones are no cost.
+  /// Relative cost of traffic between availability zones. It scales the
+  /// difference in utilization from which on requests leave the zone; 0:
+  /// placement ignores zones, but for a small preference for the own one.
   double zone_cost = 1.0;
-  /// Listed routers from which on a starting router asks peers for
+  /// Number of listed routers from which on a starting router asks peers for
   /// configuration and engines before it reads the store.
   std::size_t min_large_fleet = kMinLargeFleet;
   /// Memory limit; request bodies may use a fixed share of it.
--- a/include/dandelionscale/dispatch/protocol_codec.h
+++ b/include/dandelionscale/dispatch/protocol_codec.h
@@ -30,7 +30,7 @@
   std::uint64_t prompt_key = 0;
   std::optional<std::uint32_t> prompt_tokens;
   std::optional<std::uint32_t> max_output_tokens;
-  /// The client's estimate; often wrong by a factor.
+  /// The client's estimate; correct at the median, often wrong by a factor.
   std::optional<std::uint32_t> expected_output_tokens;
   /// Id of the last stream event that the client has received.
   std::string resume_after;
@@ -76,7 +76,7 @@
   /// produced. Such a success response is rejected.
   bool has_content_encoding = false;
   std::optional<ReportedLoad> load;
-  bool has_malformed_load = false;  ///< It is stated, but can't be read.
+  bool has_malformed_load = false;  ///< A load is stated, but can't be read.
   bool leaving = false;             ///< The engine is shutting down.
   /// The engine wants no requests from this router for this time.
   std::optional<Duration> requested_pause;
--- a/include/dandelionscale/dispatch/table_store.h
+++ b/include/dandelionscale/dispatch/table_store.h
@@ -64,15 +64,15 @@
   /// \brief Writes a row of `kRouters` unconditionally.
   virtual Awaitable<Result<void>> WriteRow(std::string key, std::string value,
                                            Duration timeout) = 0;
-  /// \returns the size of all responses to reads and watches of a table, also
-  ///          of those to calls that failed in the end.
+  /// \returns the bytes of all responses to reads and watches of a table,
+  ///          including those to calls that failed later.
   virtual std::uint64_t BytesRead(StoreTable table) const = 0;
 };
 
 /// \brief Key of the configuration's row in `kConfiguration`.
 inline constexpr std::string_view kConfigurationRowKey = "config";
-/// \brief Precedes the name of an availability zone in the key of the row by
-///        which operators evacuate it, in the same table.
+/// \brief Prefix of the keys of the rows of the same table by which operators
+///        evacuate availability zones; the zone's name follows.
 inline constexpr std::string_view kEvacuationRowPrefix = "/evacuated_zones/";
 /// \brief Key of the row of `kRouters` with what crashes engines. Names of
 ///        routers have no slash.
--- a/include/dandelionscale/transport/http_status.h
+++ b/include/dandelionscale/transport/http_status.h
@@ -21,7 +21,7 @@
 inline constexpr unsigned kServiceUnavailable = 503;
 inline constexpr unsigned kGatewayTimeout = 504;
 
-/// \returns true if HTTP has such a status.
+/// \returns true if the status is in the range of HTTP, 100 to 599.
 inline constexpr bool IsValid(unsigned status) {
   return status >= 100 && status < 600;
 }
--- a/src/core/load/engine_warm_up.cc
+++ b/src/core/load/engine_warm_up.cc
@@ -5,9 +5,9 @@
 namespace dandelionscale {
 namespace {
 
-// A longer warm-up is a mistake of the engine or of a peer.
+// Longer warm-ups are cut to this: an engine or a peer has stated a wrong time.
 constexpr Duration kMaxWarmUp = std::chrono::minutes(5);
-// Each router that tries to reach an engine loses it again and again. Peers are
+// While an engine is down, each attempt to reach it records a loss. Peers are
 // told no more often than this.
 constexpr Duration kLossReportInterval = std::chrono::seconds(5);
 
@@ -36,7 +36,10 @@
 bool EngineWarmUp::OnAnswered(TimePoint now, Duration warm_up_time) {
   if (!this->lost_at) return false;
   this->lost_at.reset();
-  return this->Extend(now, warm_up_time, warm_up_time);
+  // Always told to peers, which hold the engine as lost as well.
+  this->ends_at =
+      std::max(this->ends_at, now + std::min(warm_up_time, kMaxWarmUp));
+  return true;
 }
 
 bool EngineWarmUp::IsActive(TimePoint now) const {
--- a/src/core/load/rate_permits.cc
+++ b/src/core/load/rate_permits.cc
@@ -11,13 +11,13 @@
 // Tokens that are kept while no router asks: for one request, for one more if
 // the whole rate is permitted, and what the rate yields in this time.
 constexpr double kBurstSeconds = 0.25;
-// The same for an engine that warms up, which tolerates 1.5 times its rate and
-// 5 requests in any second. Permits of three routers together, one with the
-// whole rate and two with a substitute's share, that are used up to 0.2 s after
-// they were asked for, amount to 3 + kWarmUpShare * (1 + 0.2 + 0.05) * 1.4 = 3
-// + 1.49 times the rate in a second.
+// The same for an engine that warms up, which tolerates 1.5 times its rate plus
+// 5 requests in any second. In the worst case three routers issue permits, one
+// of the whole rate and two of a substitute's share, and permits are used up to
+// 0.2 s after they were asked for. In a second that allows 3 requests plus
+// kWarmUpShare * (1 + 0.2 + 0.05) * 1.4 = 1.49 times the rate.
 constexpr double kWarmUpBurstSeconds = 0.05;
-// Share of a warm-up's rate that is permitted.
+// Share of a warm-up's rate that is permitted; see above.
 constexpr double kWarmUpShare = 0.85;
 // Lowest rate that is permitted. An engine that takes none is asked now and
 // then, since only its responses tell when its limit has ended.
--- a/src/core/load/service_times.cc
+++ b/src/core/load/service_times.cc
@@ -12,9 +12,9 @@
 // refusal a few tenths of a second. So a request is refused if more than one in
 // 20 like it would be cut off.
 constexpr double kConservativeShare = 0.95;
-// So many values are needed for that quantile; with fewer, the largest one is
-// taken, and at least the median times the spread that clients' expectations of
-// the output are known to have.
+// That quantile needs this many values. With fewer it is the largest one, and
+// the estimate is at least the median times the factor by which clients'
+// expectations of the output are often wrong.
 constexpr std::size_t kQuantileObservations = 20;
 constexpr double kExpectationSpread = 3;
 // Shorter streams say little about the time for each event.
@@ -107,7 +107,7 @@
   return seconds;
 }
 
-// Least squares.
+// Fits a straight line by least squares.
 ServiceTimes::FirstEventModel ServiceTimes::FitFirstEvents() const {
   const auto count = static_cast<double>(this->first_events.size());
   double mean_tokens = 0;
@@ -152,7 +152,7 @@
     seconds = std::max(seconds, window.Quantile(0.5) * kExpectationSpread);
   }
   if (has_expectation) seconds *= static_cast<double>(*work.expected_output);
-  // An event carries one token or more, so that the limit is not too low.
+  // An event carries one token or more, so that this limit is never too low.
   if (work.max_output && this->seconds_per_event.Size() >= kMinObservations) {
     seconds = std::min(
         seconds, static_cast<double>(*work.max_output) *
--- a/src/core/load/zone_spill.cc
+++ b/src/core/load/zone_spill.cc
@@ -17,8 +17,8 @@
 // with few slots: of 6 slots, 1 request in 100 finds all in use.
 constexpr double kBusyUtilization = 0.3;
 // Change of the logarithm of the staying share within the response time, for an
-// own utilization that is too high or too low by a factor of e. Below 1, so
-// that the effect of a change is seen before the next change is of its size.
+// own utilization that is too high or too low by a factor of e. It is below 1,
+// so that loads show the effect of a change before the share has overshot.
 constexpr double kGain = 0.6;
 // Largest logarithm of that factor that counts. It limits the rate at which a
 // zone whose engines are idle takes its load back.
@@ -26,17 +26,17 @@
 // A zone with a usable engine serves at least this share of its requests.
 // Without any, the zone's utilization would not show whether it can take more.
 constexpr double kMinStaying = 0.05;
-// Time constant of the moving means of the utilizations. That of 6 slots
-// deviates by 0.2 from one report to the next.
+// Time constant of the moving means of the utilizations. The utilization of 6
+// slots varies by 0.2 from one report to the next.
 constexpr Duration kSmoothingTime = std::chrono::seconds(2);
 constexpr Duration kUpdateInterval = std::chrono::milliseconds(250);
-// Longer times between updates count as this, since nothing is known of the
-// loads in between.
+// A longer time between updates counts as this, since the loads in between are
+// unknown.
 constexpr Duration kMaxUpdateInterval = std::chrono::seconds(2);
 // While the own zone has no usable engine, the share that stays falls to 1/e
 // within this time. An engine that pauses for a moment gets its load back soon.
 constexpr Duration kAbsenceTime = std::chrono::seconds(2);
-// Sets the hash that selects requests apart from others of the same key.
+// Makes the hash that selects requests independent of others of the same key.
 constexpr std::uint64_t kSelectionSalt = 0x7a6f6e65;
 
 double Ratio(Duration dividend, Duration divisor) {
--- a/src/core/snapshot_sources.cc
+++ b/src/core/snapshot_sources.cc
@@ -5,7 +5,7 @@
 namespace dandelionscale {
 namespace {
 
-// Peers that are kept; more are of no use, since each digest brings one.
+// Peers that are kept. More are not needed, since later digests bring others.
 constexpr std::size_t kMaxSources = 16;
 
 }  // namespace
--- a/src/core/start_up_source.cc
+++ b/src/core/start_up_source.cc
@@ -11,13 +11,15 @@
 // Interval within which the number of readers doubles while no peer responds;
 // 300 routers have begun to read within 1.9 s.
 constexpr Duration kRankInterval = std::chrono::milliseconds(250);
-// The same once a peer has responded. Peers that start, too, supply each other
-// about as fast: in a model, with 250 ms half of 300 routers read the store.
+// The same once a peer has responded. It leaves routers that start together the
+// time to supply each other: with 250 ms, half of 300 routers read the store.
 constexpr Duration kLiveRankInterval = std::chrono::milliseconds(500);
-// A router that does not know by then, plus the spread below, which routers are
-// listed reads the store. A call of 300 routers that start together may take
-// this long.
+// A router that has not learnt the listed routers within this time, plus the
+// spread below, reads the store. With 300 routers that start together, a call
+// to the store may take this long.
 constexpr Duration kListTimeout = std::chrono::milliseconds(400);
+// The spread: the key of a router selects one of these slots, so that not all
+// routers read at once.
 constexpr std::uint64_t kListTimeoutSlots = 24;
 constexpr Duration kListTimeoutSlot = std::chrono::milliseconds(50);
 
--- a/src/dispatch/dispatch_state.cc
+++ b/src/dispatch/dispatch_state.cc
@@ -37,8 +37,8 @@
 constexpr Duration kMaxPeerSilence = std::chrono::milliseconds(1000);
 // Number of routers that is assumed until a peer has been discovered.
 constexpr std::size_t kAssumedRouters = 8;
-// Digests name an engine that has begun to drain for this time, so that peers
-// know it before they have fetched the change of the list.
+// For this time digests name an engine that has begun to drain, so that peers
+// know of it before they have fetched the change of the list.
 constexpr Duration kDrainNewsTime = std::chrono::seconds(2);
 
 }  // namespace
@@ -200,7 +200,7 @@
   }
   this->metrics.Add("zone_restorations_total");
   Logger::Info("zone_engines_return", {{"zone", zone}, {"engines", returning}});
-  // The engines may have restarted meanwhile; their rows tell it later.
+  // The engines may have restarted meanwhile, which their rows may show late.
   this->BeginWarmUp(zone);
 }
 
@@ -380,8 +380,14 @@
                                      std::optional<TimePoint> lost_at,
                                      std::string_view source) {
   if (left <= Duration::zero() && !lost_at) return;
-  const Duration time = this->SpecOf(engine).warm_up_time;
-  const bool extended = engine.warm_up.Extend(RuntimeClock::now(), left, time);
+  const ServiceSpec& spec = this->SpecOf(engine);
+  if (!spec.HasWarmUp()) return;
+  const TimePoint now = RuntimeClock::now();
+  // A report that waited while this process was paused states a time that has
+  // partly passed.
+  if (this->LoopStall(now) > Duration::zero()) return;
+  const Duration time = spec.warm_up_time;
+  const bool extended = engine.warm_up.Extend(now, left, time);
   const bool lost = lost_at && engine.warm_up.OnLost(*lost_at, time);
   if (extended || lost) this->OnWarmUpChanged(engine, "reported", source);
 }
@@ -390,8 +396,12 @@
   // An engine that is leaving ends its connections as intended.
   if (engine.draining || engine.gone) return;
   const ServiceSpec& spec = this->SpecOf(engine);
-  if (spec.warm_up_rate <= 0) return;
-  if (!engine.warm_up.OnLost(RuntimeClock::now(), spec.warm_up_time)) return;
+  if (!spec.HasWarmUp()) return;
+  const TimePoint now = RuntimeClock::now();
+  // Connections that fail after a pause of this process tell nothing of the
+  // engine.
+  if (this->LoopStall(now) > Duration::zero()) return;
+  if (!engine.warm_up.OnLost(now, spec.warm_up_time)) return;
   this->OnWarmUpChanged(engine, "lost", "own");
 }
 
@@ -407,7 +417,7 @@
 
 std::optional<RateInForce> DispatchState::RateOf(const Engine& engine,
                                                  TimePoint now) const {
-  // Most engines do not warm up: their service is not looked up.
+  // Saves the look-up of the service for the many engines that do not warm up.
   const double warm_up_rate =
       engine.warm_up.IsActive(now) ? this->SpecOf(engine).warm_up_rate : 0;
   return FindRate(now, engine.rate_limit, engine.warm_up, warm_up_rate);
--- a/src/dispatch/dispatch_state.h
+++ b/src/dispatch/dispatch_state.h
@@ -103,9 +103,8 @@
   ///        a removal that no row of the store shows.
   void AnnounceRemovals(std::span<const EngineChange> changes);
   /// \brief Logs zones that were evacuated or restored, and triggers a digest
-  /// to
-  ///        the peers. To be called after each event that is passed to
-  ///        `evacuated_zones`.
+  ///        to the peers. Engines of a restored zone begin to warm up. To be
+  ///        called after each event that is passed to `evacuated_zones`.
   /// \param source origin of the changes, for the log.
   void OnZoneChanges(const std::vector<EvacuatedZones::Change>& changes,
                      std::string_view source);
@@ -162,7 +161,7 @@
   /// \brief Applies what a peer reports of an engine's warm-up.
   /// \param left time until its end; zero if there is none.
   /// \param lost_at when a router lost the engine; none if it was reached
-  /// since.
+  ///        since.
   void OnWarmUpReported(Engine& engine, Duration left,
                         std::optional<TimePoint> lost_at,
                         std::string_view source);
@@ -234,7 +233,7 @@
   EngineDirectory engines;
   /// Whether peers have confirmed what this router read when it started.
   StartUpCheck start_up;
-  /// Where this router reads when it starts.
+  /// Where this router gets configuration and engines from when it starts.
   StartUpSource start_up_source;
   Event start_up_source_changed;
   /// Version of the newest change of the engines that this router knows of;
@@ -246,8 +245,8 @@
   /// Decides whether this router watches the store or relies on the digests of
   /// its peers.
   WatcherElection watcher_election;
-  /// Keys of engines that have begun to drain, and until when digests name
-  /// them.
+  /// Keys of engines that have begun to drain, each with the time until which
+  /// digests name it.
   std::vector<std::pair<std::uint64_t, TimePoint>> new_drains;
   /// Signals a change that should be sent in a digest soon.
   Event state_changed;
@@ -288,13 +287,13 @@
   MemoryBudget request_memory;   ///< For the bodies of all requests.
   MemoryBudget response_memory;  ///< For all responses that are buffered.
   bool draining = false;         ///< The router is shutting down.
-  /// While it is: since when. Requests that arrive later are taken only if they
-  /// are expected to be answered in time.
+  /// When the shutdown began. Requests that arrive later are taken only if they
+  /// are expected to be answered before `answers_end_at`.
   TimePoint draining_since = TimePoint::max();
   /// While it is: when the last answers are to be ready.
   TimePoint answers_end_at = TimePoint::max();
-  /// While it is: requests that arrive later, and whose time nothing is known
-  /// of, are taken only if their own timeout ends before that.
+  /// While it is: requests that arrive later, and whose answer time can't be
+  /// estimated, are taken only if their own timeout ends by `answers_end_at`.
   TimePoint refusals_begin_at = TimePoint::max();
 
  private:
--- a/src/dispatch/peers/peer_exchange.h
+++ b/src/dispatch/peers/peer_exchange.h
@@ -50,8 +50,8 @@
 
   Awaitable<void> SendDigests();
   void SendTo(const std::string& peer, const std::string& datagram);
-  // Returns the `count` peers that the next digest goes to: those heard of
-  // lately, which may have just started, then the next ones in rotation.
+  // Returns the `count` peers that the next digest goes to: first those in
+  // `new_peers`, which may have just started, then the next ones in rotation.
   std::vector<std::string> NextRecipients(const std::vector<std::string>& peers,
                                           std::size_t count);
   void FillLeavingEngines(TimePoint now, wire::RouterDigest& digest);
@@ -74,7 +74,8 @@
   SnapshotExchange snapshots;
   std::uint64_t incarnation;
   std::uint64_t sequence = 0;
-  /// Peers that were heard for the first time and sent no digest since.
+  /// Peers that were heard for the first time, and to which no digest has been
+  /// sent since.
   std::vector<std::string> new_peers;
   std::size_t next_peer;  ///< Position in the rotation through `state.peers`.
 };
--- a/src/dispatch/peers/peer_messages.cc
+++ b/src/dispatch/peers/peer_messages.cc
@@ -248,7 +248,7 @@
   if (const auto rate = engine.rate_limit.Statement()) {
     report.set_per_second(static_cast<float>(*rate));
   }
-  // No statement is older than any.
+  // Without a statement, the report must not replace one that the peer knows.
   report.set_age_ms(engine.rate_limit.WasStated()
                         ? ToAgeMs(engine.rate_limit.Age(now))
                         : static_cast<std::uint32_t>(kMaxAgeMs));
--- a/src/dispatch/peers/peer_reports.h
+++ b/src/dispatch/peers/peer_reports.h
@@ -27,14 +27,14 @@
 void ApplyRateLimit(DispatchState& state, Engine& engine,
                     const wire::RateLimitReport& report,
                     const std::string& sender);
-/// \brief Applies what a peer reports of engines' rate limits.
+/// \brief Applies what a peer reports of engines' rate limits and warm-ups.
 void ApplyRateLimits(
     DispatchState& state,
     const google::protobuf::RepeatedPtrField<wire::RateLimitReport>& reports,
     const std::string& sender);
 
-/// \brief Writes the evacuated zones to a digest or a snapshot, whose
-///        `store_era` is set; nothing if no evacuation is known.
+/// \brief Writes the evacuated zones to a digest or a snapshot whose
+///        `store_era` is set; writes nothing if no evacuation was ever known.
 template <typename Message>
 void FillEvacuation(const DispatchState& state, Message& message) {
   const EvacuatedZones& evacuated = state.evacuated_zones;
@@ -50,8 +50,8 @@
   }
 }
 
-/// \brief Applies the evacuated zones of a digest or a snapshot, if it has any
-///        statement on them.
+/// \brief Applies the evacuated zones of a digest or a snapshot, if it states
+///        them.
 template <typename Message>
 void ApplyEvacuation(DispatchState& state, const Message& message,
                      const std::string& sender) {
--- a/src/dispatch/peers/permit_exchange.h
+++ b/src/dispatch/peers/permit_exchange.h
@@ -26,8 +26,8 @@
 /// Time for which a permit is valid. A router that did not run for longer must
 /// ask again.
 inline constexpr Duration kPermitLifetime = std::chrono::milliseconds(600);
-/// The same for an engine that warms up. Its bound holds in any second, so that
-/// permits that wait must be few.
+/// The same for an engine that warms up. Its limit holds in every second, and
+/// permits of earlier seconds that are still unused add to it.
 inline constexpr Duration kWarmUpPermitLifetime =
     std::chrono::milliseconds(200);
 
--- a/src/dispatch/peers/snapshot_exchange.cc
+++ b/src/dispatch/peers/snapshot_exchange.cc
@@ -36,7 +36,7 @@
 // is often a router that has fetched a snapshot in the meantime. This keeps the
 // network link of a host from overload when many routers are behind.
 constexpr int kMaxSnapshotsServed = 4;
-// Responses up to this size do not count: changes of the list, for example.
+// Smaller responses, such as changes of the list, do not count.
 constexpr std::size_t kMaxSmallSnapshotBytes = 16 * 1024;
 // Each entry of the prefix index takes 12 bytes of the snapshot.
 constexpr std::size_t kMaxPrefixesPerSnapshot = 20'000;
@@ -44,6 +44,26 @@
 constexpr std::size_t kMaxSnapshotBytes = 4 * 1024 * 1024;
 constexpr std::string_view kSnapshotPath = "/snapshot";
 
+// Takes the time of the transfer off the warm-ups that a snapshot states. Else
+// each slow transfer would extend them for the whole fleet.
+void DiscountWarmUps(Duration transfer_time, wire::BeliefSnapshot& snapshot) {
+  const std::int64_t late_ms =
+      ToMilliseconds(transfer_time - EngineWarmUp::kTolerance);
+  if (late_ms <= 0) return;
+  const auto discounted = [late_ms](std::uint32_t left_ms) {
+    return static_cast<std::uint32_t>(
+        std::max<std::int64_t>(std::int64_t{left_ms} - late_ms, 0));
+  };
+  for (wire::EngineEntry& entry : *snapshot.mutable_engines()) {
+    if (!entry.has_warm_up_left_ms()) continue;
+    entry.set_warm_up_left_ms(discounted(entry.warm_up_left_ms()));
+  }
+  for (wire::RateLimitReport& report : *snapshot.mutable_rate_limits()) {
+    if (!report.has_warm_up_left_ms()) continue;
+    report.set_warm_up_left_ms(discounted(report.warm_up_left_ms()));
+  }
+}
+
 }  // namespace
 
 SnapshotExchange::SnapshotExchange(DispatchState& state)
@@ -198,11 +218,14 @@
   request.set_without_placements(!with_prefixes);
   request.set_accepts_changes(!this->needs_whole_list &&
                               this->state.engines.AcceptsChanges());
+  // Only a peer whose own view is current may stand in for the store.
+  request.set_is_start_up(this->IsLargeFleet() && !this->HasRows());
   return request;
 }
 
 Awaitable<Result<wire::BeliefSnapshot>> SnapshotExchange::Ask(
     std::string peer, wire::SnapshotRequest request) {
+  const TimePoint asked_at = RuntimeClock::now();
   auto endpoint = ParseEndpoint(peer);
   if (endpoint.has_error()) co_return endpoint.error();
   const bool is_small =
@@ -228,6 +251,7 @@
   if (!snapshot.ParseFromString(response->body)) {
     co_return Fault{FaultKind::kMalformedMessage, "no snapshot"};
   }
+  DiscountWarmUps(RuntimeClock::now() - asked_at, snapshot);
   co_return std::move(snapshot);
 }
 
@@ -255,7 +279,9 @@
   }
   std::vector<std::string> peers(this->state.peers.begin(),
                                  this->state.peers.end());
-  // At random, so that routers that start together supply each other.
+  if (peers.empty()) co_return;
+  // In a random order, so that routers that start together ask different peers
+  // and supply each other.
   std::shuffle(
       peers.begin(), peers.end(),
       std::minstd_rand(static_cast<std::uint32_t>(this->state.RandomBits())));
@@ -305,7 +331,8 @@
   // Before the engines, which may complete the start of this router.
   ApplyEvacuation(this->state, snapshot, peer);
   this->ApplyEngines(snapshot, peer);
-  if (!had_rows && this->HasRows()) {
+  // Only a peer that states the age of its view has found it to be current.
+  if (!had_rows && this->HasRows() && snapshot.has_view_age_ms()) {
     Logger::Info("started_from_peer", {{"peer", peer}});
     this->state.start_up_source.OnPeerSupplied();
     this->state.start_up_source_changed.NotifyAll();
--- a/src/dispatch/peers/snapshot_exchange.h
+++ b/src/dispatch/peers/snapshot_exchange.h
@@ -1,5 +1,6 @@
 /// \file
-/// \brief Transfer of whole states between routers.
+/// \brief Transfer of states, or of changes of the list of engines, between
+///        routers.
 #ifndef DANDELIONSCALE_SRC_DISPATCH_PEERS_SNAPSHOT_EXCHANGE_H_
 #define DANDELIONSCALE_SRC_DISPATCH_PEERS_SNAPSHOT_EXCHANGE_H_
 
@@ -51,7 +52,8 @@
   // router.
   bool UpdateNewestVersions(const wire::RouterDigest& digest);
   bool IsLargeFleet() const;
-  // For how long this router waits for its own zone to have newer rows.
+  // How long this router waits for newer rows in its own zone before it asks a
+  // peer of another zone. Random for most routers.
   Duration CrossZoneWait();
   // True if a peer of this router's zone sends digests.
   bool HearsOwnZone() const;
@@ -94,8 +96,8 @@
   bool fetching = false;      ///< A snapshot is being fetched.
   bool fetch_is_due = false;  ///< `FetchLater()` waits.
   int asks_at_start = 0;      ///< Requests of `AskAtStart()` in progress.
-  /// The next request does not accept changes: the last ones led to another
-  /// list than the peer's.
+  /// The next request does not accept changes, since the last ones did not lead
+  /// to the peer's list.
   bool needs_whole_list = false;
   int serving = 0;            ///< Large snapshot responses that are being sent.
   bool has_prefixes = false;  ///< A snapshot with prefixes was fetched.
--- a/src/dispatch/request/engine_exchange.cc
+++ b/src/dispatch/request/engine_exchange.cc
@@ -31,8 +31,8 @@
 // fails, and the limit of their bodies together.
 constexpr int kMaxMismatchedResponses = 3;
 constexpr std::size_t kMaxDiscardedBytes = 1024 * 1024;
-// An engine that has ended its response may read the rest of the request within
-// this time.
+// Time that an engine that has ended its response gets to read the rest of the
+// request.
 constexpr Duration kMaxWriteWait = std::chrono::seconds(1);
 constexpr Duration kWritePollInterval = std::chrono::milliseconds(10);
 // Interim (1xx) responses that may precede a response.
@@ -294,8 +294,8 @@
   co_return std::string();
 }
 
-// The system reports the reset of a connection once. If the write of the
-// request gets the report, a later read finds an end that looks orderly.
+// The system reports the reset of a connection only once. If the write of the
+// request gets that error, a later read finds what looks like an orderly end.
 Awaitable<bool> EngineExchange::HasEndedInOrder() {
   const TimePoint until = RuntimeClock::now() + kMaxWriteWait;
   while (*this->write_state == WriteState::kUnderWay && !this->cancelled &&
--- a/src/dispatch/request/engine_exchange.h
+++ b/src/dispatch/request/engine_exchange.h
@@ -123,16 +123,16 @@
   // the exchange was cancelled.
   Awaitable<bool> ReadFinalHead(std::string_view method);
   Awaitable<Result<std::string>> ReadNextFragment();
-  // Whether the end of the connection ends the response: the engine has ended
-  // it in order, and could be sent the whole request.
+  // Whether the end of the connection completes the response: the engine has
+  // closed it in order and has been sent the whole request.
   Awaitable<bool> HasEndedInOrder();
   void OnReadFailed(const boost::system::error_code& error);
   void OnBytesReceived();
   void ApplyStatements();
   // Whether the head was cut off and continued by another one.
   bool IsSpliced(std::string_view request_id) const;
-  // Whether the status of the head is none that HTTP has, so that the response
-  // is no answer.
+  // Whether the status of the head is outside the range of HTTP, so that the
+  // response is no answer.
   bool HasInvalidStatus(std::string_view request_id) const;
   void DecodeHead();
   void LogResponseWithoutId(std::string_view request_id) const;
@@ -152,8 +152,9 @@
   TimePoint sent_at{};            ///< When the first byte was written.
   Duration keep_alive_timeout{};  ///< From the Keep-Alive field; 0 if absent.
   enum class WriteState { kDone, kUnderWay, kFailed };
-  /// Of the rest of the request, which is written in the background. Shared
-  /// with the write handler, which may outlive the exchange.
+  /// Whether the rest of the request, which is written in the background, has
+  /// been written. Shared with the write handler, which may outlive the
+  /// exchange.
   std::shared_ptr<WriteState> write_state =
       std::make_shared<WriteState>(WriteState::kDone);
   std::string read_ahead;  ///< Of the body, not returned yet.
--- a/src/dispatch/request/request_dispatch.cc
+++ b/src/dispatch/request/request_dispatch.cc
@@ -368,7 +368,8 @@
   estimate.max_output = this->decoded.max_output_tokens;
   const std::uint32_t prompt = this->decoded.prompt_tokens.value_or(0);
   if (prompt == 0) return estimate;
-  // An engine that has cached most of the prompt usually gets the request.
+  // Assumes the engine that has cached most of the prompt, which usually gets
+  // the request.
   const std::vector<PrefixMatch> matches =
       this->state.prefixes.FindMatches(this->arrived_at, this->decoded.prefix);
   const std::uint32_t cached = matches.empty() ? 0 : matches.front().tokens;
@@ -377,7 +378,8 @@
 }
 
 void RequestDispatch::ObserveTimes() {
-  // The rest of a stream tells nothing of whole ones, nor an error of answers.
+  // A resumed stream says nothing about whole streams, nor an error about
+  // answers.
   if (this->IsResumption()) return;
   if (!http_status::IsBelowRedirection(this->status)) return;
   const TimePoint now = RuntimeClock::now();
@@ -393,7 +395,7 @@
 
 RequestDispatch::ShutdownForecast RequestDispatch::ForecastShutdown() const {
   ShutdownForecast forecast;
-  // What has arrived before is served, however long it takes.
+  // A request that arrived before the shutdown is served in any case.
   if (this->arrived_at < this->state.draining_since) return forecast;
   forecast.estimate =
       this->state.Service(this->service).times.ConservativeEstimate(this->work);
--- a/src/dispatch/request/request_dispatch.h
+++ b/src/dispatch/request/request_dispatch.h
@@ -5,6 +5,7 @@
 
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -100,16 +101,20 @@
   // Engines that are not to be chosen.
   struct PlacementLimits {
     bool avoid_limited = false;  ///< Those that limit their rate.
-    bool avoid_warm_up = false;  ///< Those that warm up and lack the prompt.
+    bool avoid_warm_up = false;  ///< Those that warm up without the prefix.
     bool only_healthy = false;   ///< Unhealthy ones if no other can be chosen.
   };
   std::optional<PlacementPlan> PlanPlacement(
       const PlacementLimits& limits) const;
   std::vector<PlacementCandidate> BuildCandidates(
       bool ignore_health, const PlacementLimits& limits) const;
-  // Returns true if the loads that peers report tell little of those to come.
+  // Returns true if peers' load reports are to be weighed by their age: for a
+  // request without a prefix, if requests of the service end soon.
   bool MayHaveStaleLoads() const;
-  // Adapts to the loads which share of the requests leaves the zone.
+  // Adapts the share of the service's requests that leave the zone to the loads
+  // of all its engines.
+  void UpdateZoneSpill(std::span<const PlacementCandidate> candidates) const;
+  // Sets the zone rule of the plan.
   void ApplyZoneRule(PlacementPlan& plan) const;
   void OnPlaced(const PlacementPlan& plan);
   // Waits in the admission queue of the service for an engine with capacity.
@@ -125,7 +130,8 @@
   // and wants requests.
   bool MayTry(const Engine& engine) const;
   bool HasUntriedEngine() const;
-  // Returns true if the request can only wait for the end of an evacuation.
+  // Returns true if no engine is left for the request and a zone with engines
+  // of the service is evacuated. Requests do not wait for the end of that.
   bool IsLeftToEvacuatedZones() const;
   // Time until one of the engines that may be tried wants requests; zero if one
   // does or if there is none.
@@ -259,9 +265,10 @@
   Awaitable<void> SendError(unsigned status,
                             std::optional<Duration> retry_after);
 
-  // What the request asks of an engine, as far as it can be known on arrival.
+  // Returns the work that the request means for an engine, as far as it is
+  // known on arrival.
   RequestWork EstimateWork() const;
-  // Records how long the answer has taken.
+  // Records how long the answer has taken, for estimates of later ones.
   void ObserveTimes();
   // Whether the request can be answered before a router that shuts down ends.
   struct ShutdownForecast {
--- a/src/dispatch/request/request_placement.cc
+++ b/src/dispatch/request/request_placement.cc
@@ -22,10 +22,10 @@
 
 // Interval at which a waiting request checks for an engine with capacity.
 constexpr Duration kCapacityPollInterval = std::chrono::milliseconds(15);
-// If requests run for this many rotations of digests, nine in ten of those that
-// a report tells are still in flight when the next one arrives.
+// If requests run for this many rotations of digests, nine in ten of those in a
+// report are still in flight when the next report arrives.
 constexpr int kMinRecentRotations = 10;
-// A work time beyond it, or an unknown one, counts as this when the share of
+// A longer work time, or an unknown one, counts as this when the share of
 // requests that leave the zone is adapted.
 constexpr Duration kMaxResponseTime = std::chrono::seconds(10);
 // Permits that a request asks for, one after the other, before it goes to an
@@ -89,8 +89,9 @@
   if (!this->decoded.prefix.empty()) {
     plan.inputs.shared_tokens = TotalTokens(this->decoded.prefix);
   }
-  // An engine that warms up is slow to compute a long prompt. If no healthy
-  // engine is usable, an unhealthy one is better than none.
+  // Each pass admits more engines than the one before. An engine that warms up
+  // is slow to compute a long prompt, so that the first pass leaves it out. If
+  // no healthy engine is usable, an unhealthy one is better than none.
   const bool is_long = plan.inputs.shared_tokens >= kMinLongPrefixTokens;
   for (const auto& [avoid_warm_up, ignore_health] :
        {std::pair(true, false), std::pair(false, false),
@@ -100,6 +101,9 @@
     PlacementLimits pass = limits;
     pass.avoid_warm_up = avoid_warm_up;
     plan.candidates = this->BuildCandidates(ignore_health, pass);
+    if (!avoid_warm_up && !ignore_health && !limits.avoid_limited) {
+      this->UpdateZoneSpill(plan.candidates);
+    }
     this->ApplyZoneRule(plan);
     if (this->MayHaveStaleLoads()) {
       this->state.peer_load.SpreadStaleLoad(RuntimeClock::now(),
@@ -140,7 +144,8 @@
     candidate.same_zone = engine->record.availability_zone ==
                           this->state.options.availability_zone;
     const auto rate = this->state.RateOf(*engine, now);
-    // An engine that warms up takes its share of the load soon.
+    // An engine that only warms up counts in the mean load: it takes its share
+    // of the load within seconds.
     candidate.limits_rate = engine->rate_limit.IsActive();
     const bool was_tried = this->WasTried(*engine);
     const bool evacuated = this->state.IsEvacuated(*engine);
@@ -170,20 +175,27 @@
          kMinRecentRotations * DigestRotationPeriod(this->state.peers.size());
 }
 
-void RequestDispatch::ApplyZoneRule(PlacementPlan& plan) const {
+void RequestDispatch::UpdateZoneSpill(
+    std::span<const PlacementCandidate> candidates) const {
   const double zone_cost = this->state.options.zone_cost;
-  plan.inputs.zone_rule = ZoneRule::kIgnored;
-  if (zone_cost == 0) return;
+  // A repeat or a resumption may not use all engines of the service, so that
+  // the loads of its candidates are not those of the zones.
+  const bool may_use_all =
+      this->tried_engine_keys.empty() && !this->required_version;
+  if (zone_cost == 0 || !may_use_all) return;
   ServiceState& service_state = this->state.Service(this->service);
+  const Duration response_time =
+      DigestRotationPeriod(this->state.peers.size()) +
+      std::min(service_state.work_time.Mean(), kMaxResponseTime);
+  service_state.zone_spill.Update(RuntimeClock::now(), SumZoneLoads(candidates),
+                                  response_time, zone_cost);
+}
+
+void RequestDispatch::ApplyZoneRule(PlacementPlan& plan) const {
+  plan.inputs.zone_rule = ZoneRule::kIgnored;
+  if (this->state.options.zone_cost == 0) return;
+  const ServiceState& service_state = this->state.Service(this->service);
   const ZoneLoads loads = SumZoneLoads(plan.candidates);
-  // For a repeat or a resumption, not all engines of the service are usable.
-  if (this->tried_engine_keys.empty() && !this->required_version) {
-    const Duration response_time =
-        DigestRotationPeriod(this->state.peers.size()) +
-        std::min(service_state.work_time.Mean(), kMaxResponseTime);
-    service_state.zone_spill.Update(RuntimeClock::now(), loads, response_time,
-                                    zone_cost);
-  }
   plan.zone_share = service_state.zone_spill.Share();
   plan.inputs.zone_rule =
       service_state.zone_spill.RuleFor(loads, this->request_key);
--- a/src/dispatch/store/store_watcher.cc
+++ b/src/dispatch/store/store_watcher.cc
@@ -27,8 +27,8 @@
 // Longest wait of one watch call. The store can stop sending changes without
 // closing the watch, so the call is repeated after this time.
 constexpr Duration kWatchWait = std::chrono::milliseconds(1600);
-// Of the first watch after the read at the start; its result shows at once that
-// this router's view of the store is current.
+// Wait of the first watch after the read at the start. It is short, since the
+// result shows that this router's view of the store is current.
 constexpr Duration kFirstWatchWait = std::chrono::milliseconds(20);
 // Largest fraction of a delay that is subtracted at random, so that routers do
 // not call the store in step.
@@ -197,11 +197,11 @@
       this->state.metrics.ObserveLatency("store_read_seconds",
                                          RuntimeClock::now() - began);
     }
-    // A call that was in flight when this router became a listener: peers
-    // supply the state now. A whole table is used unless it is older than that.
-    // A failure would mark the list of engines as stale until this router
-    // watches again, and engines that peers report as removed would stay in the
-    // list.
+    // The call was in flight when this router became a listener, which peers
+    // supply. A whole table is used unless peers have supplied a newer one. A
+    // failure is ignored: it would mark the list of engines as stale until this
+    // router watches again, and engines that peers report as removed would stay
+    // in the list.
     if (this->state.watcher_election.Role() == WatchRole::kListener) {
       if (rows.has_value() && !has_table) {
         this->state.OnStoreEra(rows->version.era);
@@ -538,7 +538,9 @@
         std::max(this->state.newest_engine_version,
                  StoreVersion{rows.version.era, row.version});
     EngineUpdate update = this->DecodeEngineRow(row);
-    // What a row stated before the list in use was read holds no longer.
+    // A whole table repeats the rows that are in use already. The time of a
+    // warm-up in such a row ran from when it was written, and must not begin
+    // anew.
     const StoreVersion written{rows.version.era, row.version};
     if (is_whole_table && written.era == this->state.engines.Version().era &&
         written <= this->state.engines.Version()) {
--- a/src/dispatch/store/store_watcher.h
+++ b/src/dispatch/store/store_watcher.h
@@ -19,9 +19,8 @@
 ///
 /// Configuration and engines are read once at the start unless peers supply
 /// them, and watched if the router's role demands it; a listener receives them
-/// from its peers. In every
-/// role, the router's own row is written to the table of routers, and the other
-/// rows are read as the list of peers.
+/// from its peers. In every role, the router's own row is written to the table
+/// of routers, and the other rows are read as the list of peers.
 class StoreWatcher {
  public:
   StoreWatcher(DispatchState& state, std::shared_ptr<TableStore> store)
@@ -37,8 +36,8 @@
   void OnRows(StoreTable table, const StoreRows& rows, bool is_whole_table);
   void OnTableCallFailed(StoreTable table, const Fault& fault);
   Awaitable<void> WatchTable(StoreTable table);
-  // True if a table that this router does not have may be read. At the start,
-  // peers may supply it instead.
+  // True if this router may read a whole table that it does not have; false
+  // while peers may still supply it at the start.
   bool MayRead() const;
   Awaitable<void> RegisterAndFindPeers();
   // Waits until the table of routers should be read again. Returns true if the
--- a/src/tunnel/tunnel_server.cc
+++ b/src/tunnel/tunnel_server.cc
@@ -33,7 +33,7 @@
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(300);
 // After the engine's end of the response, the caller closes within this time.
 constexpr Duration kCloseTimeout = std::chrono::milliseconds(2000);
-// After that end, the engine may read the rest of the request within this time.
+// Time that the engine gets after that end to read the rest of the request.
 constexpr Duration kMaxUploadWait = std::chrono::seconds(1);
 constexpr Duration kUploadPollInterval = std::chrono::milliseconds(10);
 constexpr Duration kAcceptPause = std::chrono::milliseconds(50);
@@ -300,8 +300,8 @@
                 {"bytes", static_cast<std::int64_t>(session->bytes)}});
 }
 
-// The system reports the reset of a connection once. If a write gets the
-// report, a later read finds an end that looks orderly.
+// The system reports the reset of a connection only once. If a write gets that
+// error, a later read finds what looks like an orderly end.
 Awaitable<bool> TunnelServer::HasPassedUpload(
     std::shared_ptr<Session> session) {
   const TimePoint until = RuntimeClock::now() + kMaxUploadWait;
--- a/src/tunnel/tunnel_server.h
+++ b/src/tunnel/tunnel_server.h
@@ -60,8 +60,8 @@
   // Passes on what the caller sends; its end cancels the request.
   Awaitable<void> PassToEngine(std::shared_ptr<Session> session);
   Awaitable<void> PassToCaller(std::shared_ptr<Session> session);
-  // Whether the engine could be sent all that the caller has sent so far; waits
-  // for it for some time.
+  // Whether the engine has been sent all that the caller has sent so far. Waits
+  // for that, up to a limit.
   Awaitable<bool> HasPassedUpload(std::shared_ptr<Session> session);
   // Ends the caller's connection as the engine has ended its own.
   Awaitable<void> EndForCaller(std::shared_ptr<Session> session, bool in_order);
--- a/tests/early_answer_test.cc
+++ b/tests/early_answer_test.cc
@@ -26,9 +26,11 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kReadIdleTimeout(50);
-// More than the sockets between router and engine take while nobody reads.
+// More than the socket buffers between router and engine hold while the engine
+// does not read.
 constexpr std::size_t kUploadBytes = 24 * 1024 * 1024;
-// The router has got the answer's first part and waits for the rest.
+// Time after which the router has the first part of the answer and waits for
+// the rest.
 constexpr milliseconds kPartTime(150);
 constexpr std::string_view kPart = "part-of-the-answer";
 constexpr std::string_view kEvents = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
@@ -118,10 +120,10 @@
   int sent = 0;
 };
 
-// Guards against a part of an answer that reaches the client as a whole one.
+// Guards against a partial answer that reaches the client as a complete one.
 // The reset is reported to the write of the upload; to the read that comes
 // after it the connection looks as if it had ended in order.
-TEST_CASE("a part of an answer is not whole if the upload is cut off") {
+TEST_CASE("a partial answer is not complete if the upload is cut off") {
   Fleet fleet(1);
   for (const ScriptStep& end :
        {ScriptStep(ResetConnection{}), ScriptStep(CloseConnection{})}) {
@@ -140,7 +142,7 @@
 }
 
 // The same without a pause: the answer and the reset may arrive together.
-TEST_CASE("a part of an answer with a reset behind it is not whole") {
+TEST_CASE("a partial answer followed by a reset is not complete") {
   Fleet fleet(1);
   fleet.SetScripts(SendPart(ResetConnection{}, milliseconds(1)));
   for (int n = 0; n < 20; ++n) {
@@ -150,7 +152,7 @@
   }
 }
 
-TEST_CASE("a part of an answer over a tunnel is not whole") {
+TEST_CASE("a partial answer over a tunnel is not complete") {
   Fleet fleet(1, 2);
   fleet.LeadOverTunnel();
   fleet.SetScripts(SendWhole(milliseconds(0)));
@@ -166,7 +168,8 @@
     }
     CHECK_FALSE(fleet.Upload("/stream/").ends_with(kLastChunk));
   }
-  // The sockets before the carrier may take all of these, those behind it not.
+  // The sockets before the carrier may buffer all of these uploads; those
+  // between it and the engine do not.
   constexpr std::size_t kMegabyte = 1024 * 1024;
   fleet.SetScripts(SendPart(ResetConnection{}));
   for (std::size_t size = 1; size <= 12; ++size) {
@@ -176,9 +179,9 @@
   }
 }
 
-// Guards against a carrier that vouches for the end of an answer while the
-// upload, which the router has handed over whole, does not get to the engine.
-TEST_CASE("a carrier vouches for no answer whose upload it can't pass on") {
+// Guards against a carrier that confirms the end of an answer although the
+// upload, all of which the router has handed over, does not reach the engine.
+TEST_CASE("a carrier confirms no answer whose upload it can't pass on") {
   Fleet fleet(1, 2);
   fleet.LeadOverTunnel();
   fleet.SetScripts([&](const HttpRequest& request) {
@@ -195,9 +198,9 @@
   }
 }
 
-// Guards against answers that a carrier loses since the upload that it passes
-// on is cut off.
-TEST_CASE("an early answer with a length is whole over a tunnel") {
+// Guards against answers that a carrier drops when the upload that it passes on
+// is cut off.
+TEST_CASE("an early answer with a length is complete over a tunnel") {
   Fleet fleet(1, 2);
   fleet.LeadOverTunnel();
   fleet.SetScripts([&](const HttpRequest& request) -> Script {
@@ -209,7 +212,7 @@
   }
 }
 
-TEST_CASE("a backup's part of an answer is not whole") {
+TEST_CASE("a backup's partial answer is not complete") {
   Fleet fleet(2);
   fleet.SetScripts(SendWhole(milliseconds(1600)), SendPart(ResetConnection{}));
   const std::string response = fleet.Upload("/any/");
@@ -220,7 +223,7 @@
   CHECK(fleet.TotalRequests() == 2);
 }
 
-TEST_CASE("the first engine's part is not whole while a backup is under way") {
+TEST_CASE("a partial answer is not complete while a backup is under way") {
   Fleet fleet(2);
   fleet.SetScripts(SendPart(ResetConnection{}, milliseconds(1400)),
                    SendWhole(milliseconds(1200)));
@@ -232,9 +235,9 @@
   CHECK(fleet.TotalRequests() == 2);
 }
 
-// Guards against mistrust of engines that answer early and read the upload
-// nevertheless.
-TEST_CASE("an early answer is whole if the engine takes the whole upload") {
+// Guards against the rejection of early answers of engines that read the whole
+// upload nevertheless.
+TEST_CASE("an early answer is complete if the engine reads the whole upload") {
   Fleet fleet(1);
   fleet.SetScripts(SendPart(EndSending{}));
   const std::string response = fleet.Upload("/once/");
@@ -244,7 +247,7 @@
   CHECK(fleet.Upload("/stream/").ends_with(kLastChunk));
 }
 
-TEST_CASE("an early answer with a length is whole, however the upload ends") {
+TEST_CASE("an early answer with a length is complete however the upload ends") {
   Fleet fleet(1);
   for (const ScriptStep& end :
        {ScriptStep(ResetConnection{}), ScriptStep(CloseConnection{}),
@@ -259,7 +262,7 @@
     CHECK(response.starts_with("HTTP/1.1 200"));
     CHECK(response.ends_with("whole"));
   }
-  // The connection that was kept is not mixed up with the next request's.
+  // The next request does not get anything of this one from a kept connection.
   fleet.SetScripts(SendWhole(milliseconds(0)));
   CHECK(fleet.Upload("/once/", 10).ends_with("whole"));
 }
--- a/tests/engine_change_log_test.cc
+++ b/tests/engine_change_log_test.cc
@@ -395,7 +395,7 @@
     applied += histories.Applied();
   });
   CHECK(held);
-  // The changes have been tried, not only the whole lists.
+  // Some histories have really used changes, and not only whole lists.
   CHECK(applied > 1000);
 }
 
--- a/tests/engine_warm_up_test.cc
+++ b/tests/engine_warm_up_test.cc
@@ -58,7 +58,7 @@
   CHECK_FALSE(warm_up.OnAnswered(kNow + seconds(67), kWarmUpTime));
 }
 
-TEST_CASE("a warm-up that began after the loss replaces the own answer") {
+TEST_CASE("a warm-up that began after the loss ends the loss") {
   EngineWarmUp warm_up;
   warm_up.OnLost(kNow, kWarmUpTime);
   // A peer's report of a warm-up from before the loss.
@@ -76,7 +76,7 @@
   CHECK(warm_up.OnLost(kNow + seconds(1), kWarmUpTime));
 }
 
-TEST_CASE("peers are told of a lasting loss now and then only") {
+TEST_CASE("peers are told of a lasting loss only every few seconds") {
   EngineWarmUp warm_up;
   int told = 0;
   for (int n = 0; n < 600; ++n) {
--- a/tests/evacuation_test.cc
+++ b/tests/evacuation_test.cc
@@ -23,7 +23,8 @@
 constexpr milliseconds kQuiet(100);
 // `bounds.evacuate_ms` of the platform.
 constexpr milliseconds kMaxEvacuationTime(5000);
-// Requests that a router has sent before it knew have arrived after this time.
+// Requests that a router sent before it knew of a change have arrived within
+// this time.
 constexpr milliseconds kTransitTime(200);
 constexpr milliseconds kRequestInterval(25);
 
@@ -186,7 +187,7 @@
   const std::string refused_later = get("w2").get();
   CHECK(refused_later.starts_with("HTTP/1.1 503"));
   CHECK(refused_later.find("\r\nRetry-After: ") != std::string::npos);
-  // Those that run there run to their end.
+  // Requests that run there are completed.
   for (auto& one : running) {
     CHECK(one.wait_for(milliseconds(0)) == std::future_status::timeout);
   }
--- a/tests/rate_permits_test.cc
+++ b/tests/rate_permits_test.cc
@@ -288,7 +288,8 @@
   }
 }
 
-// Permits for an engine of a service with this rate for warm-ups.
+// Returns the rate in force of an engine that warms up, in a service with this
+// rate of warm-ups.
 RateInForce WarmUpRate(double rate) {
   EngineWarmUp warm_up;
   const TimePoint now(seconds(1000));
--- a/tests/service_times_test.cc
+++ b/tests/service_times_test.cc
@@ -1,5 +1,5 @@
-// Estimates of the time that an answer takes: learnt from answers, and too
-// short for few requests only, also if clients' expectations of the output are
+// Estimates of the time that an answer takes: they are learnt from answers, and
+// few requests take longer, even if clients' expectations of the output are
 // wrong.
 #include "dandelionscale/core/load/service_times.h"
 
@@ -145,8 +145,8 @@
   CHECK(*times.ConservativeEstimate(RequestWork()) == milliseconds(300));
 }
 
-// Guards against estimates that are too short for more streams than they should
-// be, or so long that short streams are refused for nothing. Of 20 streams one
+// Guards against estimates that too many streams exceed, or that are so long
+// that short streams are refused without need. Of 20 streams one
 // may take longer; after only 128 answers that share is known to a factor of 3.
 TEST_CASE(
     "few streams take longer than estimated, whatever the hints' errors") {
--- a/tests/shutdown_grace_test.cc
+++ b/tests/shutdown_grace_test.cc
@@ -304,9 +304,9 @@
   }
 }
 
-// Guards against refusals for want of knowledge: a router that has seen no
-// answers of a service takes what comes until the balancer has left it, and
-// after that what its own timeout ends in time.
+// Guards against refusals only because no estimate exists. A router that has
+// seen no answers of a service takes all requests while the load balancer still
+// sends clients, and later those whose own timeout ends in time.
 TEST_CASE("a service never seen before is served while the balancer reacts") {
   MixedFleet fleet(1);
   auto before = fleet.BeginStream(1, "before", kShortStream);
--- a/tests/support/stale_load_fleet.h
+++ b/tests/support/stale_load_fleet.h
@@ -1,6 +1,6 @@
 /// \file
 /// \brief Simulates many routers that place requests on the engines of one
-/// service by load reports that are up to a rotation of digests old.
+///        service by load reports that are up to a rotation of digests old.
 #ifndef DANDELIONSCALE_TESTS_SUPPORT_STALE_LOAD_FLEET_H_
 #define DANDELIONSCALE_TESTS_SUPPORT_STALE_LOAD_FLEET_H_
 
--- a/tests/zone_spill_test.cc
+++ b/tests/zone_spill_test.cc
@@ -45,7 +45,7 @@
   return settings;
 }
 
-TEST_CASE("zones that are equally busy send each other nothing") {
+TEST_CASE("zones that are equally busy send each other no requests") {
   auto settings = Service({3, 3, 3}, 0.55, 500);
   StaleLoadFleet fleet(settings);
   const auto result = Run(fleet, "equal zones", kRunMs);
@@ -222,7 +222,7 @@
   CHECK(Choose(candidates, ZoneRule::kLeave) == 0);
 }
 
-TEST_CASE("an engine that limits its rate is no room in the zone") {
+TEST_CASE("an engine that limits its rate does not count as room in the zone") {
   auto candidates = Candidates({0, 3, 4}, 1);
   candidates[0].limits_rate = true;
   CHECK(Choose(candidates, ZoneRule::kStay) == 1);
@@ -230,7 +230,7 @@
 
 // Guards against prompts that each zone computes again, or copies, although an
 // engine of another zone holds them.
-TEST_CASE("a prefix is followed into any zone, one without holder stays") {
+TEST_CASE("a cached prefix is followed into any zone, others obey the rule") {
   auto candidates = Candidates({2, 2, 2}, 1);
   CHECK(Choose(candidates, ZoneRule::kStay, 3999) == 0);
   CHECK(Choose(candidates, ZoneRule::kLeave, 3999) != 0);
@@ -250,7 +250,7 @@
 
 // Fleets with one zone, and routers whose zone has no engine of the service,
 // must decide as if there were no zones.
-TEST_CASE("the rule is ignored unless some but not all engines are own ones") {
+TEST_CASE("zones are ignored unless both sides have engines to choose from") {
   for (std::size_t own : {0, 3}) {
     const auto candidates = Candidates({9, 0, 4}, own);
     const ZoneLoads loads = SumZoneLoads(candidates);
