Move the placement decision into PlacementPlanner

The class has only const access to DispatchState, so that a dry run can make the same decision without side effects. The adapted ZoneSpill is returned, and RequestDispatch stores it. No change of behavior.

--- a/src/dispatch/dispatch_state.cc
+++ b/src/dispatch/dispatch_state.cc
@@ -504,6 +504,12 @@
   return *found->second;
 }
 
+const ServiceState* DispatchState::FindServiceState(
+    std::string_view name) const {
+  const auto found = this->services.find(name);
+  return found == this->services.end() ? nullptr : found->second.get();
+}
+
 std::size_t DispatchState::RouterCount() const {
   return this->peers.empty() ? kAssumedRouters : this->peers.size() + 1;
 }
--- a/src/dispatch/dispatch_state.h
+++ b/src/dispatch/dispatch_state.h
@@ -183,6 +183,8 @@
   const ServiceSpec* FindService(std::string_view name) const;
   /// \returns the state of a service; created on first use.
   ServiceState& Service(std::string_view name);
+  /// \returns the state of a service, or null if there is none yet.
+  const ServiceState* FindServiceState(std::string_view name) const;
   /// \returns the version of the routing table; 0 if there is none.
   std::uint64_t ConfigurationVersion() const {
     return this->routing_table ? this->routing_table->version : 0;
--- a/src/dispatch/request/request_dispatch.h
+++ b/src/dispatch/request/request_dispatch.h
@@ -17,6 +17,7 @@
 #include "dispatch/request/answer_beginning.h"
 #include "dispatch/request/client_connection.h"
 #include "dispatch/request/engine_exchange.h"
+#include "dispatch/request/placement_planner.h"
 #include "engine_response/event_splitter.h"
 #include "engine_response/unframed_body.h"
 
@@ -35,7 +36,8 @@
 /// after failures and relays the response.
 ///
 /// The implementation is divided into `request_dispatch.cc` (attempts),
-/// `request_placement.cc` (choice of the engine and waiting),
+/// `request_placement.cc` (permits, placement and waiting; `PlacementPlanner`
+/// chooses the engine),
 /// `request_silence.cc` (engines that send nothing), `request_backup.cc` (a
 /// second send meanwhile), `response_relay.cc` and `request_ending.cc` (final
 /// responses).
@@ -79,43 +81,17 @@
   // The first events of a stream are sent to the client.
   void OnStreamBegun();
   bool IsResumption() const { return !this->decoded.resume_after.empty(); }
-  // Returns true if the engine may go on with the stream.
-  bool FitsVersion(const Engine& engine) const;
   // Chooses an engine, waiting for capacity if necessary. Sends the final
   // response and returns null if there is none.
   Awaitable<std::shared_ptr<Engine>> Place();
   // Chooses an engine that has room; asks for a permit if it limits its rate.
   // Returns null if there is none.
   Awaitable<std::shared_ptr<Engine>> TryPlace();
-  // An engine that was chosen, and what decided it.
-  struct PlacementPlan {
-    std::shared_ptr<Engine> engine;
-    PlacementDecision decision;
-    PlacementInputs inputs;
-    std::vector<PlacementCandidate> candidates;  ///< `inputs` refers to them.
-    std::string cache_source_address;
-    double zone_share = 0;  ///< Share of the requests that leave the zone.
-    /// When the engine's permit was asked for, if it needs one.
-    std::optional<TimePoint> permitted_at;
-  };
-  // Engines that are not to be chosen.
-  struct PlacementLimits {
-    bool avoid_limited = false;  ///< Those that limit their rate.
-    bool avoid_warm_up = false;  ///< Those that warm up without the prefix.
-    bool only_healthy = false;   ///< Unhealthy ones if no other can be chosen.
-  };
-  std::optional<PlacementPlan> PlanPlacement(
-      const PlacementLimits& limits) const;
-  std::vector<PlacementCandidate> BuildCandidates(
-      bool ignore_health, const PlacementLimits& limits) const;
-  // Returns true if peers' load reports are to be weighed by their age: for a
-  // request without a prefix, if requests of the service end soon.
-  bool MayHaveStaleLoads() const;
-  // Adapts the share of the service's requests that leave the zone to the loads
-  // of all its engines.
-  void UpdateZoneSpill(std::span<const PlacementCandidate> candidates) const;
-  // Sets the zone rule of the plan.
-  void ApplyZoneRule(PlacementPlan& plan) const;
+  // Chooses an engine that has room, and adapts the share of the service's
+  // requests that leave the zone.
+  std::optional<PlacementPlan> PlanPlacement(const PlacementLimits& limits);
+  // Decides on the state as it is now.
+  PlacementPlanner Planner() const;
   void OnPlaced(const PlacementPlan& plan);
   // Waits in the admission queue of the service for an engine with capacity.
   Awaitable<std::shared_ptr<Engine>> WaitForEngine();
@@ -125,17 +101,6 @@
   bool IsQuarantined();
   // Time until such a request may be tried; zero if none blocks this one.
   Duration TimeUntilProbe() const;
-  bool WasTried(const Engine& engine) const;
-  // Returns true if the engine may be sent the request as soon as it has room
-  // and wants requests.
-  bool MayTry(const Engine& engine) const;
-  bool HasUntriedEngine() const;
-  // Returns true if no engine is left for the request and a zone with engines
-  // of the service is evacuated. Requests do not wait for the end of that.
-  bool IsLeftToEvacuatedZones() const;
-  // Time until one of the engines that may be tried wants requests; zero if one
-  // does or if there is none.
-  Duration TimeUntilUsableEngine() const;
   // Sends the final response if there is no engine to wait for.
   Awaitable<void> FinishWithoutEngine();
   // Sends the final response if no engine can be chosen.
--- a/src/dispatch/request/request_ending.cc
+++ b/src/dispatch/request/request_ending.cc
@@ -58,7 +58,7 @@
     const AdmissionQueue& queue = this->state.Service(this->service).queue;
     retry_after = std::max(
         queue.RetryAfter(HashText(this->workspace), this->state.Random()),
-        this->TimeUntilUsableEngine());
+        this->Planner().TimeUntilUsableEngine());
   }
   retry_after = std::max(retry_after, this->TimeUntilProbe());
   co_await this->SendErrorResponse(status, reason, retry_after);
--- a/src/dispatch/request/request_placement.cc
+++ b/src/dispatch/request/request_placement.cc
@@ -5,7 +5,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "dandelionscale/core/digest_schedule.h"
 #include "dandelionscale/core/hash.h"
 #include "dandelionscale/core/load/placement_record.h"
 #include "dandelionscale/runtime/logger.h"
@@ -22,12 +21,6 @@
 
 // Interval at which a waiting request checks for an engine with capacity.
 constexpr Duration kCapacityPollInterval = std::chrono::milliseconds(15);
-// If requests run for this many rotations of digests, nine in ten of those in a
-// report are still in flight when the next report arrives.
-constexpr int kMinRecentRotations = 10;
-// A longer work time, or an unknown one, counts as this when the share of
-// requests that leave the zone is adapted.
-constexpr Duration kMaxResponseTime = std::chrono::seconds(10);
 // Permits that a request asks for, one after the other, before it goes to an
 // engine that does not limit its rate.
 constexpr int kMaxPermitRequests = 2;
@@ -79,126 +72,24 @@
   co_return nullptr;
 }
 
-std::optional<RequestDispatch::PlacementPlan> RequestDispatch::PlanPlacement(
-    const PlacementLimits& limits) const {
-  const auto engines = this->state.engines.Find(this->service);
-  PlacementPlan plan;
-  plan.inputs.affinity_key = this->affinity_key;
-  plan.inputs.request_key = this->request_key;
-  plan.inputs.load_factor = this->state.options.load_factor;
-  if (!this->decoded.prefix.empty()) {
-    plan.inputs.shared_tokens = TotalTokens(this->decoded.prefix);
+std::optional<PlacementPlan> RequestDispatch::PlanPlacement(
+    const PlacementLimits& limits) {
+  PlacementOutcome outcome = this->Planner().Plan(limits);
+  if (outcome.zone_spill) {
+    this->state.Service(this->service).zone_spill = *outcome.zone_spill;
   }
-  // Each pass admits more engines than the one before. An engine that warms up
-  // is slow to compute a long prompt, so that the first pass leaves it out. If
-  // no healthy engine is usable, an unhealthy one is better than none.
-  const bool is_long = plan.inputs.shared_tokens >= kMinLongPrefixTokens;
-  for (const auto& [avoid_warm_up, ignore_health] :
-       {std::pair(true, false), std::pair(false, false),
-        std::pair(false, true)}) {
-    if (avoid_warm_up && !is_long) continue;
-    if (ignore_health && limits.only_healthy) break;
-    PlacementLimits pass = limits;
-    pass.avoid_warm_up = avoid_warm_up;
-    plan.candidates = this->BuildCandidates(ignore_health, pass);
-    if (!avoid_warm_up && !ignore_health && !limits.avoid_limited) {
-      this->UpdateZoneSpill(plan.candidates);
-    }
-    this->ApplyZoneRule(plan);
-    if (this->MayHaveStaleLoads()) {
-      this->state.peer_load.SpreadStaleLoad(RuntimeClock::now(),
-                                            plan.candidates);
-    }
-    plan.inputs.candidates = plan.candidates;
-    const auto decision = ChooseEngine(plan.inputs);
-    if (!decision) continue;
-    plan.decision = *decision;
-    plan.engine = engines[decision->index];
-    const auto source = ChooseCopySource(plan.inputs, decision->index);
-    if (source) plan.cache_source_address = engines[*source]->record.address;
-    return plan;
-  }
-  return std::nullopt;
-}
-
-std::vector<PlacementCandidate> RequestDispatch::BuildCandidates(
-    bool ignore_health, const PlacementLimits& limits) const {
-  const TimePoint now = RuntimeClock::now();
-  const auto engines = this->state.engines.Find(this->service);
-  double failure_rate = 0;
-  for (const auto& engine : engines) {
-    failure_rate += engine->health.FailureRate();
-  }
-  failure_rate /= static_cast<double>(std::max<std::size_t>(1, engines.size()));
-  const std::vector<PrefixMatch> matches =
-      this->state.prefixes.FindMatches(now, this->decoded.prefix);
-  std::vector<PlacementCandidate> candidates;
-  candidates.reserve(engines.size());
-  for (const auto& engine : engines) {
-    PlacementCandidate candidate;
-    candidate.engine_key = engine->key;
-    candidate.in_flight =
-        engine->in_flight + this->state.peer_load.InFlight(engine->key);
-    candidate.max_slots = engine->record.max_slots;
-    candidate.cached_tokens = MatchedTokens(matches, engine->key);
-    candidate.same_zone = engine->record.availability_zone ==
-                          this->state.options.availability_zone;
-    const auto rate = this->state.RateOf(*engine, now);
-    // An engine that only warms up counts in the mean load: it takes its share
-    // of the load within seconds.
-    candidate.limits_rate = engine->rate_limit.IsActive();
-    const bool was_tried = this->WasTried(*engine);
-    const bool evacuated = this->state.IsEvacuated(*engine);
-    const bool ejected = engine->health.IsEjected(now, failure_rate);
-    const bool probe_in_flight =
-        engine->health.IsHalfOpen(now) && engine->in_flight > 0;
-    const bool healthy = ignore_health || (!ejected && !probe_in_flight);
-    const bool may_permit =
-        !rate || (!limits.avoid_limited && engine->rate_limit.MayAsk(now));
-    const bool must_warm_up =
-        limits.avoid_warm_up && rate && rate->is_warm_up &&
-        candidate.cached_tokens < TotalTokens(this->decoded.prefix);
-    candidate.usable = this->MayTry(*engine) && healthy &&
-                       !engine->pause.IsActive(now) && may_permit &&
-                       !must_warm_up;
-    candidate.reachable = !ejected && !was_tried && !evacuated;
-    candidates.push_back(candidate);
-  }
-  return candidates;
-}
-
-bool RequestDispatch::MayHaveStaleLoads() const {
-  // Requests with the same prefix keep their engine busy beyond the time of one
-  // of them, and the load bound relies on their number.
-  if (this->affinity_key != 0) return false;
-  return this->state.Service(this->service).work_time.Mean() <
-         kMinRecentRotations * DigestRotationPeriod(this->state.peers.size());
-}
-
-void RequestDispatch::UpdateZoneSpill(
-    std::span<const PlacementCandidate> candidates) const {
-  const double zone_cost = this->state.options.zone_cost;
-  // A repeat or a resumption may not use all engines of the service, so that
-  // the loads of its candidates are not those of the zones.
-  const bool may_use_all =
-      this->tried_engine_keys.empty() && !this->required_version;
-  if (zone_cost == 0 || !may_use_all) return;
-  ServiceState& service_state = this->state.Service(this->service);
-  const Duration response_time =
-      DigestRotationPeriod(this->state.peers.size()) +
-      std::min(service_state.work_time.Mean(), kMaxResponseTime);
-  service_state.zone_spill.Update(RuntimeClock::now(), SumZoneLoads(candidates),
-                                  response_time, zone_cost);
+  return std::move(outcome.plan);
 }
 
-void RequestDispatch::ApplyZoneRule(PlacementPlan& plan) const {
-  plan.inputs.zone_rule = ZoneRule::kIgnored;
-  if (this->state.options.zone_cost == 0) return;
-  const ServiceState& service_state = this->state.Service(this->service);
-  const ZoneLoads loads = SumZoneLoads(plan.candidates);
-  plan.zone_share = service_state.zone_spill.Share();
-  plan.inputs.zone_rule =
-      service_state.zone_spill.RuleFor(loads, this->request_key);
+PlacementPlanner RequestDispatch::Planner() const {
+  PlacementRequest placement;
+  placement.service = this->service;
+  placement.prefix = this->decoded.prefix;
+  placement.affinity_key = this->affinity_key;
+  placement.request_key = this->request_key;
+  placement.tried_engine_keys = this->tried_engine_keys;
+  placement.required_version = this->required_version;
+  return PlacementPlanner(this->state, placement, RuntimeClock::now());
 }
 
 void RequestDispatch::OnPlaced(const PlacementPlan& plan) {
@@ -253,12 +144,13 @@
 Awaitable<std::shared_ptr<Engine>> RequestDispatch::WaitForEngine() {
   AdmissionQueue& queue = this->state.Service(this->service).queue;
   const TimePoint now = RuntimeClock::now();
-  const bool has_untried_engine = this->HasUntriedEngine();
+  const PlacementPlanner planner = this->Planner();
+  const bool has_untried_engine = planner.HasUntriedEngine();
   std::optional<WaitGrant> grant;
   if (has_untried_engine) {
     const WaitRequest wait_request = {
         HashText(this->workspace), this->priority, this->route->latency_target,
-        this->Deadline(), this->TimeUntilUsableEngine()};
+        this->Deadline(), planner.TimeUntilUsableEngine()};
     const WaitInputs inputs = queue.Inputs(now, wait_request);
     grant = queue.TryEnqueue(now, wait_request);
     this->LogWait(grant ? "request_waits" : "wait_refused", inputs);
@@ -278,7 +170,7 @@
          this->interruption == Interruption::kNone) {
     if (this->IsQuarantined()) reason = "quarantined";
     if (this->IsTooLateToBegin()) reason = "shutting_down";
-    evacuated = this->IsLeftToEvacuatedZones();
+    evacuated = this->Planner().IsLeftToEvacuatedZones();
     if (evacuated || reason != "no_room") break;
     if (queue.IsFirst(grant->ticket)) {
       if (auto engine = co_await this->TryPlace()) {
@@ -340,46 +232,6 @@
                        {"estimate_ms", ToMilliseconds(EstimateWait(inputs))}});
 }
 
-bool RequestDispatch::WasTried(const Engine& engine) const {
-  return std::find(this->tried_engine_keys.begin(),
-                   this->tried_engine_keys.end(),
-                   engine.key) != this->tried_engine_keys.end();
-}
-
-bool RequestDispatch::MayTry(const Engine& engine) const {
-  return this->FitsVersion(engine) && !engine.draining &&
-         !this->state.IsEvacuated(engine) && !this->WasTried(engine);
-}
-
-Duration RequestDispatch::TimeUntilUsableEngine() const {
-  const TimePoint now = RuntimeClock::now();
-  std::optional<Duration> shortest;
-  for (const auto& engine : this->state.engines.Find(this->service)) {
-    if (!this->MayTry(*engine)) continue;
-    const Duration denial = this->state.RateOf(*engine, now)
-                                ? engine->rate_limit.TimeUntilMayAsk(now)
-                                : Duration::zero();
-    const Duration pause = std::max(engine->pause.Remaining(now), denial);
-    shortest = std::min(shortest.value_or(pause), pause);
-  }
-  return shortest.value_or(Duration::zero());
-}
-
-bool RequestDispatch::HasUntriedEngine() const {
-  const auto engines = this->state.engines.Find(this->service);
-  return std::any_of(
-      engines.begin(), engines.end(),
-      [this](const auto& engine) { return this->MayTry(*engine); });
-}
-
-bool RequestDispatch::IsLeftToEvacuatedZones() const {
-  const auto engines = this->state.engines.Find(this->service);
-  const bool has_evacuated = std::any_of(
-      engines.begin(), engines.end(),
-      [this](const auto& engine) { return this->state.IsEvacuated(*engine); });
-  return has_evacuated && !this->HasUntriedEngine();
-}
-
 Awaitable<void> RequestDispatch::FinishWithoutEngine() {
   const bool is_unsent_resumption =
       this->IsResumption() && this->required_version && this->sends == 0;
--- a/src/dispatch/request/request_silence.cc
+++ b/src/dispatch/request/request_silence.cc
@@ -175,7 +175,7 @@
   this->CheckSilenceAt(next);
 }
 
-std::optional<RequestDispatch::PlacementPlan> RequestDispatch::PlanBackup() {
+std::optional<PlacementPlan> RequestDispatch::PlanBackup() {
   AttemptHistory history = this->HistoryAfter(AttemptFailure::kNoAnswer);
   history.sends = this->SendsWithUnsent();
   const AttemptDecision decision =
--- a/src/dispatch/request/stream_resumption.cc
+++ b/src/dispatch/request/stream_resumption.cc
@@ -151,10 +151,4 @@
                                                this->service));
 }
 
-bool RequestDispatch::FitsVersion(const Engine& engine) const {
-  if (!this->required_version) return true;
-  return engine.version_key != 0 &&
-         engine.version_key == *this->required_version;
-}
-
 }  // namespace dandelionscale::internal
