A start counts what a peer supplies before the table of routers is known

That has no view age, so the rows do not count as supplied: the router reads the store, and never logs started_from_peer. A slow machine or store makes this likely.

The test now restarts the four listeners that wait longest for peers, so that it does not depend on the machine's speed.

--- a/emulator/store_service.cc
+++ b/emulator/store_service.cc
@@ -66,6 +66,10 @@
   this->changed.NotifyAll();
 }
 
+void StoreService::DelayReads(const std::string& table, Duration delay) {
+  this->read_delays[table] = delay;
+}
+
 void StoreService::TakeCopy() {
   this->copied_rows = this->rows;
   this->copied_version = this->version;
@@ -93,7 +97,9 @@
 Awaitable<HttpResponse> StoreService::HandleCall(const HttpRequest& request) {
   if (this->mode == StoreMode::kBusy) co_return StatusResponse(kUnavailable);
   const std::string_view path = PathOf(request.target);
-  if (path == "/dandelionscale/rows-get") co_return this->GetRows(request);
+  if (path == "/dandelionscale/rows-get") {
+    co_return co_await this->GetRows(request);
+  }
   if (path == "/dandelionscale/rows-feed") {
     co_return co_await this->WatchRows(request);
   }
@@ -101,9 +107,15 @@
   co_return StatusResponse(kNotFound);
 }
 
-HttpResponse StoreService::GetRows(const HttpRequest& request) const {
-  return this->RowsResponse(
-      this->Rows(QueryParameter(request.target, "table"), 0, false));
+Awaitable<HttpResponse> StoreService::GetRows(
+    const HttpRequest& request) const {
+  const std::string table(QueryParameter(request.target, "table"));
+  const auto delay = this->read_delays.find(table);
+  if (delay != this->read_delays.end()) {
+    const Duration wait = delay->second;
+    co_await SleepFor(wait);
+  }
+  co_return this->RowsResponse(this->Rows(table, 0, false));
 }
 
 Awaitable<HttpResponse> StoreService::WatchRows(const HttpRequest& request) {
--- a/emulator/store_service.h
+++ b/emulator/store_service.h
@@ -40,6 +40,8 @@
   /// \brief Deletes a row; watches then receive it as `deleted`.
   void Remove(const std::string& table, const std::string& key);
   void SetMode(StoreMode mode);
+  /// \brief Delays responses to reads of `table` from now on.
+  void DelayReads(const std::string& table, Duration delay);
   /// \brief Copies the content, for a later `Restore()`.
   void TakeCopy();
   /// \brief Replaces the content by the last copy, like a restored backup:
@@ -59,7 +61,7 @@
 
   Awaitable<void> Handle(HttpExchange& exchange);
   Awaitable<HttpResponse> HandleCall(const HttpRequest& request);
-  HttpResponse GetRows(const HttpRequest& request) const;
+  Awaitable<HttpResponse> GetRows(const HttpRequest& request) const;
   Awaitable<HttpResponse> WatchRows(const HttpRequest& request);
   HttpResponse Transact(const HttpRequest& request);
   boost::json::array Rows(std::string_view table, std::uint64_t after,
@@ -75,6 +77,7 @@
   std::map<RowKey, Row> copied_rows;
   std::uint64_t copied_version = 1;
   std::vector<std::string> calls;
+  std::map<std::string, Duration, std::less<>> read_delays;  ///< By table.
   StoreMode mode = StoreMode::kServing;
 };
 
--- a/src/dispatch/peers/snapshot_exchange.cc
+++ b/src/dispatch/peers/snapshot_exchange.cc
@@ -435,12 +435,11 @@
   }
   FillEvacuation(this->state, snapshot);
   const std::size_t size_with_engines = snapshot.ByteSizeLong();
-  const bool is_start_up = snapshot_request.is_start_up();
   const bool has_prefixes = !snapshot_request.without_placements();
   const bool has_no_list = snapshot_request.engines_version() == 0;
   if (has_no_list || has_prefixes) this->FillPeers(snapshot);
   if (has_prefixes) this->FillPrefixes(snapshot);
-  if (is_start_up) this->FillViewAge(snapshot);
+  if (this->CanSupply(RuntimeClock::now())) this->FillViewAge(snapshot);
   response.body = snapshot.SerializeAsString();
   const bool is_large = response.body.size() > kMaxSmallSnapshotBytes;
   if (is_large && this->serving >= kMaxSnapshotsServed) {
@@ -465,10 +464,13 @@
   co_await exchange.Respond(std::move(response));
 }
 
+bool SnapshotExchange::CanSupply(TimePoint now) const {
+  return this->HasRows() && this->state.IsViewCurrent(now);
+}
+
 bool SnapshotExchange::Refuses(const wire::SnapshotRequest& request,
                                TimePoint now) const {
-  const bool can_supply = this->HasRows() && this->state.IsViewCurrent(now);
-  if (request.is_start_up() && !can_supply) return true;
+  if (request.is_start_up() && !this->CanSupply(now)) return true;
   const bool is_small =
       request.accepts_changes() && request.without_placements();
   return !is_small && this->serving >= kMaxSnapshotsServed;
--- a/src/dispatch/peers/snapshot_exchange.h
+++ b/src/dispatch/peers/snapshot_exchange.h
@@ -83,6 +83,8 @@
                         const std::string& peer);
   Awaitable<void> ServeSnapshot(HttpExchange& exchange);
   Awaitable<void> Refuse(HttpExchange& exchange);
+  // Returns true if this router may stand in for the store.
+  bool CanSupply(TimePoint now) const;
   bool Refuses(const wire::SnapshotRequest& request, TimePoint now) const;
   void FillEngines(const wire::SnapshotRequest& request,
                    wire::BeliefSnapshot& snapshot) const;
--- a/tests/dispatch_store_test.cc
+++ b/tests/dispatch_store_test.cc
@@ -10,6 +10,8 @@
 #include <sstream>
 #include <thread>
 
+#include "dandelionscale/core/hash.h"
+#include "dandelionscale/transport/address.h"
 #include "tests/support/platform_fleet.h"
 #include "tests/support/process_fleet.h"
 
@@ -182,6 +184,33 @@
   return sum;
 }
 
+// Returns four listeners to restart. Of all, they wait the longest for their
+// peers before they read the store, so that the test does not depend on how
+// fast the machine is.
+std::vector<int> ReleasedRouters(PlatformFleet& fleet,
+                                 const WatchRoles& roles) {
+  std::vector<int> listeners(roles.listeners.begin(), roles.listeners.end());
+  const auto key_of = [&fleet](int router) {
+    return HashText(ToText(fleet.PeerEndpoint(router)));
+  };
+  std::sort(listeners.begin(), listeners.end(),
+            [&](int a, int b) { return key_of(a) < key_of(b); });
+  listeners.resize(4);
+  return listeners;
+}
+
+// Restarts a router and waits until it has its state from a peer.
+void StartsFromPeer(PlatformFleet& fleet, int router) {
+  fleet.RestartRouters({router});
+  CHECK(IsServed(fleet, router, "/three/"));
+  // Lines are written to the log a moment later.
+  Eventually([&] {
+    const std::string log = fleet.Log(router);
+    return log.find("started_from_peer", log.rfind(R"("event":"start")")) !=
+           std::string::npos;
+  });
+}
+
 // Load pattern: a release of a large fleet, and a crash of all of it. Guards
 // against starts that all read the whole tables from the store, and against a
 // fleet that waits for itself.
@@ -195,19 +224,23 @@
   for (int n = 1; n <= kRouters; ++n) fleet.WaitUntilReady(n);
   const WatchRoles roles = fleet.WaitForElection(kElected);
   SECTION("one after the other") {
-    const std::vector<int> released(roles.listeners.begin(),
-                                    roles.listeners.begin() + 4);
-    for (int n : released) {
-      fleet.RestartRouters({n});
-      CHECK(IsServed(fleet, n, "/three/"));
-      // Lines are written to the log a moment later.
-      Eventually([&] {
-        const std::string log = fleet.Log(n);
-        return log.find("started_from_peer", log.rfind(R"("event":"start")")) !=
-               std::string::npos;
-      });
+    for (int n : ReleasedRouters(fleet, roles)) {
+      StartsFromPeer(fleet, n);
+      CHECK(SumOf(fleet, {n}, kReads) == 0);
+    }
+  }
+  // Guards against a start that ignores what a peer has supplied because a
+  // digest came before the table of routers.
+  SECTION("while the table of routers is read slowly") {
+    fleet.RunOnLoop([&] {
+      fleet.Store().DelayReads("dandelion_routers", milliseconds(300));
+    });
+    for (int n : ReleasedRouters(fleet, roles)) {
+      StartsFromPeer(fleet, n);
+      // The router would read the store by now.
+      std::this_thread::sleep_for(std::chrono::seconds(2));
+      CHECK(SumOf(fleet, {n}, kReads) == 0);
     }
-    CHECK(SumOf(fleet, released, kReads) == 0);
   }
   SECTION("all at the same time") {
     std::vector<int> all = roles.watchers;
--- a/tests/support/platform_fleet.cc
+++ b/tests/support/platform_fleet.cc
@@ -431,6 +431,10 @@
   socket.read_some(asio::buffer(buffer));
 }
 
+Endpoint PlatformFleet::PeerEndpoint(int router) const {
+  return {asio::ip::make_address(this->Ip(router)), kPeerPort};
+}
+
 Endpoint PlatformFleet::ClientEndpoint(int router) const {
   return {asio::ip::make_address(this->Ip(router)), kFrontPort};
 }
