Requests may wait at an engine for a quarter of their latency target

An engine counted as full at 1.25 times its slots, whatever the service. Routers know loads some hundred milliseconds late, so that they refused short requests while engines had slots again. The limit now follows from the route's latency target and the service's mean time in flight; for streams of seconds it stays 1.25. The value is logged (queue_share) and replayed.

--- a/include/dandelionscale/core/load/placement.h
+++ b/include/dandelionscale/core/load/placement.h
@@ -6,12 +6,30 @@
 #include <span>
 #include <string_view>
 
+#include "dandelionscale/runtime/runtime_clock.h"
+
 namespace dandelionscale {
 
 /// A shared prompt prefix of fewer tokens is short: an engine computes it fast,
 /// so that the zone counts more for the placement; see `ChooseEngine()`.
 inline constexpr std::uint32_t kMinLongPrefixTokens = 4000;
 
+/// Lowest value of `EngineQueueShare()`.
+inline constexpr double kMinEngineQueueShare = 0.25;
+
+/// \returns how many requests may wait at an engine, as a share of its slots.
+///
+/// Routers know the loads of engines some time late. Where requests are short,
+/// an engine that was reported to be full often has a slot again before the
+/// request arrives, or soon after: refusing the request would cost its client
+/// more than the wait. So the share is larger, the shorter requests are
+/// compared with their latency target.
+/// \param latency_target of the request's route.
+/// \param work_time mean time for which requests of the service are in flight,
+///        waiting included, so that the share falls while engines are
+///        overloaded; above 0.
+double EngineQueueShare(Duration latency_target, Duration work_time);
+
 /// \brief An engine and the part of its state that placement considers.
 struct PlacementCandidate {
   std::uint64_t engine_key = 0;
@@ -58,6 +76,7 @@
   /// `candidates`, which must then be all engines of the service.
   std::optional<double> mean_in_flight{};
   ZoneRule zone_rule = ZoneRule::kIgnored;
+  double engine_queue_share = kMinEngineQueueShare;  ///< See that function.
 };
 
 /// \brief The rule that selected an engine.
@@ -85,8 +104,8 @@
 /// \brief Chooses an engine for a request.
 ///
 /// Only usable engines with room are considered: those with fewer requests in
-/// flight than 1.25 times their slots. For a prompt with shared parts, the
-/// first rule that matches an engine applies:
+/// flight than their slots plus `engine_queue_share` of these. For a prompt
+/// with shared parts, the first rule that matches an engine applies:
 /// 1. engines that have cached all shared parts, up to 90 % of the load bound
 ///    (75 % for prefixes under 4000 tokens), by rendezvous hash of
 ///    `affinity_key`;
--- a/src/core/load/placement.cc
+++ b/src/core/load/placement.cc
@@ -18,9 +18,11 @@
 // An engine selected by hash only, which usually has to recompute the prefix,
 // is used up to this multiple of the mean load, plus one request.
 constexpr double kMaxHashedLoadFactor = 1.25;
-// Requests that may wait at an engine beyond its slots, as a share of its
-// slots.
-constexpr double kMaxEngineQueueShare = 0.25;
+// Part of the latency target that a request may spend waiting at an engine.
+// Waiting at a router may take another part; see `DecideWait()`.
+constexpr double kEngineWaitShareOfTarget = 0.25;
+// Engines reject requests when their own queue is full, which costs a retry.
+constexpr double kMaxEngineQueueShare = 2.0;
 // Added to the requests in flight of an engine in another availability zone
 // when loads are compared.
 constexpr double kCrossZonePenalty = 0.5;
@@ -30,8 +32,8 @@
 
 using Candidate = PlacementCandidate;
 
-bool HasRoom(const Candidate& candidate) {
-  const double limit = candidate.max_slots * (1 + kMaxEngineQueueShare);
+bool HasRoom(const Candidate& candidate, double queue_share) {
+  const double limit = candidate.max_slots * (1 + queue_share);
   return candidate.usable && candidate.in_flight < limit;
 }
 
@@ -57,10 +59,11 @@
 struct Eligibility {
   Scope scope = Scope::kAll;
   double load_bound = 0;
+  double queue_share = 0;  // `PlacementInputs::engine_queue_share`.
 };
 
 bool IsEligible(const Candidate& candidate, const Eligibility& eligibility) {
-  if (!HasRoom(candidate)) return false;
+  if (!HasRoom(candidate, eligibility.queue_share)) return false;
   switch (eligibility.scope) {
     case Scope::kAll:
       return true;
@@ -183,14 +186,13 @@
                                    : PlacementBasis::kLeastLoaded};
 }
 
-// Returns an engine of the own zone that may be chosen at any rate of requests.
-std::optional<std::size_t> FindRoomInZone(const PlacementInputs& inputs,
-                                          double load_bound) {
+// Returns an eligible engine that may be chosen at any rate of requests.
+std::optional<std::size_t> FindRoom(const PlacementInputs& inputs,
+                                    const Eligibility& eligibility) {
   const auto found = std::find_if(
       inputs.candidates.begin(), inputs.candidates.end(),
-      [load_bound](const Candidate& candidate) {
-        return !candidate.limits_rate &&
-               IsEligible(candidate, {Scope::kOwnZone, load_bound});
+      [&eligibility](const Candidate& candidate) {
+        return !candidate.limits_rate && IsEligible(candidate, eligibility);
       });
   if (found == inputs.candidates.end()) return std::nullopt;
   return static_cast<std::size_t>(found - inputs.candidates.begin());
@@ -198,6 +200,13 @@
 
 }  // namespace
 
+double EngineQueueShare(Duration latency_target, Duration work_time) {
+  const double share = kEngineWaitShareOfTarget *
+                       static_cast<double>(latency_target.count()) /
+                       static_cast<double>(work_time.count());
+  return std::clamp(share, kMinEngineQueueShare, kMaxEngineQueueShare);
+}
+
 std::string_view ToString(PlacementBasis basis) {
   switch (basis) {
     case PlacementBasis::kHoldsPrefix:
@@ -238,19 +247,22 @@
       inputs.mean_in_flight.value_or(MeanInFlight(inputs.candidates));
   const double load_bound =
       inputs.load_factor * decision.mean_in_flight + kBoundSlack;
+  const auto eligible_in = [&](Scope scope) {
+    return Eligibility{scope, load_bound, inputs.engine_queue_share};
+  };
   const auto choose_in = [&](Scope scope) {
-    return Choose(inputs, {scope, load_bound}, decision.mean_in_flight);
+    return Choose(inputs, eligible_in(scope), decision.mean_in_flight);
   };
   const bool has_zone_rule = inputs.zone_rule != ZoneRule::kIgnored;
   const bool stays = inputs.zone_rule == ZoneRule::kStay;
   std::optional<Choice> choice;
   if (has_zone_rule && inputs.affinity_key != 0 &&
       (stays || HasLongPrefix(inputs))) {
-    choice = ChooseHolder(inputs, {Scope::kOwnZone, load_bound});
-    if (!choice) choice = ChooseHolder(inputs, {Scope::kAll, load_bound});
+    choice = ChooseHolder(inputs, eligible_in(Scope::kOwnZone));
+    if (!choice) choice = ChooseHolder(inputs, eligible_in(Scope::kAll));
   }
   if (!choice && has_zone_rule && !HasLongPrefix(inputs)) {
-    if (stays) decision.room = FindRoomInZone(inputs, load_bound);
+    if (stays) decision.room = FindRoom(inputs, eligible_in(Scope::kOwnZone));
     choice = choose_in(decision.room ? Scope::kOwnZone : Scope::kOtherZones);
   }
   if (!choice) choice = choose_in(Scope::kAll);
--- a/src/dispatch/decision_replay.cc
+++ b/src/dispatch/decision_replay.cc
@@ -91,6 +91,9 @@
   // Older builds don't log it.
   const auto zone_rule =
       ParseZoneRule(line.Has("zone_rule") ? line.Text("zone_rule") : "ignored");
+  if (line.Has("queue_share")) {
+    inputs.engine_queue_share = line.As<double>("queue_share");
+  }
   if (!line.IsComplete() || !candidates || candidates->empty() || !zone_rule) {
     return ReplayResult::kNoDecision;
   }
--- a/src/dispatch/request/placement_planner.cc
+++ b/src/dispatch/request/placement_planner.cc
@@ -25,6 +25,8 @@
   plan.inputs.affinity_key = this->request.affinity_key;
   plan.inputs.request_key = this->request.request_key;
   plan.inputs.load_factor = this->state.options.load_factor;
+  plan.inputs.engine_queue_share =
+      EngineQueueShare(this->request.latency_target, this->WorkTimeMean());
   if (!this->request.prefix.empty()) {
     plan.inputs.shared_tokens = TotalTokens(this->request.prefix);
   }
--- a/src/dispatch/request/placement_planner.h
+++ b/src/dispatch/request/placement_planner.h
@@ -25,6 +25,7 @@
   std::span<const PrefixPart> prefix;
   std::uint64_t affinity_key = 0;  ///< Of the last prompt part; 0 for none.
   std::uint64_t request_key = 0;   ///< Hash of the request id.
+  Duration latency_target{};       ///< Of its route.
   /// Engines to which it was sent before.
   std::span<const std::uint64_t> tried_engine_keys;
   /// Key of the software version at which its stream began, if it has.
--- a/src/dispatch/request/request_placement.cc
+++ b/src/dispatch/request/request_placement.cc
@@ -87,6 +87,7 @@
   placement.prefix = this->decoded.prefix;
   placement.affinity_key = this->affinity_key;
   placement.request_key = this->request_key;
+  placement.latency_target = this->route->latency_target;
   placement.tried_engine_keys = this->tried_engine_keys;
   placement.required_version = this->required_version;
   return PlacementPlanner(this->state, placement, RuntimeClock::now());
@@ -124,6 +125,7 @@
        {"affinity", fmt::format("{:x}", inputs.affinity_key)},
        {"spread", fmt::format("{:x}", inputs.request_key)},
        {"load_factor", inputs.load_factor},
+       {"queue_share", inputs.engine_queue_share},
        {"copy_from", this->cache_source_address},
        {"shared_tokens", static_cast<std::int64_t>(inputs.shared_tokens)},
        {"mean_load", decision.mean_in_flight},
--- a/tests/placement_test.cc
+++ b/tests/placement_test.cc
@@ -9,6 +9,7 @@
 
 #include "dandelionscale/core/hash.h"
 #include "dandelionscale/core/load/placement_record.h"
+#include "dandelionscale/core/load/work_time.h"
 #include "tests/support/engine_simulator.h"
 
 namespace dandelionscale::tests {
@@ -126,6 +127,29 @@
   CHECK(ChooseEngine(inputs)->index == 2);
 }
 
+// Load pattern: short requests in a burst, with reports that are older than a
+// request takes. Guards against refusals while engines have slots again.
+TEST_CASE("more requests may wait at an engine if they are short") {
+  using std::chrono::milliseconds;
+  CHECK(EngineQueueShare(milliseconds(200), milliseconds(40)) == 1.25);
+  // Waiting requests lengthen the work time, so that the share falls.
+  CHECK(EngineQueueShare(milliseconds(200), milliseconds(100)) == 0.5);
+  // Streams that run for seconds, and services without any answer yet.
+  CHECK(EngineQueueShare(milliseconds(600), milliseconds(2000)) == 0.25);
+  CHECK(EngineQueueShare(milliseconds(200), WorkTime::kUnknown) == 0.25);
+  // Bounded also if the target is far above the work time.
+  CHECK(EngineQueueShare(milliseconds(5000), milliseconds(1)) == 2.0);
+
+  auto candidates = Candidates({20, 21});
+  PlacementInputs inputs{candidates, 0, 0, 1, 4.0};
+  CHECK_FALSE(ChooseEngine(inputs));
+  inputs.engine_queue_share = 1.25;
+  REQUIRE(ChooseEngine(inputs));
+  CHECK(ChooseEngine(inputs)->index == 0);
+  inputs.engine_queue_share = 1.0;
+  CHECK_FALSE(ChooseEngine(inputs));
+}
+
 TEST_CASE("no engine is chosen when all are full or unusable") {
   auto candidates = Candidates({13, 13});
   PlacementInputs inputs{candidates, 0, 0, 5, 2.0};
--- a/tests/stale_load_test.cc
+++ b/tests/stale_load_test.cc
@@ -68,6 +68,28 @@
   }
 }
 
+// Load pattern: a burst on a small service. 5 engines with 6 slots, 31 routers,
+// requests of 60 ms on the mean with a target of 300 ms that use 0.9 of the
+// slots. Guards against refusals because of reports that are older than the
+// requests in them.
+TEST_CASE("a burst of short requests waits at the engines instead of failing") {
+  StaleLoadSettings settings;
+  settings.zones = {{8, 2, 180}, {8, 1, 90}, {8, 1, 90}, {7, 1, 90}};
+  settings.work_ms = 60;
+  settings.varied = true;
+  const auto before = Measure("burst, few wait at engines", settings);
+  settings.latency_target_ms = 300;
+  const auto after = Measure("burst, room by the latency target", settings);
+  const auto share = [](int count, const StaleLoadResult& result) {
+    return static_cast<double>(count) / result.requests;
+  };
+  CAPTURE(share(before.not_placed, before), share(after.not_placed, after),
+          share(after.late, after));
+  CHECK(after.not_placed < 0.5 * before.not_placed);
+  CHECK(share(after.not_placed + after.late, after) <
+        share(before.not_placed, before));
+}
+
 std::vector<PlacementCandidate> Candidates(const PeerLoad& load, int engines) {
   std::vector<PlacementCandidate> candidates;
   for (int n = 0; n < engines; ++n) {
--- a/tests/support/stale_load_fleet.h
+++ b/tests/support/stale_load_fleet.h
@@ -42,6 +42,8 @@
   int work_ms = 30;         ///< Mean; exponentially distributed if `varied`.
   bool varied = false;
   ReportUse use = ReportUse::kSpread;
+  /// Of all requests; 0: as few as possible wait at an engine.
+  int latency_target_ms = 0;
   double zone_cost = 0;
   std::uint64_t seed = 1;
 };
@@ -52,6 +54,7 @@
   int found_full = 0;  ///< All slots of the chosen engine were in use.
   int not_placed = 0;  ///< No engine had room, as far as the router knew.
   int left_zone = 0;   ///< Placed in another zone than the router's.
+  int late = 0;        ///< Placed, but answered after the latency target.
   std::vector<double> utilization;  ///< Mean of each zone's engines.
   /// Share that leaves each zone: mean over its routers, sampled each 100 ms.
   std::vector<double> mean_share;
@@ -256,6 +259,9 @@
     PlacementInputs inputs;
     inputs.candidates = candidates;
     inputs.request_key = this->random();
+    inputs.engine_queue_share = EngineQueueShare(
+        std::chrono::milliseconds(this->settings.latency_target_ms),
+        router.work_time.Mean());
     if (this->settings.zone_cost > 0) {
       const ZoneLoads loads = SumZoneLoads(candidates);
       const Duration response_time =
@@ -294,6 +300,11 @@
     }
     const double ends_ms = began_ms + work_ms;
     engine.slots_free_ms.push(ends_ms);
+    const bool has_target = this->settings.latency_target_ms > 0;
+    if (has_target &&
+        ends_ms - this->now_ms > this->settings.latency_target_ms) {
+      ++result.late;
+    }
     ++engine.in_flight;
     ++this->routers[router].in_flight[*chosen];
     this->running.push(
