Decide the admission of a request by functions without side effects

Admission, the forecast for a router that shuts down and Retry-After are functions of the state; RequestDispatch applies their results. The planner tells why each engine is excluded, and the quarantine whether it would start a probe.

--- a/include/dandelionscale/core/crash_blocklist.h
+++ b/include/dandelionscale/core/crash_blocklist.h
@@ -30,6 +30,10 @@
   bool TryStartProbe(TimePoint now, const BlockedKeys& blocked,
                      std::size_t rank, std::size_t routers);
 
+  /// \returns true if `TryStartProbe()` would start one.
+  bool MayStartProbe(TimePoint now, const BlockedKeys& blocked,
+                     std::size_t rank, std::size_t routers) const;
+
   /// \brief Adds a set of keys; removes the sets that it includes.
   void Add(BlockedKeys blocked);
   /// \brief Applies a set that a peer blocks.
@@ -61,6 +65,10 @@
     int digests_left = 0;
   };
 
+  // Returns the entry that holds `blocked`, or the end.
+  std::vector<Entry>::const_iterator FindEntry(
+      const BlockedKeys& blocked) const;
+
   std::vector<Entry> entries;
   std::size_t next_repeated = 0;  ///< Rotates through `entries`.
 };
--- a/include/dandelionscale/core/load/placement.h
+++ b/include/dandelionscale/core/load/placement.h
@@ -29,6 +29,10 @@
   bool limits_rate = false;
 };
 
+/// \returns true if the engine is usable and has room for a further request:
+///          fewer in flight than 1.25 times its slots.
+bool HasRoom(const PlacementCandidate& candidate);
+
 /// \brief How a request treats availability zones; see `ZoneSpill`.
 enum class ZoneRule {
   kIgnored,  ///< All zones alike, but for a small preference for the own one.
--- a/include/dandelionscale/core/request_quarantine.h
+++ b/include/dandelionscale/core/request_quarantine.h
@@ -47,6 +47,11 @@
   const BlockedKeys* Find(std::span<const std::uint64_t> keys) const {
     return this->blocklist.Find(keys);
   }
+  /// \brief As `CrashBlocklist::MayStartProbe()`.
+  bool MayStartProbe(TimePoint now, const BlockedKeys& blocked,
+                     std::size_t rank, std::size_t routers) const {
+    return this->blocklist.MayStartProbe(now, blocked, rank, routers);
+  }
   /// \brief As `CrashBlocklist::TryStartProbe()`.
   bool TryStartProbe(TimePoint now, const BlockedKeys& blocked,
                      std::size_t rank, std::size_t routers) {
--- a/src/core/crash_blocklist.cc
+++ b/src/core/crash_blocklist.cc
@@ -59,24 +59,34 @@
   return std::max(probe_at - now, Duration::zero());
 }
 
-bool CrashBlocklist::TryStartProbe(TimePoint now, const BlockedKeys& blocked,
-                                   std::size_t rank, std::size_t routers) {
+bool CrashBlocklist::MayStartProbe(TimePoint now, const BlockedKeys& blocked,
+                                   std::size_t rank,
+                                   std::size_t routers) const {
   const Duration stagger = IsProbedAtOnce(blocked)
                                ? kFirstProbeSpread * rank / routers
                                : kProbeStagger * rank;
   const TimePoint probe_at = blocked.since + ProbeDelay(blocked) + stagger;
-  auto entry = std::find_if(
-      this->entries.begin(), this->entries.end(),
-      [&](const Entry& candidate) { return &candidate.blocked == &blocked; });
+  const auto entry = this->FindEntry(blocked);
   if (entry == this->entries.end() || now < probe_at) return false;
-  if (entry->probe_started_at > blocked.since &&
-      now - entry->probe_started_at < kProbeTimeout) {
-    return false;
-  }
-  entry->probe_started_at = now;
+  return entry->probe_started_at <= blocked.since ||
+         now - entry->probe_started_at >= kProbeTimeout;
+}
+
+bool CrashBlocklist::TryStartProbe(TimePoint now, const BlockedKeys& blocked,
+                                   std::size_t rank, std::size_t routers) {
+  if (!this->MayStartProbe(now, blocked, rank, routers)) return false;
+  const auto index = this->FindEntry(blocked) - this->entries.begin();
+  this->entries[static_cast<std::size_t>(index)].probe_started_at = now;
   return true;
 }
 
+std::vector<CrashBlocklist::Entry>::const_iterator CrashBlocklist::FindEntry(
+    const BlockedKeys& blocked) const {
+  return std::find_if(
+      this->entries.begin(), this->entries.end(),
+      [&](const Entry& entry) { return &entry.blocked == &blocked; });
+}
+
 void CrashBlocklist::Add(BlockedKeys blocked) {
   // The new one blocks all requests that these block.
   std::erase_if(this->entries, [&](const Entry& entry) {
--- a/src/dispatch/dispatch_state.cc
+++ b/src/dispatch/dispatch_state.cc
@@ -504,6 +504,11 @@
   return *found->second;
 }
 
+const ServiceState& DispatchState::Service(std::string_view name) const {
+  const ServiceState* found = this->FindServiceState(name);
+  return found != nullptr ? *found : this->unused_service;
+}
+
 const ServiceState* DispatchState::FindServiceState(
     std::string_view name) const {
   const auto found = this->services.find(name);
--- a/src/dispatch/dispatch_state.h
+++ b/src/dispatch/dispatch_state.h
@@ -183,6 +183,9 @@
   const ServiceSpec* FindService(std::string_view name) const;
   /// \returns the state of a service; created on first use.
   ServiceState& Service(std::string_view name);
+  /// \returns the state of a service, or that of an unused one if there is none
+  ///          yet.
+  const ServiceState& Service(std::string_view name) const;
   /// \returns the state of a service, or null if there is none yet.
   const ServiceState* FindServiceState(std::string_view name) const;
   /// \returns the version of the routing table; 0 if there is none.
@@ -315,6 +318,7 @@
   void WarnOnce(std::string_view event, const Engine& engine);
 
   std::map<std::string, std::unique_ptr<ServiceState>, std::less<>> services;
+  const ServiceState unused_service{RetryBudgetLimits()};
   /// Events and ids of the engines that `WarnOnce()` has logged.
   std::set<std::pair<std::string, std::string>> logged_warnings;
   std::mt19937_64 random;
--- a/src/dispatch/request/placement_planner.cc
+++ b/src/dispatch/request/placement_planner.cc
@@ -18,6 +18,34 @@
 
 }  // namespace
 
+std::string_view ToString(EngineExclusion exclusion) {
+  switch (exclusion) {
+    case EngineExclusion::kVersion:
+      return "version";
+    case EngineExclusion::kDraining:
+      return "draining";
+    case EngineExclusion::kEvacuated:
+      return "evacuated";
+    case EngineExclusion::kTried:
+      return "tried";
+    case EngineExclusion::kEjected:
+      return "ejected";
+    case EngineExclusion::kProbeInFlight:
+      return "probe_in_flight";
+    case EngineExclusion::kPaused:
+      return "paused";
+    case EngineExclusion::kRateLimited:
+      return "rate_limited";
+    case EngineExclusion::kPermitDenied:
+      return "permit_denied";
+    case EngineExclusion::kWarmingUp:
+      return "warming_up";
+    case EngineExclusion::kFull:
+      return "full";
+  }
+  return "unknown";
+}
+
 PlacementOutcome PlacementPlanner::Plan(const PlacementLimits& limits) const {
   const auto engines = this->state.engines.Find(this->request.service);
   PlacementOutcome outcome;
@@ -38,9 +66,9 @@
         std::pair(false, true)}) {
     if (avoid_warm_up && !is_long) continue;
     if (ignore_health && limits.only_healthy) break;
-    Pass pass = {limits, ignore_health};
-    pass.limits.avoid_warm_up = avoid_warm_up;
-    plan.candidates = this->BuildCandidates(pass);
+    outcome.pass = {limits, ignore_health};
+    outcome.pass.limits.avoid_warm_up = avoid_warm_up;
+    plan.candidates = this->BuildCandidates(outcome.pass);
     if (!avoid_warm_up && !ignore_health && !limits.avoid_limited) {
       outcome.zone_spill = this->AdaptZoneSpill(plan.candidates);
       if (outcome.zone_spill) zone_spill = *outcome.zone_spill;
@@ -63,7 +91,7 @@
 }
 
 std::vector<PlacementCandidate> PlacementPlanner::BuildCandidates(
-    const Pass& pass) const {
+    const PlacementPass& pass) const {
   const auto engines = this->state.engines.Find(this->request.service);
   const double failure_rate = this->MeanFailureRate();
   const std::vector<PrefixMatch> matches =
@@ -92,6 +120,27 @@
   return candidates;
 }
 
+std::vector<ExaminedEngine> PlacementPlanner::Examine(
+    const PlacementPass& pass) const {
+  const auto engines = this->state.engines.Find(this->request.service);
+  const double failure_rate = this->MeanFailureRate();
+  std::vector<PlacementCandidate> candidates = this->BuildCandidates(pass);
+  if (this->MayHaveStaleLoads()) {
+    this->state.peer_load.SpreadStaleLoad(this->now, candidates);
+  }
+  std::vector<ExaminedEngine> examined;
+  examined.reserve(candidates.size());
+  for (std::size_t n = 0; n < candidates.size(); ++n) {
+    const PlacementCandidate& candidate = candidates[n];
+    auto exclusion = this->FindExclusion(*engines[n], pass,
+                                         candidate.cached_tokens, failure_rate);
+    const bool is_full = !exclusion && !HasRoom(candidate);
+    if (is_full) exclusion = EngineExclusion::kFull;
+    examined.push_back({candidate, exclusion});
+  }
+  return examined;
+}
+
 std::optional<EngineExclusion> PlacementPlanner::FindBar(
     const Engine& engine) const {
   if (!this->FitsVersion(engine)) return EngineExclusion::kVersion;
@@ -102,8 +151,8 @@
 }
 
 std::optional<EngineExclusion> PlacementPlanner::FindExclusion(
-    const Engine& engine, const Pass& pass, std::uint32_t cached_tokens,
-    double failure_rate) const {
+    const Engine& engine, const PlacementPass& pass,
+    std::uint32_t cached_tokens, double failure_rate) const {
   if (const auto bar = this->FindBar(engine)) return bar;
   if (!pass.ignore_health) {
     if (engine.health.IsEjected(this->now, failure_rate)) {
--- a/src/dispatch/request/placement_planner.h
+++ b/src/dispatch/request/placement_planner.h
@@ -50,9 +50,16 @@
   std::optional<TimePoint> permitted_at;
 };
 
+/// \brief One attempt of a decision. Later attempts admit more engines.
+struct PlacementPass {
+  PlacementLimits limits;
+  bool ignore_health = false;
+};
+
 /// \brief Result of a decision.
 struct PlacementOutcome {
   std::optional<PlacementPlan> plan;  ///< None if no engine can be chosen.
+  PlacementPass pass;                 ///< The last one made.
   /// The service's `ZoneSpill`, adapted to the loads that the decision has
   /// seen, if it is to be adapted. Real requests store it.
   std::optional<ZoneSpill> zone_spill;
@@ -70,6 +77,16 @@
   kRateLimited,    ///< It limits its rate, and the request gave up on permits.
   kPermitDenied,   ///< A permit was denied shortly before.
   kWarmingUp,      ///< It is slow to compute the long prompt.
+  kFull,           ///< It has no room; see `HasRoom()`.
+};
+
+/// \returns the name used in responses.
+std::string_view ToString(EngineExclusion exclusion);
+
+/// \brief An engine as one pass of a decision sees it.
+struct ExaminedEngine {
+  PlacementCandidate candidate;
+  std::optional<EngineExclusion> exclusion;  ///< None if it may be chosen.
 };
 
 /// \brief Decides on the current state which engine gets a request.
@@ -84,6 +101,9 @@
 
   /// \brief Chooses an engine that has room.
   PlacementOutcome Plan(const PlacementLimits& limits) const;
+  /// \returns the engines of the service in their order, with the reason why
+  ///          each that is excluded is.
+  std::vector<ExaminedEngine> Examine(const PlacementPass& pass) const;
   /// \returns true if the engine may be sent the request as soon as it has room
   ///          and wants requests.
   bool MayTry(const Engine& engine) const;
@@ -98,18 +118,13 @@
   Duration TimeUntilUsableEngine() const;
 
  private:
-  // One attempt of a decision, which later ones ease.
-  struct Pass {
-    PlacementLimits limits;
-    bool ignore_health = false;
-  };
-
-  std::vector<PlacementCandidate> BuildCandidates(const Pass& pass) const;
+  std::vector<PlacementCandidate> BuildCandidates(
+      const PlacementPass& pass) const;
   // Returns why the engine may not be tried at all, if so.
   std::optional<EngineExclusion> FindBar(const Engine& engine) const;
   // Returns why the engine can't be chosen in this pass, if so.
   std::optional<EngineExclusion> FindExclusion(const Engine& engine,
-                                               const Pass& pass,
+                                               const PlacementPass& pass,
                                                std::uint32_t cached_tokens,
                                                double failure_rate) const;
   // Returns the mean failure rate of the service's engines.
--- a/src/dispatch/request/request_dispatch.cc
+++ b/src/dispatch/request/request_dispatch.cc
@@ -5,7 +5,6 @@
 #include <algorithm>
 
 #include "dandelionscale/core/hash.h"
-#include "dandelionscale/core/request_fingerprint.h"
 #include "dandelionscale/runtime/logger.h"
 #include "dandelionscale/transport/http_status.h"
 #include "dispatch/request/backup_send.h"
@@ -15,8 +14,6 @@
 
 namespace {
 
-// Timeout of clients that don't send one.
-constexpr Duration kDefaultClientTimeout = std::chrono::seconds(30);
 constexpr Duration kConfigurationPollInterval = std::chrono::milliseconds(15);
 // A router that has just started loads its configuration within this time.
 // Waiting is faster for the client than a refusal and a retry.
@@ -121,25 +118,13 @@
     co_await this->Refuse(http_status::kServiceUnavailable, "no_configuration");
     co_return false;
   }
-  this->route =
-      this->routing_table->FindRoute(this->decoded.host, this->decoded.path);
-  if (this->route == nullptr) {
-    co_await this->Fail(http_status::kNotFound, "no_route");
-    co_return false;
-  }
-  this->priority = this->route->priority;
-  if (this->routing_table->keys_required && !this->route->is_public) {
-    const WorkspaceEntry* entry =
-        this->routing_table->FindWorkspace(this->decoded.key);
-    if (entry == nullptr) {
-      co_await this->Fail(http_status::kUnauthorized, "unknown_key");
-      co_return false;
-    }
-    this->workspace = entry->name;
-    this->priority = entry->priority.value_or(this->priority);
-  }
-  if (this->decoded.id.empty()) {
-    co_await this->Fail(http_status::kBadRequest, "no_request_id");
+  Admission admission =
+      AdmitRequest(*this->routing_table, this->decoded, this->request);
+  this->route = admission.route;
+  this->workspace = std::move(admission.workspace);
+  this->priority = admission.priority;
+  if (admission.fault) {
+    co_await this->Fail(admission.fault->status, admission.fault->reason);
     co_return false;
   }
   if (RuntimeClock::now() >= this->client_deadline) {
@@ -147,21 +132,15 @@
     co_return false;
   }
   this->timeout = this->route->timeout;
-  this->request_key = HashText(this->decoded.id);
-  if (!this->decoded.prefix.empty()) {
-    this->affinity_key = this->decoded.prefix.back().key;
-  }
-  this->fingerprint = Fingerprint(
-      {this->workspace, this->request.method, this->decoded.host,
-       this->request.target, this->request.body, this->decoded.prompt_key});
-  this->quarantine_keys = PartKeys(this->decoded.prefix);
-  this->quarantine_keys.push_back(this->fingerprint);
-  this->service =
-      ChooseService(*this->route, this->affinity_key != 0 ? this->affinity_key
-                                                          : this->request_key);
-  this->work = this->EstimateWork();
+  this->request_key = admission.request_key;
+  this->affinity_key = admission.affinity_key;
+  this->fingerprint = admission.fingerprint;
+  this->quarantine_keys = std::move(admission.quarantine_keys);
+  this->service = std::move(admission.service);
+  this->work =
+      EstimateWork(this->state, *this->route, this->decoded, this->arrived_at);
   if (this->arrived_at >= this->state.draining_since) {
-    const ShutdownForecast forecast = this->ForecastShutdown();
+    const ShutdownForecast forecast = this->Forecast();
     this->LogForecast(forecast);
     if (forecast.may_outlive_router) {
       co_await this->Refuse(http_status::kServiceUnavailable, "shutting_down");
@@ -361,22 +340,6 @@
   return false;
 }
 
-RequestWork RequestDispatch::EstimateWork() const {
-  RequestWork estimate;
-  estimate.is_stream = this->route->kind == RouteKind::kStreaming;
-  estimate.expected_output = this->decoded.expected_output_tokens;
-  estimate.max_output = this->decoded.max_output_tokens;
-  const std::uint32_t prompt = this->decoded.prompt_tokens.value_or(0);
-  if (prompt == 0) return estimate;
-  // Assumes the engine that has cached most of the prompt, which usually gets
-  // the request.
-  const std::vector<PrefixMatch> matches =
-      this->state.prefixes.FindMatches(this->arrived_at, this->decoded.prefix);
-  const std::uint32_t cached = matches.empty() ? 0 : matches.front().tokens;
-  estimate.uncached_tokens = prompt - std::min(prompt, cached);
-  return estimate;
-}
-
 void RequestDispatch::ObserveTimes() {
   // A resumed stream says nothing about whole streams, nor an error about
   // answers.
@@ -393,18 +356,10 @@
   }
 }
 
-RequestDispatch::ShutdownForecast RequestDispatch::ForecastShutdown() const {
-  ShutdownForecast forecast;
-  // A request that arrived before the shutdown is served in any case.
-  if (this->arrived_at < this->state.draining_since) return forecast;
-  forecast.estimate =
-      this->state.Service(this->service).times.ConservativeEstimate(this->work);
-  if (this->OwnDeadline() <= this->state.answers_end_at) return forecast;
-  forecast.may_outlive_router =
-      forecast.estimate ? RuntimeClock::now() + *forecast.estimate >
-                              this->state.answers_end_at
-                        : this->arrived_at >= this->state.refusals_begin_at;
-  return forecast;
+ShutdownForecast RequestDispatch::Forecast() const {
+  const ShutdownQuestion question = {this->service, this->work,
+                                     this->arrived_at, this->OwnDeadline()};
+  return ForecastShutdown(this->state, question, RuntimeClock::now());
 }
 
 void RequestDispatch::LogForecast(const ShutdownForecast& forecast) const {
@@ -431,7 +386,7 @@
 
 bool RequestDispatch::IsTooLateToBegin() const {
   if (this->may_have_run || this->stream_started) return false;
-  const ShutdownForecast forecast = this->ForecastShutdown();
+  const ShutdownForecast forecast = this->Forecast();
   if (forecast.may_outlive_router) this->LogForecast(forecast);
   return forecast.may_outlive_router;
 }
--- a/src/dispatch/request/request_dispatch.h
+++ b/src/dispatch/request/request_dispatch.h
@@ -18,6 +18,7 @@
 #include "dispatch/request/client_connection.h"
 #include "dispatch/request/engine_exchange.h"
 #include "dispatch/request/placement_planner.h"
+#include "dispatch/request/request_admission.h"
 #include "engine_response/event_splitter.h"
 #include "engine_response/unframed_body.h"
 
@@ -90,6 +91,8 @@
   // Chooses an engine that has room, and adapts the share of the service's
   // requests that leave the zone.
   std::optional<PlacementPlan> PlanPlacement(const PlacementLimits& limits);
+  // What the placement of the request depends on.
+  PlacementRequest Placement() const;
   // Decides on the state as it is now.
   PlacementPlanner Planner() const;
   void OnPlaced(const PlacementPlan& plan);
@@ -99,8 +102,6 @@
   // Returns true if such requests crash engines and the request may
   // not be sent as a probe.
   bool IsQuarantined();
-  // Time until such a request may be tried; zero if none blocks this one.
-  Duration TimeUntilProbe() const;
   // Sends the final response if there is no engine to wait for.
   Awaitable<void> FinishWithoutEngine();
   // Sends the final response if no engine can be chosen.
@@ -230,18 +231,10 @@
   Awaitable<void> SendError(unsigned status,
                             std::optional<Duration> retry_after);
 
-  // Returns the work that the request means for an engine, as far as it is
-  // known on arrival.
-  RequestWork EstimateWork() const;
   // Records how long the answer has taken, for estimates of later ones.
   void ObserveTimes();
   // Whether the request can be answered before a router that shuts down ends.
-  struct ShutdownForecast {
-    bool may_outlive_router = false;
-    /// Until the end of the answer; none if nothing is known of the service.
-    std::optional<Duration> estimate;
-  };
-  ShutdownForecast ForecastShutdown() const;
+  ShutdownForecast Forecast() const;
   // Logs and counts the decision for a request that arrives during a shutdown.
   void LogForecast(const ShutdownForecast& forecast) const;
   // Returns true if a request that has not run is to be refused, since waiting
--- a/src/dispatch/request/request_ending.cc
+++ b/src/dispatch/request/request_ending.cc
@@ -3,21 +3,12 @@
 
 #include <algorithm>
 
-#include "dandelionscale/core/hash.h"
 #include "dandelionscale/runtime/logger.h"
 #include "dandelionscale/transport/http_status.h"
 #include "dispatch/request/request_dispatch.h"
 
 namespace dandelionscale::internal {
 
-namespace {
-
-// Retry-After of refusals before a service was chosen, for example while no
-// configuration is loaded.
-constexpr Duration kDefaultRetryAfter = std::chrono::milliseconds(400);
-
-}  // namespace
-
 Awaitable<void> RequestDispatch::Finish(const AttemptDecision& decision,
                                         AttemptFailure failure) {
   if (std::holds_alternative<BreakStream>(decision)) {
@@ -53,14 +44,10 @@
 
 Awaitable<void> RequestDispatch::Refuse(unsigned status,
                                         std::string_view reason) {
-  Duration retry_after = kDefaultRetryAfter;
-  if (!this->service.empty()) {
-    const AdmissionQueue& queue = this->state.Service(this->service).queue;
-    retry_after = std::max(
-        queue.RetryAfter(HashText(this->workspace), this->state.Random()),
-        this->Planner().TimeUntilUsableEngine());
-  }
-  retry_after = std::max(retry_after, this->TimeUntilProbe());
+  const RefusedRequest refused = {this->Placement(), this->workspace,
+                                  this->quarantine_keys};
+  const Duration retry_after = RetryAfter(
+      this->state, refused, RuntimeClock::now(), this->state.Random());
   co_await this->SendErrorResponse(status, reason, retry_after);
 }
 
--- a/src/dispatch/request/request_placement.cc
+++ b/src/dispatch/request/request_placement.cc
@@ -81,7 +81,7 @@
   return std::move(outcome.plan);
 }
 
-PlacementPlanner RequestDispatch::Planner() const {
+PlacementRequest RequestDispatch::Placement() const {
   PlacementRequest placement;
   placement.service = this->service;
   placement.prefix = this->decoded.prefix;
@@ -89,7 +89,11 @@
   placement.request_key = this->request_key;
   placement.tried_engine_keys = this->tried_engine_keys;
   placement.required_version = this->required_version;
-  return PlacementPlanner(this->state, placement, RuntimeClock::now());
+  return placement;
+}
+
+PlacementPlanner RequestDispatch::Planner() const {
+  return PlacementPlanner(this->state, this->Placement(), RuntimeClock::now());
 }
 
 void RequestDispatch::OnPlaced(const PlacementPlan& plan) {
@@ -210,12 +214,6 @@
   return !this->is_probe;
 }
 
-Duration RequestDispatch::TimeUntilProbe() const {
-  const BlockedKeys* found = this->state.quarantine.Find(this->quarantine_keys);
-  if (found == nullptr) return Duration::zero();
-  return CrashBlocklist::TimeUntilProbe(RuntimeClock::now(), *found);
-}
-
 void RequestDispatch::LogWait(std::string_view event,
                               const WaitInputs& inputs) const {
   Logger::Info(event, {{"request", this->decoded.id},
