Explain where a request would go now

GET /placement at the metrics address makes the decision of a real request on the current state and sends nothing. dandelionctl placement prints it. The API key is a bearer token of the query, since targets are logged.

--- a/daemons/dandelionctl.cc
+++ b/daemons/dandelionctl.cc
@@ -15,6 +15,7 @@
 #include <sstream>
 
 #include "daemons/explain_logs.h"
+#include "daemons/placement_command.h"
 #include "dandelionscale/core/configuration.h"
 #include "dandelionscale/runtime.h"
 #include "dandelionscale/transport.h"
@@ -49,7 +50,10 @@
     "  explain REQUEST_ID    show the hops of a request as a tree; with "
     "--log,\n"
     "                        its story in routers' logs and the likely "
-    "cause\n\n"
+    "cause\n"
+    "  placement ROUTER      show where a request would go now; ROUTER is the\n"
+    "                        metrics address, IP:PORT; needs --host and "
+    "--path\n\n"
     "Exit codes: 0 done, 1 refused or unreachable, 2 wrong usage.";
 
 std::vector<dandelionscale::SettingSpec> Specs() {
@@ -63,6 +67,23 @@
        TextRange{}},
       {"log", "", "explain: log files of routers, comma-separated",
        TextRange{}},
+      {"host", "", "placement: host of the request", TextRange{}},
+      {"path", "", "placement: path of the request", TextRange{}},
+      {"method", "", "placement: method of the request; default POST",
+       TextRange{}},
+      {"key", "",
+       "placement: API key; the environment variable keeps it out "
+       "of the list of processes",
+       TextRange{}},
+      {"id", "", "placement: request id, which decides between equal engines",
+       TextRange{}},
+      {"model", "", "placement: model of the prompt", TextRange{}},
+      {"prefix", "",
+       "placement: parts of the prompt, ID:TOKENS,...; the last "
+       "one is the request's own",
+       TextRange{}},
+      {"tokens", "", "placement: tokens of prompt and answer, IN,OUT",
+       TextRange{}},
       {"output", "table", "output format", ChoiceRange{{"table", "json"}}},
   };
 }
@@ -368,6 +389,10 @@
       !settings.Text("log").empty()) {
     return dandelionscale::ExplainFromLogs(settings.Text("log"), arguments[1]);
   }
+  if (arguments.size() == 2 && arguments[0] == "placement" &&
+      !settings.Text("host").empty() && !settings.Text("path").empty()) {
+    return dandelionscale::ExplainPlacement(settings, arguments[1]);
+  }
   AdminClient admin(settings);
   if (arguments.size() == 2 && arguments[0] == "config" &&
       arguments[1] == "get") {
--- /dev/null
+++ b/daemons/placement_command.h
@@ -0,0 +1,29 @@
+/// \file
+/// \brief `dandelionctl placement`: asks a router where a request would go now.
+#ifndef DANDELIONSCALE_DAEMONS_PLACEMENT_COMMAND_H_
+#define DANDELIONSCALE_DAEMONS_PLACEMENT_COMMAND_H_
+
+#include <string>
+#include <string_view>
+
+#include "dandelionscale/runtime/settings.h"
+#include "dandelionscale/transport/http_types.h"
+
+namespace dandelionscale {
+
+/// \returns the query for a router's metrics address. The key is in a header
+///          field, since targets of requests are logged by proxies.
+HttpRequest MakePlacementRequest(const Settings& settings);
+
+/// \returns the router's explanation as text for an operator.
+/// \param document JSON of the response.
+std::string FormatPlacement(std::string_view document);
+
+/// \brief Asks the router and prints its explanation.
+/// \param router metrics address, IP:PORT; exits the process if it is none.
+/// \returns the exit code.
+int ExplainPlacement(const Settings& settings, const std::string& router);
+
+}  // namespace dandelionscale
+
+#endif  // DANDELIONSCALE_DAEMONS_PLACEMENT_COMMAND_H_
--- a/src/dispatch/dispatch_router.cc
+++ b/src/dispatch/dispatch_router.cc
@@ -1,5 +1,7 @@
 #include "dandelionscale/dispatch/dispatch_router.h"
 
+#include <fmt/format.h>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <exception>
@@ -13,6 +15,8 @@
 #include "dispatch/peers/peer_exchange.h"
 #include "dispatch/peers/permit_exchange.h"
 #include "dispatch/request/client_connection.h"
+#include "dispatch/request/placement_explanation.h"
+#include "dispatch/request/placement_query.h"
 #include "dispatch/request/request_dispatch.h"
 #include "dispatch/store/store_watcher.h"
 #include "dispatch/traffic.h"
@@ -77,7 +81,10 @@
   Awaitable<void> ServeClient(std::shared_ptr<ClientConnection> client);
   Awaitable<void> Sweep();
   Awaitable<void> ServeReadiness(HttpExchange& exchange);
+  // Serves the metrics, and where a request would go now.
   Awaitable<void> ServeMetrics(HttpExchange& exchange);
+  HttpResponse MakeMetricsResponse() const;
+  HttpResponse ExplainPlacement(const HttpRequest& request);
   void RunHousekeeping(TimePoint now);
   void LogTraffic();
   // A copy: a client may be removed while it is used.
@@ -263,10 +270,41 @@
 }
 
 Awaitable<void> DispatchRouter::Impl::ServeMetrics(HttpExchange& exchange) {
+  const HttpRequest& request = exchange.Request();
+  HttpResponse response = PathOf(request.target) == internal::kPlacementPath
+                              ? this->ExplainPlacement(request)
+                              : this->MakeMetricsResponse();
+  co_await exchange.Respond(std::move(response));
+}
+
+HttpResponse DispatchRouter::Impl::MakeMetricsResponse() const {
   HttpResponse response;
   response.headers.Add("Content-Type", "text/plain; version=0.0.4");
   response.body = this->state.metrics.ToPrometheus();
-  co_await exchange.Respond(std::move(response));
+  return response;
+}
+
+HttpResponse DispatchRouter::Impl::ExplainPlacement(
+    const HttpRequest& request) {
+  HttpResponse response;
+  response.headers.Add("Content-Type", "application/json");
+  boost::leaf::try_handle_all(
+      [&]() -> boost::leaf::result<void> {
+        BOOST_LEAF_AUTO(query, internal::ParsePlacementQuery(request));
+        const internal::PlacementExplanation explanation =
+            internal::ExplainPlacement(this->state, query, RuntimeClock::now());
+        this->state.metrics.Add(
+            fmt::format("placement_queries_total{{verdict=\"{}\"}}",
+                        internal::ToString(explanation.verdict)));
+        response.body = internal::ToJson(explanation);
+        return {};
+      },
+      [&](const internal::PlacementQueryFault& fault) {
+        response.status = http_status::kBadRequest;
+        response.body = internal::ToJson(fault);
+      },
+      [&] { response.status = http_status::kBadRequest; });
+  return response;
 }
 
 Awaitable<void> DispatchRouter::Impl::Shutdown() {
--- a/src/dispatch/peers/permit_exchange.h
+++ b/src/dispatch/peers/permit_exchange.h
@@ -55,6 +55,11 @@
   ///          call on. If not, the engine's limit records when to ask again.
   Awaitable<bool> Acquire(std::shared_ptr<Engine> engine);
 
+  /// \returns the peer that issues the engine's permits; none if this router
+  ///          does.
+  std::optional<std::string> FindIssuer(TimePoint now,
+                                        std::uint64_t engine_key) const;
+
   /// \returns true if the datagram is a message of this exchange.
   static bool IsPermitMessage(std::string_view datagram);
   /// \brief Handles such a message.
@@ -79,10 +84,6 @@
     std::shared_ptr<Engine> engine;
   };
 
-  // Returns the peer that issues the engine's permits; none if this router
-  // does.
-  std::optional<std::string> FindIssuer(TimePoint now,
-                                        std::uint64_t engine_key) const;
   IssuerView ViewOf(TimePoint now, std::uint64_t engine_key) const;
   Outcome Issue(TimePoint now, const Engine& engine);
   // Returns nothing if no response comes in time.
