--- a/tests/placement_explanation_test.cc
+++ b/tests/placement_explanation_test.cc
@@ -343,6 +343,28 @@
   CHECK(router.Explain(LongQuery()).zone_share == Approx(share).margin(1e-9));
 }
 
+// The same for a service in use, whose budget and queue exist.
+TEST_CASE("an explanation takes no retry and no place in the queue") {
+  EngineRecord far = Record("far");
+  far.availability_zone = "south";
+  Router router({Record("near"), far});
+  ServiceState& service = router.state.Service("s1");
+  for (int n = 0; n < 20; ++n) service.budget.OnRequest(router.now);
+  REQUIRE(service.budget.TryTake(router.now, 1));
+  const WaitRequest waiting = {1, 0, seconds(1), router.now + minutes(1), {}};
+  REQUIRE(service.queue.TryEnqueue(router.now, waiting));
+  for (const char* id : {"near", "far"}) router.Find(id).in_flight = kFullLoad;
+  const double share = service.zone_spill.Share();
+  for (int n = 0; n < 10; ++n) {
+    router.now += milliseconds(10);
+    CHECK(router.Explain(Query()).verdict == PlacementVerdict::kWaits);
+  }
+  CHECK(service.budget.Requests() == 20);
+  CHECK(service.budget.Retries() == 1);
+  CHECK(service.queue.Size() == 1);
+  CHECK(service.zone_spill.Share() == share);
+}
+
 std::optional<PlacementQuery> Parse(const std::string& target,
                                     std::string_view authorization = "") {
   HttpRequest request;
--- a/tests/support/platform_fleet.cc
+++ b/tests/support/platform_fleet.cc
@@ -380,20 +380,37 @@
 }
 
 std::string PlatformFleet::Metrics(int router) {
+  return this->AskMetricsServer(router,
+                                "GET /metrics HTTP/1.1\r\nHost: x\r\n"
+                                "Connection: close\r\n\r\n");
+}
+
+std::string PlatformFleet::Placement(int router, const std::string& query,
+                                     const std::string& key) {
+  return this->AskMetricsServer(
+      router, fmt::format("GET /placement?{} HTTP/1.1\r\nHost: x\r\n"
+                          "Authorization: Bearer {}\r\n"
+                          "Connection: close\r\n\r\n",
+                          query, key));
+}
+
+Endpoint PlatformFleet::MetricsEndpoint(int router) const {
+  return {asio::ip::make_address(this->Ip(router)), kMetricsPort};
+}
+
+std::string PlatformFleet::AskMetricsServer(int router,
+                                            const std::string& bytes) const {
   asio::io_context client;
   asio::ip::tcp::socket socket(client);
   error_code error;
-  socket.connect({asio::ip::make_address(this->Ip(router)), kMetricsPort},
-                 error);
+  socket.connect(this->MetricsEndpoint(router), error);
   if (error) return {};
-  asio::write(socket,
-              asio::buffer(std::string("GET /metrics HTTP/1.1\r\nHost: x\r\n"
-                                       "Connection: close\r\n\r\n")));
+  asio::write(socket, asio::buffer(bytes));
   std::string text;
   while (!error) {
-    char bytes[4096];
-    const auto size = socket.read_some(asio::buffer(bytes), error);
-    text.append(bytes, size);
+    char buffer[4096];
+    const auto size = socket.read_some(asio::buffer(buffer), error);
+    text.append(buffer, size);
   }
   return text;
 }
--- a/tests/support/platform_fleet.h
+++ b/tests/support/platform_fleet.h
@@ -127,6 +127,13 @@
   /// \returns the response to `GET /metrics`; empty if the router refuses the
   /// connection.
   std::string Metrics(int router);
+  /// \brief Asks a router where a request with API key `key` would go now.
+  /// \param query parameters of the query, percent-encoded.
+  /// \returns the whole response.
+  std::string Placement(int router, const std::string& query,
+                        const std::string& key = "k1");
+  /// \returns the address on which a router serves its metrics.
+  Endpoint MetricsEndpoint(int router) const;
 
   /// \brief Sends bytes to a router on a new connection and reads the
   /// responses.
@@ -158,6 +165,9 @@
     std::chrono::milliseconds warm_up_left{0};
   };
 
+  // Sends bytes to the metrics address and reads until the connection's end.
+  // Returns nothing if the router refuses the connection.
+  std::string AskMetricsServer(int router, const std::string& bytes) const;
   std::string Ip(int router) const;
   std::string SettingsPath(int router) const;
 
