--- a/daemons/placement_command.cc
+++ b/daemons/placement_command.cc
@@ -8,7 +8,6 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/json.hpp>
 #include <cctype>
-#include <optional>
 
 #include "daemons/explain_logs.h"
 #include "dandelionscale/transport/address.h"
@@ -127,15 +126,20 @@
   return text;
 }
 
+std::string FormatLoadAge(const json::object& answer) {
+  const std::string age = TextOf(answer, "load_age_s");
+  return age == "-" ? "no peer reports" : "oldest peer report " + age + " s";
+}
+
 std::string FormatAnswer(const json::object& answer) {
   std::string text = fmt::format(
       "request      {} {}\n"
       "route        {}, workspace {}, service {}, priority {}\n"
-      "as of        configuration {}, engines {}, oldest peer report {} s\n",
+      "as of        configuration {}, engines {}, {}\n",
       TextOf(answer, "request"), FormatVerdict(answer), TextOf(answer, "route"),
       TextOf(answer, "workspace"), TextOf(answer, "service"),
       TextOf(answer, "priority"), TextOf(answer, "configuration"),
-      TextOf(answer, "engines"), TextOf(answer, "load_age_s"));
+      TextOf(answer, "engines"), FormatLoadAge(answer));
   if (answer.contains("zone_rule")) {
     text +=
         fmt::format("zone         rule {}, share {} leaves; mean load {}\n",
@@ -182,10 +186,10 @@
   return request;
 }
 
-std::string FormatPlacement(std::string_view document) {
+std::optional<std::string> FormatPlacement(std::string_view document) {
   boost::system::error_code error;
   const json::value answer = json::parse(document, error);
-  if (error || !answer.is_object()) return "no JSON object in the response\n";
+  if (error || !answer.is_object()) return std::nullopt;
   return FormatAnswer(answer.get_object());
 }
 
@@ -208,10 +212,15 @@
     fmt::print(stderr, "{}: {} {}\n", router, response->status, response->body);
     return kExitFailed;
   }
+  const std::optional<std::string> text = FormatPlacement(response->body);
+  if (!text) {
+    fmt::print(stderr, "{}: not an explanation; an earlier build?\n", router);
+    return kExitFailed;
+  }
   if (settings.Text("output") == "json") {
     fmt::print("{}\n", response->body);
   } else {
-    fmt::print("{}", FormatPlacement(response->body));
+    fmt::print("{}", *text);
   }
   return kExitOk;
 }
--- a/daemons/placement_command.h
+++ b/daemons/placement_command.h
@@ -3,6 +3,7 @@
 #ifndef DANDELIONSCALE_DAEMONS_PLACEMENT_COMMAND_H_
 #define DANDELIONSCALE_DAEMONS_PLACEMENT_COMMAND_H_
 
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -15,9 +16,10 @@
 ///          field, since targets of requests are logged by proxies.
 HttpRequest MakePlacementRequest(const Settings& settings);
 
-/// \returns the router's explanation as text for an operator.
+/// \returns the router's explanation as text for an operator, or nothing if it
+///          is none: a router of an earlier build responds with its metrics.
 /// \param document JSON of the response.
-std::string FormatPlacement(std::string_view document);
+std::optional<std::string> FormatPlacement(std::string_view document);
 
 /// \brief Asks the router and prints its explanation.
 /// \param router metrics address, IP:PORT; exits the process if it is none.
--- a/tests/placement_explanation_test.cc
+++ b/tests/placement_explanation_test.cc
@@ -418,14 +418,16 @@
 TEST_CASE("the text for operators names engines, reasons and Retry-After") {
   Router router({Record("e1"), Record("e2")});
   router.Find("e2").draining = true;
-  const std::string placed = FormatPlacement(ToJson(router.Explain(Query())));
+  const std::string placed =
+      FormatPlacement(ToJson(router.Explain(Query()))).value();
   CHECK(placed.find("would be sent to e1 (least_loaded)") != std::string::npos);
   CHECK(placed.find("draining") != std::string::npos);
   router.Find("e1").draining = true;
-  const std::string refused = FormatPlacement(ToJson(router.Explain(Query())));
+  const std::string refused =
+      FormatPlacement(ToJson(router.Explain(Query()))).value();
   CHECK(refused.find("would get 503 no_engine, Retry-After") !=
         std::string::npos);
-  CHECK(FormatPlacement("[") == "no JSON object in the response\n");
+  CHECK_FALSE(FormatPlacement("# TYPE requests_total counter"));
 }
 
 }  // namespace
