--- a/include/dandelionscale/core/load/placement.h
+++ b/include/dandelionscale/core/load/placement.h
@@ -47,6 +47,10 @@
   bool limits_rate = false;
 };
 
+/// \returns true if the engine is usable and has room for a further request.
+/// \param queue_share as `PlacementInputs::engine_queue_share`.
+bool HasRoom(const PlacementCandidate& candidate, double queue_share);
+
 /// \brief How a request treats availability zones; see `ZoneSpill`.
 enum class ZoneRule {
   kIgnored,  ///< All zones alike, but for a small preference for the own one.
--- a/src/core/load/placement.cc
+++ b/src/core/load/placement.cc
@@ -32,11 +32,6 @@
 
 using Candidate = PlacementCandidate;
 
-bool HasRoom(const Candidate& candidate, double queue_share) {
-  const double limit = candidate.max_slots * (1 + queue_share);
-  return candidate.usable && candidate.in_flight < limit;
-}
-
 double MeanInFlight(std::span<const Candidate> candidates) {
   const bool all_limited =
       std::all_of(candidates.begin(), candidates.end(),
@@ -200,6 +195,11 @@
 
 }  // namespace
 
+bool HasRoom(const PlacementCandidate& candidate, double queue_share) {
+  const double limit = candidate.max_slots * (1 + queue_share);
+  return candidate.usable && candidate.in_flight < limit;
+}
+
 double EngineQueueShare(Duration latency_target, Duration work_time) {
   const double share = kEngineWaitShareOfTarget *
                        static_cast<double>(latency_target.count()) /
