Property tests fail if their property does

rc::check() returns whether the property holds and leaves it to the caller to act on that. 16 calls ignored the result, so that their tests could not fail.

--- a/tests/attempt_policy_test.cc
+++ b/tests/attempt_policy_test.cc
@@ -85,7 +85,7 @@
 }
 
 TEST_CASE("decisions respect the limits of the route for any history") {
-  rc::check([] {
+  const bool held = rc::check([] {
     const auto failure = *rc::gen::elementOf(std::vector<AttemptFailure>(
         std::begin(kAllFailures), std::end(kAllFailures)));
     const auto kind =
@@ -114,6 +114,7 @@
       RC_ASSERT(Is<SendAgain>(decision) || Is<BreakStream>(decision));
     }
   });
+  CHECK(held);
 }
 
 }  // namespace
--- a/tests/engine_response_test.cc
+++ b/tests/engine_response_test.cc
@@ -102,7 +102,7 @@
 // Any first body, then a second response of which any part has arrived: found
 // where it begins as soon as its id is there, and never earlier.
 TEST_CASE("a following response is found where it begins") {
-  rc::check([](const std::string& body) {
+  const bool held = rc::check([](const std::string& body) {
     RC_PRE(body.find("HTTP/") == std::string::npos && !body.ends_with("H"));
     const std::string head = "HTTP/1.1 200 OK\r\nRequest-Id: b\r\n";
     const std::string second = head + "Response-Seal: s\r\n\r\nother";
@@ -115,13 +115,15 @@
       RC_ASSERT(!found);
     }
   });
+  CHECK(held);
 }
 
 TEST_CASE("broken bytes are searched without harm") {
-  rc::check([](const std::string& bytes) {
+  const bool held = rc::check([](const std::string& bytes) {
     const auto found = Find("HTTP/1." + bytes + "HTTP/1.1 " + bytes);
     RC_ASSERT(!found || *found < 2 * bytes.size() + 16);
   });
+  CHECK(held);
 }
 
 }  // namespace
--- a/tests/evacuated_zones_test.cc
+++ b/tests/evacuated_zones_test.cc
@@ -162,7 +162,7 @@
 }
 
 TEST_CASE("all routers come to the newest state in any order of reports") {
-  rc::check([] {
+  const bool held = rc::check([] {
     FleetModel fleet;
     for (int steps = *rc::gen::inRange(0, 60); steps > 0; --steps) {
       TakeStep(fleet);
@@ -191,6 +191,7 @@
       RC_ASSERT(router.zones.Current() == fleet.history.at(fleet.current));
     }
   });
+  CHECK(held);
 }
 
 }  // namespace
--- a/tests/event_splitter_test.cc
+++ b/tests/event_splitter_test.cc
@@ -141,7 +141,7 @@
 // A first answer, whole or cut, and a second one, in any fragments: only events
 // of the first are returned, in their order.
 TEST_CASE("no byte of a second response is returned") {
-  rc::check([] {
+  const bool held = rc::check([] {
     const int events = *rc::gen::inRange(0, 5);
     std::string own;
     for (int id = 1; id <= events; ++id) own += Event(id);
@@ -169,10 +169,11 @@
         (splitter.State() == StreamState::kOpen && !splitter.IsInsideEvent());
     RC_ASSERT(cut == 0 || !looks_whole);
   });
+  CHECK(held);
 }
 
 TEST_CASE("broken bytes never return more than was fed") {
-  rc::check([](const std::vector<std::string>& fragments) {
+  const bool held = rc::check([](const std::vector<std::string>& fragments) {
     EventSplitter splitter;
     splitter.OnResponse(*rc::gen::element(
         BodyFraming::kLength, BodyFraming::kChunked, BodyFraming::kUntilClose));
@@ -184,10 +185,11 @@
     }
     RC_ASSERT(fed.starts_with(taken));
   });
+  CHECK(held);
 }
 
 TEST_CASE("any fragmentation of the bytes gives the same events") {
-  rc::check([] {
+  const bool held = rc::check([] {
     std::string text;
     const int events = *rc::gen::inRange(0, 8);
     for (int n = 1; n <= events; ++n) text += Event(n);
@@ -203,6 +205,7 @@
     RC_ASSERT(taken == text);
     RC_ASSERT(splitter.Flush().empty());
   });
+  CHECK(held);
 }
 
 }  // namespace
--- a/tests/odd_entry_test.cc
+++ b/tests/odd_entry_test.cc
@@ -330,7 +330,7 @@
       R"({"ver":3,"rows":[{"table":"servers","part":"","key":"e1","ver":2,)"
       R"("value":"eyJzZXJ2aWNlIjoxfQ=="}],"has_more":false})";
   PageFixture fixture;
-  rc::check([&] {
+  const bool held = rc::check([&] {
     std::string text = sound;
     const int changes = *rc::gen::inRange(1, 4);
     for (int n = 0; n < changes; ++n) {
@@ -341,6 +341,7 @@
     if (rows.has_error()) return;
     for (const StoreRow& row : rows->rows) DecodeEngine(row.value, row.key);
   });
+  CHECK(held);
 }
 
 }  // namespace
--- a/tests/peer_load_test.cc
+++ b/tests/peer_load_test.cc
@@ -42,7 +42,7 @@
 }
 
 TEST_CASE("totals equal the newest reports in any order of arrival") {
-  rc::check([] {
+  const bool held = rc::check([] {
     PeerLoad load;
     std::map<std::string, std::pair<std::uint64_t, std::uint32_t>> newest;
     const auto steps = *rc::gen::container<std::vector<std::uint32_t>>(
@@ -60,6 +60,7 @@
     for (const auto& [router, entry] : newest) expected += entry.second;
     RC_ASSERT(load.InFlight(10) == expected);
   });
+  CHECK(held);
 }
 
 }  // namespace
--- a/tests/placement_test.cc
+++ b/tests/placement_test.cc
@@ -222,7 +222,7 @@
 // A log line lists only the candidates that determine the decision. Replaying
 // it must give the same engine for the same reason as all candidates did.
 TEST_CASE("a decision can be replayed from its decisive candidates") {
-  rc::check([] {
+  const bool held = rc::check([] {
     const auto count = *rc::gen::inRange<std::size_t>(1, 60);
     std::vector<PlacementCandidate> candidates(count);
     for (std::size_t n = 0; n < count; ++n) {
@@ -256,6 +256,7 @@
     RC_ASSERT(replayed->index == 0);
     RC_ASSERT(replayed->basis == decision->basis);
   });
+  CHECK(held);
 }
 
 TEST_CASE("malformed candidate lists are rejected") {
--- a/tests/platform_translation_test.cc
+++ b/tests/platform_translation_test.cc
@@ -375,7 +375,7 @@
 // Removes and changes bytes of valid messages; a decoder may reject the result,
 // but must not crash or read out of bounds.
 TEST_CASE("mutated messages are rejected or decoded, without a crash") {
-  rc::check([] {
+  const bool held = rc::check([] {
     std::string text(
         *rc::gen::element(std::string(kConfiguration), std::string(kEngine)));
     const int changes = *rc::gen::inRange(1, 6);
@@ -399,6 +399,7 @@
     ValueOrNone<CacheEventBatch>(
         [&] { return PlatformCodec().DecodeCacheEvents(text); });
   });
+  CHECK(held);
 }
 
 }  // namespace
--- a/tests/service_times_test.cc
+++ b/tests/service_times_test.cc
@@ -150,7 +150,7 @@
 // may take longer; after only 128 answers that share is known to a factor of 3.
 TEST_CASE(
     "few streams take longer than estimated, whatever the hints' errors") {
-  rc::check("estimates of mixed streams", [](unsigned seed) {
+  const bool held = rc::check("estimates of mixed streams", [](unsigned seed) {
     ServiceTimes times;
     MixedStreams streams(seed);
     for (int n = 0; n < 128; ++n) {
@@ -170,10 +170,11 @@
     }
     RC_ASSERT(longer * 100 < 15 * kStreams);
   });
+  CHECK(held);
 }
 
 TEST_CASE("a longer hint or prompt never shortens the estimate") {
-  rc::check("monotonic estimates", [](unsigned seed) {
+  const bool held = rc::check("monotonic estimates", [](unsigned seed) {
     ServiceTimes times;
     MixedStreams streams(seed);
     const auto count = *rc::gen::inRange(8, 300);
@@ -189,6 +190,7 @@
     RC_ASSERT(estimate(100, tokens + more) >= estimate(100, tokens));
     RC_ASSERT(estimate(tokens + more, 50) >= estimate(tokens, 50));
   });
+  CHECK(held);
 }
 
 }  // namespace
--- a/tests/watcher_election_test.cc
+++ b/tests/watcher_election_test.cc
@@ -276,7 +276,7 @@
 }
 
 TEST_CASE("changes reach all live routers despite crashes and partitions") {
-  rc::check([] {
+  const bool held = rc::check([] {
     const auto count = *rc::gen::inRange<std::size_t>(2, 30);
     FleetModel fleet(count);
     fleet.digest_loss = 0.03;
@@ -291,6 +291,7 @@
       RC_ASSERT(fleet.CountOutdated() == 0);
     }
   });
+  CHECK(held);
 }
 
 }  // namespace
--- a/tests/zone_spill_test.cc
+++ b/tests/zone_spill_test.cc
@@ -156,7 +156,7 @@
 }
 
 TEST_CASE("the share is always within its limits") {
-  rc::check([] {
+  const bool held = rc::check([] {
     ZoneSpill spill;
     TimePoint now = kNow;
     const auto steps = *rc::gen::container<std::vector<std::uint32_t>>(
@@ -171,6 +171,7 @@
       RC_ASSERT(spill.Share() <= 1);
     }
   });
+  CHECK(held);
 }
 
 std::vector<PlacementCandidate> Candidates(std::vector<std::uint32_t> loads,
@@ -265,7 +266,7 @@
 }
 
 TEST_CASE("a decision by zone can be replayed from its decisive candidates") {
-  rc::check([] {
+  const bool held = rc::check([] {
     const auto count = *rc::gen::inRange<std::size_t>(1, 30);
     auto candidates = Candidates(std::vector<std::uint32_t>(count), 0);
     for (PlacementCandidate& candidate : candidates) {
@@ -295,6 +296,7 @@
     RC_ASSERT(replayed->index == 0);
     RC_ASSERT(replayed->basis == decision->basis);
   });
+  CHECK(held);
 }
 
 }  // namespace
