--- a/include/dandelionscale/core/prefix_index.h
+++ b/include/dandelionscale/core/prefix_index.h
@@ -46,14 +46,32 @@
 /// \returns the keys in hexadecimal, separated by spaces, for logs.
 std::string FormatPartKeys(std::span<const std::uint64_t> keys);
 
+/// \brief The routers that an update of the prefix index is sent to.
+enum class UpdateScope {
+  kAllZones,
+  kOwnZone  ///< Peers in the sender's availability zone only.
+};
+
 /// \brief Report that an engine has cached or reused a prompt part, or has
 ///        evicted it.
 struct PrefixUpdate {
   std::uint64_t part_key = 0;
   std::uint64_t engine_key = 0;
   bool dropped = false;  ///< The engine has evicted the part.
+  UpdateScope scope = UpdateScope::kAllZones;
 };
 
+/// \returns true if the update is sent to peers in other zones, too.
+inline bool IsForAllZones(const PrefixUpdate& update) {
+  return update.scope == UpdateScope::kAllZones;
+}
+
+/// \returns the scope of new entries for a prompt prefix. In a large fleet, an
+///          entry for a short prefix costs more traffic than computing the
+///          prefix once more in another zone.
+/// \param prefix_tokens total of the prefix, see `TotalTokens()`.
+UpdateScope ScopeOfPrefix(std::uint32_t prefix_tokens, bool is_large_fleet);
+
 /// \brief An engine and the number of a prompt's leading tokens that it has
 ///        cached.
 struct PrefixMatch {
@@ -82,12 +100,16 @@
   void Apply(TimePoint now, const PrefixUpdate& update);
   /// \brief Applies an update that this router observed itself.
   /// \returns true if the update has to be sent to the peers: it changes the
-  ///          index, or the peers' entries for this holder would otherwise
-  ///          expire soon.
+  ///          index, the peers' entries for this holder would otherwise expire
+  ///          soon, or the part was known in one zone only and the update is
+  ///          for all.
   bool Observe(TimePoint now, const PrefixUpdate& update);
   /// \returns true if the engine is recorded as a holder of the part, even if
   ///          the record has expired.
   bool IsHolder(std::uint64_t part_key, std::uint64_t engine_key) const;
+  /// \returns the widest scope of an update of the part so far; `kOwnZone` if
+  ///          the part is not known. Evictions of the part have this scope.
+  UpdateScope ScopeOf(std::uint64_t part_key) const;
   /// \brief Removes the engine from all parts: its cache is lost.
   void RemoveEngine(std::uint64_t engine_key);
   /// \returns the engines that have cached leading parts of a prompt, longest
@@ -113,12 +135,12 @@
   struct Entry {
     std::vector<Holder> holders;
     TimePoint used_at{};
+    UpdateScope scope = UpdateScope::kOwnZone;  ///< See `ScopeOf()`.
   };
 
   // Records a use of the part by the engine. Returns null if the index is full
   // and the entry added for the part was itself evicted.
-  Holder* RecordUse(TimePoint now, std::uint64_t part_key,
-                    std::uint64_t engine_key);
+  Holder* RecordUse(TimePoint now, const PrefixUpdate& update);
   void RemoveHolder(std::uint64_t part_key, std::uint64_t engine_key);
   const Holder* FindHolder(std::uint64_t part_key,
                            std::uint64_t engine_key) const;
--- a/include/dandelionscale/core/prefix_update_queue.h
+++ b/include/dandelionscale/core/prefix_update_queue.h
@@ -15,7 +15,9 @@
 /// Each digest, the periodic state message between routers (see
 /// digest_schedule.h), goes to a few peers only, in rotation. Each update is
 /// therefore included in as many consecutive digests as one rotation through
-/// all peers takes. The queue is bounded; the oldest updates are dropped first.
+/// all peers takes. Updates for the own zone are left out of the copies for
+/// other zones; the rotation through all peers reaches each peer of the zone
+/// once as well. The queue is bounded; the oldest updates are dropped first.
 class PrefixUpdateQueue {
  public:
   /// \brief Queues an update for the digests that follow.
--- a/include/dandelionscale/dispatch/protocol_codec.h
+++ b/include/dandelionscale/dispatch/protocol_codec.h
@@ -92,6 +92,7 @@
 struct CacheEvent {
   std::uint64_t part_key = 0;  ///< Computed by `PartKey()`.
   bool dropped = false;        ///< True for an eviction.
+  std::uint32_t tokens = 0;    ///< Cached tokens of the part.
 };
 
 /// \brief Consecutive events of an engine's prompt cache.
--- a/include/dandelionscale/transport/http_server.h
+++ b/include/dandelionscale/transport/http_server.h
@@ -37,6 +37,9 @@
 
   const HttpRequest& Request() const { return this->request; }
 
+  /// \returns the IP address of the client as text; empty if the connection is
+  ///          closed.
+  virtual std::string ClientIp() const = 0;
   /// \brief Sends a complete response. \returns false if the write failed.
   virtual Awaitable<bool> Respond(HttpResponse response) = 0;
   /// \brief Sends the header of a chunked response. \returns false if the write
--- a/src/core/prefix_index.cc
+++ b/src/core/prefix_index.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 
 #include "dandelionscale/core/hash.h"
+#include "dandelionscale/core/load/placement.h"
 
 namespace dandelionscale {
 namespace {
@@ -61,25 +62,33 @@
   return 0;
 }
 
+UpdateScope ScopeOfPrefix(std::uint32_t prefix_tokens, bool is_large_fleet) {
+  const bool is_short = prefix_tokens < kMinLongPrefixTokens;
+  return is_large_fleet && is_short ? UpdateScope::kOwnZone
+                                    : UpdateScope::kAllZones;
+}
+
 void PrefixIndex::Apply(TimePoint now, const PrefixUpdate& update) {
   if (update.dropped) {
     this->RemoveHolder(update.part_key, update.engine_key);
     return;
   }
-  Holder* holder = this->RecordUse(now, update.part_key, update.engine_key);
+  Holder* holder = this->RecordUse(now, update);
   if (holder != nullptr) holder->announced_at = now;
 }
 
 bool PrefixIndex::Observe(TimePoint now, const PrefixUpdate& update) {
   const Holder* holder = this->FindHolder(update.part_key, update.engine_key);
+  const bool is_wider = update.scope == UpdateScope::kAllZones &&
+                        this->ScopeOf(update.part_key) == UpdateScope::kOwnZone;
   const bool must_announce =
       update.dropped ? holder != nullptr
-                     : holder == nullptr ||
+                     : holder == nullptr || is_wider ||
                            now - holder->announced_at >= kReannounceInterval;
   if (must_announce) {
     this->Apply(now, update);
   } else if (!update.dropped) {
-    this->RecordUse(now, update.part_key, update.engine_key);
+    this->RecordUse(now, update);
   }
   return must_announce;
 }
@@ -89,9 +98,16 @@
   return this->FindHolder(part_key, engine_key) != nullptr;
 }
 
+UpdateScope PrefixIndex::ScopeOf(std::uint64_t part_key) const {
+  auto found = this->entries.find(part_key);
+  return found == this->entries.end() ? UpdateScope::kOwnZone
+                                      : found->second.scope;
+}
+
 PrefixIndex::Holder* PrefixIndex::RecordUse(TimePoint now,
-                                            std::uint64_t part_key,
-                                            std::uint64_t engine_key) {
+                                            const PrefixUpdate& update) {
+  const std::uint64_t part_key = update.part_key;
+  const std::uint64_t engine_key = update.engine_key;
   auto [found, added] = this->entries.try_emplace(part_key);
   if (added) {
     this->eviction_order.push_back(part_key);
@@ -101,6 +117,7 @@
   }
   Entry& entry = found->second;
   entry.used_at = now;
+  if (update.scope == UpdateScope::kAllZones) entry.scope = update.scope;
   for (Holder& holder : entry.holders) {
     if (holder.engine_key != engine_key) continue;
     holder.used_at = now;
@@ -176,7 +193,7 @@
       if (updates.size() >= max_updates) return updates;
       // The receiver would count an expired holder as used now.
       if (now - holder.used_at >= kHolderLifetime) continue;
-      updates.push_back({part_key, holder.engine_key, false});
+      updates.push_back({part_key, holder.engine_key, false, entry.scope});
     }
   }
   return updates;
--- a/src/dispatch/cache_observer.cc
+++ b/src/dispatch/cache_observer.cc
@@ -138,6 +138,13 @@
          this->state.IsFirstAmongPeers(engine.key);
 }
 
+UpdateScope CacheObserver::ScopeOf(const CacheEvent& event) const {
+  const UpdateScope scope =
+      ScopeOfPrefix(event.tokens, this->state.IsLargeFleet());
+  if (scope == UpdateScope::kAllZones) return scope;
+  return this->state.prefixes.ScopeOf(event.part_key);
+}
+
 void CacheObserver::ApplyEvents(const Engine& engine,
                                 const CacheEventBatch& batch, bool is_resync) {
   const TimePoint now = RuntimeClock::now();
@@ -145,7 +152,8 @@
     // Added parts are skipped except in a resync: shared parts were recorded
     // when a request was placed, and other parts belong to one request each.
     if (!event.dropped && !is_resync) continue;
-    const PrefixUpdate update{event.part_key, engine.key, event.dropped};
+    const PrefixUpdate update{event.part_key, engine.key, event.dropped,
+                              this->ScopeOf(event)};
     const bool is_new = this->state.prefixes.Observe(now, update);
     if (is_new || is_resync) {
       this->state.prefix_updates.Add(update);
--- a/src/dispatch/cache_observer.h
+++ b/src/dispatch/cache_observer.h
@@ -33,6 +33,9 @@
                                           Duration timeout);
   // True if the engine is assigned to this router and may be called.
   bool MayObserve(const Engine& engine) const;
+  // Returns which peers learn of the event: the engine states the length of one
+  // part only, and the index knows the parts of long prefixes.
+  UpdateScope ScopeOf(const CacheEvent& event) const;
   // \param is_resync the events give the whole content of the cache: all events
   //        since its start, or a list.
   void ApplyEvents(const Engine& engine, const CacheEventBatch& batch,
--- a/src/dispatch/dispatch_state.cc
+++ b/src/dispatch/dispatch_state.cc
@@ -537,6 +537,14 @@
          *contact->second.zone_key != this->zone_key;
 }
 
+PeerZone DispatchState::ZoneOfHost(const std::string& ip) const {
+  const std::string host = ip + ":";
+  const auto peer = this->live_peers.lower_bound(host);
+  const bool is_known =
+      peer != this->live_peers.end() && peer->first.starts_with(host);
+  return is_known ? this->ZoneOfPeer(peer->first) : PeerZone::kOwn;
+}
+
 bool DispatchState::IsZoneFetcher() const {
   const auto comes_first = this->ComesBeforeThisRouter(this->zone_key);
   std::size_t before = 0;
--- a/src/dispatch/dispatch_state.h
+++ b/src/dispatch/dispatch_state.h
@@ -39,6 +39,7 @@
 #include "dandelionscale/dispatch/dispatch_router.h"
 #include "dandelionscale/runtime/event.h"
 #include "dandelionscale/runtime/metrics.h"
+#include "dispatch/traffic.h"
 #include "dispatch/watchdog.h"
 
 namespace dandelionscale::internal {
@@ -191,6 +192,11 @@
   ClientLimits Limits() const {
     return this->routing_table ? this->routing_table->limits : ClientLimits();
   }
+  /// \returns true if the number of routers that were listed or heard is that
+  ///          of a large fleet.
+  bool IsLargeFleet() const {
+    return this->peers.size() + 1 >= this->options.min_large_fleet;
+  }
   /// \returns the number of listed routers, reachable or not, including this
   ///          one; a fixed assumption until a peer is discovered.
   std::size_t RouterCount() const;
@@ -207,6 +213,12 @@
   /// \returns true if the peer is in another availability zone, as far as is
   ///          known.
   bool IsInOtherZone(const std::string& peer) const;
+  /// \returns the same as the label of a counter.
+  PeerZone ZoneOfPeer(const std::string& peer) const {
+    return this->IsInOtherZone(peer) ? PeerZone::kOther : PeerZone::kOwn;
+  }
+  /// \returns the same for a peer of which only the IP address is known.
+  PeerZone ZoneOfHost(const std::string& ip) const;
   /// \returns true if one of the first `kZoneFetchers` live routers of this
   ///          router's zone, in an order that all routers share, is this one.
   bool IsZoneFetcher() const;
--- a/src/dispatch/peers/peer_exchange.cc
+++ b/src/dispatch/peers/peer_exchange.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <functional>
 
 #include "dandelionscale/core/digest_schedule.h"
 #include "dandelionscale/core/hash.h"
@@ -46,7 +47,8 @@
 Result<void> PeerExchange::Start() {
   const auto sender_of = [this](PeerTraffic kind) {
     return [this, kind](const std::string& peer, const std::string& datagram) {
-      CountSent(this->state.metrics, kind, datagram.size());
+      CountSent(this->state.metrics, kind, this->state.ZoneOfPeer(peer),
+                datagram.size());
       this->SendTo(peer, datagram);
     };
   };
@@ -101,32 +103,28 @@
   digest.set_configuration_version(this->state.ConfigurationVersion());
   digest.set_engines_changed(this->state.newest_engine_version.number);
   digest.set_store_era(this->state.newest_engine_version.era);
-  DigestSizes sizes;
-  sizes.loads = this->FillLoads(digest);
+  const std::size_t loads_size = this->FillLoads(digest);
   const TimePoint now = RuntimeClock::now();
   digest.set_zone(this->state.zone_key);
   this->FillLeavingEngines(now, digest);
-  sizes.placements = this->FillPlacements(digest);
   FillQuarantineUpdate(this->state.quarantine.TakeForDigest(), now, digest);
   this->FillRateLimits(digest);
   this->FillTunnels(digest);
   FillEvacuation(this->state, digest);
   FillWatchReport(this->state.watcher_election.Report(now), digest);
-  const std::string bytes = digest.SerializeAsString();
-  sizes.rest = bytes.size() - sizes.loads - sizes.placements;
+  const DigestCopies copies = this->Encode(digest, loads_size);
   const std::vector<std::string> peers(this->state.peers.begin(),
                                        this->state.peers.end());
   const std::size_t count = std::min(kDigestFanout, peers.size());
-  this->state.metrics.Add("peer_digest_bytes_sent_total", count * bytes.size());
+  std::size_t bytes = 0;
   for (const std::string& peer : this->NextRecipients(peers, count)) {
-    this->SendTo(peer, bytes);
+    bytes += this->SendCopy(peer, copies);
   }
-  this->CountDigests(sizes, count);
+  this->state.metrics.Add("peer_digest_bytes_sent_total", bytes);
   if (count == peers.size()) return;
   // Peers that carry tunnels must know at once what engines state on these.
   const auto carriers = this->state.tunnel_peers->RecentCarriers(now);
-  for (const std::string& peer : carriers) this->SendTo(peer, bytes);
-  this->CountDigests(sizes, carriers.size());
+  for (const std::string& peer : carriers) this->SendCopy(peer, copies);
 }
 
 std::vector<std::string> PeerExchange::NextRecipients(
@@ -146,11 +144,40 @@
   return recipients;
 }
 
-void PeerExchange::CountDigests(const DigestSizes& sizes, std::size_t copies) {
+std::size_t PeerExchange::SendCopy(const std::string& peer,
+                                   const DigestCopies& copies) {
+  const PeerZone zone = this->state.ZoneOfPeer(peer);
+  const auto& [bytes, sizes] =
+      zone == PeerZone::kOwn ? copies.own_zone : copies.other_zones;
+  this->SendTo(peer, bytes);
   Metrics& metrics = this->state.metrics;
-  CountSent(metrics, PeerTraffic::kDigestLoads, copies * sizes.loads);
-  CountSent(metrics, PeerTraffic::kDigestPlacements, copies * sizes.placements);
-  CountSent(metrics, PeerTraffic::kDigestRest, copies * sizes.rest);
+  CountSent(metrics, PeerTraffic::kDigestLoads, zone, sizes.loads);
+  CountSent(metrics, PeerTraffic::kDigestPlacements, zone, sizes.placements);
+  CountSent(metrics, PeerTraffic::kDigestRest, zone, sizes.rest);
+  return bytes.size();
+}
+
+PeerExchange::DigestCopies PeerExchange::Encode(
+    const wire::RouterDigest& digest, std::size_t loads_size) {
+  const std::size_t rotation = DigestsPerRotation(this->state.peers.size());
+  std::vector<PrefixUpdate> updates =
+      this->state.prefix_updates.TakeForDigest(rotation, kMaxUpdatesPerDigest);
+  const std::size_t other_size = digest.ByteSizeLong();
+  const auto encode = [&] {
+    wire::RouterDigest copy = digest;
+    FillPlacements(updates, copy);
+    EncodedDigest encoded;
+    encoded.bytes = copy.SerializeAsString();
+    encoded.sizes.loads = loads_size;
+    encoded.sizes.placements = encoded.bytes.size() - other_size;
+    encoded.sizes.rest = other_size - loads_size;
+    return encoded;
+  };
+  DigestCopies copies;
+  copies.own_zone = encode();
+  const auto for_own_zone = std::erase_if(updates, std::not_fn(IsForAllZones));
+  copies.other_zones = for_own_zone == 0 ? copies.own_zone : encode();
+  return copies;
 }
 
 void PeerExchange::SendTo(const std::string& peer,
@@ -188,22 +215,6 @@
   digest.mutable_leaving_engines()->Add(keys.begin(), keys.end());
 }
 
-std::size_t PeerExchange::FillPlacements(wire::RouterDigest& digest) {
-  const std::size_t size_before = digest.ByteSizeLong();
-  const std::size_t rotation = DigestsPerRotation(this->state.peers.size());
-  for (const PrefixUpdate& update : this->state.prefix_updates.TakeForDigest(
-           rotation, kMaxUpdatesPerDigest)) {
-    if (update.dropped) {
-      digest.add_dropped_parts(update.part_key);
-      digest.add_dropped_engines(ShortKey(update.engine_key));
-    } else {
-      digest.add_placed_parts(update.part_key);
-      digest.add_placed_engines(ShortKey(update.engine_key));
-    }
-  }
-  return digest.ByteSizeLong() - size_before;
-}
-
 void PeerExchange::FillRateLimits(wire::RouterDigest& digest) {
   const TimePoint now = RuntimeClock::now();
   for (std::uint64_t key : this->state.rate_limit_news.TakeForDigest()) {
@@ -309,9 +320,9 @@
   this->state.watcher_election.OnDigest(now, sender, HashText(sender),
                                         ToWatchReport(digest));
   ApplyPlacements(this->state, ToSpan(digest.placed_parts()),
-                  ToSpan(digest.placed_engines()), false);
-  ApplyPlacements(this->state, ToSpan(digest.dropped_parts()),
-                  ToSpan(digest.dropped_engines()), true);
+                  ToSpan(digest.placed_engines()), PartsForAllZones(digest));
+  ApplyEvictions(this->state, ToSpan(digest.dropped_parts()),
+                 ToSpan(digest.dropped_engines()));
   this->ApplyLeavingEngines(ToSpan(digest.leaving_engines()), sender);
   this->state.OnQuarantineChanges(
       this->state.quarantine.Apply(now, ToQuarantineUpdate(digest, now)),
--- a/src/dispatch/peers/peer_exchange.h
+++ b/src/dispatch/peers/peer_exchange.h
@@ -48,6 +48,18 @@
     std::size_t rest = 0;
   };
 
+  // A digest as it is sent.
+  struct EncodedDigest {
+    std::string bytes;
+    DigestSizes sizes;
+  };
+  // The copies of one digest. The one for other zones lacks the entries that
+  // concern the own zone only.
+  struct DigestCopies {
+    EncodedDigest own_zone;
+    EncodedDigest other_zones;
+  };
+
   Awaitable<void> SendDigests();
   void SendTo(const std::string& peer, const std::string& datagram);
   // Returns the `count` peers that the next digest goes to: first those in
@@ -55,10 +67,13 @@
   std::vector<std::string> NextRecipients(const std::vector<std::string>& peers,
                                           std::size_t count);
   void FillLeavingEngines(TimePoint now, wire::RouterDigest& digest);
-  void CountDigests(const DigestSizes& sizes, std::size_t copies);
-  // Both return the encoded size of what they add.
+  // Sends the copy for the peer's zone and counts it; returns its size.
+  std::size_t SendCopy(const std::string& peer, const DigestCopies& copies);
+  // Takes the changes of the prefix index that are due and adds them.
+  // \param loads_size of the loads in `digest`.
+  DigestCopies Encode(const wire::RouterDigest& digest, std::size_t loads_size);
+  // Returns the encoded size of what it adds.
   std::size_t FillLoads(wire::RouterDigest& digest) const;
-  std::size_t FillPlacements(wire::RouterDigest& digest);
   void FillRateLimits(wire::RouterDigest& digest);
   void FillTunnels(wire::RouterDigest& digest);
   void ApplyTunnels(const wire::RouterDigest& digest,
--- a/src/dispatch/peers/peer_messages.cc
+++ b/src/dispatch/peers/peer_messages.cc
@@ -3,8 +3,10 @@
 #include <algorithm>
 #include <chrono>
 #include <cmath>
+#include <iterator>
 #include <map>
 
+#include "dandelionscale/core/hash.h"
 #include "dandelionscale/runtime/logger.h"
 #include "dandelionscale/runtime/trace.h"
 
@@ -46,8 +48,48 @@
           report.failed_trials(), report.single_request()};
 }
 
+// The new entries among the updates, in their order, but those for all zones
+// before the others.
+std::vector<PrefixUpdate> PlacementsInOrder(
+    std::span<const PrefixUpdate> updates) {
+  std::vector<PrefixUpdate> placements;
+  placements.reserve(updates.size());
+  std::copy_if(updates.begin(), updates.end(), std::back_inserter(placements),
+               [](const PrefixUpdate& update) { return !update.dropped; });
+  std::stable_partition(placements.begin(), placements.end(), IsForAllZones);
+  return placements;
+}
+
+template <typename Message>
+void FillNewEntries(std::span<const PrefixUpdate> updates, Message& message) {
+  const std::vector<PrefixUpdate> placements = PlacementsInOrder(updates);
+  for (const PrefixUpdate& update : placements) {
+    message.add_placed_parts(update.part_key);
+    message.add_placed_engines(ShortKey(update.engine_key));
+  }
+  const auto for_all =
+      std::count_if(placements.begin(), placements.end(), IsForAllZones);
+  if (for_all == std::ssize(placements)) return;
+  message.set_parts_for_all_zones(static_cast<std::uint32_t>(for_all));
+}
+
 }  // namespace
 
+void FillPlacements(std::span<const PrefixUpdate> updates,
+                    wire::RouterDigest& digest) {
+  FillNewEntries(updates, digest);
+  for (const PrefixUpdate& update : updates) {
+    if (!update.dropped) continue;
+    digest.add_dropped_parts(update.part_key);
+    digest.add_dropped_engines(ShortKey(update.engine_key));
+  }
+}
+
+void FillPlacements(std::span<const PrefixUpdate> updates,
+                    wire::BeliefSnapshot& snapshot) {
+  FillNewEntries(updates, snapshot);
+}
+
 WatchReport ToWatchReport(const wire::RouterDigest& digest) {
   using std::chrono::milliseconds;
   WatchReport report;
--- a/src/dispatch/peers/peer_messages.h
+++ b/src/dispatch/peers/peer_messages.h
@@ -10,6 +10,7 @@
 
 #include "dandelionscale/core/crash_report.h"
 #include "dandelionscale/core/engine_directory.h"
+#include "dandelionscale/core/prefix_index.h"
 #include "dandelionscale/core/software_versions.h"
 #include "dandelionscale/core/stream_origins.h"
 #include "dandelionscale/core/watcher_election.h"
@@ -25,6 +26,22 @@
   return {field.data(), static_cast<std::size_t>(field.size())};
 }
 
+/// \brief Writes changes of the prefix index to their fields of the digest;
+///        entries for all zones come first if there are others.
+void FillPlacements(std::span<const PrefixUpdate> updates,
+                    wire::RouterDigest& digest);
+/// \brief The same for entries that fill the index of a router that starts.
+void FillPlacements(std::span<const PrefixUpdate> updates,
+                    wire::BeliefSnapshot& snapshot);
+
+/// \returns the number of the leading new entries that were sent to all zones;
+///          none if all were.
+template <typename Message>
+std::optional<std::size_t> PartsForAllZones(const Message& message) {
+  if (!message.has_parts_for_all_zones()) return std::nullopt;
+  return message.parts_for_all_zones();
+}
+
 /// \returns the fields of a digest that concern watching the store.
 WatchReport ToWatchReport(const wire::RouterDigest& digest);
 /// \brief Writes the report to its fields of the digest; ages are capped.
--- a/src/dispatch/peers/peer_reports.cc
+++ b/src/dispatch/peers/peer_reports.cc
@@ -7,13 +7,28 @@
 namespace dandelionscale::internal {
 
 void ApplyPlacements(DispatchState& state, std::span<const std::uint64_t> parts,
-                     std::span<const std::uint32_t> short_keys, bool dropped) {
+                     std::span<const std::uint32_t> short_keys,
+                     std::optional<std::size_t> for_all_zones) {
   const TimePoint now = RuntimeClock::now();
   const std::size_t count = std::min(parts.size(), short_keys.size());
   for (std::size_t n = 0; n < count; ++n) {
     const auto engine = state.engines.FindByShortKey(short_keys[n]);
     if (engine == nullptr) continue;
-    state.prefixes.Apply(now, {parts[n], engine->key, dropped});
+    const UpdateScope scope = n < for_all_zones.value_or(count)
+                                  ? UpdateScope::kAllZones
+                                  : UpdateScope::kOwnZone;
+    state.prefixes.Apply(now, {parts[n], engine->key, false, scope});
+  }
+}
+
+void ApplyEvictions(DispatchState& state, std::span<const std::uint64_t> parts,
+                    std::span<const std::uint32_t> short_keys) {
+  const TimePoint now = RuntimeClock::now();
+  const std::size_t count = std::min(parts.size(), short_keys.size());
+  for (std::size_t n = 0; n < count; ++n) {
+    const auto engine = state.engines.FindByShortKey(short_keys[n]);
+    if (engine == nullptr) continue;
+    state.prefixes.Apply(now, {parts[n], engine->key, true});
   }
 }
 
--- a/src/dispatch/peers/peer_reports.h
+++ b/src/dispatch/peers/peer_reports.h
@@ -6,6 +6,7 @@
 #include <google/protobuf/repeated_field.h>
 
 #include <cstdint>
+#include <optional>
 #include <span>
 #include <string>
 
@@ -19,9 +20,15 @@
 
 /// \brief Applies what a peer reports of prompt parts that engines have cached.
 /// \param short_keys of the engines, one for each of `parts`.
-/// \param dropped the engines have dropped the parts.
+/// \param for_all_zones number of the leading parts that were sent to all
+/// zones;
+///        none if all were.
 void ApplyPlacements(DispatchState& state, std::span<const std::uint64_t> parts,
-                     std::span<const std::uint32_t> short_keys, bool dropped);
+                     std::span<const std::uint32_t> short_keys,
+                     std::optional<std::size_t> for_all_zones);
+/// \brief The same for parts that the engines have dropped.
+void ApplyEvictions(DispatchState& state, std::span<const std::uint64_t> parts,
+                    std::span<const std::uint32_t> short_keys);
 /// \brief Applies what a peer reports of an engine's rate limit and warm-up; a
 ///        report of a rate that is no number is ignored.
 void ApplyRateLimit(DispatchState& state, Engine& engine,
--- a/src/dispatch/peers/snapshot_exchange.cc
+++ b/src/dispatch/peers/snapshot_exchange.cc
@@ -152,10 +152,6 @@
                  asio::detached);
 }
 
-bool SnapshotExchange::IsLargeFleet() const {
-  return this->state.peers.size() + 1 >= this->state.options.min_large_fleet;
-}
-
 Duration SnapshotExchange::CrossZoneWait() {
   if (this->state.IsZoneFetcher()) return Duration::zero();
   return std::chrono::duration_cast<Duration>(
@@ -196,7 +192,7 @@
   this->fetching = true;
   const bool with_prefixes =
       !this->has_prefixes &&
-      (this->state.engines_known || !this->IsLargeFleet()) &&
+      (this->state.engines_known || !this->state.IsLargeFleet()) &&
       (!this->state.IsInOtherZone(*peer) || !this->HearsOwnZone());
   asio::co_spawn(this->state.executor,
                  this->FetchSnapshot(std::move(*peer), with_prefixes),
@@ -219,7 +215,7 @@
   request.set_accepts_changes(!this->needs_whole_list &&
                               this->state.engines.AcceptsChanges());
   // Only a peer whose own view is current may stand in for the store.
-  request.set_is_start_up(this->IsLargeFleet() && !this->HasRows());
+  request.set_is_start_up(this->state.IsLargeFleet() && !this->HasRows());
   return request;
 }
 
@@ -343,7 +339,8 @@
       peer);
   ApplyRateLimits(this->state, snapshot.rate_limits(), peer);
   ApplyPlacements(this->state, ToSpan(snapshot.placed_parts()),
-                  ToSpan(snapshot.placed_engines()), false);
+                  ToSpan(snapshot.placed_engines()),
+                  PartsForAllZones(snapshot));
 }
 
 void SnapshotExchange::ApplyEngines(const wire::BeliefSnapshot& snapshot,
@@ -448,10 +445,12 @@
     co_return;
   }
   response.headers.Add("Content-Type", "application/octet-stream");
-  CountSent(metrics, PeerTraffic::kSnapshotConfiguration, configuration_size);
-  CountSent(metrics, PeerTraffic::kSnapshotEngines,
+  const PeerZone zone = this->state.ZoneOfHost(exchange.ClientIp());
+  CountSent(metrics, PeerTraffic::kSnapshotConfiguration, zone,
+            configuration_size);
+  CountSent(metrics, PeerTraffic::kSnapshotEngines, zone,
             size_with_engines - configuration_size);
-  CountSent(metrics, PeerTraffic::kSnapshotPrefixes,
+  CountSent(metrics, PeerTraffic::kSnapshotPrefixes, zone,
             response.body.size() - size_with_engines);
   if (is_large) ++this->serving;
   co_await exchange.Respond(std::move(response));
@@ -522,11 +521,8 @@
 
 void SnapshotExchange::FillPrefixes(wire::BeliefSnapshot& snapshot) const {
   const TimePoint now = RuntimeClock::now();
-  for (const PrefixUpdate& update :
-       this->state.prefixes.Snapshot(now, kMaxPrefixesPerSnapshot)) {
-    snapshot.add_placed_parts(update.part_key);
-    snapshot.add_placed_engines(ShortKey(update.engine_key));
-  }
+  FillPlacements(this->state.prefixes.Snapshot(now, kMaxPrefixesPerSnapshot),
+                 snapshot);
 }
 
 }  // namespace dandelionscale::internal
--- a/src/dispatch/peers/snapshot_exchange.h
+++ b/src/dispatch/peers/snapshot_exchange.h
@@ -51,7 +51,6 @@
   // them. True if the sender of the digest has a newer version than this
   // router.
   bool UpdateNewestVersions(const wire::RouterDigest& digest);
-  bool IsLargeFleet() const;
   // How long this router waits for newer rows in its own zone before it asks a
   // peer of another zone. Random for most routers.
   Duration CrossZoneWait();
--- a/src/dispatch/traffic.h
+++ b/src/dispatch/traffic.h
@@ -25,14 +25,20 @@
   kOrigins
 };
 
+/// \brief Availability zone of the peer that bytes are sent to; a peer whose
+///        zone is not known counts as being in the own one.
+enum class PeerZone { kOwn, kOther };
+
 /// \brief Adds to `peer_bytes_sent_total`. Headers of HTTP, UDP and IP are not
 ///        counted.
-void CountSent(Metrics& metrics, PeerTraffic kind, std::size_t bytes);
+void CountSent(Metrics& metrics, PeerTraffic kind, PeerZone zone,
+               std::size_t bytes);
 
 /// \brief Sets `store_bytes_read_total` to what the store has sent so far.
 void UpdateBytesRead(Metrics& metrics, const TableStore& store);
 
-/// \brief Logs the sums of both counters since the start.
+/// \brief Logs the sums of both counters since the start: of what peers were
+///        sent in all, and of the part that went to other zones.
 void LogTraffic(const Metrics& metrics, Duration uptime);
 
 }  // namespace dandelionscale::internal
--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -97,6 +97,12 @@
   }
   ~BeastExchange() override { this->watch->active = false; }
 
+  std::string ClientIp() const override {
+    error_code error;
+    const auto client = this->stream.socket().remote_endpoint(error);
+    return error ? std::string() : client.address().to_string();
+  }
+
   Awaitable<bool> Respond(HttpResponse response) override {
     this->response_started = true;
     http::response<http::string_body> message;
--- a/tests/prefix_index_test.cc
+++ b/tests/prefix_index_test.cc
@@ -104,6 +104,53 @@
   CHECK_FALSE(index.Observe(kNow, {1, 7, true}));
 }
 
+TEST_CASE("entries for short prefixes stay in the zone of a large fleet only") {
+  CHECK(ScopeOfPrefix(3999, true) == UpdateScope::kOwnZone);
+  CHECK(ScopeOfPrefix(4000, true) == UpdateScope::kAllZones);
+  CHECK(ScopeOfPrefix(10, false) == UpdateScope::kAllZones);
+}
+
+// Guards against other zones that never learn of a part: it was announced as
+// the last part of a short prefix and is that of a long one now.
+TEST_CASE("a part that other zones do not know is announced again for them") {
+  PrefixIndex index(100);
+  const PrefixUpdate in_zone{1, 7, false, UpdateScope::kOwnZone};
+  const PrefixUpdate for_all{1, 7, false, UpdateScope::kAllZones};
+  CHECK(index.Observe(kNow, in_zone));
+  CHECK_FALSE(index.Observe(kNow, in_zone));
+  CHECK(index.Observe(kNow, for_all));
+  CHECK_FALSE(index.Observe(kNow, for_all));
+  CHECK_FALSE(index.Observe(kNow, in_zone));
+}
+
+// Guards against evictions that don't reach all routers with an entry: the
+// router that sees the eviction knows only the part's key.
+TEST_CASE("the index knows which zones have entries for a part") {
+  PrefixIndex index(100);
+  CHECK(index.ScopeOf(1) == UpdateScope::kOwnZone);
+  index.Apply(kNow, {1, 7, false, UpdateScope::kOwnZone});
+  CHECK(index.ScopeOf(1) == UpdateScope::kOwnZone);
+  index.Apply(kNow, {1, 8, false, UpdateScope::kAllZones});
+  CHECK(index.ScopeOf(1) == UpdateScope::kAllZones);
+  index.Apply(kNow, {1, 9, false, UpdateScope::kOwnZone});
+  CHECK(index.ScopeOf(1) == UpdateScope::kAllZones);
+  // The whole content of an engine's cache is read anew.
+  index.RemoveEngine(7);
+  index.RemoveEngine(8);
+  CHECK(index.ScopeOf(1) == UpdateScope::kAllZones);
+}
+
+TEST_CASE("a snapshot tells which entries other zones have") {
+  PrefixIndex index(100);
+  index.Apply(kNow, {1, 7, false, UpdateScope::kOwnZone});
+  index.Apply(kNow, {2, 7, false, UpdateScope::kAllZones});
+  const auto updates = index.Snapshot(kNow, 10);
+  REQUIRE(updates.size() == 2);
+  for (const PrefixUpdate& update : updates) {
+    CHECK(IsForAllZones(update) == (update.part_key == 2));
+  }
+}
+
 TEST_CASE("the index is bounded and keeps parts in use") {
   PrefixIndex index(50);
   for (std::uint64_t n = 0; n < 1000; ++n) {
