--- a/emulator/scripted_engine.cc
+++ b/emulator/scripted_engine.cc
@@ -11,6 +11,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <set>
+#include <utility>
 
 #include "source_filter.h"
 
@@ -27,9 +28,7 @@
 }
 
 constexpr std::string_view kReportPath = "/dandelionscale/report";
-constexpr std::string_view kEmptyCacheEvents =
-    "HTTP/1.1 200 OK\r\nContent-Length: 45\r\n\r\n"
-    R"({"epoch":1,"next":0,"lost":false,"events":[]})";
+constexpr std::string_view kNoCacheEvents = "[]";
 
 void ResetSocket(asio::ip::tcp::socket& socket) {
   error_code ignored;
@@ -75,6 +74,8 @@
                                   SendEndlessly step);
   Awaitable<bool> RunScript(asio::ip::tcp::socket& socket, Script script);
   std::string MakeReport() const;
+  // Returns the response to a poll with the events that are due.
+  std::string TakeCacheEvents();
 
   asio::any_io_executor executor;
   asio::ip::tcp::acceptor acceptor;
@@ -87,6 +88,7 @@
   std::vector<asio::ip::address_v4> cut_sources;
   CutKind cut_kind = CutKind::kHang;
   ReportKind report = ReportKind::kNone;
+  std::string cache_events{kNoCacheEvents};  // JSON array.
   bool answers_before_body = false;
   std::multiset<std::string> running;  ///< Ids of the requests.
 };
@@ -190,11 +192,12 @@
     }
     if (request.target.starts_with("/dandelionscale/")) {
       // Routers long-poll the events of the engine's prompt cache at these
-      // paths. Each poll ends without events.
+      // paths. Most polls end without events.
       const Duration wait = std::chrono::milliseconds(300);
       co_await SleepFor(wait);
       co_await this->WaitWhileSilenced(socket);
-      co_await asio::async_write(socket, asio::buffer(kEmptyCacheEvents),
+      const std::string events = this->TakeCacheEvents();
+      co_await asio::async_write(socket, asio::buffer(events),
                                  RedirectError(error));
       continue;
     }
@@ -225,6 +228,15 @@
                      body.size(), body);
 }
 
+std::string ScriptedEngine::State::TakeCacheEvents() {
+  const std::string events =
+      std::exchange(this->cache_events, std::string(kNoCacheEvents));
+  const std::string body =
+      fmt::format(R"({{"epoch":1,"next":0,"lost":false,"events":{}}})", events);
+  return fmt::format("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{}",
+                     body.size(), body);
+}
+
 Awaitable<void> ScriptedEngine::State::SendUntilClosed(
     asio::ip::tcp::socket& socket, SendEndlessly step) {
   error_code error;
@@ -317,6 +329,10 @@
 
 void ScriptedEngine::SetReport(ReportKind kind) { this->state->report = kind; }
 
+void ScriptedEngine::SetCacheEvents(std::string events) {
+  this->state->cache_events = std::move(events);
+}
+
 void ScriptedEngine::SetScript(ScriptMaker maker) {
   this->state->maker = std::move(maker);
 }
--- a/emulator/scripted_engine.h
+++ b/emulator/scripted_engine.h
@@ -107,6 +107,10 @@
   /// \brief Sets how the engine reports from now on; `kNone` at first.
   void SetReport(ReportKind kind);
 
+  /// \brief Sends events of the prompt cache in response to the next poll.
+  /// \param events JSON array of events, as in the platform's change feed.
+  void SetCacheEvents(std::string events);
+
   /// \brief Cuts the engine off from hosts, until the next call; from none if
   ///        `sources` is empty.
   void CutOff(std::vector<boost::asio::ip::address_v4> sources, CutKind kind);
--- a/tests/support/platform_fleet.cc
+++ b/tests/support/platform_fleet.cc
@@ -435,6 +435,10 @@
   return {asio::ip::make_address(this->Ip(router)), kFrontPort};
 }
 
+Endpoint PlatformFleet::PeerEndpoint(int router) const {
+  return {asio::ip::make_address(this->Ip(router)), kPeerPort};
+}
+
 void PlatformFleet::CutOff(const std::vector<int>& routers,
                            emulator::CutKind kind) {
   std::vector<asio::ip::address_v4> sources;
--- a/tests/support/platform_fleet.h
+++ b/tests/support/platform_fleet.h
@@ -144,6 +144,8 @@
   void SendAndDisconnect(int router, const std::string& bytes);
   /// \returns the address on which a router accepts clients.
   Endpoint ClientEndpoint(int router) const;
+  /// \returns the address at which a router receives digests.
+  Endpoint PeerEndpoint(int router) const;
 
   emulator::StoreService& Store() { return *this->store; }
 
