--- a/tests/large_fleet_test.cc
+++ b/tests/large_fleet_test.cc
@@ -1,5 +1,7 @@
 // A router with peers in two availability zones, which are sockets of the test:
 // which of them is told of the prompt parts that an engine has cached.
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <atomic>
 #include <boost/asio/io_context.hpp>
@@ -257,5 +259,35 @@
   CHECK(compared > 0);
 }
 
+// Prints the figures in docs/design/fleet-cost.md; run by its tag.
+TEST_CASE("prints the size of the fields of a digest", "[.sections]") {
+  Fleet fleet("");
+  const auto digests = fleet.South().Digests();
+  wire::RouterDigest digest;
+  REQUIRE(digest.ParseFromString(digests.rbegin()->second));
+  fmt::print("all {}\n", digest.ByteSizeLong());
+  const auto print = [&digest](std::string_view name, const auto& clear) {
+    const std::size_t before = digest.ByteSizeLong();
+    clear();
+    fmt::print("{} {}\n", name, before - digest.ByteSizeLong());
+  };
+  print("name", [&] { digest.clear_router(); });
+  print("incarnation", [&] { digest.clear_incarnation(); });
+  print("sequence", [&] { digest.clear_sequence(); });
+  print("versions", [&] {
+    digest.clear_configuration_version();
+    digest.clear_engines_changed();
+    digest.clear_store_era();
+  });
+  print("store", [&] {
+    digest.clear_watcher_age_ms();
+    digest.clear_view_age_ms();
+    digest.clear_store_lost();
+  });
+  print("zone", [&] { digest.clear_zone(); });
+  print("tunnel port", [&] { digest.clear_tunnel_port(); });
+  fmt::print("others {}\n", digest.ByteSizeLong());
+}
+
 }  // namespace
 }  // namespace dandelionscale::tests
--- a/tests/platform_translation_test.cc
+++ b/tests/platform_translation_test.cc
@@ -333,11 +333,18 @@
   CHECK_FALSE(batch->has_gap);
   REQUIRE(batch->events.size() == 2);
   CHECK(batch->events[0].part_key == PartKey("m", "p1"));
+  CHECK(batch->events[0].tokens == 100);
   CHECK(batch->events[1].dropped);
   const auto list =
       decode(R"({"epoch":5,"next":9,"held":[["","p1",100,"m"]]})");
   REQUIRE(list);
   CHECK(list->events[0].part_key == PartKey("m", "p1"));
+  CHECK(list->events[0].tokens == 100);
+  // Guards against odd numbers that pass as a long part.
+  const auto odd = decode(
+      R"({"epoch":5,"next":9,"held":[["","p1",-1,"m"],["","p2","x","m"]]})");
+  REQUIRE(odd);
+  for (const CacheEvent& event : odd->events) CHECK(event.tokens == 0);
   CHECK(decode(R"({"epoch":5,"next":9,"lost":true,"events":[]})")->has_gap);
   CHECK_FALSE(decode(R"({"epoch":5})"));
 }
--- a/tests/prefix_update_queue_test.cc
+++ b/tests/prefix_update_queue_test.cc
@@ -20,7 +20,7 @@
 // In the expected deployment, 68 routers send digests to 12 peers at a time;
 // the test covers 1 to 99 peers.
 TEST_CASE("every peer receives each update") {
-  rc::check([] {
+  const bool held = rc::check([] {
     const auto peers = *rc::gen::inRange<std::size_t>(1, 100);
     const std::size_t digests_per_rotation = DigestsPerRotation(peers);
     const auto max_updates = *rc::gen::inRange<std::size_t>(50, 300);
@@ -51,13 +51,14 @@
       RC_ASSERT(recipients.size() == peers);
     RC_ASSERT(queue.TakeForDigest(digests_per_rotation, max_updates).empty());
   });
+  CHECK(held);
 }
 
 // Guards against entries that miss a peer of their scope, leave it, or are
 // repeated in more digests than one rotation takes, however the zones lie in
 // the rotation.
 TEST_CASE("each update reaches the peers in its scope and no others") {
-  rc::check([] {
+  const bool held = rc::check([] {
     const auto peers = *rc::gen::inRange<std::size_t>(1, 320);
     const auto in_own_zone = *rc::gen::container<std::vector<bool>>(
         peers, rc::gen::arbitrary<bool>());
@@ -94,6 +95,7 @@
       RC_ASSERT(digests[part] == digests_per_rotation);
     }
   });
+  CHECK(held);
 }
 
 // The fields as they were before updates had a scope.
@@ -112,7 +114,7 @@
 }
 
 TEST_CASE("in smaller fleets the fields of a digest are those of before") {
-  rc::check([] {
+  const bool held = rc::check([] {
     const auto keys = *rc::gen::arbitrary<std::vector<std::uint64_t>>();
     std::vector<PrefixUpdate> updates;
     for (std::uint64_t key : keys) {
@@ -125,6 +127,7 @@
     RC_ASSERT(digest.SerializeAsString() ==
               WithoutScopes(updates).SerializeAsString());
   });
+  CHECK(held);
 }
 
 TEST_CASE("a digest tells which entries are for all zones") {
