--- a/tests/large_fleet_test.cc
+++ b/tests/large_fleet_test.cc
@@ -31,7 +31,7 @@
 constexpr milliseconds kDigestPause(100);
 constexpr milliseconds kPoll(10);
 // Key of the engine with the id e0 and the start time of all engines.
-const std::uint64_t kEngineKey = HashText("e0/1700000000000");
+std::uint64_t EngineKey() { return HashText("e0/1700000000000"); }
 
 Script AnswerStream(const HttpRequest& request) {
   return {SendBytes{emulator::MakeStreamHead(request) +
@@ -94,7 +94,7 @@
   bool ComesFirst() {
     const udp::endpoint own = this->socket().local_endpoint();
     const auto weight = [](const Endpoint& address) {
-      return RendezvousWeight(HashText(ToText(address)), kEngineKey);
+      return RendezvousWeight(HashText(ToText(address)), EngineKey());
     };
     return weight({own.address(), own.port()}) >
            weight({this->router.address(), this->router.port()});
