StatedLoads: estimates by the loads that engines state

The latest load of each engine, from its responses or forwarded by a peer, corrects the estimate of its requests in flight. Slow engines are avoided by a share of the requests, and holders of a prefix get a margin that differs between requests, so that routers with the same reports don't all choose the same engine. The log form of candidates shows both.

--- a/include/dandelionscale/core/load/placement.h
+++ b/include/dandelionscale/core/load/placement.h
@@ -27,6 +27,15 @@
   /// Takes only a limited rate of requests. It can't take its share of the
   /// load, so the mean that bounds the others is taken without it.
   bool limits_rate = false;
+  /// Part of `in_flight` that this router has sent; not logged.
+  std::uint32_t own_in_flight = 0;
+  /// Slow at the moment, and this request is among those that avoid it: it is
+  /// chosen only if no other engine has room; see `StatedLoads`.
+  bool avoided = false;
+  /// Added to `in_flight` when it is compared with the bounds of a choice by
+  /// hash. It differs between requests, so that they don't all choose an engine
+  /// that is slightly below a bound; see `StatedLoads`.
+  std::uint32_t margin = 0;
 };
 
 /// \brief How a request treats availability zones; see `ZoneSpill`.
@@ -103,6 +112,9 @@
 /// the own zone that are below the load bound, if one of these does not limit
 /// its rate. Otherwise, and with `kLeave`, they choose among the engines of the
 /// other zones, and if none has room, among all.
+///
+/// The bounds of rules 1 and 2 apply to the requests in flight plus `margin`.
+/// Avoided engines are left out, unless no other engine can be chosen.
 /// \returns nothing if no engine is usable or all are full.
 std::optional<PlacementDecision> ChooseEngine(const PlacementInputs& inputs);
 
--- a/include/dandelionscale/core/load/placement_record.h
+++ b/include/dandelionscale/core/load/placement_record.h
@@ -28,8 +28,9 @@
 
 /// \returns the candidates as `KEY:IN_FLIGHT/SLOTS/TOKENS/FLAGS`, separated by
 ///          spaces. `KEY` is hexadecimal, `TOKENS` is `cached_tokens`, `FLAGS`
-///          any of `u` (usable), `r` (reachable) and `z` (in the router's
-///          availability zone).
+///          any of `u` (usable), `r` (reachable), `z` (in the router's
+///          availability zone), `l` (limits its rate) and `a` (avoided). A
+///          margin above 0 follows as `+MARGIN`.
 std::string FormatCandidates(std::span<const PlacementCandidate> candidates);
 
 /// \brief Parses the form that `FormatCandidates()` writes.
--- a/src/core/load/placement.cc
+++ b/src/core/load/placement.cc
@@ -57,10 +57,12 @@
 struct Eligibility {
   Scope scope = Scope::kAll;
   double load_bound = 0;
+  bool admits_avoided = false;
 };
 
 bool IsEligible(const Candidate& candidate, const Eligibility& eligibility) {
   if (!HasRoom(candidate)) return false;
+  if (candidate.avoided && !eligibility.admits_avoided) return false;
   switch (eligibility.scope) {
     case Scope::kAll:
       return true;
@@ -101,7 +103,7 @@
 
 // Selects the engine with the highest rendezvous weight for the prefix among
 // those that have cached at least `min_tokens` of it and do not exceed `bound`
-// with the request added.
+// with the request and the candidate's margin added.
 std::optional<std::size_t> ChooseByHash(const PlacementInputs& inputs,
                                         const Eligibility& eligibility,
                                         double bound,
@@ -112,7 +114,7 @@
     const Candidate& candidate = inputs.candidates[n];
     if (candidate.cached_tokens < min_tokens) continue;
     if (!IsEligible(candidate, eligibility)) continue;
-    if (candidate.in_flight + 1 > bound) continue;
+    if (candidate.in_flight + candidate.margin + 1 > bound) continue;
     const std::uint64_t weight =
         RendezvousWeight(inputs.affinity_key, candidate.engine_key);
     if (!best || weight > best_weight) {
@@ -185,17 +187,50 @@
 
 // Returns an engine of the own zone that may be chosen at any rate of requests.
 std::optional<std::size_t> FindRoomInZone(const PlacementInputs& inputs,
-                                          double load_bound) {
+                                          const Eligibility& own_zone) {
   const auto found = std::find_if(
       inputs.candidates.begin(), inputs.candidates.end(),
-      [load_bound](const Candidate& candidate) {
-        return !candidate.limits_rate &&
-               IsEligible(candidate, {Scope::kOwnZone, load_bound});
+      [&own_zone](const Candidate& candidate) {
+        return !candidate.limits_rate && IsEligible(candidate, own_zone);
       });
   if (found == inputs.candidates.end()) return std::nullopt;
   return static_cast<std::size_t>(found - inputs.candidates.begin());
 }
 
+// Chooses an engine, with avoided ones only if `admits_avoided`.
+std::optional<PlacementDecision> Decide(const PlacementInputs& inputs,
+                                        double mean_in_flight,
+                                        bool admits_avoided) {
+  PlacementDecision decision;
+  decision.mean_in_flight = mean_in_flight;
+  const double load_bound = inputs.load_factor * mean_in_flight + kBoundSlack;
+  const auto in_scope = [&](Scope scope) {
+    return Eligibility{scope, load_bound, admits_avoided};
+  };
+  const auto choose_in = [&](Scope scope) {
+    return Choose(inputs, in_scope(scope), mean_in_flight);
+  };
+  const bool has_zone_rule = inputs.zone_rule != ZoneRule::kIgnored;
+  const bool stays = inputs.zone_rule == ZoneRule::kStay;
+  std::optional<Choice> choice;
+  if (has_zone_rule && inputs.affinity_key != 0 &&
+      (stays || HasLongPrefix(inputs))) {
+    choice = ChooseHolder(inputs, in_scope(Scope::kOwnZone));
+    if (!choice) choice = ChooseHolder(inputs, in_scope(Scope::kAll));
+  }
+  if (!choice && has_zone_rule && !HasLongPrefix(inputs)) {
+    if (stays) {
+      decision.room = FindRoomInZone(inputs, in_scope(Scope::kOwnZone));
+    }
+    choice = choose_in(decision.room ? Scope::kOwnZone : Scope::kOtherZones);
+  }
+  if (!choice) choice = choose_in(Scope::kAll);
+  if (!choice) return std::nullopt;
+  decision.index = choice->index;
+  decision.basis = choice->basis;
+  return decision;
+}
+
 }  // namespace
 
 std::string_view ToString(PlacementBasis basis) {
@@ -233,31 +268,14 @@
 }
 
 std::optional<PlacementDecision> ChooseEngine(const PlacementInputs& inputs) {
-  PlacementDecision decision;
-  decision.mean_in_flight =
+  const double mean_in_flight =
       inputs.mean_in_flight.value_or(MeanInFlight(inputs.candidates));
-  const double load_bound =
-      inputs.load_factor * decision.mean_in_flight + kBoundSlack;
-  const auto choose_in = [&](Scope scope) {
-    return Choose(inputs, {scope, load_bound}, decision.mean_in_flight);
-  };
-  const bool has_zone_rule = inputs.zone_rule != ZoneRule::kIgnored;
-  const bool stays = inputs.zone_rule == ZoneRule::kStay;
-  std::optional<Choice> choice;
-  if (has_zone_rule && inputs.affinity_key != 0 &&
-      (stays || HasLongPrefix(inputs))) {
-    choice = ChooseHolder(inputs, {Scope::kOwnZone, load_bound});
-    if (!choice) choice = ChooseHolder(inputs, {Scope::kAll, load_bound});
-  }
-  if (!choice && has_zone_rule && !HasLongPrefix(inputs)) {
-    if (stays) decision.room = FindRoomInZone(inputs, load_bound);
-    choice = choose_in(decision.room ? Scope::kOwnZone : Scope::kOtherZones);
-  }
-  if (!choice) choice = choose_in(Scope::kAll);
-  if (!choice) return std::nullopt;
-  decision.index = choice->index;
-  decision.basis = choice->basis;
-  return decision;
+  auto decision = Decide(inputs, mean_in_flight, false);
+  const bool avoids_any =
+      std::any_of(inputs.candidates.begin(), inputs.candidates.end(),
+                  [](const Candidate& one) { return one.avoided; });
+  if (decision || !avoids_any) return decision;
+  return Decide(inputs, mean_in_flight, true);
 }
 
 std::optional<std::size_t> ChooseCopySource(const PlacementInputs& inputs,
--- a/src/core/load/placement_record.cc
+++ b/src/core/load/placement_record.cc
@@ -41,6 +41,13 @@
   candidate.reachable = text.find('r') != std::string_view::npos;
   candidate.same_zone = text.find('z') != std::string_view::npos;
   candidate.limits_rate = text.find('l') != std::string_view::npos;
+  candidate.avoided = text.find('a') != std::string_view::npos;
+  const std::size_t plus = text.find('+');
+  if (plus == std::string_view::npos) return candidate;
+  text.remove_prefix(plus + 1);
+  const auto parsed =
+      std::from_chars(text.data(), text.data() + text.size(), candidate.margin);
+  if (parsed.ec != std::errc()) return std::nullopt;
   return candidate;
 }
 
@@ -82,11 +89,14 @@
   std::string text;
   for (const Candidate& candidate : candidates) {
     fmt::format_to(
-        std::back_inserter(text), "{}{:x}:{}/{}/{}/{}{}{}{}",
+        std::back_inserter(text), "{}{:x}:{}/{}/{}/{}{}{}{}{}",
         text.empty() ? "" : " ", candidate.engine_key, candidate.in_flight,
         candidate.max_slots, candidate.cached_tokens,
         candidate.usable ? "u" : "", candidate.reachable ? "r" : "",
-        candidate.same_zone ? "z" : "", candidate.limits_rate ? "l" : "");
+        candidate.same_zone ? "z" : "", candidate.limits_rate ? "l" : "",
+        candidate.avoided ? "a" : "");
+    if (candidate.margin == 0) continue;
+    fmt::format_to(std::back_inserter(text), "+{}", candidate.margin);
   }
   return text;
 }
--- a/tests/decision_replay_test.cc
+++ b/tests/decision_replay_test.cc
@@ -120,6 +120,26 @@
   CHECK(ReplayLog(lines.str())["request_placed"] == 7);
 }
 
+// The lines of earlier builds have neither flag `a` nor a margin.
+TEST_CASE("decisions on slow engines and with margins are replayed") {
+  std::ifstream file(DANDELION_GOLDEN "/stated_load_decisions.txt");
+  std::ostringstream lines;
+  lines << file.rdbuf();
+  CHECK(ReplayLog(lines.str())["request_placed"] == 5);
+  // A slow engine was chosen while the other one had room.
+  const std::string slow =
+      R"({"event":"request_placed","basis":"least_loaded","candidates":)"
+      R"("a:1/10/0/ura b:9/10/0/ur","affinity":"0","spread":"8",)"
+      R"("load_factor":2.0,"shared_tokens":0,"mean_load":5.0})";
+  CHECK(ReplayDecision(slow) == ReplayResult::kDifferent);
+  // With its margin, the holder exceeds the bound: 0.75 * (2 * 4 + 3) = 8.25.
+  const std::string margin =
+      R"({"event":"request_placed","basis":"holds_prefix","candidates":)"
+      R"("a:6/10/700/ur+2 b:2/10/0/ur","affinity":"7","spread":"8",)"
+      R"("load_factor":2.0,"shared_tokens":700,"mean_load":4.0})";
+  CHECK(ReplayDecision(margin) == ReplayResult::kDifferent);
+}
+
 TEST_CASE("lines without a decision, or without its inputs, are skipped") {
   for (const char* line :
        {"", "no JSON", "[]", R"({"event":"start"})", R"({"event":7})",
--- a/tests/placement_test.cc
+++ b/tests/placement_test.cc
@@ -209,9 +209,13 @@
       candidates[n].usable = *rc::gen::inRange(0, 6) != 0;
       candidates[n].reachable = *rc::gen::arbitrary<bool>();
       candidates[n].same_zone = *rc::gen::arbitrary<bool>();
+      candidates[n].avoided = *rc::gen::inRange(0, 4) == 0;
+      candidates[n].margin = *rc::gen::element(0U, 0U, 3U, 15U);
     }
     PlacementInputs inputs;
     inputs.candidates = candidates;
+    inputs.zone_rule = *rc::gen::element(ZoneRule::kIgnored, ZoneRule::kStay,
+                                         ZoneRule::kLeave);
     inputs.affinity_key = *rc::gen::element<std::uint64_t>(0, 77, 91'234);
     inputs.shared_tokens =
         inputs.affinity_key == 0 ? 0 : *rc::gen::element(500U, 11'000U);
@@ -235,8 +239,9 @@
 }
 
 TEST_CASE("malformed candidate lists are rejected") {
-  for (const char* text : {"x", "1:2/3", "1:2/3/4", "1:2/3/4/u ,", "1:-2/3/4/u",
-                           "g:1/1/1/u", "1:1/1/99999999999/u"}) {
+  for (const char* text :
+       {"x", "1:2/3", "1:2/3/4", "1:2/3/4/u ,", "1:-2/3/4/u", "g:1/1/1/u",
+        "1:1/1/99999999999/u", "1:1/1/1/u+", "1:1/1/1/u+99999999999"}) {
     CAPTURE(text);
     CHECK_FALSE(ParseCandidates(text));
   }
--- a/tests/stale_load_test.cc
+++ b/tests/stale_load_test.cc
@@ -68,6 +68,89 @@
   }
 }
 
+StaleLoadResult MeasureStated(std::string_view name, StaleLoadSettings settings,
+                              bool uses_stated_loads) {
+  settings.uses_stated_loads = uses_stated_loads;
+  StaleLoadFleet fleet(std::move(settings));
+  fleet.Run(kWarmUpMs);
+  const StaleLoadResult result = fleet.Run(kRunMs);
+  fmt::print(
+      "{}, stated loads {}: over bound {:.4f}, late {:.4f}, found full {:.4f}, "
+      "not placed {}, at first engine {:.4f}, at slow engine {:.4f}, load "
+      "deviation {:.2f}\n",
+      name, uses_stated_loads ? "used" : "not used", result.OverBoundShare(),
+      result.LateShare(), result.FoundFullShare(), result.not_placed,
+      result.FirstShare(), result.SlowShare(), result.load_deviation);
+  return result;
+}
+
+// 84 routers and streams of 1 s on 60 engines with 64 slots.
+StaleLoadSettings Streams() {
+  StaleLoadSettings settings;
+  settings.zones.assign(1, {84, 60, 1000});
+  settings.slots = 64;
+  settings.work_ms = 1000;
+  settings.varied = true;
+  settings.states_at_begin = true;
+  return settings;
+}
+
+// 31 routers and 5 engines with 6 slots; requests of 60 ms use half of them.
+StaleLoadSettings Calls() {
+  StaleLoadSettings settings;
+  settings.zones.assign(1, {31, 5, 204});
+  settings.work_ms = 60;
+  settings.varied = true;
+  return settings;
+}
+
+// Guards against holders of a hot prefix that hold more than the load bound
+// because peers' reports show only a part of their requests.
+TEST_CASE("stated loads keep holders of a hot prefix near the load bound") {
+  StaleLoadSettings settings = Streams();
+  settings.hot_prefix_share = 0.3;
+  const auto before = MeasureStated("hot prefix", settings, false);
+  const auto stated = MeasureStated("hot prefix", settings, true);
+  CHECK(stated.OverBoundShare() < 0.5 * before.OverBoundShare());
+  CHECK(stated.load_deviation < before.load_deviation);
+  CHECK(stated.not_placed == 0);
+}
+
+// Guards against herding to engines that have just stated a low load.
+TEST_CASE("stated loads balance streams without a prefix no worse") {
+  const auto before = MeasureStated("streams", Streams(), false);
+  const auto stated = MeasureStated("streams", Streams(), true);
+  CHECK(stated.load_deviation < 1.02 * before.load_deviation);
+  CHECK(stated.OverBoundShare() <= before.OverBoundShare() + 0.001);
+}
+
+// Guards against requests that are late because an engine is slow for 600 ms.
+TEST_CASE("slow engines get fewer requests, and fewer are late") {
+  StaleLoadSettings settings = Calls();
+  settings.slow_share = 0.15;
+  const auto before = MeasureStated("slow engines", settings, false);
+  const auto stated = MeasureStated("slow engines", settings, true);
+  CHECK(stated.SlowShare() < 0.85 * before.SlowShare());
+  CHECK(stated.LateShare() < before.LateShare());
+  CHECK(stated.FoundFullShare() < before.FoundFullShare());
+}
+
+// Guards against a faulty engine that draws all requests to itself, or that
+// changes where the requests to the others go.
+TEST_CASE("an engine that states a false load keeps about its share") {
+  for (StaleLoadSettings settings : {Streams(), Calls()}) {
+    const double fair = 1.0 / settings.zones[0].engines;
+    settings.false_load = 0;
+    const auto low = MeasureStated("states 0", settings, true);
+    CHECK(low.FirstShare() > 0.5 * fair);
+    CHECK(low.FirstShare() < 2 * fair);
+    settings.false_load = 1'000'000'000;
+    const auto high = MeasureStated("states 10^9", settings, true);
+    CHECK(high.FirstShare() < 2 * fair);
+    CHECK(high.not_placed == 0);
+  }
+}
+
 std::vector<PlacementCandidate> Candidates(const PeerLoad& load, int engines) {
   std::vector<PlacementCandidate> candidates;
   for (int n = 0; n < engines; ++n) {
--- a/tests/support/stale_load_fleet.h
+++ b/tests/support/stale_load_fleet.h
@@ -16,6 +16,7 @@
 #include "dandelionscale/core/digest_schedule.h"
 #include "dandelionscale/core/load/peer_load.h"
 #include "dandelionscale/core/load/placement.h"
+#include "dandelionscale/core/load/stated_loads.h"
 #include "dandelionscale/core/load/work_time.h"
 #include "dandelionscale/core/load/zone_spill.h"
 
@@ -44,6 +45,20 @@
   ReportUse use = ReportUse::kSpread;
   double zone_cost = 0;
   std::uint64_t seed = 1;
+  bool uses_stated_loads = false;
+  /// Engines state their load when they begin a request (the head of a stream),
+  /// not when they have ended it.
+  bool states_at_begin = false;
+  /// Share of requests with one short prefix, which engines that have served it
+  /// have cached. All routers know at once which these are.
+  double hot_prefix_share = 0;
+  /// Share of the spans of `kPaceMs` in which an engine is slow, and by what
+  /// factor.
+  double slow_share = 0;
+  double slow_factor = 2.5;
+  int latency_objective_ms = 300;
+  /// Engine 0 always states this load, if set.
+  std::optional<std::uint64_t> false_load{};
 };
 
 /// \brief What happened in a span of simulated time.
@@ -52,6 +67,10 @@
   int found_full = 0;  ///< All slots of the chosen engine were in use.
   int not_placed = 0;  ///< No engine had room, as far as the router knew.
   int left_zone = 0;   ///< Placed in another zone than the router's.
+  int over_bound = 0;  ///< The engine held more than twice the mean, plus 3.
+  int late = 0;        ///< Ended after the latency objective.
+  int at_first = 0;    ///< Placed on engine 0.
+  int at_slow = 0;     ///< Placed on an engine that is slow at the moment.
   std::vector<double> utilization;  ///< Mean of each zone's engines.
   /// Share that leaves each zone: mean over its routers, sampled each 100 ms.
   std::vector<double> mean_share;
@@ -63,6 +82,13 @@
   double LeftZoneShare() const {
     return static_cast<double>(this->left_zone) / std::max(1, this->requests);
   }
+  double OverBoundShare() const { return this->ShareOf(this->over_bound); }
+  double LateShare() const { return this->ShareOf(this->late); }
+  double FirstShare() const { return this->ShareOf(this->at_first); }
+  double SlowShare() const { return this->ShareOf(this->at_slow); }
+  double ShareOf(int count) const {
+    return static_cast<double>(count) / std::max(1, this->requests);
+  }
   double FoundFullShare() const {
     return static_cast<double>(this->found_full) / std::max(1, this->requests);
   }
@@ -75,7 +101,7 @@
       : settings(std::move(settings)), random(this->settings.seed) {
     for (std::size_t zone = 0; zone < this->settings.zones.size(); ++zone) {
       for (int n = 0; n < this->settings.zones[zone].engines; ++n) {
-        this->engines.push_back({1000 + this->engines.size(), zone});
+        this->engines.push_back({kFirstKey + this->engines.size(), zone});
       }
     }
     for (std::size_t zone = 0; zone < this->settings.zones.size(); ++zone) {
@@ -104,7 +130,8 @@
     int samples = 0;
     for (const int end = this->now_ms + duration_ms; this->now_ms < end;
          ++this->now_ms) {
-      this->Finish();
+      this->Finish(result);
+      if (this->now_ms % kPaceMs == 0) this->ChangePaces();
       for (Router& router : this->routers) {
         if (this->now_ms % kDigestMs == router.phase_ms) this->Report(router);
       }
@@ -159,12 +186,17 @@
  private:
   static constexpr int kDigestMs = 250;
   static_assert(kDigestInterval == std::chrono::milliseconds(kDigestMs));
+  static constexpr std::uint64_t kFirstKey = 1000;
+  static constexpr int kPaceMs = 600;  ///< Time for which an engine is slow.
+  static constexpr std::uint32_t kHotTokens = 700;
 
   struct SimEngine {
     std::uint64_t key = 0;
     std::size_t zone = 0;
     std::uint32_t in_flight = 0;
     bool usable = true;
+    bool slow = false;
+    bool holds_hot_prefix = false;
     std::priority_queue<double, std::vector<double>, std::greater<>>
         slots_free_ms{};
   };
@@ -176,6 +208,7 @@
     std::uint64_t sequence = 0;
     std::vector<std::uint32_t> in_flight;
     PeerLoad peer_load{};
+    StatedLoads stated_loads{};
     WorkTime work_time{};
     ZoneSpill zone_spill{};
   };
@@ -203,11 +236,30 @@
                                         this->settings.zones[zone].routers);
   }
 
-  void Finish() {
+  void ChangePaces() {
+    std::bernoulli_distribution is_slow(this->settings.slow_share);
+    for (SimEngine& engine : this->engines) engine.slow = is_slow(this->random);
+  }
+
+  void State(Router& router, std::size_t index) {
+    const SimEngine& engine = this->engines[index];
+    StatedLoad load{engine.key, engine.in_flight,
+                    engine.slow ? 100 * this->settings.slow_factor : 100};
+    if (index == 0 && this->settings.false_load) {
+      load.in_flight = *this->settings.false_load;
+    }
+    router.stated_loads.OnStated(this->Now(), load, router.in_flight[index]);
+  }
+
+  void Finish(StaleLoadResult& result) {
     while (!this->running.empty() &&
            this->running.top().ends_ms <= this->now_ms) {
       const Running& done = this->running.top();
       Router& router = this->routers[done.router];
+      if (!this->settings.states_at_begin) this->State(router, done.engine);
+      if (done.ends_ms - done.began_ms > this->settings.latency_objective_ms) {
+        ++result.late;
+      }
       --router.in_flight[done.engine];
       --this->engines[done.engine].in_flight;
       router.work_time.OnAnswered(std::chrono::duration_cast<Duration>(
@@ -221,6 +273,8 @@
   void Report(Router& router) {
     const std::size_t peers = this->routers.size() - 1;
     router.peer_load.Expire(this->Now(), DigestRotationPeriod(peers));
+    router.stated_loads.Expire(this->Now());
+    const auto stated = router.stated_loads.LoadsToForward(this->Now());
     ++router.sequence;
     for (std::size_t n = 0; n < std::min(kDigestFanout, peers); ++n) {
       Router* peer = &this->routers[router.next_peer++ % this->routers.size()];
@@ -235,10 +289,14 @@
       }
       peer->peer_load.OnReport(this->Now(), router.name, 1, router.sequence,
                                loads);
+      for (const StatedLoad& load : stated) {
+        peer->stated_loads.OnForwarded(
+            this->Now(), load, peer->in_flight[load.engine_key - kFirstKey]);
+      }
     }
   }
 
-  std::optional<std::size_t> Choose(Router& router) {
+  std::optional<std::size_t> Choose(Router& router, bool is_hot) {
     if (this->settings.use == ReportUse::kNone) {
       return this->random() % this->engines.size();
     }
@@ -248,7 +306,11 @@
       candidate.engine_key = this->engines[n].key;
       candidate.in_flight =
           router.in_flight[n] + router.peer_load.InFlight(candidate.engine_key);
+      candidate.own_in_flight = router.in_flight[n];
       candidate.max_slots = this->settings.slots;
+      if (is_hot && this->engines[n].holds_hot_prefix) {
+        candidate.cached_tokens = kHotTokens;
+      }
       candidate.usable = this->engines[n].usable;
       candidate.same_zone = this->engines[n].zone == router.zone;
       candidates.push_back(candidate);
@@ -256,6 +318,10 @@
     PlacementInputs inputs;
     inputs.candidates = candidates;
     inputs.request_key = this->random();
+    if (is_hot) {
+      inputs.affinity_key = kHotTokens;
+      inputs.shared_tokens = kHotTokens;
+    }
     if (this->settings.zone_cost > 0) {
       const ZoneLoads loads = SumZoneLoads(candidates);
       const Duration response_time =
@@ -265,8 +331,17 @@
                                this->settings.zone_cost);
       inputs.zone_rule = router.zone_spill.RuleFor(loads, inputs.request_key);
     }
-    if (this->settings.use == ReportUse::kSpread) {
+    StatedLoadUse use;
+    use.peer_report_age = DigestRotationPeriod(this->routers.size() - 1) / 2;
+    use.request_key = inputs.request_key;
+    use.affinity_key = inputs.affinity_key;
+    use.shared_tokens = inputs.shared_tokens;
+    if (this->settings.use == ReportUse::kSpread && !is_hot) {
       router.peer_load.SpreadStaleLoad(this->Now(), candidates);
+      use.work_time = router.work_time.Mean();
+    }
+    if (this->settings.uses_stated_loads) {
+      router.stated_loads.Apply(this->Now(), use, candidates);
     }
     const auto decision = ChooseEngine(inputs);
     if (!decision) return std::nullopt;
@@ -275,7 +350,10 @@
 
   void Place(std::size_t router, StaleLoadResult& result) {
     ++result.requests;
-    const auto chosen = this->Choose(this->routers[router]);
+    const bool is_hot = this->settings.hot_prefix_share > 0 &&
+                        std::bernoulli_distribution(
+                            this->settings.hot_prefix_share)(this->random);
+    const auto chosen = this->Choose(this->routers[router], is_hot);
     if (!chosen) {
       ++result.not_placed;
       return;
@@ -283,6 +361,10 @@
     SimEngine& engine = this->engines[*chosen];
     if (engine.zone != this->routers[router].zone) ++result.left_zone;
     if (engine.in_flight >= this->settings.slots) ++result.found_full;
+    if (engine.in_flight + 1 > this->TrueBound()) ++result.over_bound;
+    if (*chosen == 0) ++result.at_first;
+    if (engine.slow) ++result.at_slow;
+    if (is_hot) engine.holds_hot_prefix = true;
     double began_ms = this->now_ms;
     if (engine.slots_free_ms.size() == this->settings.slots) {
       began_ms = std::max(began_ms, engine.slots_free_ms.top());
@@ -292,12 +374,23 @@
     if (this->settings.varied) {
       work_ms = std::exponential_distribution<double>(1 / work_ms)(random);
     }
+    if (engine.slow) work_ms *= this->settings.slow_factor;
     const double ends_ms = began_ms + work_ms;
     engine.slots_free_ms.push(ends_ms);
     ++engine.in_flight;
     ++this->routers[router].in_flight[*chosen];
     this->running.push(
         {ends_ms, static_cast<double>(this->now_ms), router, *chosen});
+    if (this->settings.states_at_begin) {
+      this->State(this->routers[router], *chosen);
+    }
+  }
+
+  // Returns the load bound by the true loads.
+  double TrueBound() const {
+    std::uint32_t sum = 0;
+    for (const SimEngine& engine : this->engines) sum += engine.in_flight;
+    return 2.0 * sum / static_cast<double>(this->engines.size()) + 3;
   }
 
   StaleLoadSettings settings;
