--- a/src/dispatch/dispatch_state.cc
+++ b/src/dispatch/dispatch_state.cc
@@ -321,6 +321,37 @@
     this->metrics.Add("engine_loads_malformed_total");
     this->WarnOnce("engine_load_malformed", engine);
   }
+  if (response.load) this->OnStatedLoad(engine, *response.load);
+}
+
+void DispatchState::OnStatedLoad(const Engine& engine,
+                                 const ReportedLoad& load) {
+  constexpr double kUsualPace = 100;
+  const TimePoint now = RuntimeClock::now();
+  this->metrics.Add("stated_loads_received_total{from=\"engine\"}");
+  // The response may have waited while this process was paused.
+  if (this->LoopStall(now) > Duration::zero()) return;
+  const std::uint64_t in_flight =
+      std::uint64_t{load.running} + std::uint64_t{load.waiting};
+  this->stated_loads.OnStated(
+      now,
+      {engine.key, in_flight, load.pace.value_or(kUsualPace), Duration::zero()},
+      engine.in_flight);
+}
+
+void DispatchState::ApplyStatedLoads(
+    StatedLoadUse use, std::span<PlacementCandidate> candidates) const {
+  if (!this->UsesStatedLoads()) return;
+  use.peer_report_age = DigestRotationPeriod(this->peers.size()) / 2;
+  this->stated_loads.Apply(RuntimeClock::now(), use, candidates);
+}
+
+Duration DispatchState::LoadEstimateAge(const Engine& engine) const {
+  const Duration peer_report_age = DigestRotationPeriod(this->peers.size()) / 2;
+  if (!this->UsesStatedLoads()) return peer_report_age;
+  return this->stated_loads
+      .UsedAge(RuntimeClock::now(), engine.key, peer_report_age)
+      .value_or(peer_report_age);
 }
 
 void DispatchState::OnCarriedPause(const Engine& engine,
--- a/src/dispatch/dispatch_state.h
+++ b/src/dispatch/dispatch_state.h
@@ -14,6 +14,7 @@
 #include <utility>
 #include <vector>
 
+#include "dandelionscale/core/digest_schedule.h"
 #include "dandelionscale/core/engine_directory.h"
 #include "dandelionscale/core/engine_reachability.h"
 #include "dandelionscale/core/evacuated_zones.h"
@@ -23,6 +24,7 @@
 #include "dandelionscale/core/load/rate_limit_news.h"
 #include "dandelionscale/core/load/rate_permits.h"
 #include "dandelionscale/core/load/service_times.h"
+#include "dandelionscale/core/load/stated_loads.h"
 #include "dandelionscale/core/load/work_time.h"
 #include "dandelionscale/core/load/zone_spill.h"
 #include "dandelionscale/core/memory_budget.h"
@@ -144,6 +146,18 @@
   /// \brief Applies what an engine states about itself in a response head: that
   ///        it is shutting down, or that it wants no requests for some time.
   void OnEngineResponse(Engine& engine, const EngineResponse& response);
+  /// \returns true if digests reach the peers in rotation. Only then is the
+  /// load
+  ///          that engines state more recent than the peers' reports: routers
+  ///          of smaller fleets neither use nor forward it.
+  bool UsesStatedLoads() const { return this->peers.size() > kDigestFanout; }
+  /// \brief Applies the loads that engines have stated to the candidates of one
+  ///        request; does nothing in a small fleet.
+  /// \param use of it, `peer_report_age` is set here.
+  void ApplyStatedLoads(StatedLoadUse use,
+                        std::span<PlacementCandidate> candidates) const;
+  /// \returns the age of the estimate of an engine's requests in flight.
+  Duration LoadEstimateAge(const Engine& engine) const;
   /// \brief Keeps a pause that was asked for on a tunnel for the router that
   ///        carried it.
   void OnCarriedPause(const Engine& engine, const std::string& peer,
@@ -242,6 +256,7 @@
   EvacuatedZones evacuated_zones;
   bool engines_known = false;  ///< The engine list was loaded.
   PeerLoad peer_load;          ///< Load that the peers report.
+  StatedLoads stated_loads;    ///< Load that the engines state.
   /// Decides whether this router watches the store or relies on the digests of
   /// its peers.
   WatcherElection watcher_election;
@@ -307,6 +322,7 @@
                        std::string_view source);
   void OnZoneRestored(std::string_view zone);
   void OnDrain(const std::string& id);
+  void OnStatedLoad(const Engine& engine, const ReportedLoad& load);
   void OnRateLimitChanged(const Engine& engine, const EngineRateLimit& before,
                           std::string_view source);
   // Logs a warning that concerns an engine, once for each engine and event.
--- a/src/dispatch/peers/peer_exchange.cc
+++ b/src/dispatch/peers/peer_exchange.cc
@@ -78,6 +78,7 @@
     const Duration rotation = DigestRotationPeriod(this->state.peers.size());
     const Duration peer_timeout = PeerTimeout(this->state.peers.size());
     this->state.peer_load.Expire(now, rotation);
+    this->state.stated_loads.Expire(now);
     for (auto peer = this->state.live_peers.begin();
          peer != this->state.live_peers.end();) {
       if (now - peer->second.at > peer_timeout) {
@@ -172,6 +173,7 @@
     digest.add_engine_keys(ShortKey(engine->key));
     digest.add_loads(engine->in_flight);
   }
+  FillStatedLoads(this->state, digest);
   return digest.ByteSizeLong() - size_before;
 }
 
@@ -275,7 +277,8 @@
     if (!digest.ParseFromArray(this->datagram.data(), static_cast<int>(size)) ||
         digest.loads_size() != digest.engine_keys_size() ||
         digest.placed_engines_size() != digest.placed_parts_size() ||
-        digest.dropped_engines_size() != digest.dropped_parts_size()) {
+        digest.dropped_engines_size() != digest.dropped_parts_size() ||
+        HasMalformedStatedLoads(digest)) {
       this->state.metrics.Add("peer_digests_malformed_total");
       continue;
     }
@@ -306,6 +309,7 @@
   }
   this->state.peer_load.OnReport(now, digest.router(), digest.incarnation(),
                                  digest.sequence(), loads);
+  ApplyStatedLoads(this->state, digest);
   this->state.watcher_election.OnDigest(now, sender, HashText(sender),
                                         ToWatchReport(digest));
   ApplyPlacements(this->state, ToSpan(digest.placed_parts()),
--- a/src/dispatch/peers/peer_reports.cc
+++ b/src/dispatch/peers/peer_reports.cc
@@ -1,7 +1,10 @@
 #include "dispatch/peers/peer_reports.h"
 
 #include <algorithm>
+#include <cmath>
+#include <limits>
 
+#include "dandelionscale/runtime/trace.h"
 #include "dispatch/peers/peer_messages.h"
 
 namespace dandelionscale::internal {
@@ -48,4 +51,42 @@
   }
 }
 
+void FillStatedLoads(const DispatchState& state, wire::RouterDigest& digest) {
+  if (!state.UsesStatedLoads()) return;
+  constexpr std::uint64_t kMaxCount = std::numeric_limits<std::uint32_t>::max();
+  const TimePoint now = RuntimeClock::now();
+  for (const StatedLoad& load : state.stated_loads.LoadsToForward(now)) {
+    digest.add_stated_engines(ShortKey(load.engine_key));
+    digest.add_stated_in_flight(
+        static_cast<std::uint32_t>(std::min(load.in_flight, kMaxCount)));
+    digest.add_stated_paces(static_cast<std::uint32_t>(std::lround(load.pace)));
+    digest.add_stated_ages_ms(
+        static_cast<std::uint32_t>(ToMilliseconds(load.age)));
+  }
+}
+
+bool HasMalformedStatedLoads(const wire::RouterDigest& digest) {
+  const int count = digest.stated_engines_size();
+  return digest.stated_in_flight_size() != count ||
+         digest.stated_paces_size() != count ||
+         digest.stated_ages_ms_size() != count;
+}
+
+void ApplyStatedLoads(DispatchState& state, const wire::RouterDigest& digest) {
+  const TimePoint now = RuntimeClock::now();
+  // The digest may have waited while this process was paused.
+  if (state.LoopStall(now) > Duration::zero()) return;
+  for (int n = 0; n < digest.stated_engines_size(); ++n) {
+    const auto engine = state.engines.FindByShortKey(digest.stated_engines(n));
+    if (engine == nullptr) continue;
+    state.metrics.Add("stated_loads_received_total{from=\"peer\"}");
+    StatedLoad load;
+    load.engine_key = engine->key;
+    load.in_flight = digest.stated_in_flight(n);
+    load.pace = digest.stated_paces(n);
+    load.age = std::chrono::milliseconds(digest.stated_ages_ms(n));
+    state.stated_loads.OnForwarded(now, load, engine->in_flight);
+  }
+}
+
 }  // namespace dandelionscale::internal
--- a/src/dispatch/peers/peer_reports.h
+++ b/src/dispatch/peers/peer_reports.h
@@ -13,6 +13,7 @@
 
 namespace dandelionscale::wire {
 class RateLimitReport;
+class RouterDigest;
 }  // namespace dandelionscale::wire
 
 namespace dandelionscale::internal {
@@ -33,6 +34,14 @@
     const google::protobuf::RepeatedPtrField<wire::RateLimitReport>& reports,
     const std::string& sender);
 
+/// \brief Writes the loads that engines have stated to this router to a digest;
+///        writes nothing in a fleet in which each digest goes to every peer.
+void FillStatedLoads(const DispatchState& state, wire::RouterDigest& digest);
+/// \returns true if the lists of the digest's stated loads differ in length.
+bool HasMalformedStatedLoads(const wire::RouterDigest& digest);
+/// \brief Applies the loads that engines have stated to the sender.
+void ApplyStatedLoads(DispatchState& state, const wire::RouterDigest& digest);
+
 /// \brief Writes the evacuated zones to a digest or a snapshot whose
 ///        `store_era` is set; writes nothing if no evacuation was ever known.
 template <typename Message>
