--- a/src/dispatch/request/request_placement.cc
+++ b/src/dispatch/request/request_placement.cc
@@ -105,10 +105,16 @@
       this->UpdateZoneSpill(plan.candidates);
     }
     this->ApplyZoneRule(plan);
+    StatedLoadUse use;
+    use.request_key = this->request_key;
+    use.affinity_key = this->affinity_key;
+    use.shared_tokens = plan.inputs.shared_tokens;
     if (this->MayHaveStaleLoads()) {
       this->state.peer_load.SpreadStaleLoad(RuntimeClock::now(),
                                             plan.candidates);
+      use.work_time = this->state.Service(this->service).work_time.Mean();
     }
+    this->state.ApplyStatedLoads(use, plan.candidates);
     plan.inputs.candidates = plan.candidates;
     const auto decision = ChooseEngine(plan.inputs);
     if (!decision) continue;
@@ -139,6 +145,7 @@
     candidate.engine_key = engine->key;
     candidate.in_flight =
         engine->in_flight + this->state.peer_load.InFlight(engine->key);
+    candidate.own_in_flight = engine->in_flight;
     candidate.max_slots = engine->record.max_slots;
     candidate.cached_tokens = MatchedTokens(matches, engine->key);
     candidate.same_zone = engine->record.availability_zone ==
@@ -210,6 +217,8 @@
   const TimePoint now = RuntimeClock::now();
   this->state.metrics.ObserveLatency("placement_wait_seconds",
                                      now - this->arrived_at);
+  const Duration load_age = this->state.LoadEstimateAge(engine);
+  this->state.metrics.ObserveLatency("load_estimate_age_seconds", load_age);
   const bool same_zone = inputs.candidates[decision.index].same_zone;
   this->state.metrics.Add(
       fmt::format("requests_placed_total{{zone=\"{}\",service=\"{}\"}}",
@@ -237,6 +246,7 @@
        {"shared_tokens", static_cast<std::int64_t>(inputs.shared_tokens)},
        {"mean_load", decision.mean_in_flight},
        {"load_age_ms", ToMilliseconds(this->state.peer_load.OldestAge(now))},
+       {"estimate_age_ms", ToMilliseconds(load_age)},
        {"peers", ToInt64(this->state.peer_load.RouterCount())},
        {"configuration",
         static_cast<std::int64_t>(this->routing_table->version)},
