Stated loads alone don't fill all engines of a service

A faulty report counts as at most twice an engine's slots, which is above the limit up to which requests are placed. If all engines of a service, or its only one, stated such loads, its requests would have waited until the reports expired.

--- a/include/dandelionscale/core/load/placement.h
+++ b/include/dandelionscale/core/load/placement.h
@@ -38,6 +38,10 @@
   std::uint32_t margin = 0;
 };
 
+/// \returns true if the engine may be chosen and has fewer requests in flight
+///          than 1.25 times its slots.
+bool HasRoom(const PlacementCandidate& candidate);
+
 /// \brief How a request treats availability zones; see `ZoneSpill`.
 enum class ZoneRule {
   kIgnored,  ///< All zones alike, but for a small preference for the own one.
--- a/include/dandelionscale/core/load/stated_loads.h
+++ b/include/dandelionscale/core/load/stated_loads.h
@@ -81,8 +81,11 @@
   /// cached and, of the others, for one in as many as there are usable engines,
   /// selected by hash: otherwise all of them would choose that engine. For the
   /// same reason, an engine that has cached the shared parts gets a margin of
-  /// up to half its requests in flight, by hash of request and engine. \param
-  /// candidates the engines of one service, with `in_flight` estimated
+  /// up to half its requests in flight, by hash of request and engine.
+  ///
+  /// If stated loads leave no engine with room, none is used: engines of a
+  /// faulty build must not make a service wait.
+  /// \param candidates the engines of one service, with `in_flight` estimated
   ///        by the peers' reports. It never falls below `own_in_flight`.
   void Apply(TimePoint now, const StatedLoadUse& use,
              std::span<PlacementCandidate> candidates) const;
--- a/src/core/load/placement.cc
+++ b/src/core/load/placement.cc
@@ -30,11 +30,6 @@
 
 using Candidate = PlacementCandidate;
 
-bool HasRoom(const Candidate& candidate) {
-  const double limit = candidate.max_slots * (1 + kMaxEngineQueueShare);
-  return candidate.usable && candidate.in_flight < limit;
-}
-
 double MeanInFlight(std::span<const Candidate> candidates) {
   const bool all_limited =
       std::all_of(candidates.begin(), candidates.end(),
@@ -233,6 +228,11 @@
 
 }  // namespace
 
+bool HasRoom(const PlacementCandidate& candidate) {
+  const double limit = candidate.max_slots * (1 + kMaxEngineQueueShare);
+  return candidate.usable && candidate.in_flight < limit;
+}
+
 std::string_view ToString(PlacementBasis basis) {
   switch (basis) {
     case PlacementBasis::kHoldsPrefix:
--- a/src/core/load/stated_loads.cc
+++ b/src/core/load/stated_loads.cc
@@ -91,7 +91,10 @@
   const auto usable_engines = static_cast<std::size_t>(
       std::count_if(candidates.begin(), candidates.end(),
                     [](const auto& candidate) { return candidate.usable; }));
+  std::vector<std::uint32_t> by_reports;
+  by_reports.reserve(candidates.size());
   for (PlacementCandidate& candidate : candidates) {
+    by_reports.push_back(candidate.in_flight);
     const Entry* entry = this->FindUsed(now, use, candidate.engine_key);
     if (entry != nullptr) {
       candidate.in_flight =
@@ -100,6 +103,14 @@
     }
     candidate.avoided = this->IsAvoided(now, use, candidate.engine_key);
   }
+  const bool any_has_room = std::any_of(
+      candidates.begin(), candidates.end(),
+      [](const auto& one) { return !one.limits_rate && HasRoom(one); });
+  if (any_has_room) return;
+  for (std::size_t n = 0; n < candidates.size(); ++n) {
+    candidates[n].in_flight = by_reports[n];
+    candidates[n].margin = 0;
+  }
 }
 
 void StatedLoads::Set(TimePoint now, const StatedLoad& load,
--- a/tests/stale_load_test.cc
+++ b/tests/stale_load_test.cc
@@ -146,6 +146,7 @@
     CHECK(low.FirstShare() < 2 * fair);
     settings.false_load = 1'000'000'000;
     const auto high = MeasureStated("states 10^9", settings, true);
+    CHECK(high.FirstShare() > 0.4 * fair);
     CHECK(high.FirstShare() < 2 * fair);
     CHECK(high.not_placed == 0);
   }
--- a/tests/stated_loads_exchange_test.cc
+++ b/tests/stated_loads_exchange_test.cc
@@ -42,11 +42,12 @@
   }
   // The estimate for the first engine, of which peers report 7 requests.
   std::uint32_t Estimate() {
-    std::vector<PlacementCandidate> candidates(1);
+    std::vector<PlacementCandidate> candidates(2);
     candidates[0].engine_key = this->At(0).key;
     candidates[0].own_in_flight = this->At(0).in_flight;
     candidates[0].in_flight = 7;
     candidates[0].max_slots = 64;
+    candidates[1].engine_key = this->At(1).key;
     this->state.ApplyStatedLoads({}, candidates);
     return candidates[0].in_flight;
   }
--- a/tests/stated_loads_test.cc
+++ b/tests/stated_loads_test.cc
@@ -92,6 +92,22 @@
   CHECK(Estimate(loads, milliseconds(1), 7) == 128);
 }
 
+// Guards against a service that waits because its engines state false loads.
+TEST_CASE("stated loads alone don't fill all engines of a service") {
+  StatedLoads loads;
+  loads.OnStated(kNow, {1000, 1'000'000}, 0);
+  loads.OnStated(kNow, {1001, 1'000'000}, 0);
+  auto candidates = Candidates({7, 8});
+  loads.Apply(kNow, ForPrefix(), candidates);
+  CHECK(candidates[0].in_flight == 7);
+  CHECK(candidates[1].in_flight == 8);
+  // With an engine that has room, they count.
+  candidates = Candidates({7, 8, 9});
+  loads.Apply(kNow, ForPrefix(), candidates);
+  CHECK(candidates[0].in_flight == 128);
+  CHECK(candidates[2].in_flight == 9);
+}
+
 TEST_CASE("a statement doesn't make an engine usable") {
   StatedLoads loads;
   loads.OnStated(kNow, {1000, 0}, 0);
