--- a/src/dispatch/request/placement_planner.cc
+++ b/src/dispatch/request/placement_planner.cc
@@ -102,6 +102,7 @@
     candidate.engine_key = engine->key;
     candidate.in_flight =
         engine->in_flight + this->state.peer_load.InFlight(engine->key);
+    candidate.own_in_flight = engine->in_flight;
     candidate.max_slots = engine->record.max_slots;
     candidate.cached_tokens = MatchedTokens(matches, engine->key);
     candidate.same_zone = engine->record.availability_zone ==
@@ -140,8 +141,16 @@
 
 void PlacementPlanner::CorrectLoads(
     std::span<PlacementCandidate> candidates) const {
-  if (!this->MayHaveStaleLoads()) return;
-  this->state.peer_load.SpreadStaleLoad(this->now, candidates);
+  StatedLoadUse use;
+  use.queue_share = this->QueueShare();
+  use.request_key = this->request.request_key;
+  use.affinity_key = this->request.affinity_key;
+  use.shared_tokens = TotalTokens(this->request.prefix);
+  if (this->MayHaveStaleLoads()) {
+    this->state.peer_load.SpreadStaleLoad(this->now, candidates);
+    use.work_time = this->WorkTimeMean();
+  }
+  this->state.ApplyStatedLoads(use, candidates);
 }
 
 double PlacementPlanner::QueueShare() const {
--- a/src/dispatch/request/placement_planner.h
+++ b/src/dispatch/request/placement_planner.h
@@ -121,7 +121,8 @@
  private:
   std::vector<PlacementCandidate> BuildCandidates(
       const PlacementPass& pass) const;
-  // Corrects the loads of the service's engines by the age of peers' reports.
+  // Corrects the loads of the service's engines by the age of peers' reports
+  // and by what engines have stated.
   void CorrectLoads(std::span<PlacementCandidate> candidates) const;
   // Returns `PlacementInputs::engine_queue_share`.
   double QueueShare() const;
--- a/src/dispatch/request/request_placement.cc
+++ b/src/dispatch/request/request_placement.cc
@@ -106,6 +106,8 @@
   const TimePoint now = RuntimeClock::now();
   this->state.metrics.ObserveLatency("placement_wait_seconds",
                                      now - this->arrived_at);
+  const Duration load_age = this->state.LoadEstimateAge(engine);
+  this->state.metrics.ObserveLatency("load_estimate_age_seconds", load_age);
   const bool same_zone = inputs.candidates[decision.index].same_zone;
   this->state.metrics.Add(
       fmt::format("requests_placed_total{{zone=\"{}\",service=\"{}\"}}",
@@ -136,6 +138,7 @@
        {"shared_tokens", static_cast<std::int64_t>(inputs.shared_tokens)},
        {"mean_load", decision.mean_in_flight},
        {"load_age_ms", ToMilliseconds(this->state.peer_load.OldestAge(now))},
+       {"estimate_age_ms", ToMilliseconds(load_age)},
        {"peers", ToInt64(this->state.peer_load.RouterCount())},
        {"configuration",
         static_cast<std::int64_t>(this->routing_table->version)},
