--- a/src/core/attempt_policy.cc
+++ b/src/core/attempt_policy.cc
@@ -54,11 +54,6 @@
 AttemptDecision DecideAfterFailure(const AttemptLimits& limits,
                                    const AttemptHistory& history) {
   if (history.time_left < kMinTimeToSend) return DecideFinal(history);
-  // A send that reached no engine does not count as an attempt.
-  if (history.failure == AttemptFailure::kNotConnected &&
-      history.sends < limits.max_attempts) {
-    return SendAgain{history.sends > 0};
-  }
   if (history.sends >= limits.max_attempts) return DecideFinal(history);
   if (history.any_may_have_run && !limits.is_repeatable) {
     return DecideFinal(history);
@@ -66,7 +61,10 @@
   if (history.events_delivered && !history.can_resume) {
     return DecideFinal(history);
   }
-  return SendAgain{true};
+  // A send that reached no engine is no repeat of the request.
+  const bool is_first_send =
+      history.failure == AttemptFailure::kNotConnected && history.sends == 0;
+  return SendAgain{!is_first_send};
 }
 
 AttemptDecision DecideFinal(const AttemptHistory& history) {
