A zone whose engines are idle takes its load back sooner

After an evacuation the share that stays rose from 0.05 by at most a factor of 1.13 a second, so that 0.93 of the requests still left 4 s after the return, and the engines of the other zones held 1.5 times the mean. An own utilization that is far too low now counts up to a factor of e^4.

Besides, only holders of a short prefix get a margin: for a long one it led to copies of prompt memory (3,032 GB against 2,217 before the margin).

--- a/src/core/load/stated_loads.cc
+++ b/src/core/load/stated_loads.cc
@@ -171,7 +171,9 @@
 
 std::uint32_t StatedLoads::Margin(const StatedLoadUse& use,
                                   const PlacementCandidate& candidate) {
-  if (!HoldsPrefix(use, candidate)) return 0;
+  // A long prefix is costly to compute or copy, and rarely hot.
+  const bool is_long = use.shared_tokens >= kMinLongPrefixTokens;
+  if (is_long || !HoldsPrefix(use, candidate)) return 0;
   return static_cast<std::uint32_t>(std::lround(
       kMaxMarginShare * candidate.in_flight *
       Fraction(use.request_key, candidate.engine_key, kMarginSalt)));
--- a/src/core/load/zone_spill.cc
+++ b/src/core/load/zone_spill.cc
@@ -20,9 +20,12 @@
 // own utilization that is too high or too low by a factor of e. It is below 1,
 // so that loads show the effect of a change before the share has overshot.
 constexpr double kGain = 0.6;
-// Largest logarithm of that factor that counts. It limits the rate at which a
-// zone whose engines are idle takes its load back.
+// Largest logarithm of that factor that counts.
 constexpr double kMaxDeviation = 1.0;
+// The same for an own utilization that is too low. It limits the rate at which
+// a zone that returns takes its load back: meanwhile the engines of the other
+// zones hold more than the mean.
+constexpr double kMaxIdleDeviation = 4.0;
 // A zone with a usable engine serves at least this share of its requests.
 // Without any, the zone's utilization would not show whether it can take more.
 constexpr double kMinStaying = 0.05;
@@ -48,7 +51,7 @@
 double Deviation(double utilization, double target) {
   constexpr double kMinUtilization = 1e-6;
   return std::clamp(std::log(std::max(utilization, kMinUtilization) / target),
-                    -kMaxDeviation, kMaxDeviation);
+                    -kMaxIdleDeviation, kMaxDeviation);
 }
 
 }  // namespace
