--- a/src/dispatch/request/placement_explanation.cc
+++ b/src/dispatch/request/placement_explanation.cc
@@ -29,7 +29,8 @@
     placement.prefix = this->query.client.prefix;
     placement.affinity_key = this->admission.affinity_key;
     placement.request_key = this->admission.request_key;
-    placement.latency_target = this->admission.route->latency_target;
+    const Route* route = this->admission.route;
+    if (route != nullptr) placement.latency_target = route->latency_target;
     return placement;
   }
   PlacementPlanner Planner() const {
--- a/src/dispatch/request/request_placement.cc
+++ b/src/dispatch/request/request_placement.cc
@@ -87,7 +87,10 @@
   placement.prefix = this->decoded.prefix;
   placement.affinity_key = this->affinity_key;
   placement.request_key = this->request_key;
-  placement.latency_target = this->route->latency_target;
+  // A request is refused without a route while no configuration is known.
+  if (this->route != nullptr) {
+    placement.latency_target = this->route->latency_target;
+  }
   placement.tried_engine_keys = this->tried_engine_keys;
   placement.required_version = this->required_version;
   return placement;
--- a/tests/dispatch_store_test.cc
+++ b/tests/dispatch_store_test.cc
@@ -112,6 +112,24 @@
   Eventually([&] { return IsServed(fleet, 1, "/fifty/"); });
 }
 
+// Guards against a crash of a router that refuses a request before it knows any
+// route.
+TEST_CASE("a router without a configuration refuses requests and goes on") {
+  PlatformFleet fleet(1);
+  const auto refused = [&] {
+    return fleet
+        .Exchange(1, MakeClientRequest("GET", "/any/", "early"),
+                  milliseconds(1500))
+        .starts_with("HTTP/1.1 503");
+  };
+  Eventually(refused);
+  CHECK(refused());
+  fleet.PutConfiguration(3);
+  fleet.AddEngine("plain", AnswerOk);
+  fleet.WaitUntilReady(1);
+  CHECK(IsServed(fleet, 1, "/any/"));
+}
+
 // Guards against a configuration change that is lost because the routers that
 // watch the store are all killed just before it.
 // The victims are all routers that the election has chosen, once it has
