--- a/include/dandelionscale/core/prefix_index.h
+++ b/include/dandelionscale/core/prefix_index.h
@@ -66,11 +66,12 @@
   return update.scope == UpdateScope::kAllZones;
 }
 
-/// \returns the scope of new entries for a prompt prefix. In a large fleet, an
-///          entry for a short prefix costs more traffic than computing the
-///          prefix once more in another zone.
+/// \returns the scope of new entries for a prompt prefix.
 /// \param prefix_tokens total of the prefix, see `TotalTokens()`.
-UpdateScope ScopeOfPrefix(std::uint32_t prefix_tokens, bool is_large_fleet);
+/// \param keeps_short_in_zone traffic between zones costs more than computing a
+///        short prefix once more in another zone.
+UpdateScope ScopeOfPrefix(std::uint32_t prefix_tokens,
+                          bool keeps_short_in_zone);
 
 /// \brief An engine and the number of a prompt's leading tokens that it has
 ///        cached.
--- a/include/dandelionscale/dispatch/dispatch_router.h
+++ b/include/dandelionscale/dispatch/dispatch_router.h
@@ -14,6 +14,9 @@
 
 namespace dandelionscale {
 
+/// Default of `DispatchOptions::zone_cost`.
+inline constexpr double kDefaultZoneCost = 1.0;
+
 /// \brief Validated settings of one `DispatchRouter`.
 struct DispatchOptions {
   std::string name;  ///< Unique within the fleet.
@@ -36,7 +39,7 @@
   /// Relative cost of traffic between availability zones. It scales the
   /// difference in utilization from which on requests leave the zone; 0:
   /// placement ignores zones, but for a small preference for the own one.
-  double zone_cost = 1.0;
+  double zone_cost = kDefaultZoneCost;
   /// Number of listed routers from which on a starting router asks peers for
   /// configuration and engines before it reads the store.
   std::size_t min_large_fleet = kMinLargeFleet;
--- a/src/core/prefix_index.cc
+++ b/src/core/prefix_index.cc
@@ -62,10 +62,11 @@
   return 0;
 }
 
-UpdateScope ScopeOfPrefix(std::uint32_t prefix_tokens, bool is_large_fleet) {
+UpdateScope ScopeOfPrefix(std::uint32_t prefix_tokens,
+                          bool keeps_short_in_zone) {
   const bool is_short = prefix_tokens < kMinLongPrefixTokens;
-  return is_large_fleet && is_short ? UpdateScope::kOwnZone
-                                    : UpdateScope::kAllZones;
+  return keeps_short_in_zone && is_short ? UpdateScope::kOwnZone
+                                         : UpdateScope::kAllZones;
 }
 
 void PrefixIndex::Apply(TimePoint now, const PrefixUpdate& update) {
--- a/src/dispatch/cache_observer.cc
+++ b/src/dispatch/cache_observer.cc
@@ -140,7 +140,7 @@
 
 UpdateScope CacheObserver::ScopeOf(const CacheEvent& event) const {
   const UpdateScope scope =
-      ScopeOfPrefix(event.tokens, this->state.IsLargeFleet());
+      ScopeOfPrefix(event.tokens, this->state.KeepsShortPrefixesInZone());
   if (scope == UpdateScope::kAllZones) return scope;
   return this->state.prefixes.ScopeOf(event.part_key);
 }
--- a/src/dispatch/dispatch_state.h
+++ b/src/dispatch/dispatch_state.h
@@ -216,6 +216,12 @@
   bool IsLargeFleet() const {
     return this->peers.size() + 1 >= this->options.min_large_fleet;
   }
+  /// \returns true if new entries for short prefixes stay in the zone: in a
+  ///          large fleet whose operator rates traffic between zones above the
+  ///          default, since engines in other zones compute them again.
+  bool KeepsShortPrefixesInZone() const {
+    return this->IsLargeFleet() && this->options.zone_cost > kDefaultZoneCost;
+  }
   /// \returns the number of listed routers, reachable or not, including this
   ///          one; a fixed assumption until a peer is discovered.
   std::size_t RouterCount() const;
--- a/src/dispatch/request/request_placement.cc
+++ b/src/dispatch/request/request_placement.cc
@@ -115,8 +115,9 @@
   this->state.metrics.Add(
       fmt::format("requests_placed_total{{zone=\"{}\",service=\"{}\"}}",
                   same_zone ? "own" : "other", this->service));
-  const UpdateScope scope = ScopeOfPrefix(TotalTokens(this->decoded.prefix),
-                                          this->state.IsLargeFleet());
+  const UpdateScope scope =
+      ScopeOfPrefix(TotalTokens(this->decoded.prefix),
+                    this->state.KeepsShortPrefixesInZone());
   for (const PrefixPart& part : this->decoded.prefix) {
     const PrefixUpdate update{part.key, engine.key, false, scope};
     if (!this->state.prefixes.Observe(now, update)) continue;
--- a/tests/digest_scopes_test.cc
+++ b/tests/digest_scopes_test.cc
@@ -62,6 +62,20 @@
   CHECK(fixture.state.IsLargeFleet());
 }
 
+// Guards against prefixes that every zone computes for itself although nobody
+// has rated the traffic that this saves.
+TEST_CASE(
+    "short prefixes stay in the zone if a large fleet's traffic is dear") {
+  StateFixture fixture;
+  fixture.state.peers = {"10.0.0.1:5", "10.0.0.2:5"};
+  fixture.state.options.min_large_fleet = 3;
+  CHECK_FALSE(fixture.state.KeepsShortPrefixesInZone());
+  fixture.state.options.zone_cost = 2;
+  CHECK(fixture.state.KeepsShortPrefixesInZone());
+  fixture.state.options.min_large_fleet = 4;
+  CHECK_FALSE(fixture.state.KeepsShortPrefixesInZone());
+}
+
 // Guards against a peer whose address is the beginning of another one's.
 TEST_CASE("a host has the zone of the peer with its address") {
   StateFixture fixture;
