--- a/tests/zone_spill_test.cc
+++ b/tests/zone_spill_test.cc
@@ -135,6 +135,26 @@
   }
 }
 
+// Load pattern: a zone is evacuated and taken back while engines are hardly
+// used. Guards against requests that keep leaving it for half a minute, so that
+// the engines of the other zones hold more than the mean.
+TEST_CASE("an idle zone takes most of its load back within seconds") {
+  // At 84 routers and streams of 1 s.
+  constexpr Duration kResponseTime = std::chrono::milliseconds(2750);
+  ZoneSpill spill;
+  TimePoint now = kNow;
+  const auto run = [&](const ZoneLoads& loads, int seconds) {
+    for (int n = 0; n < 4 * seconds; ++n) {
+      now += kDigestInterval;
+      spill.Update(now, loads, kResponseTime, 1.0);
+    }
+  };
+  run({{true, 0, 0}, {true, 10, 100}}, 10);
+  CHECK(spill.Share() > 0.9);
+  run(Loads(1, 10), 8);
+  CHECK(spill.Share() < 0.2);
+}
+
 TEST_CASE("idle engines are no reason to leave the zone") {
   ZoneSpill spill;
   for (int n = 0; n < 400; ++n) {
