--- a/src/core/start_up_source.cc
+++ b/src/core/start_up_source.cc
@@ -6,13 +6,15 @@
 namespace dandelionscale {
 namespace {
 
-// Routers of a large fleet that read the store at once.
-constexpr std::size_t kFirstReaders = 3;
+// Routers of a large fleet that read the store at once: one in this many, but
+// at least `kMinFirstReaders`. They supply the others.
+constexpr std::size_t kRoutersPerFirstReader = 10;
+constexpr std::size_t kMinFirstReaders = 3;
 // Interval within which the number of readers doubles while no peer responds;
-// 300 routers have begun to read within 1.9 s.
+// 300 routers have begun to read within 1.2 s.
 constexpr Duration kRankInterval = std::chrono::milliseconds(250);
 // The same once a peer has responded. It leaves routers that start together the
-// time to supply each other: with 250 ms, half of 300 routers read the store.
+// time to supply each other.
 constexpr Duration kLiveRankInterval = std::chrono::milliseconds(500);
 // A router that has not learnt the listed routers within this time, plus the
 // spread below, reads the store. With 300 routers that start together, a call
@@ -44,9 +46,11 @@
         kListTimeoutSlot * (this->own_key % kListTimeoutSlots);
     return now - this->started_at >= kListTimeout + spread;
   }
-  if (this->rank < kFirstReaders) return true;
+  const std::size_t first_readers =
+      std::max(kMinFirstReaders, this->peers / kRoutersPerFirstReader);
+  if (this->rank < first_readers) return true;
   const double doublings = std::log2(static_cast<double>(this->rank) /
-                                     static_cast<double>(kFirstReaders));
+                                     static_cast<double>(first_readers));
   const std::chrono::duration<double> interval =
       this->peer_answered ? kLiveRankInterval : kRankInterval;
   const auto wait =
