--- a/include/dandelionscale/core/start_up_source.h
+++ b/include/dandelionscale/core/start_up_source.h
@@ -12,7 +12,7 @@
 /// Default number of listed routers from which on a starting router asks peers
 /// before it reads the store. The store can serve the reads of smaller fleets,
 /// and does so sooner than peers that are starting, too.
-inline constexpr std::size_t kMinLargeFleet = 128;
+inline constexpr std::size_t kMinLargeFleet = 512;
 
 /// \brief Where a starting router gets configuration and engines from.
 ///
