--- a/tests/digest_scopes_test.cc
+++ b/tests/digest_scopes_test.cc
@@ -65,7 +65,7 @@
 // Guards against prefixes that every zone computes for itself although nobody
 // has rated the traffic that this saves.
 TEST_CASE(
-    "short prefixes stay in the zone if a large fleet's traffic is dear") {
+    "short prefixes stay in the zone if a large fleet's traffic is costly") {
   StateFixture fixture;
   fixture.state.peers = {"10.0.0.1:5", "10.0.0.2:5"};
   fixture.state.options.min_large_fleet = 3;
--- a/tests/large_fleet_test.cc
+++ b/tests/large_fleet_test.cc
@@ -208,7 +208,7 @@
 
 // Guards against a fleet of hundreds of routers that send every new cache entry
 // to all zones, and against long prefixes that only one zone knows.
-TEST_CASE("with dear traffic, other zones hear of long prefixes only") {
+TEST_CASE("with costly traffic, other zones hear of long prefixes only") {
   Fleet fleet("start.min_large_fleet=3\nrouting.zone_cost=2\n");
   fleet.Send("short:700");
   Eventually([&] { return fleet.North().HasPlaced("short"); });
--- a/tests/prefix_index_test.cc
+++ b/tests/prefix_index_test.cc
@@ -104,7 +104,7 @@
   CHECK_FALSE(index.Observe(kNow, {1, 7, true}));
 }
 
-TEST_CASE("entries for short prefixes stay in the zone if traffic is dear") {
+TEST_CASE("entries for short prefixes stay in the zone if traffic is costly") {
   CHECK(ScopeOfPrefix(3999, true) == UpdateScope::kOwnZone);
   CHECK(ScopeOfPrefix(4000, true) == UpdateScope::kAllZones);
   CHECK(ScopeOfPrefix(10, false) == UpdateScope::kAllZones);
--- a/tests/zone_digests_test.cc
+++ b/tests/zone_digests_test.cc
@@ -249,7 +249,8 @@
 
 // Load pattern: each router places five new prefixes a second, one of which is
 // long.
-TEST_CASE("a large fleet with dear traffic sends few entries to other zones") {
+TEST_CASE(
+    "a large fleet with costly traffic sends few entries to other zones") {
   const bool zones_follow = GENERATE(false, true);
   CAPTURE(zones_follow);
   std::array<std::size_t, 2> bytes{};
