Digests are copied only if the copies for other zones differ

Each digest, up to 33 a second, was copied once to be encoded, and its bytes once more for other zones, also where both copies are the same, which they are unless short prefixes stay in the zone. No byte that is sent changes; large_fleet_test (digests of other fleets, byte for byte) passes.

--- a/src/dispatch/peers/peer_exchange.cc
+++ b/src/dispatch/peers/peer_exchange.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <functional>
+#include <iterator>
 
 #include "dandelionscale/core/digest_schedule.h"
 #include "dandelionscale/core/hash.h"
@@ -148,8 +148,9 @@
 std::size_t PeerExchange::SendCopy(const std::string& peer,
                                    const DigestCopies& copies) {
   const PeerZone zone = this->state.ZoneOfPeer(peer);
+  const bool lacks_own_entries = zone == PeerZone::kOther && copies.other_zones;
   const auto& [bytes, sizes] =
-      zone == PeerZone::kOwn ? copies.own_zone : copies.other_zones;
+      lacks_own_entries ? *copies.other_zones : copies.own_zone;
   this->SendTo(peer, bytes);
   Metrics& metrics = this->state.metrics;
   CountSent(metrics, PeerTraffic::kDigestLoads, zone, sizes.loads);
@@ -158,26 +159,31 @@
   return bytes.size();
 }
 
-PeerExchange::DigestCopies PeerExchange::Encode(
-    const wire::RouterDigest& digest, std::size_t loads_size) {
+PeerExchange::DigestCopies PeerExchange::Encode(wire::RouterDigest& digest,
+                                                std::size_t loads_size) {
   const std::size_t rotation = DigestsPerRotation(this->state.peers.size());
-  std::vector<PrefixUpdate> updates =
+  const std::vector<PrefixUpdate> updates =
       this->state.prefix_updates.TakeForDigest(rotation, kMaxUpdatesPerDigest);
-  const std::size_t other_size = digest.ByteSizeLong();
-  const auto encode = [&] {
-    wire::RouterDigest copy = digest;
-    FillPlacements(updates, copy);
+  const std::size_t size_without = digest.ByteSizeLong();
+  const auto encode = [&](std::span<const PrefixUpdate> added,
+                          wire::RouterDigest& copy) {
+    FillPlacements(added, copy);
     EncodedDigest encoded;
     encoded.bytes = copy.SerializeAsString();
     encoded.sizes.loads = loads_size;
-    encoded.sizes.placements = encoded.bytes.size() - other_size;
-    encoded.sizes.rest = other_size - loads_size;
+    encoded.sizes.placements = encoded.bytes.size() - size_without;
+    encoded.sizes.rest = size_without - loads_size;
     return encoded;
   };
+  std::vector<PrefixUpdate> for_all;
+  std::copy_if(updates.begin(), updates.end(), std::back_inserter(for_all),
+               IsForAllZones);
   DigestCopies copies;
-  copies.own_zone = encode();
-  const auto for_own_zone = std::erase_if(updates, std::not_fn(IsForAllZones));
-  copies.other_zones = for_own_zone == 0 ? copies.own_zone : encode();
+  if (for_all.size() < updates.size()) {
+    wire::RouterDigest copy = digest;
+    copies.other_zones = encode(for_all, copy);
+  }
+  copies.own_zone = encode(updates, digest);
   return copies;
 }
 
--- a/src/dispatch/peers/peer_exchange.h
+++ b/src/dispatch/peers/peer_exchange.h
@@ -6,6 +6,7 @@
 #include <array>
 #include <boost/asio/ip/udp.hpp>
 #include <cstddef>
+#include <optional>
 #include <span>
 #include <string>
 #include <vector>
@@ -53,11 +54,12 @@
     std::string bytes;
     DigestSizes sizes;
   };
-  // The copies of one digest. The one for other zones lacks the entries that
-  // concern the own zone only.
+  // The copies of one digest.
   struct DigestCopies {
     EncodedDigest own_zone;
-    EncodedDigest other_zones;
+    // Lacks the entries that concern the own zone only; none if there are no
+    // such entries.
+    std::optional<EncodedDigest> other_zones;
   };
 
   Awaitable<void> SendDigests();
@@ -69,9 +71,10 @@
   void FillLeavingEngines(TimePoint now, wire::RouterDigest& digest);
   // Sends the copy for the peer's zone and counts it; returns its size.
   std::size_t SendCopy(const std::string& peer, const DigestCopies& copies);
-  // Takes the changes of the prefix index that are due and adds them.
+  // Takes the changes of the prefix index that are due, adds them to `digest`
+  // and encodes it.
   // \param loads_size of the loads in `digest`.
-  DigestCopies Encode(const wire::RouterDigest& digest, std::size_t loads_size);
+  DigestCopies Encode(wire::RouterDigest& digest, std::size_t loads_size);
   // Returns the encoded size of what it adds.
   std::size_t FillLoads(wire::RouterDigest& digest) const;
   void FillRateLimits(wire::RouterDigest& digest);
