Waiting and dry run: less to keep in mind

WaitForEngine returns early without an engine to wait for, and keeps no planner, with its time and views, across an await. The dry run's request is admitted, so that it has a route. Its room rule is computed once, not for each engine. No change of behaviour; dispatch_answers, placement_fleet, placement_explanation and decision_replay tests pass (release).

--- a/src/dispatch/request/placement_explanation.cc
+++ b/src/dispatch/request/placement_explanation.cc
@@ -15,7 +15,7 @@
 
 namespace json = boost::json;
 
-// What the steps of an explanation share.
+// What the steps of an explanation share. The request is admitted.
 struct Question {
   const DispatchState& state;
   const PlacementQuery& query;
@@ -29,8 +29,7 @@
     placement.prefix = this->query.client.prefix;
     placement.affinity_key = this->admission.affinity_key;
     placement.request_key = this->admission.request_key;
-    const Route* route = this->admission.route;
-    if (route != nullptr) placement.latency_target = route->latency_target;
+    placement.latency_target = this->admission.route->latency_target;
     return placement;
   }
   PlacementPlanner Planner() const {
--- a/src/dispatch/request/placement_planner.cc
+++ b/src/dispatch/request/placement_planner.cc
@@ -124,6 +124,7 @@
     const PlacementPass& pass) const {
   const auto engines = this->state.engines.Find(this->request.service);
   const double failure_rate = this->MeanFailureRate();
+  const double queue_share = this->QueueShare();
   std::vector<PlacementCandidate> candidates = this->BuildCandidates(pass);
   this->CorrectLoads(candidates);
   std::vector<ExaminedEngine> examined;
@@ -132,7 +133,7 @@
     const PlacementCandidate& candidate = candidates[n];
     auto exclusion = this->FindExclusion(*engines[n], pass,
                                          candidate.cached_tokens, failure_rate);
-    const bool is_full = !exclusion && !HasRoom(candidate, this->QueueShare());
+    const bool is_full = !exclusion && !HasRoom(candidate, queue_share);
     if (is_full) exclusion = EngineExclusion::kFull;
     examined.push_back({candidate, exclusion});
   }
--- a/src/dispatch/request/request_placement.cc
+++ b/src/dispatch/request/request_placement.cc
@@ -158,22 +158,17 @@
 
 Awaitable<std::shared_ptr<Engine>> RequestDispatch::WaitForEngine() {
   AdmissionQueue& queue = this->state.Service(this->service).queue;
-  const TimePoint now = RuntimeClock::now();
-  const PlacementPlanner planner = this->Planner();
-  const bool has_untried_engine = planner.HasUntriedEngine();
-  std::optional<WaitGrant> grant;
-  if (has_untried_engine) {
-    const WaitRequest wait_request = {
-        HashText(this->workspace), this->priority, this->route->latency_target,
-        this->Deadline(), planner.TimeUntilUsableEngine()};
-    const WaitInputs inputs = queue.Inputs(now, wait_request);
-    grant = queue.TryEnqueue(now, wait_request);
-    this->LogWait(grant ? "request_waits" : "wait_refused", inputs);
-  }
-  if (!has_untried_engine) {
+  if (!this->Planner().HasUntriedEngine()) {
     co_await this->FinishWithoutEngine();
     co_return nullptr;
   }
+  const TimePoint now = RuntimeClock::now();
+  const WaitRequest wait_request = {
+      HashText(this->workspace), this->priority, this->route->latency_target,
+      this->Deadline(), this->Planner().TimeUntilUsableEngine()};
+  const WaitInputs inputs = queue.Inputs(now, wait_request);
+  const std::optional<WaitGrant> grant = queue.TryEnqueue(now, wait_request);
+  this->LogWait(grant ? "request_waits" : "wait_refused", inputs);
   if (!grant) {
     co_await this->FinishUnplaced("queue_full");
     co_return nullptr;
