One hash fraction for rounding loads, zones and slow engines

ZoneSpill rounded instead of truncating, so that a position could be 1; it differs from before by less than 2^-52. zone_spill, stated_loads, stale_load, load_bound, request_plan, placement and fleet_view tests pass (release).

--- a/include/dandelionscale/core/hash.h
+++ b/include/dandelionscale/core/hash.h
@@ -15,6 +15,11 @@
 /// the node with the highest weight serves the key.
 std::uint64_t RendezvousWeight(std::uint64_t key, std::uint64_t node);
 
+/// \returns a number in [0, 1) that is uniform over keys and nodes, and the
+/// same
+///          for a given pair on every host.
+double RendezvousFraction(std::uint64_t key, std::uint64_t node);
+
 }  // namespace dandelionscale
 
 #endif  // DANDELIONSCALE_CORE_HASH_H_
--- a/src/core/load/stated_loads.cc
+++ b/src/core/load/stated_loads.cc
@@ -26,15 +26,6 @@
 // for short prefixes with any margin.
 constexpr double kMaxMarginShare = 0.5;
 
-// Returns a number in [0, 1) that is uniform over requests and engines.
-double Fraction(std::uint64_t request_key, std::uint64_t engine_key,
-                std::uint64_t salt) {
-  constexpr int kFractionBits = 53;
-  const std::uint64_t weight = RendezvousWeight(request_key ^ salt, engine_key);
-  return std::ldexp(static_cast<double>(weight >> (64 - kFractionBits)),
-                    -kFractionBits);
-}
-
 bool HoldsPrefix(const StatedLoadInputs& use,
                  const PlacementCandidate& candidate) {
   return use.affinity_key != 0 && candidate.cached_tokens >= use.shared_tokens;
@@ -174,8 +165,8 @@
   if (estimate >= by_reports || HoldsPrefix(use, candidate)) return estimate;
   const double share =
       1.0 / static_cast<double>(std::max<std::size_t>(1, usable_engines));
-  const bool may_lower =
-      Fraction(use.request_key, candidate.engine_key, kLowerLoadSalt) < share;
+  const bool may_lower = RendezvousFraction(use.request_key ^ kLowerLoadSalt,
+                                            candidate.engine_key) < share;
   return may_lower ? estimate : by_reports;
 }
 
@@ -186,7 +177,7 @@
   if (is_long || !HoldsPrefix(use, candidate)) return 0;
   return static_cast<std::uint32_t>(std::lround(
       kMaxMarginShare * candidate.in_flight *
-      Fraction(use.request_key, candidate.engine_key, kMarginSalt)));
+      RendezvousFraction(use.request_key ^ kMarginSalt, candidate.engine_key)));
 }
 
 bool StatedLoads::IsAvoided(TimePoint now, const StatedLoadInputs& use,
@@ -194,7 +185,8 @@
   if (use.affinity_key != 0) return false;
   const double pace = this->Pace(now, engine_key);
   if (pace <= kUsualPace) return false;
-  return Fraction(use.request_key, engine_key, kPaceSalt) >= kUsualPace / pace;
+  return RendezvousFraction(use.request_key ^ kPaceSalt, engine_key) >=
+         kUsualPace / pace;
 }
 
 }  // namespace dandelionscale
--- a/src/core/load/zone_spill.cc
+++ b/src/core/load/zone_spill.cc
@@ -128,10 +128,7 @@
   }
   if (loads.own.slots == 0) return ZoneRule::kLeave;
   if (loads.others.slots == 0) return ZoneRule::kStay;
-  constexpr double kHashRange = 0x1p64;
-  const double position =
-      static_cast<double>(RendezvousWeight(request_key, kSelectionSalt)) /
-      kHashRange;
+  const double position = RendezvousFraction(request_key, kSelectionSalt);
   return position < this->Share() ? ZoneRule::kLeave : ZoneRule::kStay;
 }
 
--- a/src/core/owner_core.cc
+++ b/src/core/owner_core.cc
@@ -17,9 +17,7 @@
 
 // Uniform in [0, 1) and constant for a given router and engine.
 double RoundingThreshold(std::string_view router, std::uint64_t engine_hash) {
-  constexpr double kScale = 1.0 / 9007199254740992.0;  // 2^-53
-  std::uint64_t bits = RendezvousWeight(HashText(router), engine_hash) >> 11;
-  return static_cast<double>(bits) * kScale;
+  return RendezvousFraction(HashText(router), engine_hash);
 }
 
 }  // namespace
