One parser for prompt parts and token counts, one for whole numbers

The dry run's query has the same texts as the platform's fields, and parsed them by code of its own; ParseNumber stood three times. Malformed texts are treated as before: none for a request, refused for a query.

--- a/include/dandelionscale/dispatch.h
+++ b/include/dandelionscale/dispatch.h
@@ -11,6 +11,7 @@
 
 #include "dandelionscale/dispatch/dispatch_router.h"  // IWYU pragma: export
 #include "dandelionscale/dispatch/log_explanation.h"  // IWYU pragma: export
+#include "dandelionscale/dispatch/prompt_text.h"      // IWYU pragma: export
 #include "dandelionscale/dispatch/protocol_codec.h"   // IWYU pragma: export
 #include "dandelionscale/dispatch/table_store.h"      // IWYU pragma: export
 
--- a/src/dispatch/request/placement_query.cc
+++ b/src/dispatch/request/placement_query.cc
@@ -5,8 +5,7 @@
 #include <utility>
 #include <vector>
 
-#include "dandelionscale/core/prefix_index.h"
-#include "dandelionscale/transport/http_fields.h"
+#include "dandelionscale/dispatch/prompt_text.h"
 
 namespace dandelionscale::internal {
 
@@ -18,19 +17,22 @@
 constexpr std::string_view kDefaultId = "placement-query";
 constexpr std::string_view kBearer = "Bearer ";
 
-std::optional<std::uint32_t> ParseNumber(std::string_view text, int base) {
-  std::uint32_t value = 0;
-  const char* end = text.data() + text.size();
+// Returns nothing if `digits` is not one byte in hexadecimal.
+std::optional<char> ParseByte(std::string_view digits) {
+  constexpr std::size_t kDigits = 2;
+  constexpr int kHexadecimal = 16;
+  std::uint8_t value = 0;
+  const char* end = digits.data() + digits.size();
   const auto [parsed_to, error] =
-      std::from_chars(text.data(), end, value, base);
-  if (error != std::errc() || parsed_to != end) return std::nullopt;
-  return value;
+      std::from_chars(digits.data(), end, value, kHexadecimal);
+  const bool is_whole = error == std::errc() && parsed_to == end;
+  if (digits.size() != kDigits || !is_whole) return std::nullopt;
+  return static_cast<char>(value);
 }
 
 // Returns nothing if a percent sign is not followed by two hexadecimal digits.
 std::optional<std::string> DecodePercent(std::string_view text) {
-  constexpr std::size_t kDigits = 2;
-  constexpr int kHexadecimal = 16;
+  constexpr std::size_t kEscapeLength = 3;
   std::string decoded;
   while (!text.empty()) {
     if (text.front() != '%') {
@@ -38,30 +40,14 @@
       text.remove_prefix(1);
       continue;
     }
-    const std::string_view digits = text.substr(1, kDigits);
-    const auto value = ParseNumber(digits, kHexadecimal);
-    if (digits.size() != kDigits || !value) return std::nullopt;
-    decoded.push_back(static_cast<char>(*value));
-    text.remove_prefix(1 + kDigits);
+    const auto byte = ParseByte(text.substr(1, kEscapeLength - 1));
+    if (!byte) return std::nullopt;
+    decoded.push_back(*byte);
+    text.remove_prefix(kEscapeLength);
   }
   return decoded;
 }
 
-// Returns nothing if an item is not `ID:TOKENS`.
-std::optional<std::vector<PrefixPart>> ParsePrefixParts(std::string_view model,
-                                                        std::string_view text) {
-  constexpr int kDecimal = 10;
-  std::vector<PromptPart> parts;
-  for (std::string_view item : SplitList(text)) {
-    const auto colon = item.rfind(':');
-    if (colon == std::string_view::npos) return std::nullopt;
-    const auto tokens = ParseNumber(item.substr(colon + 1), kDecimal);
-    if (!tokens) return std::nullopt;
-    parts.push_back({item.substr(0, colon), *tokens});
-  }
-  return MakePrefixParts(model, parts);
-}
-
 // A parameter that is absent is empty.
 boost::leaf::result<std::string> Parameter(const HttpRequest& request,
                                            std::string_view name) {
@@ -83,7 +69,7 @@
   BOOST_LEAF_AUTO(model, Parameter(request, "model"));
   BOOST_LEAF_AUTO(text, Parameter(request, kName));
   if (text.empty()) return {};
-  auto prefix = ParsePrefixParts(model, text);
+  auto prefix = ParsePrefix(model, text);
   if (!prefix) return boost::leaf::new_error(PlacementQueryFault{kName});
   client.prefix = std::move(*prefix);
   client.prompt_key = PartKey(model, text);
@@ -93,18 +79,12 @@
 boost::leaf::result<void> ReadTokens(const HttpRequest& request,
                                      ClientRequest& client) {
   constexpr std::string_view kName = "tokens";
-  constexpr int kDecimal = 10;
   BOOST_LEAF_AUTO(text, Parameter(request, kName));
   if (text.empty()) return {};
-  const std::vector<std::string_view> counts = SplitList(text);
-  if (counts.size() != 2) {
-    return boost::leaf::new_error(PlacementQueryFault{kName});
-  }
-  client.prompt_tokens = ParseNumber(counts[0], kDecimal);
-  client.max_output_tokens = ParseNumber(counts[1], kDecimal);
-  if (!client.prompt_tokens || !client.max_output_tokens) {
-    return boost::leaf::new_error(PlacementQueryFault{kName});
-  }
+  const auto counts = ParseTokenCounts(text);
+  if (!counts) return boost::leaf::new_error(PlacementQueryFault{kName});
+  client.prompt_tokens = counts->prompt;
+  client.max_output_tokens = counts->max_output;
   return {};
 }
 
--- a/src/engine_response/event_splitter.cc
+++ b/src/engine_response/event_splitter.cc
@@ -2,9 +2,9 @@
 
 #include <algorithm>
 #include <array>
-#include <charconv>
 #include <utility>
 
+#include "dandelionscale/transport/parse_number.h"
 #include "engine_response/following_response.h"
 
 namespace dandelionscale::internal {
@@ -60,14 +60,6 @@
   return {};
 }
 
-std::optional<std::uint64_t> ParseNumber(std::string_view text) {
-  std::uint64_t value = 0;
-  const auto [end, error] =
-      std::from_chars(text.data(), text.data() + text.size(), value);
-  if (error != std::errc{} || end != text.data() + text.size()) return {};
-  return value;
-}
-
 // Returns true if a response begins at the start of `text`, behind line ends.
 // No field of an event stream begins like that.
 bool BeginsResponse(std::string_view text) {
@@ -158,7 +150,7 @@
     if (size == 0 || this->state != StreamState::kOpen) break;
     this->searched = 0;
     const std::string_view id = ParseEventId(event);
-    const auto number = ParseNumber(id);
+    const auto number = ParseNumber<std::uint64_t>(id);
     if (!this->IsInOrder(number)) {
       this->state = StreamState::kMalformed;
       break;
@@ -220,7 +212,7 @@
 
 bool EventSplitter::IsDuplicate(std::optional<std::uint64_t> number) const {
   if (!this->resumed) return false;
-  const auto last = ParseNumber(this->last_id);
+  const auto last = ParseNumber<std::uint64_t>(this->last_id);
   return number && last && *number <= *last;
 }
 
