--- a/src/dispatch/request/request_dispatch.h
+++ b/src/dispatch/request/request_dispatch.h
@@ -20,6 +20,7 @@
 #include "dispatch/request/placement_planner.h"
 #include "dispatch/request/request_admission.h"
 #include "engine_response/event_splitter.h"
+#include "engine_response/stream_end.h"
 #include "engine_response/unframed_body.h"
 
 namespace dandelionscale::internal {
@@ -129,10 +130,8 @@
                                              std::string_view body,
                                              bool at_end) const;
   BodyEnd FindStreamEnd(bool at_end) const;
-  // The same for one that begins behind an event of a stream. A response that
-  // was sent in the middle of the own one is told from one behind it by its id,
-  // unless the connection carried this request only.
-  BodyEnd JudgeFollowing(std::string_view following, bool at_end) const;
+  // Logs and counts what leaves open whether the stream is whole.
+  void LogStreamDoubt(const StreamEnd& found, bool at_end) const;
   AttemptFailure FailureOfStream() const;
   Awaitable<std::optional<AttemptFailure>> RelayEventStream();
   // Returns false if the client has disconnected.
--- a/src/dispatch/request/response_relay.cc
+++ b/src/dispatch/request/response_relay.cc
@@ -1,10 +1,13 @@
 // RequestDispatch: relay of an engine's response to the client.
+#include <fmt/format.h>
+
 #include <algorithm>
 
 #include "dandelionscale/runtime/logger.h"
 #include "dandelionscale/transport/http_status.h"
 #include "dispatch/request/request_dispatch.h"
 #include "engine_response/following_response.h"
+#include "engine_response/stream_end.h"
 
 namespace dandelionscale::internal {
 
@@ -126,26 +129,6 @@
   return meaning;
 }
 
-BodyEnd RequestDispatch::JudgeFollowing(std::string_view following,
-                                        bool at_end) const {
-  const FollowingOwner owner =
-      FindOwner(following, this->decoded.id, *this->state.codec);
-  BodyEnd end = at_end ? BodyEnd::kUncertain : BodyEnd::kOpen;
-  if (this->exchange->IsOnlyRequest() ||
-      owner == FollowingOwner::kSameRequest) {
-    end = BodyEnd::kReached;
-  } else if (owner == FollowingOwner::kOther) {
-    end = BodyEnd::kUncertain;
-  }
-  if (end != BodyEnd::kOpen) {
-    Logger::Warning("second_answer",
-                    {{"request", this->decoded.id},
-                     {"engine", this->exchange->ServingEngine().record.id},
-                     {"cut", end == BodyEnd::kReached}});
-  }
-  return end;
-}
-
 Awaitable<std::optional<AttemptFailure>> RequestDispatch::RelayEventStream() {
   this->events.OnResponse(this->exchange->Framing());
   MemoryBudget::Share memory(this->state.response_memory);
@@ -192,24 +175,38 @@
 }
 
 BodyEnd RequestDispatch::FindStreamEnd(bool at_end) const {
-  BodyEnd end = BodyEnd::kOpen;
-  switch (this->events.State()) {
-    case StreamState::kMalformed:
-      return BodyEnd::kUncertain;
-    case StreamState::kFollowed:
-      end = this->JudgeFollowing(this->events.Following(), at_end);
-      break;
-    case StreamState::kOpen:
-      if (!at_end) return BodyEnd::kOpen;
-      end = this->events.IsInsideEvent() ? BodyEnd::kUncertain
-                                         : BodyEnd::kReached;
-      break;
-  }
-  // An engine that crashes may close its connection before the first event.
-  const bool has_nothing = this->framing == BodyFraming::kUntilClose &&
-                           this->events.EventCount() == 0 &&
-                           this->decoded.resume_after.empty();
-  return end == BodyEnd::kReached && has_nothing ? BodyEnd::kUncertain : end;
+  const bool is_resumption = !this->decoded.resume_after.empty();
+  const StreamEnd found =
+      JudgeStreamEnd(this->events, {*this->framing, is_resumption, at_end});
+  if (found.doubt != StreamDoubt::kNone) this->LogStreamDoubt(found, at_end);
+  return found.end;
+}
+
+void RequestDispatch::LogStreamDoubt(const StreamEnd& found,
+                                     bool at_end) const {
+  const auto head =
+      ParseFollowingHead(this->events.Following(), *this->state.codec);
+  const EngineResponse response = head ? head->response : EngineResponse();
+  const NamedRequest named =
+      FindNamedRequest(response, this->decoded.id,
+                       this->exchange->MayHaveCarried(response.request_id));
+  this->state.metrics.Add(
+      fmt::format("engine_streams_in_doubt_total{{follows=\"{}\"}}",
+                  ToString(found.doubt)));
+  Logger::Warning(
+      "stream_in_doubt",
+      {{"request", this->decoded.id},
+       {"engine", this->exchange->ServingEngine().record.id},
+       {"follows", ToString(found.doubt)},
+       {"status", static_cast<std::int64_t>(response.status)},
+       {"names", ToString(named)},
+       {"marked", response.is_signed || response.not_run},
+       {"whole_head", head && head->is_whole},
+       {"only_request", this->exchange->IsOnlyRequest()},
+       {"framing", ToString(*this->framing)},
+       {"at_end", at_end},
+       {"events", static_cast<std::int64_t>(this->events.EventCount())},
+       {"last_id", this->events.LastId()}});
 }
 
 Awaitable<bool> RequestDispatch::DeliverEvents(const std::string& events) {
--- a/src/engine_response/following_response.cc
+++ b/src/engine_response/following_response.cc
@@ -120,21 +120,12 @@
   return std::nullopt;
 }
 
-FollowingOwner FindOwner(std::string_view text, std::string_view request_id,
-                         const ProtocolCodec& codec) {
+std::optional<FollowingHead> ParseFollowingHead(std::string_view text,
+                                                const ProtocolCodec& codec) {
   const auto head = ParseHead(text);
-  const bool may_be_cut = text.size() < kMaxFollowingHeadBytes;
-  if (!head && may_be_cut) return FollowingOwner::kUnknownYet;
-  if (!head) return FollowingOwner::kOther;
-  const EngineResponse response =
-      codec.DecodeResponse(head->status, head->headers);
-  if (response.request_id.empty()) {
-    const bool more_may_come = !head->is_whole && head->is_header && may_be_cut;
-    return more_may_come ? FollowingOwner::kUnknownYet : FollowingOwner::kOther;
-  }
-  const bool is_same =
-      response.request_id == request_id && !response.has_conflicting_ids;
-  return is_same ? FollowingOwner::kSameRequest : FollowingOwner::kOther;
+  if (!head) return std::nullopt;
+  return FollowingHead{0, head->size, head->is_whole,
+                       codec.DecodeResponse(head->status, head->headers)};
 }
 
 bool EndsInsideHead(std::string_view body) {
--- a/src/engine_response/following_response.h
+++ b/src/engine_response/following_response.h
@@ -32,17 +32,11 @@
 /// \brief Bytes of a head behind which such a field is not looked for.
 inline constexpr std::size_t kMaxFollowingHeadBytes = 8 * 1024;
 
-/// \brief Whose response follows in the body of another one.
-enum class FollowingOwner {
-  kUnknownYet,   ///< Its head has not shown that yet.
-  kSameRequest,  ///< It echoes the same request id.
-  kOther
-};
-
-/// \param text the response from its status line on, as far as it has arrived.
-/// \returns whose response begins at the start of `text`.
-FollowingOwner FindOwner(std::string_view text, std::string_view request_id,
-                         const ProtocolCodec& codec);
+/// \returns the head of the response that begins at the start of `text`;
+/// nothing
+///          if its status line is not whole.
+std::optional<FollowingHead> ParseFollowingHead(std::string_view text,
+                                                const ProtocolCodec& codec);
 
 /// \returns true if a body ends inside the head of a response, so that it can't
 ///          be told whether that belongs to the body.
--- a/tests/second_answer_test.cc
+++ b/tests/second_answer_test.cc
@@ -70,8 +70,35 @@
     return this->Exchange(1, MakeClientRequest("POST", target, id, "", "x"),
                           kReadIdleTimeout);
   }
+
+  // Checks that one other engine was asked for what follows an event.
+  void CheckAskedForRest(std::string_view last_id) {
+    CHECK(this->TotalRequests() == 2);
+    int asked = 0;
+    for (const int engine : {0, 1}) {
+      REQUIRE(this->Requests(engine).size() == 1);
+      const HttpRequest request = this->Requests(engine).front();
+      if (request.headers.Find("Last-Event-Id") == last_id) ++asked;
+    }
+    CHECK(asked == 1);
+  }
 };
 
+// The whole stream and then `second`; nothing more for a client or router that
+// has all of its events.
+ScriptMaker FollowWhole(const Script& second) {
+  return [second](const HttpRequest& request) {
+    if (request.headers.Find("Last-Event-Id") == "3") {
+      return Script{SendBytes{MakeStreamHead(request) +
+                              std::string(emulator::kStreamEnd)}};
+    }
+    Script script = {SendBytes{StreamHead("a") + Events(1, 3, "own")}};
+    script.insert(script.end(), second.begin(), second.end());
+    script.push_back(CloseConnection{});
+    return script;
+  };
+}
+
 // A connection is kept after its first request, and `later` answers all others.
 ScriptMaker AnswerThen(const ScriptMaker& later) {
   return [later](const HttpRequest& request) {
@@ -117,14 +144,9 @@
     second = {SendBytes{"HTTP/1.1 200 OK\r\nrequest-id: b\r\n\r\n" +
                         Events(4, 6, "other")}};
   }
-  fleet.AddEngines("chat", 2, [second](const HttpRequest&) {
-    Script script = {SendBytes{StreamHead("a") + Events(1, 3, "own")}};
-    script.insert(script.end(), second.begin(), second.end());
-    script.push_back(CloseConnection{});
-    return script;
-  });
+  fleet.AddEngines("chat", 2, FollowWhole(second));
   CheckWholeStream(fleet.Send("/stream/", "a"), 3);
-  CHECK(fleet.TotalRequests() == 1);
+  fleet.CheckAskedForRest("3");
 }
 
 TEST_CASE("an unframed stream without an event is not complete") {
@@ -141,12 +163,24 @@
 TEST_CASE("an unframed stream ends where a second answer begins") {
   Fleet fleet;
   // The engine keeps its connection open after the second answer.
-  fleet.AddEngines("chat", 1, [](const HttpRequest&) {
-    return Script{SendBytes{StreamHead("a") + Events(1, 3, "own")},
-                  SendBytes{StreamHead("a") + Events(1, 3, "again")},
-                  Pause{std::chrono::seconds(30)}};
-  });
+  fleet.AddEngines(
+      "chat", 2,
+      FollowWhole({SendBytes{StreamHead("a") + Events(1, 3, "again")},
+                   Pause{std::chrono::seconds(30)}}));
   CheckWholeStream(fleet.Send("/stream/", "a"), 3);
+  fleet.CheckAskedForRest("3");
+}
+
+TEST_CASE(
+    "a second answer behind a stream leaves it open without a resumption") {
+  Fleet fleet;
+  fleet.AddEngines(
+      "chat", 1,
+      FollowWhole({SendBytes{StreamHead("a") + Events(1, 3, "again")}}));
+  const std::string response = fleet.Send("/stream/", "a");
+  CHECK(Occurrences(response, "id: ") == 3);
+  CHECK(response.find("again") == std::string::npos);
+  CHECK_FALSE(response.ends_with(kLastChunk));
 }
 
 TEST_CASE("an answer that is cut inside an event by a second one is broken") {
