--- a/emulator/store_service.cc
+++ b/emulator/store_service.cc
@@ -38,16 +38,42 @@
   return response;
 }
 
+std::int64_t SteadyMilliseconds() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             RuntimeClock::now().time_since_epoch())
+      .count();
+}
+
 }  // namespace
 
 StoreService::StoreService(boost::asio::any_io_executor executor)
     : executor(executor), changed(executor) {}
 
 Result<Endpoint> StoreService::Listen(const Endpoint& endpoint) {
-  this->server = std::make_unique<HttpServer>(
-      this->executor, HttpServerLimits(),
-      [this](HttpExchange& exchange) { return this->Handle(exchange); });
-  return this->server->Listen(endpoint);
+  this->servers.push_back(this->MakeServer(std::nullopt));
+  return this->servers.back()->Listen(endpoint);
+}
+
+Result<Endpoint> StoreService::ListenFor(int caller, const Endpoint& endpoint) {
+  this->servers.push_back(this->MakeServer(caller));
+  return this->servers.back()->Listen(endpoint);
+}
+
+std::unique_ptr<HttpServer> StoreService::MakeServer(
+    std::optional<int> caller) {
+  return std::make_unique<HttpServer>(this->executor, HttpServerLimits(),
+                                      [this, caller](HttpExchange& exchange) {
+                                        return this->Handle(exchange, caller);
+                                      });
+}
+
+void StoreService::LeaveUnanswered(std::set<int> callers) {
+  this->unanswered = std::move(callers);
+}
+
+bool StoreService::IsUnanswered(std::optional<int> caller) const {
+  return this->mode == StoreMode::kSilent ||
+         (caller && this->unanswered.contains(*caller));
 }
 
 void StoreService::Put(const std::string& table, const std::string& key,
@@ -82,14 +108,19 @@
   this->changed.NotifyAll();
 }
 
-Awaitable<void> StoreService::Handle(HttpExchange& exchange) {
+Awaitable<void> StoreService::Handle(HttpExchange& exchange,
+                                     std::optional<int> caller) {
   this->calls.push_back(exchange.Request().target);
-  if (this->mode == StoreMode::kSilent) {
-    const Duration delay = kNoResponseDelay;
-    co_await SleepFor(delay);
+  const Duration no_response = kNoResponseDelay;
+  if (this->IsUnanswered(caller)) {
+    co_await SleepFor(no_response);
     co_return;
   }
   HttpResponse response = co_await this->HandleCall(exchange.Request());
+  if (caller && this->unanswered.contains(*caller)) {
+    co_await SleepFor(no_response);
+    co_return;
+  }
   response.headers.Add("Store-Era", std::to_string(this->era));
   co_await exchange.Respond(std::move(response));
 }
@@ -180,10 +211,11 @@
 HttpResponse StoreService::RowsResponse(json::array rows) const {
   HttpResponse response;
   response.headers.Add("Content-Type", "application/json");
-  response.body = json::serialize(json::object{{"rows", std::move(rows)},
-                                               {"has_more", false},
-                                               {"ver", this->version},
-                                               {"server_time_ms", 0}});
+  response.body =
+      json::serialize(json::object{{"rows", std::move(rows)},
+                                   {"has_more", false},
+                                   {"ver", this->version},
+                                   {"server_time_ms", SteadyMilliseconds()}});
   return response;
 }
 
--- a/emulator/store_service.h
+++ b/emulator/store_service.h
@@ -4,6 +4,8 @@
 #include <boost/json.hpp>
 #include <map>
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
 #include <tuple>
 #include <vector>
@@ -33,6 +35,12 @@
 
   /// \returns the address with the port in use, or a fault.
   Result<Endpoint> Listen(const Endpoint& endpoint);
+  /// \brief Serves the same store at a further address.
+  /// \param caller the only one that calls this address.
+  Result<Endpoint> ListenFor(int caller, const Endpoint& endpoint);
+  /// \brief From now on leaves the calls of these without an answer, also those
+  ///        that are open, and serves all others.
+  void LeaveUnanswered(std::set<int> callers);
   /// \brief Inserts or replaces a row, as an operator or engine does. Responses
   /// report its field `part` as empty.
   void Put(const std::string& table, const std::string& key,
@@ -59,7 +67,9 @@
   };
   using RowKey = std::tuple<std::string, std::string>;  // table, key
 
-  Awaitable<void> Handle(HttpExchange& exchange);
+  std::unique_ptr<HttpServer> MakeServer(std::optional<int> caller);
+  Awaitable<void> Handle(HttpExchange& exchange, std::optional<int> caller);
+  bool IsUnanswered(std::optional<int> caller) const;
   Awaitable<HttpResponse> HandleCall(const HttpRequest& request);
   Awaitable<HttpResponse> GetRows(const HttpRequest& request) const;
   Awaitable<HttpResponse> WatchRows(const HttpRequest& request);
@@ -69,7 +79,8 @@
   HttpResponse RowsResponse(boost::json::array rows) const;
 
   boost::asio::any_io_executor executor;
-  std::unique_ptr<HttpServer> server;
+  std::vector<std::unique_ptr<HttpServer>> servers;
+  std::set<int> unanswered;  ///< Callers.
   Event changed;
   std::map<RowKey, Row> rows;
   std::uint64_t version = 1;
--- a/include/dandelionscale/core/watcher_election.h
+++ b/include/dandelionscale/core/watcher_election.h
@@ -30,11 +30,11 @@
 
 /// \brief A router's state in regard to watching the store, sent in digests.
 struct WatchReport {
-  /// Age of the router's newest view of the store, read by itself or by a peer;
-  /// none if it has no view.
+  /// Time since the router's newest view of the store, read by itself or by a
+  /// peer, was last shown to be current; none if it has no view.
   std::optional<Duration> view_age{};
-  /// Time since a watcher with a working connection to the store was last known
-  /// to be alive; none if no watcher has been reported.
+  /// Time since the store last answered a watcher; none if no such answer has
+  /// been reported.
   std::optional<Duration> watcher_age{};
   bool store_lost = false;  ///< The store does not answer the router.
 };
@@ -45,11 +45,15 @@
 /// are listed in the store; the first few watch and the others rely on digests.
 /// A router that has just started knows few peers, so it reads the tables once
 /// and takes part a moment later; otherwise routers that start together would
-/// all elect themselves. Peers that the store does not answer are not ranked,
-/// and a router whose own call failed is not elected for a while if another
-/// watcher is known to be alive. No router depends on a particular watcher:
-/// digests carry the age of the newest view, and a router whose view is too old
-/// watches the store itself until a live watcher is reported again.
+/// all elect themselves. Peers that the store does not answer are not ranked.
+/// A router whose own call failed and that would be elected tries again as a
+/// stand-in after a while, and is ranked only once the store has answered it.
+///
+/// A view is as old as the last answer of the store that shows it to be
+/// current. A call that is out shows nothing: the store may leave it without an
+/// answer. No router depends on a particular watcher: digests carry the age of
+/// the newest view, and a router whose view is too old watches the store itself
+/// until the store answers a watcher again.
 class WatcherElection {
  public:
   /// \param own_key unique to the router; higher keys rank first.
@@ -67,8 +71,10 @@
   /// \brief Records that this router has taken configuration and engines from a
   ///        peer whose view of the store was current at `view_at`.
   void OnPeerSupplied(TimePoint view_at);
-  /// \brief Records that a call of this router to the store succeeded.
-  void OnStoreAnswered(TimePoint now);
+  /// \brief Records that the store has answered this router.
+  /// \param shown_at when the answers to the calls for all tables show the
+  ///        router's view to have been current.
+  void OnStoreAnswered(TimePoint shown_at);
   /// \brief Records that a call of this router to the store failed.
   void OnStoreLost(TimePoint now);
   /// \brief Records that, since `since`, peers have reported newer entries than
@@ -83,8 +89,11 @@
   WatchRole Decide(TimePoint now, std::size_t known_peers);
   /// \returns the role chosen by the last call of `Decide`.
   WatchRole Role() const { return this->role; }
-  /// \returns the age of this router's view of the store, 0 while its calls
-  ///          to the store succeed; none if it has no view.
+  /// \returns the number of peers that rank before this router to watch the
+  ///          store.
+  std::size_t Rank() const;
+  /// \returns the time since this router's view of the store was last shown to
+  ///          be current; none if it has no view.
   std::optional<Duration> ViewAge(TimePoint now) const;
   /// \returns this router's state for its digests.
   WatchReport Report(TimePoint now) const;
@@ -98,6 +107,9 @@
 
   void ExpirePeers(TimePoint now);
   bool IsElected(TimePoint now) const;
+  // True if this router would be elected but for its last call, and may try
+  // whether the store answers it again.
+  bool MayTryAgain(TimePoint now) const;
   bool HasWatcherSince(TimePoint since) const;
   bool IsViewStale(TimePoint now) const;
   // Age by which digests should have delivered a newer view.
@@ -107,12 +119,11 @@
   std::unordered_map<std::string, Peer> peers;
   WatchRole role = WatchRole::kStarting;
   std::optional<TimePoint> started_at;
-  bool store_answers = false;
   bool store_lost = false;
   TimePoint store_lost_at{};
   std::size_t known_peers = 0;
   std::optional<TimePoint> view_at;  ///< When the newest view was current.
-  /// When a watcher was last known to be alive.
+  /// When the store last answered a watcher.
   std::optional<TimePoint> watcher_at;
   std::optional<TimePoint> lagging_since;
   TimePoint stand_in_since{};
--- a/include/dandelionscale/dispatch/table_store.h
+++ b/include/dandelionscale/dispatch/table_store.h
@@ -25,6 +25,8 @@
 struct StoreRows {
   std::vector<StoreRow> rows;
   StoreVersion version;
+  /// The store's steady clock at the response; none if it states no time.
+  std::optional<Duration> store_time{};
 };
 
 /// \brief Tables of the shared store.
--- a/src/core/watcher_election.cc
+++ b/src/core/watcher_election.cc
@@ -3,14 +3,14 @@
 #include <algorithm>
 
 #include "dandelionscale/core/digest_schedule.h"
+#include "dandelionscale/core/watch_schedule.h"
 
 namespace dandelionscale {
 namespace {
 
-// Routers that are elected to watch the store for the fleet.
-constexpr std::size_t kMaxElected = 3;
-// A view is stale if it is older than the propagation time of digests by more
-// than this and the router's stagger below.
+// A view is stale if it is older than the time between two ends of watches and
+// the propagation time of digests by more than this and the router's stagger
+// below.
 constexpr Duration kViewAgeSlack = std::chrono::milliseconds(300);
 // Routers that lose all watchers at the same time become stand-ins at one of
 // `kStandInSlots` times, `kStandInSlotLength` apart and chosen by the router's
@@ -25,8 +25,8 @@
 // Time from the start of a router until it takes part in the election. Routers
 // that start together are listed and send digests by then.
 constexpr Duration kStartTime = std::chrono::milliseconds(600);
-// For this time after a failed call to the store, a router is not elected if it
-// has a record of another live watcher.
+// Time from a failed call to the store until the router tries whether it is
+// answered again.
 constexpr Duration kStoreLostHoldOff = std::chrono::seconds(2);
 // A peer is no longer ranked if it has sent no digest for this many rotations,
 // and for at least this time.
@@ -78,15 +78,15 @@
   this->view_at = std::max(this->view_at.value_or(TimePoint::min()), view_at);
 }
 
-void WatcherElection::OnStoreAnswered(TimePoint now) {
-  // A single read does not show later changes.
-  this->store_answers = WatchesStore(this->role);
+void WatcherElection::OnStoreAnswered(TimePoint shown_at) {
   this->store_lost = false;
-  this->view_at = now;
+  this->view_at = std::max(this->view_at.value_or(TimePoint::min()), shown_at);
+  if (this->role != WatchRole::kWatcher) return;
+  this->watcher_at =
+      std::max(this->watcher_at.value_or(TimePoint::min()), shown_at);
 }
 
 void WatcherElection::OnStoreLost(TimePoint now) {
-  this->store_answers = false;
   this->store_lost = true;
   this->store_lost_at = now;
 }
@@ -96,12 +96,12 @@
   this->ExpirePeers(now);
   if (!this->started_at) this->started_at = now;
   if (now - *this->started_at < kStartTime) return this->role;
-  if (now - this->store_lost_at > kStoreLostHoldOff) this->store_lost = false;
+  const bool may_try_again = this->MayTryAgain(now);
   const bool is_lagging =
       this->lagging_since && now - *this->lagging_since > kCatchUpTimeout;
   if (this->IsElected(now)) {
     this->role = WatchRole::kWatcher;
-  } else if (is_lagging || this->IsViewStale(now)) {
+  } else if (is_lagging || may_try_again || this->IsViewStale(now)) {
     if (this->role != WatchRole::kStandIn) this->stand_in_since = now;
     this->role = WatchRole::kStandIn;
   } else if (this->role == WatchRole::kWatcher) {
@@ -113,21 +113,16 @@
              (now - this->stand_in_since > kMinStandInTime &&
               this->HasWatcherSince(this->stand_in_since))) {
     this->role = WatchRole::kListener;
-    this->store_answers = false;
   }
   return this->role;
 }
 
 std::optional<Duration> WatcherElection::ViewAge(TimePoint now) const {
-  if (this->store_answers) return Duration::zero();
   return AgeOf(this->view_at, now);
 }
 
 WatchReport WatcherElection::Report(TimePoint now) const {
-  const bool watches = this->role == WatchRole::kWatcher && this->store_answers;
-  const std::optional<Duration> watcher_age =
-      watches ? Duration::zero() : AgeOf(this->watcher_at, now);
-  return {this->ViewAge(now), watcher_age, this->store_lost};
+  return {this->ViewAge(now), AgeOf(this->watcher_at, now), this->store_lost};
 }
 
 void WatcherElection::ExpirePeers(TimePoint now) {
@@ -143,11 +138,19 @@
   if (this->store_lost && this->HasWatcherSince(now - this->MaxViewAge())) {
     return false;
   }
-  const auto ranked_before = static_cast<std::size_t>(std::count_if(
+  return this->Rank() < kMaxElected;
+}
+
+bool WatcherElection::MayTryAgain(TimePoint now) const {
+  return this->store_lost && now - this->store_lost_at > kStoreLostHoldOff &&
+         this->Rank() < kMaxElected;
+}
+
+std::size_t WatcherElection::Rank() const {
+  return static_cast<std::size_t>(std::count_if(
       this->peers.begin(), this->peers.end(), [&](const auto& entry) {
         return !entry.second.store_lost && entry.second.key > this->own_key;
       }));
-  return ranked_before < kMaxElected;
 }
 
 bool WatcherElection::HasWatcherSince(TimePoint since) const {
@@ -162,7 +165,8 @@
 }
 
 Duration WatcherElection::MaxViewAge() const {
-  return DigestPropagationTime(this->known_peers) + kViewAgeSlack;
+  return kWatchEndInterval + DigestPropagationTime(this->known_peers) +
+         kViewAgeSlack;
 }
 
 }  // namespace dandelionscale
--- a/src/dispatch/store/store_watcher.cc
+++ b/src/dispatch/store/store_watcher.cc
@@ -1,10 +1,13 @@
 #include "dispatch/store/store_watcher.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
 #include "dandelionscale/core/hash.h"
+#include "dandelionscale/core/watch_schedule.h"
 #include "dandelionscale/runtime/logger.h"
 #include "dandelionscale/runtime/trace.h"
 #include "dandelionscale/transport/address.h"
@@ -24,9 +27,6 @@
 }
 
 constexpr Duration kReadTimeout = std::chrono::milliseconds(1200);
-// Longest wait of one watch call. The store can stop sending changes without
-// closing the watch, so the call is repeated after this time.
-constexpr Duration kWatchWait = std::chrono::milliseconds(1600);
 // Wait of the first watch after the read at the start. It is short, since the
 // result shows that this router's view of the store is current.
 constexpr Duration kFirstWatchWait = std::chrono::milliseconds(20);
@@ -76,6 +76,15 @@
 // Interval at which the router decides whether it watches the store itself.
 constexpr Duration kRoleInterval = std::chrono::milliseconds(50);
 
+// An answer that is this late is not due to a slow store or a lost packet.
+constexpr Duration kOverdueTime = std::chrono::milliseconds(300);
+// Interval at which the ages of the tables' views are counted.
+constexpr Duration kAgeInterval = std::chrono::seconds(1);
+
+double ToSeconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
 std::string_view TableName(StoreTable table) {
   return table == StoreTable::kConfiguration ? "configuration" : "engines";
 }
@@ -120,11 +129,41 @@
     const WatchRole role =
         this->state.watcher_election.Decide(now, this->state.peers.size());
     if (role != before) this->OnRoleChanged(before, role);
+    this->ObserveCalls();
     const Duration interval = kRoleInterval;
     co_await SleepFor(interval);
   }
 }
 
+void StoreWatcher::ObserveCalls() {
+  const TimePoint now = RuntimeClock::now();
+  for (auto& [table, call] : this->calls) {
+    if (call.is_logged || now - call.due < kOverdueTime) continue;
+    call.is_logged = true;
+    const auto shown = this->shown_at.find(table);
+    this->state.metrics.Add("store_calls_overdue_total");
+    Logger::Warning(
+        "store_call_overdue",
+        {{"table", TableName(table)},
+         {"out_ms", ToMilliseconds(now - call.began)},
+         {"table_age_ms", shown == this->shown_at.end()
+                              ? std::int64_t{-1}
+                              : ToMilliseconds(now - shown->second)},
+         {"role", ToString(this->state.watcher_election.Role())}});
+  }
+  if (now - this->calls_observed_at < kAgeInterval) return;
+  this->calls_observed_at = now;
+  Metrics& metrics = this->state.metrics;
+  for (const auto& [table, shown] : this->shown_at) {
+    metrics.Set(fmt::format("store_table_age_seconds{{table=\"{}\"}}",
+                            TableName(table)),
+                ToSeconds(now - shown));
+  }
+  if (const auto age = this->state.watcher_election.ViewAge(now)) {
+    metrics.Set("view_age_seconds", ToSeconds(*age));
+  }
+}
+
 void StoreWatcher::OnRoleChanged(WatchRole before, WatchRole role) {
   const TimePoint now = RuntimeClock::now();
   const auto age = this->state.watcher_election.ViewAge(now);
@@ -138,25 +177,30 @@
   if (role == WatchRole::kListener) {
     // Peers supply configuration and engines from now on, so an earlier loss
     // of the store no longer matters.
-    this->tables_read.clear();
+    this->shown_at.clear();
     this->state.unreachable_tables.clear();
     this->state.engines.OnStoreRegained(now);
   }
 }
 
-void StoreWatcher::OnTableCallSucceeded(StoreTable table) {
+void StoreWatcher::OnTableCallSucceeded(StoreTable table, TimePoint shown_at) {
   const TimePoint now = RuntimeClock::now();
   this->state.OnStoreAnswered(TableName(table));
   if (table == StoreTable::kEngines) this->state.engines.OnStoreRegained(now);
-  this->tables_read.insert(table);
-  const bool has_both = this->tables_read.contains(StoreTable::kEngines) &&
-                        this->tables_read.contains(StoreTable::kConfiguration);
-  if (has_both) this->state.watcher_election.OnStoreAnswered(now);
+  this->shown_at[table] = shown_at;
+  const auto engines = this->shown_at.find(StoreTable::kEngines);
+  const auto configuration = this->shown_at.find(StoreTable::kConfiguration);
+  const bool has_both =
+      engines != this->shown_at.end() && configuration != this->shown_at.end();
+  if (!has_both) return;
+  // One table's calls may be answered while those for the other hang.
+  this->state.watcher_election.OnStoreAnswered(
+      std::min(engines->second, configuration->second));
 }
 
 void StoreWatcher::OnTableCallFailed(StoreTable table, const Fault& fault) {
   this->state.OnStoreFailed(TableName(table), fault);
-  this->tables_read.erase(table);
+  this->shown_at.erase(table);
   this->state.watcher_election.OnStoreLost(RuntimeClock::now());
   // The list of engines is stale only if the call for its own table fails.
   if (table == StoreTable::kEngines) this->state.engines.OnStoreLost();
@@ -166,7 +210,7 @@
   bool has_table = false;
   StoreVersion version;
   Duration pause = kMinRetryDelay;
-  Duration wait = WithJitter(kWatchWait, this->state.Random());
+  TimePoint watch_end{};
   while (true) {
     const WatchRole role = this->state.watcher_election.Role();
     if (role == WatchRole::kListener) {
@@ -180,7 +224,7 @@
       // The table may have changed since it was read. In a large fleet, where
       // it is large, a watch that does not wait returns the changes.
       has_table = this->state.start_up_source.IsLargeFleet();
-      if (has_table) wait = kFirstWatchWait;
+      if (has_table) watch_end = RuntimeClock::now() + kFirstWatchWait;
       continue;
     }
     if (!has_table && !this->MayRead()) {
@@ -188,15 +232,20 @@
       continue;
     }
     Result<StoreRows> rows = StoreRows();
+    const TimePoint began = RuntimeClock::now();
+    TimePoint shown_at = began;
     if (has_table) {
+      const Duration wait = std::max(watch_end - began, kFirstWatchWait);
+      this->calls[table] = {began, began + wait};
       rows = co_await this->store->Watch(table, version, wait);
-      wait = WithJitter(kWatchWait, this->state.Random());
+      shown_at = std::min(RuntimeClock::now(), began + wait);
     } else {
-      const TimePoint began = RuntimeClock::now();
+      this->calls[table] = {began, began};
       rows = co_await this->store->Read(table, kReadTimeout);
       this->state.metrics.ObserveLatency("store_read_seconds",
                                          RuntimeClock::now() - began);
     }
+    this->calls.erase(table);
     // The call was in flight when this router became a listener, which peers
     // supply. A whole table is used unless peers have supplied a newer one. A
     // failure is ignored: it would mark the list of engines as stale until this
@@ -226,6 +275,10 @@
     }
     pause = kMinRetryDelay;
     this->state.metrics.Add("store_calls_total");
+    watch_end =
+        RuntimeClock::now() + NextWatchWait(rows->store_time,
+                                            this->state.watcher_election.Rank(),
+                                            this->state.Random());
     this->state.OnStoreEra(rows->version.era);
     if (has_table && rows->version.era > version.era) {
       // The rows are not the difference to the state before the restoration.
@@ -242,7 +295,7 @@
     this->OnRows(table, *rows, !has_table);
     version = rows->version;
     has_table = true;
-    this->OnTableCallSucceeded(table);
+    this->OnTableCallSucceeded(table, shown_at);
     if (rows->rows.empty()) continue;
     const Duration batch_delay = kBatchDelay;
     co_await SleepFor(batch_delay);
--- a/src/dispatch/store/store_watcher.h
+++ b/src/dispatch/store/store_watcher.h
@@ -4,6 +4,7 @@
 #define DANDELIONSCALE_SRC_DISPATCH_STORE_STORE_WATCHER_H_
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -31,8 +32,12 @@
 
  private:
   Awaitable<void> ChooseRole();
+  // Logs calls whose answers are overdue, each once, and counts how old the
+  // view of each table is.
+  void ObserveCalls();
   void OnRoleChanged(WatchRole before, WatchRole role);
-  void OnTableCallSucceeded(StoreTable table);
+  // `shown_at` is when the answer shows the view of the table to be current.
+  void OnTableCallSucceeded(StoreTable table, TimePoint shown_at);
   void OnRows(StoreTable table, const StoreRows& rows, bool is_whole_table);
   void OnTableCallFailed(StoreTable table, const Fault& fault);
   Awaitable<void> WatchTable(StoreTable table);
@@ -73,8 +78,18 @@
   DispatchState& state;
   std::shared_ptr<TableStore> store;
   Event role_changed;
-  /// Tables whose last call succeeded since this router began to watch.
-  std::set<StoreTable> tables_read;
+  // A call for a table that is out.
+  struct Call {
+    TimePoint began{};
+    TimePoint due{};  ///< When its answer is expected at the latest.
+    bool is_logged = false;
+  };
+
+  std::map<StoreTable, Call> calls;
+  TimePoint calls_observed_at{};
+  /// When the last answers showed the view of each table to be current, since
+  /// this router began to watch; none for a table whose last call failed.
+  std::map<StoreTable, TimePoint> shown_at;
   /// Ids of malformed engine entries that have been logged; each is logged
   /// once.
   std::set<std::string> logged_malformed;
--- a/tests/store_watcher_test.cc
+++ b/tests/store_watcher_test.cc
@@ -36,6 +36,7 @@
                                      Duration) override {
     ++this->watches;
     co_await this->end.Wait();
+    while (this->hanging.contains(table)) co_await this->end.Wait();
     if (this->watch_rows.contains(table)) co_return this->watch_rows[table];
     co_return this->watch_fault;
   }
@@ -60,6 +61,7 @@
   std::map<StoreTable, StoreRows> tables;
   std::set<StoreTable> unreadable;  ///< Their reads fail.
   std::set<StoreTable> slow;        ///< Their reads stay open.
+  std::set<StoreTable> hanging;     ///< Their watches don't end.
   std::map<StoreTable, int> reads;
   /// Response of watches that end, if they do not fail.
   std::map<StoreTable, StoreRows> watch_rows;
@@ -164,6 +166,29 @@
   CHECK(fixture.state.engines.Engines().size() == 1);
 }
 
+// Guards against a view that passes for current while calls hang: one table's
+// answers tell nothing of the other.
+TEST_CASE("the view is as old as that of the table that is not answered") {
+  WatcherFixture fixture;
+  fixture.Advance(kStartUpTime);
+  const auto age = [&] {
+    return *fixture.state.watcher_election.ViewAge(RuntimeClock::now());
+  };
+  const Duration before = age();
+  fixture.Advance(milliseconds(600));
+  CHECK(age() >= before + milliseconds(600));
+  fixture.store->watch_rows[StoreTable::kConfiguration].version = {1, 2};
+  fixture.store->watch_rows[StoreTable::kEngines].version = {1, 2};
+  fixture.store->hanging.insert(StoreTable::kConfiguration);
+  fixture.store->EndWatches();
+  fixture.Advance(milliseconds(50));
+  CHECK(age() >= before + milliseconds(600));
+  fixture.store->hanging.clear();
+  fixture.store->EndWatches();
+  fixture.Advance(milliseconds(50));
+  CHECK(age() <= milliseconds(200));
+}
+
 // Guards against a start without a list of engines: the read of a slow store
 // was in progress when the router became a listener, and its result was
 // discarded.
