A word of an error text is no event of a stream without a length

It was relayed as an event, or took the place of one that had begun, and the stream ended as complete. A block of fields that clients don't know, without data, is malformed now where only the end of the connection ends the body; so the stream is in doubt.

--- a/src/engine_response/event_splitter.cc
+++ b/src/engine_response/event_splitter.cc
@@ -12,6 +12,9 @@
 
 constexpr std::string_view kLineEndCharacters = "\r\n";
 
+// May precede the first line.
+constexpr std::string_view kByteOrderMark = "\xEF\xBB\xBF";
+
 // Length of the longest pair of line ends, which terminates an event.
 constexpr std::size_t kMaxTerminatorBytes = 4;
 
@@ -71,8 +74,9 @@
 // Names of fields are lowercase; clients ignore those that they don't know. A
 // line without a name is a comment.
 bool IsEventField(std::string_view line) {
-  // A byte order mark may precede the first line.
-  if (line.starts_with("\xEF\xBB\xBF")) line.remove_prefix(3);
+  if (line.starts_with(kByteOrderMark)) {
+    line.remove_prefix(kByteOrderMark.size());
+  }
   const std::string_view name = line.substr(0, line.find(':'));
   return std::all_of(name.begin(), name.end(), [](char c) {
     return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '-' ||
@@ -80,14 +84,19 @@
   });
 }
 
+// Returns true if clients know the field of this name.
+bool IsKnownField(std::string_view name) {
+  constexpr std::array<std::string_view, 4> kEventFields = {"data", "event",
+                                                            "id", "retry"};
+  return std::find(kEventFields.begin(), kEventFields.end(), name) !=
+         kEventFields.end();
+}
+
 // Returns true if a header field of a response may look like `line`, but no
 // line of an event behind its data.
 bool MayBeHeaderField(std::string_view line) {
-  constexpr std::array<std::string_view, 4> kEventFields = {"data", "event",
-                                                            "id", "retry"};
   const std::string_view name = line.substr(0, line.find(':'));
-  return !name.empty() && std::find(kEventFields.begin(), kEventFields.end(),
-                                    name) == kEventFields.end();
+  return !name.empty() && !IsKnownField(name);
 }
 
 // Returns true if a head of a response begins in `event`, be it in the middle
@@ -103,11 +112,23 @@
   return false;
 }
 
-bool HasForeignLine(std::string_view event) {
+// Returns true if `event` is no event: a line of it is no field, or it has
+// fields that clients don't know but no data, as a word of an error text.
+bool IsForeign(std::string_view event) {
+  bool has_unknown = false;
+  bool has_data = false;
   while (!event.empty()) {
-    if (!IsEventField(TakeLine(event))) return true;
+    std::string_view line = TakeLine(event);
+    if (!IsEventField(line)) return true;
+    if (line.starts_with(kByteOrderMark)) {
+      line.remove_prefix(kByteOrderMark.size());
+    }
+    const std::string_view name = line.substr(0, line.find(':'));
+    has_data = has_data || name == "data";
+    // A comment has no name.
+    has_unknown = has_unknown || (!name.empty() && !IsKnownField(name));
   }
-  return false;
+  return has_unknown && !has_data;
 }
 
 }  // namespace
@@ -182,7 +203,7 @@
   // own.
   const bool is_foreign =
       HoldsHead(event) ||
-      (this->framing == BodyFraming::kUntilClose && HasForeignLine(event));
+      (this->framing == BodyFraming::kUntilClose && IsForeign(event));
   return is_foreign ? StreamState::kMalformed : StreamState::kOpen;
 }
 
--- a/tests/event_splitter_test.cc
+++ b/tests/event_splitter_test.cc
@@ -116,6 +116,29 @@
   CHECK(splitter.Feed(events) == events);
 }
 
+// Guards against a stream that ends as complete at an error text of its engine.
+TEST_CASE("a word of an error text is no event of an unframed stream") {
+  for (const std::string_view text :
+       {"error\n\n", "timeout\r\n\r\n", "error: upstream\n\n",
+        "id: 2\ndaerror\n\n"}) {
+    CAPTURE(text);
+    EventSplitter splitter;
+    splitter.OnResponse(BodyFraming::kUntilClose);
+    CHECK(splitter.Feed(Event(1) + std::string(text)) == Event(1));
+    CHECK(splitter.State() == StreamState::kMalformed);
+  }
+  for (const std::string_view text :
+       {": keep-alive\n\n", "data\n\n", "weight-versions: 3\ndata: x\n\n",
+        "\n\n", "retry: 5\n\n"}) {
+    CAPTURE(text);
+    EventSplitter splitter;
+    splitter.OnResponse(BodyFraming::kUntilClose);
+    splitter.Feed(Event(1) + std::string(text));
+    CHECK(splitter.State() == StreamState::kOpen);
+    CHECK_FALSE(splitter.IsInsideEvent());
+  }
+}
+
 TEST_CASE("the text of an event may quote a response") {
   EventSplitter splitter;
   splitter.OnResponse(BodyFraming::kUntilClose);
--- a/tests/stream_in_doubt_test.cc
+++ b/tests/stream_in_doubt_test.cc
@@ -69,6 +69,7 @@
   const std::string own = fmt::format("Request-Id: {}\r\n", id);
   return {
       {"plain text", "strange end of service\n\n"},
+      {"a word", "strange\n\n"},
       {"a cut status line", "HTTP/1.1 5", false},
       {"a cut head", "HTTP/1.1 500 strange\r\nContent-Ty", false},
       {"an error page", ErrorPage("500 Internal Server Error", "")},
