--- a/src/dispatch/request/request_dispatch.h
+++ b/src/dispatch/request/request_dispatch.h
@@ -131,7 +131,7 @@
                                              bool at_end) const;
   BodyEnd FindStreamEnd(bool at_end) const;
   // Logs and counts what leaves open whether the stream is whole.
-  void LogStreamDoubt(const StreamEnd& found, bool at_end) const;
+  void LogStreamDoubt(StreamDoubt doubt, bool at_end) const;
   AttemptFailure FailureOfStream() const;
   Awaitable<std::optional<AttemptFailure>> RelayEventStream();
   // Returns false if the client has disconnected.
--- a/src/dispatch/request/response_relay.cc
+++ b/src/dispatch/request/response_relay.cc
@@ -176,28 +176,29 @@
 
 BodyEnd RequestDispatch::FindStreamEnd(bool at_end) const {
   const bool is_resumption = !this->decoded.resume_after.empty();
-  const StreamEnd found =
-      JudgeStreamEnd(this->events, {*this->framing, is_resumption, at_end});
-  if (found.doubt != StreamDoubt::kNone) this->LogStreamDoubt(found, at_end);
-  return found.end;
+  const StreamDoubt doubt =
+      FindStreamDoubt(this->events, {*this->framing, is_resumption, at_end});
+  if (doubt != StreamDoubt::kNone) {
+    this->LogStreamDoubt(doubt, at_end);
+    return BodyEnd::kUncertain;
+  }
+  return at_end ? BodyEnd::kReached : BodyEnd::kOpen;
 }
 
-void RequestDispatch::LogStreamDoubt(const StreamEnd& found,
-                                     bool at_end) const {
+void RequestDispatch::LogStreamDoubt(StreamDoubt doubt, bool at_end) const {
   const auto head =
       ParseFollowingHead(this->events.Following(), *this->state.codec);
   const EngineResponse response = head ? head->response : EngineResponse();
   const NamedRequest named =
       FindNamedRequest(response, this->decoded.id,
                        this->exchange->MayHaveCarried(response.request_id));
-  this->state.metrics.Add(
-      fmt::format("engine_streams_in_doubt_total{{follows=\"{}\"}}",
-                  ToString(found.doubt)));
+  this->state.metrics.Add(fmt::format(
+      "engine_streams_in_doubt_total{{follows=\"{}\"}}", ToString(doubt)));
   Logger::Warning(
       "stream_in_doubt",
       {{"request", this->decoded.id},
        {"engine", this->exchange->ServingEngine().record.id},
-       {"follows", ToString(found.doubt)},
+       {"follows", ToString(doubt)},
        {"status", static_cast<std::int64_t>(response.status)},
        {"names", ToString(named)},
        {"marked", response.is_signed || response.not_run},
--- a/src/engine_response/event_splitter.cc
+++ b/src/engine_response/event_splitter.cc
@@ -5,7 +5,6 @@
 #include <utility>
 
 #include "dandelionscale/transport/parse_number.h"
-#include "engine_response/following_response.h"
 
 namespace dandelionscale::internal {
 namespace {
@@ -71,32 +70,28 @@
          text.substr(begin).starts_with("HTTP/");
 }
 
-// Names of fields are lowercase; clients ignore those that they don't know. A
-// line without a name is a comment.
-bool IsEventField(std::string_view line) {
+// Returns the name of the field in a line; empty for a comment.
+std::string_view FieldName(std::string_view line) {
   if (line.starts_with(kByteOrderMark)) {
     line.remove_prefix(kByteOrderMark.size());
   }
-  const std::string_view name = line.substr(0, line.find(':'));
+  return line.substr(0, line.find(':'));
+}
+
+// Names of fields are lowercase.
+bool IsFieldName(std::string_view name) {
   return std::all_of(name.begin(), name.end(), [](char c) {
     return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '-' ||
            c == '_';
   });
 }
 
-// Returns true if clients know the field of this name.
-bool IsKnownField(std::string_view name) {
-  constexpr std::array<std::string_view, 4> kEventFields = {"data", "event",
+// Returns true if clients ignore the field of this name.
+bool IsUnknownField(std::string_view name) {
+  constexpr std::array<std::string_view, 4> kKnownFields = {"data", "event",
                                                             "id", "retry"};
-  return std::find(kEventFields.begin(), kEventFields.end(), name) !=
-         kEventFields.end();
-}
-
-// Returns true if a header field of a response may look like `line`, but no
-// line of an event behind its data.
-bool MayBeHeaderField(std::string_view line) {
-  const std::string_view name = line.substr(0, line.find(':'));
-  return !name.empty() && !IsKnownField(name);
+  return !name.empty() && std::find(kKnownFields.begin(), kKnownFields.end(),
+                                    name) == kKnownFields.end();
 }
 
 // Returns true if a head of a response begins in `event`, be it in the middle
@@ -106,7 +101,9 @@
   while (!event.empty()) {
     const std::string_view line = TakeLine(event);
     if (line.starts_with("HTTP/")) return true;
-    if (has_status_line && MayBeHeaderField(line)) return true;
+    // No line of an event behind its data looks like a header field.
+    const std::string_view name = line.substr(0, line.find(':'));
+    if (has_status_line && IsUnknownField(name)) return true;
     has_status_line = line.find("HTTP/") != std::string_view::npos;
   }
   return false;
@@ -118,15 +115,10 @@
   bool has_unknown = false;
   bool has_data = false;
   while (!event.empty()) {
-    std::string_view line = TakeLine(event);
-    if (!IsEventField(line)) return true;
-    if (line.starts_with(kByteOrderMark)) {
-      line.remove_prefix(kByteOrderMark.size());
-    }
-    const std::string_view name = line.substr(0, line.find(':'));
+    const std::string_view name = FieldName(TakeLine(event));
+    if (!IsFieldName(name)) return true;
     has_data = has_data || name == "data";
-    // A comment has no name.
-    has_unknown = has_unknown || (!name.empty() && !IsKnownField(name));
+    has_unknown = has_unknown || IsUnknownField(name);
   }
   return has_unknown && !has_data;
 }
@@ -155,11 +147,8 @@
 }
 
 std::string EventSplitter::Feed(std::string_view bytes) {
-  const bool is_open = this->state == StreamState::kOpen;
-  if (is_open || this->pending.size() < kMaxFollowingHeadBytes) {
-    this->pending += bytes;
-  }
-  if (!is_open) return {};
+  if (this->state != StreamState::kOpen) return {};
+  this->pending += bytes;
   std::string complete_events;
   std::size_t position = 0;
   while (true) {
--- a/src/engine_response/stream_end.cc
+++ b/src/engine_response/stream_end.cc
@@ -1,10 +1,9 @@
 #include "engine_response/stream_end.h"
 
 namespace dandelionscale::internal {
-namespace {
 
-StreamDoubt FindDoubt(const EventSplitter& events,
-                      const StreamContext& context) {
+StreamDoubt FindStreamDoubt(const EventSplitter& events,
+                            const StreamContext& context) {
   switch (events.State()) {
     case StreamState::kFollowed:
       return StreamDoubt::kResponse;
@@ -21,8 +20,6 @@
   return has_nothing ? StreamDoubt::kNoEvent : StreamDoubt::kNone;
 }
 
-}  // namespace
-
 std::string_view ToString(StreamDoubt doubt) {
   switch (doubt) {
     case StreamDoubt::kNone:
@@ -39,11 +36,4 @@
   return "nothing";
 }
 
-StreamEnd JudgeStreamEnd(const EventSplitter& events,
-                         const StreamContext& context) {
-  const StreamDoubt doubt = FindDoubt(events, context);
-  if (doubt != StreamDoubt::kNone) return {BodyEnd::kUncertain, doubt};
-  return {context.at_end ? BodyEnd::kReached : BodyEnd::kOpen, doubt};
-}
-
 }  // namespace dandelionscale::internal
--- a/src/engine_response/stream_end.h
+++ b/src/engine_response/stream_end.h
@@ -1,5 +1,5 @@
 /// \file
-/// \brief Decides where the response of an event stream ends.
+/// \brief Whether the response of an event stream has brought its last event.
 #ifndef DANDELIONSCALE_SRC_ENGINE_RESPONSE_STREAM_END_H_
 #define DANDELIONSCALE_SRC_ENGINE_RESPONSE_STREAM_END_H_
 
@@ -23,12 +23,6 @@
 /// \returns the name used in logs and metrics.
 std::string_view ToString(StreamDoubt doubt);
 
-/// \brief Where the response of a stream ends.
-struct StreamEnd {
-  BodyEnd end = BodyEnd::kOpen;
-  StreamDoubt doubt = StreamDoubt::kNone;
-};
-
 /// \brief What is known of a response besides its events.
 struct StreamContext {
   BodyFraming framing = BodyFraming::kChunked;
@@ -37,14 +31,15 @@
   bool at_end = false;  ///< The body has ended as its framing states.
 };
 
-/// \brief Decides whether a response has brought the last event of its stream.
+/// \returns what leaves open, now or for good, whether a response has brought
+///          the last event of its stream; `kNone` also while it goes on.
 ///
 /// Only the end of the body shows that, directly behind an event. Whatever else
 /// follows an event shows that the engine is in trouble, and not since when: a
 /// response may follow a whole stream or one that was broken off, on any
 /// connection and whichever request it names. The stream is then in doubt.
-StreamEnd JudgeStreamEnd(const EventSplitter& events,
-                         const StreamContext& context);
+StreamDoubt FindStreamDoubt(const EventSplitter& events,
+                            const StreamContext& context);
 
 }  // namespace dandelionscale::internal
 
