--- a/emulator/store_service.cc
+++ b/emulator/store_service.cc
@@ -38,12 +38,6 @@
   return response;
 }
 
-std::int64_t SteadyMilliseconds() {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(
-             RuntimeClock::now().time_since_epoch())
-      .count();
-}
-
 }  // namespace
 
 StoreService::StoreService(boost::asio::any_io_executor executor)
@@ -71,9 +65,8 @@
   this->unanswered = std::move(callers);
 }
 
-bool StoreService::IsUnanswered(std::optional<int> caller) const {
-  return this->mode == StoreMode::kSilent ||
-         (caller && this->unanswered.contains(*caller));
+bool StoreService::IsLeftOut(std::optional<int> caller) const {
+  return caller && this->unanswered.contains(*caller);
 }
 
 void StoreService::Put(const std::string& table, const std::string& key,
@@ -112,12 +105,13 @@
                                      std::optional<int> caller) {
   this->calls.push_back(exchange.Request().target);
   const Duration no_response = kNoResponseDelay;
-  if (this->IsUnanswered(caller)) {
+  if (this->mode == StoreMode::kSilent || this->IsLeftOut(caller)) {
     co_await SleepFor(no_response);
     co_return;
   }
   HttpResponse response = co_await this->HandleCall(exchange.Request());
-  if (caller && this->unanswered.contains(*caller)) {
+  // Its call was open when that began.
+  if (this->IsLeftOut(caller)) {
     co_await SleepFor(no_response);
     co_return;
   }
@@ -211,11 +205,12 @@
 HttpResponse StoreService::RowsResponse(json::array rows) const {
   HttpResponse response;
   response.headers.Add("Content-Type", "application/json");
-  response.body =
-      json::serialize(json::object{{"rows", std::move(rows)},
-                                   {"has_more", false},
-                                   {"ver", this->version},
-                                   {"server_time_ms", SteadyMilliseconds()}});
+  response.body = json::serialize(
+      json::object{{"rows", std::move(rows)},
+                   {"has_more", false},
+                   {"ver", this->version},
+                   {"server_time_ms",
+                    ToMilliseconds(RuntimeClock::now().time_since_epoch())}});
   return response;
 }
 
--- a/emulator/store_service.h
+++ b/emulator/store_service.h
@@ -69,7 +69,7 @@
 
   std::unique_ptr<HttpServer> MakeServer(std::optional<int> caller);
   Awaitable<void> Handle(HttpExchange& exchange, std::optional<int> caller);
-  bool IsUnanswered(std::optional<int> caller) const;
+  bool IsLeftOut(std::optional<int> caller) const;
   Awaitable<HttpResponse> HandleCall(const HttpRequest& request);
   Awaitable<HttpResponse> GetRows(const HttpRequest& request) const;
   Awaitable<HttpResponse> WatchRows(const HttpRequest& request);
--- a/src/dispatch/store/store_call_times.cc
+++ b/src/core/jitter.cc
@@ -1,6 +1,6 @@
-#include "dispatch/store/store_call_times.h"
+#include "dandelionscale/core/jitter.h"
 
-namespace dandelionscale::internal {
+namespace dandelionscale {
 namespace {
 
 // Largest fraction of a delay that is subtracted at random.
@@ -14,4 +14,4 @@
       static_cast<double>(duration.count()) * factor));
 }
 
-}  // namespace dandelionscale::internal
+}  // namespace dandelionscale
--- a/src/dispatch/store/shared_rows.cc
+++ b/src/dispatch/store/shared_rows.cc
@@ -2,6 +2,7 @@
 #include <algorithm>
 
 #include "dandelionscale/core/hash.h"
+#include "dandelionscale/core/jitter.h"
 #include "dandelionscale/runtime/logger.h"
 #include "dandelionscale/runtime/trace.h"
 #include "dandelionscale/transport/address.h"
--- a/src/dispatch/store/store_call_times.h
+++ b/src/dispatch/store/store_call_times.h
@@ -12,11 +12,6 @@
 /// Longest delay after a failed call.
 inline constexpr Duration kMaxRetryDelay = std::chrono::milliseconds(800);
 
-/// \returns `duration` less a random part, so that routers do not call the
-///          store in step.
-/// \param random uniform in [0, 1).
-Duration WithJitter(Duration duration, double random);
-
 }  // namespace dandelionscale::internal
 
 #endif  // DANDELIONSCALE_SRC_DISPATCH_STORE_STORE_CALL_TIMES_H_
--- a/src/dispatch/store/store_watcher.cc
+++ b/src/dispatch/store/store_watcher.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include "dandelionscale/core/jitter.h"
 #include "dandelionscale/core/watch_schedule.h"
 #include "dandelionscale/runtime/logger.h"
 #include "dispatch/store/store_call_times.h"
