--- a/include/dandelionscale/dispatch/dispatch_router.h
+++ b/include/dandelionscale/dispatch/dispatch_router.h
@@ -43,6 +43,9 @@
   /// Number of listed routers from which on a starting router asks peers for
   /// configuration and engines before it reads the store.
   std::size_t min_large_fleet = kMinLargeFleet;
+  /// Time within which a configuration that the store has acknowledged is to be
+  /// in force everywhere; for warnings only.
+  Duration configuration_bound = std::chrono::seconds(3);
   /// Memory limit; request bodies may use a fixed share of it.
   std::size_t memory_bytes = 256 * 1024 * 1024;
   std::size_t max_descriptors = 1024;  ///< File descriptors of the process.
--- a/include/dandelionscale/transport/http_client.h
+++ b/include/dandelionscale/transport/http_client.h
@@ -49,6 +49,12 @@
   std::size_t total_bytes = std::numeric_limits<std::size_t>::max() / 2;
 };
 
+/// \brief What has arrived of a response, also if the call fails later.
+struct TransferProgress {
+  std::size_t bytes = 0;  ///< Of the body.
+  TimePoint last_at{};    ///< When the last of them arrived.
+};
+
 /// \brief HTTP/1.1 client with a pool of idle connections.
 ///
 /// A connection returns to the pool only after its response was read
@@ -67,8 +73,10 @@
 
   /// \brief Sends a request and reads the whole response.
   /// \param timeout for connecting, sending and reading together.
+  /// \param progress is kept up to date while the call lasts; may be null.
   Awaitable<Result<HttpResponse>> Fetch(Endpoint endpoint, HttpRequest request,
-                                        ConnectionUse use, Duration timeout);
+                                        ConnectionUse use, Duration timeout,
+                                        TransferProgress* progress = nullptr);
 
   /// \brief Sends a request and returns after the response header arrives.
   /// \param timeout until the header arrives; `Read()` has its own.
--- a/src/dispatch/dispatch_state.h
+++ b/src/dispatch/dispatch_state.h
@@ -79,6 +79,8 @@
   bool has_sent_digest = false;
   /// As in `DispatchState::zone_key`; none if it is not known.
   std::optional<std::uint32_t> zone_key{};
+  /// Version in its last digest; 0 if it has sent none.
+  std::uint64_t configuration_version = 0;
 };
 
 /// Interval of `DispatchState::OnLoopCheck()`.
--- a/src/dispatch/peers/peer_exchange.cc
+++ b/src/dispatch/peers/peer_exchange.cc
@@ -312,7 +312,7 @@
     Logger::Info("peer_heard", {{"peer", sender}, {"name", digest.router()}});
     this->new_peers.push_back(sender);
   }
-  contact = {now, true, contact.zone_key};
+  contact = {now, true, contact.zone_key, digest.configuration_version()};
   if (digest.has_zone()) contact.zone_key = digest.zone();
   this->state.permits->OnPeerHeard(sender);
   std::vector<EngineLoad> loads;
--- a/src/dispatch/peers/snapshot_exchange.cc
+++ b/src/dispatch/peers/snapshot_exchange.cc
@@ -1,5 +1,7 @@
 #include "dispatch/peers/snapshot_exchange.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -123,6 +125,31 @@
          engines_changed > this->state.engines.Version();
 }
 
+void SnapshotExchange::ObserveLag(TimePoint now) {
+  constexpr int kLateDivisor = 2;
+  const std::uint64_t version = this->state.ConfigurationVersion();
+  const bool is_late =
+      this->behind_since && this->newest_configuration > version &&
+      now - *this->behind_since >
+          this->state.options.configuration_bound / kLateDivisor;
+  if (!is_late || this->logged_late_version == this->newest_configuration) {
+    return;
+  }
+  this->logged_late_version = this->newest_configuration;
+  const WatchRole role = this->state.watcher_election.Role();
+  Logger::Warning(
+      "configuration_behind",
+      {{"version", static_cast<std::int64_t>(version)},
+       {"newest", static_cast<std::int64_t>(this->newest_configuration)},
+       {"behind_ms", ToMilliseconds(now - *this->behind_since)},
+       {"waits_for", this->fetching       ? std::string_view("peer")
+                     : WatchesStore(role) ? std::string_view("store")
+                                          : std::string_view("digest")},
+       {"peer", this->fetched_from},
+       {"bytes", static_cast<std::int64_t>(this->fetch_progress.bytes)},
+       {"role", ToString(role)}});
+}
+
 bool SnapshotExchange::HasRows() const {
   return this->state.engines_known && this->state.routing_table != nullptr;
 }
@@ -140,6 +167,7 @@
         now, sender, {digest.configuration_version(), this->VersionOf(digest)},
         is_own_zone, this->CrossZoneWait());
   }
+  this->ObserveLag(now);
   this->FetchFromSources();
   // Digests carry only changes of the prefix index, so a newly started router
   // fetches the earlier entries once. It does so after it has received the
@@ -220,7 +248,8 @@
 }
 
 Awaitable<Result<wire::BeliefSnapshot>> SnapshotExchange::Ask(
-    std::string peer, wire::SnapshotRequest request) {
+    std::string peer, wire::SnapshotRequest request,
+    TransferProgress& progress) {
   const TimePoint asked_at = RuntimeClock::now();
   auto endpoint = ParseEndpoint(peer);
   if (endpoint.has_error()) co_return endpoint.error();
@@ -232,8 +261,14 @@
   http_request.body = request.SerializeAsString();
   auto response = co_await this->client.Fetch(
       endpoint.value(), std::move(http_request), ConnectionUse::kFresh,
-      is_small ? kFetchTimeout : kLargeFetchTimeout);
-  if (response.has_error()) co_return response.error();
+      is_small ? kFetchTimeout : kLargeFetchTimeout, &progress);
+  if (response.has_error()) {
+    this->state.metrics.Add(
+        fmt::format("peer_snapshot_bytes_discarded_total{{reason=\"{}\"}}",
+                    ToString(response.error().kind)),
+        progress.bytes);
+    co_return response.error();
+  }
   const bool is_cross_zone = this->state.IsInOtherZone(peer);
   this->state.metrics.Add(
       is_cross_zone ? "peer_snapshot_bytes_received_total{zone=\"other\"}"
@@ -247,13 +282,26 @@
   if (!snapshot.ParseFromString(response->body)) {
     co_return Fault{FaultKind::kMalformedMessage, "no snapshot"};
   }
-  DiscountWarmUps(RuntimeClock::now() - asked_at, snapshot);
+  const Duration transfer_time = RuntimeClock::now() - asked_at;
+  if (!snapshot.configuration().empty()) {
+    Logger::Info("configuration_received",
+                 {{"version",
+                   static_cast<std::int64_t>(snapshot.configuration_version())},
+                  {"peer", peer},
+                  {"bytes", static_cast<std::int64_t>(progress.bytes)},
+                  {"took_ms", ToMilliseconds(transfer_time)}});
+  }
+  DiscountWarmUps(transfer_time, snapshot);
   co_return std::move(snapshot);
 }
 
 Awaitable<void> SnapshotExchange::FetchSnapshot(std::string peer,
                                                 bool with_prefixes) {
-  auto snapshot = co_await this->Ask(peer, this->MakeRequest(with_prefixes));
+  const TimePoint asked_at = RuntimeClock::now();
+  this->fetched_from = peer;
+  this->fetch_progress = {0, asked_at};
+  auto snapshot = co_await this->Ask(peer, this->MakeRequest(with_prefixes),
+                                     this->fetch_progress);
   this->fetching = false;
   if (snapshot.has_value()) {
     this->ApplySnapshot(snapshot.value(), peer);
@@ -261,9 +309,13 @@
         this->has_prefixes || (with_prefixes && this->state.engines_known);
   } else {
     const Fault& fault = snapshot.error();
-    Logger::Info("peer_snapshot_failed", {{"peer", peer},
-                                          {"fault", ToString(fault.kind)},
-                                          {"detail", fault.detail}});
+    Logger::Info(
+        "peer_snapshot_failed",
+        {{"peer", peer},
+         {"fault", ToString(fault.kind)},
+         {"detail", fault.detail},
+         {"bytes", static_cast<std::int64_t>(this->fetch_progress.bytes)},
+         {"took_ms", ToMilliseconds(RuntimeClock::now() - asked_at)}});
   }
   this->FetchFromSources();
 }
@@ -296,7 +348,8 @@
   const TimePoint asked_at = RuntimeClock::now();
   wire::SnapshotRequest request = this->MakeRequest(false);
   request.set_is_start_up(true);
-  auto snapshot = co_await this->Ask(peer, std::move(request));
+  TransferProgress progress;
+  auto snapshot = co_await this->Ask(peer, std::move(request), progress);
   --this->asks_at_start;
   const bool has_answered =
       snapshot.has_value() ||
--- a/src/dispatch/peers/snapshot_exchange.h
+++ b/src/dispatch/peers/snapshot_exchange.h
@@ -51,6 +51,9 @@
   // them. True if the sender of the digest has a newer version than this
   // router.
   bool UpdateNewestVersions(const wire::RouterDigest& digest);
+  // Logs, once for each version, that this router has been behind its peers for
+  // more than half of the time that a change may take.
+  void ObserveLag(TimePoint now);
   // How long this router waits for newer rows in its own zone before it asks a
   // peer of another zone. Random for most routers.
   Duration CrossZoneWait();
@@ -69,8 +72,10 @@
   Awaitable<void> AskPeersAtStart();
   Awaitable<void> AskAtStart(std::string peer);
   wire::SnapshotRequest MakeRequest(bool with_prefixes) const;
+  // Counts the bytes in `progress`, also if the call fails.
   Awaitable<Result<wire::BeliefSnapshot>> Ask(std::string peer,
-                                              wire::SnapshotRequest request);
+                                              wire::SnapshotRequest request,
+                                              TransferProgress& progress);
   void ApplySnapshot(const wire::BeliefSnapshot& snapshot,
                      const std::string& peer);
   void ApplyEngines(const wire::BeliefSnapshot& snapshot,
@@ -94,7 +99,10 @@
   DispatchState& state;
   HttpServer server;
   HttpClient client;
-  bool fetching = false;      ///< A snapshot is being fetched.
+  bool fetching = false;     ///< A snapshot is being fetched.
+  std::string fetched_from;  ///< The peer of the last one.
+  /// What has arrived of the snapshot that is being fetched.
+  TransferProgress fetch_progress;
   bool fetch_is_due = false;  ///< `FetchLater()` waits.
   int asks_at_start = 0;      ///< Requests of `AskAtStart()` in progress.
   /// The next request does not accept changes, since the last ones did not lead
@@ -107,6 +115,8 @@
   StoreVersion newest_engines;             ///< Newest in received digests.
   /// Since when peers have newer versions; none if they have not.
   std::optional<TimePoint> behind_since;
+  /// Version of which `ObserveLag()` has logged that it is late.
+  std::uint64_t logged_late_version = 0;
 };
 
 }  // namespace dandelionscale::internal
--- a/src/dispatch/store/store_watcher.cc
+++ b/src/dispatch/store/store_watcher.cc
@@ -42,6 +42,8 @@
 constexpr Duration kOverdueTime = std::chrono::milliseconds(300);
 // Interval at which the ages of the tables' views are counted.
 constexpr Duration kAgeInterval = std::chrono::seconds(1);
+// Responses of the store from this size on are logged.
+constexpr std::uint64_t kLargeTransferBytes = 16 * 1024;
 
 double ToSeconds(Duration duration) {
   return std::chrono::duration<double>(duration).count();
@@ -118,6 +120,32 @@
   if (const auto age = this->state.watcher_election.ViewAge(now)) {
     metrics.Set("view_age_seconds", ToSeconds(*age));
   }
+  this->ObserveConfigurations();
+}
+
+void StoreWatcher::ObserveConfigurations() {
+  std::uint64_t newest = this->state.ConfigurationVersion();
+  std::uint64_t oldest = newest;
+  for (const auto& [peer, contact] : this->state.live_peers) {
+    if (!contact.has_sent_digest) continue;
+    newest = std::max(newest, contact.configuration_version);
+    oldest = std::min(oldest, contact.configuration_version);
+  }
+  this->state.metrics.Set("configuration_newest_version",
+                          static_cast<double>(newest));
+  this->state.metrics.Set("configuration_oldest_version",
+                          static_cast<double>(oldest));
+}
+
+void StoreWatcher::ObserveTransfer(StoreTable table, bool is_whole_table,
+                                   std::uint64_t bytes, Duration duration) {
+  if (bytes < kLargeTransferBytes) return;
+  Logger::Info("store_transfer",
+               {{"table", TableName(table)},
+                {"whole", is_whole_table},
+                {"bytes", static_cast<std::int64_t>(bytes)},
+                {"took_ms", ToMilliseconds(duration)},
+                {"role", ToString(this->state.watcher_election.Role())}});
 }
 
 void StoreWatcher::OnRoleChanged(WatchRole before, WatchRole role) {
@@ -189,6 +217,7 @@
     }
     Result<StoreRows> rows = StoreRows();
     const TimePoint began = RuntimeClock::now();
+    const std::uint64_t bytes_before = this->store->BytesRead(table);
     TimePoint shown_at = began;
     if (has_table) {
       const Duration wait = std::max(watch_end - began, kFirstWatchWait);
@@ -202,6 +231,9 @@
                                          RuntimeClock::now() - began);
     }
     this->calls.erase(table);
+    this->ObserveTransfer(table, !has_table,
+                          this->store->BytesRead(table) - bytes_before,
+                          RuntimeClock::now() - began);
     // The call was in flight when this router became a listener, which peers
     // supply. A whole table is used unless peers have supplied a newer one. A
     // failure is ignored: it would mark the list of engines as stale until this
--- a/src/dispatch/store/store_watcher.h
+++ b/src/dispatch/store/store_watcher.h
@@ -35,6 +35,11 @@
   // Logs calls whose answers are overdue, each once, and counts how old the
   // view of each table is.
   void ObserveCalls();
+  // Counts which versions of the configuration are in use.
+  void ObserveConfigurations();
+  // Logs a large response of the store, which may belong to a failed call.
+  void ObserveTransfer(StoreTable table, bool is_whole_table,
+                       std::uint64_t bytes, Duration duration);
   void OnRoleChanged(WatchRole before, WatchRole role);
   // `shown_at` is when the answer shows the view of the table to be current.
   void OnTableCallSucceeded(StoreTable table, TimePoint shown_at);
--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -245,7 +245,8 @@
 Awaitable<Result<HttpResponse>> HttpClient::Fetch(Endpoint endpoint,
                                                   HttpRequest request,
                                                   ConnectionUse use,
-                                                  Duration timeout) {
+                                                  Duration timeout,
+                                                  TransferProgress* progress) {
   const TimePoint deadline = RuntimeClock::now() + timeout;
   // The client may be destroyed before this call ends.
   const std::shared_ptr<State> shared_state = this->state;
@@ -261,6 +262,9 @@
     auto fragment = co_await stream->Read(deadline - RuntimeClock::now());
     if (fragment.has_error()) co_return fragment.error();
     response.body += fragment.value();
+    if (progress != nullptr) {
+      *progress = {response.body.size(), RuntimeClock::now()};
+    }
     if (!memory.Resize(response.body.capacity())) {
       co_return Fault{FaultKind::kConnectionLost, "responses are too large"};
     }
