--- a/include/dandelionscale/dispatch/table_store.h
+++ b/include/dandelionscale/dispatch/table_store.h
@@ -55,7 +55,7 @@
   virtual ~TableStore() = default;
 
   /// \brief Reads a table, which may take several requests.
-  /// \param timeout of each request.
+  /// \param timeout of each request, until its response begins.
   /// \returns all rows of the table.
   virtual Awaitable<Result<StoreRows>> Read(StoreTable table,
                                             Duration timeout) = 0;
--- a/include/dandelionscale/transport/http_client.h
+++ b/include/dandelionscale/transport/http_client.h
@@ -49,6 +49,21 @@
   std::size_t total_bytes = std::numeric_limits<std::size_t>::max() / 2;
 };
 
+/// Least mean rate of a body in bytes a second: an eighth of what the links of
+/// the slowest hosts carry.
+inline constexpr std::size_t kMinTransferRate = 150'000;
+
+/// \brief Time limits of a call whose response may have any size.
+///
+/// A response is alive while its bytes come: not one that stands still, and not
+/// one whose mean rate stays below `kMinTransferRate`.
+struct TransferLimits {
+  /// Until the head of the response has arrived.
+  Duration head{};
+  /// Until the next bytes of its body; longer than a lost packet takes.
+  Duration stall = std::chrono::milliseconds(600);
+};
+
 /// \brief What has arrived of a response, also if the call fails later.
 struct TransferProgress {
   std::size_t bytes = 0;  ///< Of the body.
@@ -77,6 +92,11 @@
   Awaitable<Result<HttpResponse>> Fetch(Endpoint endpoint, HttpRequest request,
                                         ConnectionUse use, Duration timeout,
                                         TransferProgress* progress = nullptr);
+  /// \brief The same without a limit for the whole call.
+  Awaitable<Result<HttpResponse>> Fetch(Endpoint endpoint, HttpRequest request,
+                                        ConnectionUse use,
+                                        TransferLimits limits,
+                                        TransferProgress* progress = nullptr);
 
   /// \brief Sends a request and returns after the response header arrives.
   /// \param timeout until the header arrives; `Read()` has its own.
--- a/src/dispatch/dispatch_state.h
+++ b/src/dispatch/dispatch_state.h
@@ -41,6 +41,7 @@
 #include "dandelionscale/dispatch/dispatch_router.h"
 #include "dandelionscale/runtime/event.h"
 #include "dandelionscale/runtime/metrics.h"
+#include "dispatch/configuration_history.h"
 #include "dispatch/traffic.h"
 #include "dispatch/watchdog.h"
 
@@ -212,6 +213,10 @@
   std::uint64_t ConfigurationVersion() const {
     return this->routing_table ? this->routing_table->version : 0;
   }
+  /// \returns true if configuration and engines are known.
+  bool HasRows() const {
+    return this->engines_known && this->routing_table != nullptr;
+  }
   /// \returns the limits of clients' requests in force.
   ClientLimits Limits() const {
     return this->routing_table ? this->routing_table->limits : ClientLimits();
@@ -271,8 +276,8 @@
 
   /// Null until one was loaded.
   std::shared_ptr<const RoutingTable> routing_table;
-  /// Encoded form of `routing_table`, as in the store.
-  std::string routing_table_text;
+  /// Encoded forms of `routing_table`, as in the store, and of earlier ones.
+  ConfigurationHistory configurations;
   EngineDirectory engines;
   /// Whether peers have confirmed what this router read when it started.
   StartUpCheck start_up;
--- a/src/dispatch/peers/snapshot_exchange.cc
+++ b/src/dispatch/peers/snapshot_exchange.cc
@@ -25,9 +25,10 @@
 // A router that watches the store fetches from a peer only after it has been
 // behind for this long; normally its own watch returns the change sooner.
 constexpr Duration kWatcherFetchDelay = std::chrono::milliseconds(120);
+// Until a response begins.
 constexpr Duration kFetchTimeout = std::chrono::milliseconds(600);
-// Limit for whole lists and prefix indexes: 400 KB take 0.3 s on a link of
-// 10 Mbit/s, which a peer may share among `kMaxSnapshotsServed` of them.
+// The same for whole lists and prefix indexes, which a peer has to put
+// together.
 constexpr Duration kLargeFetchTimeout = std::chrono::milliseconds(1500);
 // A starting router asks a further peer after each interval, while at most so
 // many have not responded.
@@ -259,9 +260,10 @@
   http_request.method = "POST";
   http_request.target = kSnapshotPath;
   http_request.body = request.SerializeAsString();
-  auto response = co_await this->client.Fetch(
-      endpoint.value(), std::move(http_request), ConnectionUse::kFresh,
-      is_small ? kFetchTimeout : kLargeFetchTimeout, &progress);
+  const TransferLimits limits{is_small ? kFetchTimeout : kLargeFetchTimeout};
+  auto response =
+      co_await this->client.Fetch(endpoint.value(), std::move(http_request),
+                                  ConnectionUse::kFresh, limits, &progress);
   if (response.has_error()) {
     this->state.metrics.Add(
         fmt::format("peer_snapshot_bytes_discarded_total{{reason=\"{}\"}}",
--- a/src/dispatch/peers/snapshot_exchange.h
+++ b/src/dispatch/peers/snapshot_exchange.h
@@ -9,9 +9,10 @@
 #include <string>
 
 #include "dandelionscale/core/snapshot_sources.h"
+#include "dandelionscale/core/version_lag.h"
 #include "dandelionscale/transport/http_client.h"
-#include "dandelionscale/transport/http_server.h"
 #include "dispatch/dispatch_state.h"
+#include "dispatch/peers/snapshot_server.h"
 
 namespace dandelionscale::wire {
 class RouterDigest;
@@ -36,17 +37,6 @@
   void OnDigest(const wire::RouterDigest& digest, const std::string& sender);
 
  private:
-  // Messages of older builds have no era. Their version counts as one of the
-  // era in which this router started, so that it is older than any version
-  // since a restoration.
-  template <typename Message>
-  std::uint64_t EraOf(const Message& message) const;
-  StoreVersion VersionOf(const wire::RouterDigest& digest) const;
-  StoreVersion VersionOf(const wire::SnapshotRequest& request) const;
-  StoreVersion VersionOf(const wire::BeliefSnapshot& snapshot) const;
-  // True if configuration and engines are known.
-  bool HasRows() const;
-  RowVersions OwnVersions() const;
   // Records the newest versions among peers and whether this router is behind
   // them. True if the sender of the digest has a newer version than this
   // router.
@@ -78,6 +68,11 @@
                                               TransferProgress& progress);
   void ApplySnapshot(const wire::BeliefSnapshot& snapshot,
                      const std::string& peer);
+  void ApplyConfiguration(const wire::BeliefSnapshot& snapshot,
+                          const std::string& peer);
+  // Returns the text of a compressed configuration; fault: it is malformed, or
+  // not what its sender has compressed.
+  Result<std::string> Decompress(const wire::BeliefSnapshot& snapshot) const;
   void ApplyEngines(const wire::BeliefSnapshot& snapshot,
                     const std::string& peer);
   void ApplyEngineChanges(const wire::BeliefSnapshot& snapshot,
@@ -85,19 +80,8 @@
   void OnEnginesApplied(StoreVersion version,
                         const std::vector<EngineChange>& changes,
                         const std::string& peer);
-  Awaitable<void> ServeSnapshot(HttpExchange& exchange);
-  Awaitable<void> Refuse(HttpExchange& exchange);
-  // Returns true if this router may stand in for the store.
-  bool CanSupply(TimePoint now) const;
-  bool Refuses(const wire::SnapshotRequest& request, TimePoint now) const;
-  void FillEngines(const wire::SnapshotRequest& request,
-                   wire::BeliefSnapshot& snapshot) const;
-  void FillViewAge(wire::BeliefSnapshot& snapshot) const;
-  void FillPeers(wire::BeliefSnapshot& snapshot) const;
-  void FillPrefixes(wire::BeliefSnapshot& snapshot) const;
-
   DispatchState& state;
-  HttpServer server;
+  SnapshotServer server;
   HttpClient client;
   bool fetching = false;     ///< A snapshot is being fetched.
   std::string fetched_from;  ///< The peer of the last one.
@@ -108,13 +92,12 @@
   /// The next request does not accept changes, since the last ones did not lead
   /// to the peer's list.
   bool needs_whole_list = false;
-  int serving = 0;            ///< Large snapshot responses that are being sent.
+  /// The next request asks for the whole text, since the last one did not lead
+  /// to the peer's configuration.
+  bool needs_whole_configuration = false;
   bool has_prefixes = false;  ///< A snapshot with prefixes was fetched.
   SnapshotSources sources;    ///< Peers that are newer than this router.
-  std::uint64_t newest_configuration = 0;  ///< Newest in received digests.
-  StoreVersion newest_engines;             ///< Newest in received digests.
-  /// Since when peers have newer versions; none if they have not.
-  std::optional<TimePoint> behind_since;
+  VersionLag lag;             ///< How long peers have had newer rows.
   /// Version of which `ObserveLag()` has logged that it is late.
   std::uint64_t logged_late_version = 0;
 };
--- a/src/dispatch/store/store_watcher.cc
+++ b/src/dispatch/store/store_watcher.cc
@@ -291,11 +291,10 @@
 }
 
 bool StoreWatcher::MayRead() const {
-  const bool has_rows =
-      this->state.engines_known && this->state.routing_table != nullptr;
   const WatchRole role = this->state.watcher_election.Role();
-  const bool may_be_supplied = role == WatchRole::kStarting ||
-                               (role == WatchRole::kStandIn && !has_rows);
+  const bool may_be_supplied =
+      role == WatchRole::kStarting ||
+      (role == WatchRole::kStandIn && !this->state.HasRows());
   return !may_be_supplied ||
          this->state.start_up_source.ReadsStore(RuntimeClock::now());
 }
--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -4,7 +4,9 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <deque>
+#include <functional>
 #include <map>
+#include <optional>
 
 #include "dandelionscale/core/memory_budget.h"
 #include "transport/socket_helpers.h"
@@ -236,35 +238,42 @@
 
 }  // namespace
 
-HttpClient::HttpClient(asio::any_io_executor executor, ByteCounters* counters,
-                       HttpClientLimits limits)
-    : state(std::make_shared<State>(executor, counters, limits)) {}
+namespace {
 
-HttpClient::~HttpClient() = default;
+// Returns until when further bytes of a body have to arrive. Called when the
+// head has arrived and after each arrival.
+using BodyDeadline = std::function<TimePoint(const TransferProgress&)>;
+
+TimePoint NextBytesDue(TimePoint head_at, Duration stall,
+                       const TransferProgress& arrived) {
+  const std::chrono::duration<double> time_at_min_rate(
+      static_cast<double>(arrived.bytes) / kMinTransferRate);
+  const TimePoint by_rate =
+      head_at + stall + std::chrono::duration_cast<Duration>(time_at_min_rate);
+  return std::min(arrived.last_at + stall, by_rate);
+}
 
-Awaitable<Result<HttpResponse>> HttpClient::Fetch(Endpoint endpoint,
-                                                  HttpRequest request,
-                                                  ConnectionUse use,
-                                                  Duration timeout,
-                                                  TransferProgress* progress) {
-  const TimePoint deadline = RuntimeClock::now() + timeout;
-  // The client may be destroyed before this call ends.
-  const std::shared_ptr<State> shared_state = this->state;
-  MemoryBudget::Share memory(shared_state->body_memory);
-  auto opened = co_await OpenStream(shared_state, endpoint, std::move(request),
-                                    use, timeout);
+// The client may be destroyed before this call ends.
+Awaitable<Result<HttpResponse>> FetchWhole(
+    std::shared_ptr<HttpClient::State> state, Endpoint endpoint,
+    HttpRequest request, ConnectionUse use, Duration head_timeout,
+    BodyDeadline body_deadline, TransferProgress* progress) {
+  MemoryBudget::Share memory(state->body_memory);
+  auto opened = co_await OpenStream(state, endpoint, std::move(request), use,
+                                    head_timeout);
   if (opened.has_error()) co_return opened.error();
   std::shared_ptr<BeastStream> stream = opened.value();
   HttpResponse response;
   response.status = stream->Status();
   response.headers = stream->Headers();
+  TransferProgress arrived{0, RuntimeClock::now()};
   while (!stream->IsDone()) {
-    auto fragment = co_await stream->Read(deadline - RuntimeClock::now());
+    const Duration left = body_deadline(arrived) - RuntimeClock::now();
+    auto fragment = co_await stream->Read(left);
     if (fragment.has_error()) co_return fragment.error();
     response.body += fragment.value();
-    if (progress != nullptr) {
-      *progress = {response.body.size(), RuntimeClock::now()};
-    }
+    arrived = {response.body.size(), RuntimeClock::now()};
+    if (progress != nullptr) *progress = arrived;
     if (!memory.Resize(response.body.capacity())) {
       co_return Fault{FaultKind::kConnectionLost, "responses are too large"};
     }
@@ -272,6 +281,39 @@
   co_return response;
 }
 
+}  // namespace
+
+HttpClient::HttpClient(asio::any_io_executor executor, ByteCounters* counters,
+                       HttpClientLimits limits)
+    : state(std::make_shared<State>(executor, counters, limits)) {}
+
+HttpClient::~HttpClient() = default;
+
+Awaitable<Result<HttpResponse>> HttpClient::Fetch(Endpoint endpoint,
+                                                  HttpRequest request,
+                                                  ConnectionUse use,
+                                                  Duration timeout,
+                                                  TransferProgress* progress) {
+  const TimePoint deadline = RuntimeClock::now() + timeout;
+  return FetchWhole(
+      this->state, endpoint, std::move(request), use, timeout,
+      [deadline](const TransferProgress&) { return deadline; }, progress);
+}
+
+Awaitable<Result<HttpResponse>> HttpClient::Fetch(Endpoint endpoint,
+                                                  HttpRequest request,
+                                                  ConnectionUse use,
+                                                  TransferLimits limits,
+                                                  TransferProgress* progress) {
+  auto body_deadline = [limits, head_at = std::optional<TimePoint>()](
+                           const TransferProgress& arrived) mutable {
+    if (!head_at) head_at = arrived.last_at;
+    return NextBytesDue(*head_at, limits.stall, arrived);
+  };
+  return FetchWhole(this->state, endpoint, std::move(request), use, limits.head,
+                    std::move(body_deadline), progress);
+}
+
 Awaitable<Result<std::shared_ptr<HttpStream>>> HttpClient::Open(
     Endpoint endpoint, HttpRequest request, ConnectionUse use,
     Duration timeout) {
