--- a/src/core/watcher_election.cc
+++ b/src/core/watcher_election.cc
@@ -64,14 +64,14 @@
 void WatcherElection::OnDigest(TimePoint now, const std::string& peer,
                                std::uint64_t peer_key,
                                const WatchReport& report) {
-  this->peers[peer] = {peer_key, now, report.store_lost, report.link_mbps};
+  this->peers[peer] = {peer_key, now, report.store_lost};
   Advance(this->view_at, now, report.view_age);
   Advance(this->watcher_at, now, report.watcher_age);
 }
 
 void WatcherElection::OnPeerListed(TimePoint now, const std::string& peer,
                                    std::uint64_t peer_key) {
-  this->peers.try_emplace(peer, Peer{peer_key, now});
+  this->peers.try_emplace(peer, Peer{peer_key, now, false});
 }
 
 void WatcherElection::OnPeerSupplied(TimePoint view_at) {
@@ -98,8 +98,7 @@
   if (now - *this->started_at < kStartTime) return this->role;
   const bool may_try_again = this->MayTryAgain(now);
   const bool is_lagging =
-      this->lagging_since &&
-      now - *this->lagging_since > kCatchUpTimeout + this->StandInStagger();
+      this->lagging_since && now - *this->lagging_since > kCatchUpTimeout;
   if (this->IsElected(now)) {
     this->role = WatchRole::kWatcher;
   } else if (is_lagging || may_try_again || this->IsViewStale(now)) {
@@ -123,8 +122,7 @@
 }
 
 WatchReport WatcherElection::Report(TimePoint now) const {
-  return {this->ViewAge(now), AgeOf(this->watcher_at, now), this->store_lost,
-          this->link_mbps};
+  return {this->ViewAge(now), AgeOf(this->watcher_at, now), this->store_lost};
 }
 
 void WatcherElection::ExpirePeers(TimePoint now) {
@@ -151,18 +149,10 @@
 std::size_t WatcherElection::Rank() const {
   return static_cast<std::size_t>(std::count_if(
       this->peers.begin(), this->peers.end(), [&](const auto& entry) {
-        return !entry.second.store_lost && this->RanksBefore(entry.second);
+        return !entry.second.store_lost && entry.second.key > this->own_key;
       }));
 }
 
-bool WatcherElection::RanksBefore(const Peer& peer) const {
-  const bool are_known = peer.link_mbps > 0 && this->link_mbps > 0;
-  if (are_known && peer.link_mbps != this->link_mbps) {
-    return peer.link_mbps > this->link_mbps;
-  }
-  return peer.key > this->own_key;
-}
-
 bool WatcherElection::HasWatcherSince(TimePoint since) const {
   return this->watcher_at && *this->watcher_at >= since;
 }
@@ -170,11 +160,8 @@
 bool WatcherElection::IsViewStale(TimePoint now) const {
   const std::optional<Duration> age = this->ViewAge(now);
   if (!age) return true;
-  return *age > this->MaxViewAge() + this->StandInStagger();
-}
-
-Duration WatcherElection::StandInStagger() const {
-  return kStandInSlotLength * (this->own_key % kStandInSlots);
+  return *age > this->MaxViewAge() +
+                    kStandInSlotLength * (this->own_key % kStandInSlots);
 }
 
 Duration WatcherElection::MaxViewAge() const {
--- a/src/dispatch/dispatch_state.cc
+++ b/src/dispatch/dispatch_state.cc
@@ -56,8 +56,7 @@
                       HashText(ToText(this->options.peer_address)),
                       this->options.min_large_fleet),
       start_up_source_changed(executor),
-      watcher_election(HashText(ToText(this->options.peer_address)),
-                       this->options.link_mbps),
+      watcher_election(HashText(ToText(this->options.peer_address))),
       state_changed(executor),
       store_restored(executor),
       quarantine_changed(executor),
@@ -119,7 +118,7 @@
              {"routes", static_cast<std::int64_t>(decoded.routes.size())}});
         this->routing_table =
             std::make_shared<const RoutingTable>(std::move(decoded));
-        this->configurations.OnInForce(text);
+        this->routing_table_text = text;
         this->metrics.Set("configuration_version",
                           static_cast<double>(this->routing_table->version));
         for (RequestDispatch* request : this->requests) {
--- a/src/dispatch/peers/snapshot_exchange.cc
+++ b/src/dispatch/peers/snapshot_exchange.cc
@@ -7,14 +7,11 @@
 #include <boost/asio/detached.hpp>
 #include <random>
 
-#include "dandelionscale/core/engine_record_check.h"
 #include "dandelionscale/runtime/logger.h"
 #include "dandelionscale/transport/address.h"
 #include "dandelionscale/transport/http_status.h"
-#include "dandelionscale/transport/remote_endpoint.h"
 #include "dispatch/peers/peer_messages.h"
-#include "dispatch/peers/peer_reports.h"
-#include "dispatch/traffic.h"
+#include "dispatch/peers/snapshot_versions.h"
 
 namespace dandelionscale::internal {
 
@@ -34,15 +31,6 @@
 // many have not responded.
 constexpr Duration kAskInterval = std::chrono::milliseconds(50);
 constexpr int kMaxAsksAtStart = 3;
-// Snapshot responses that a router sends at the same time; further requests get
-// status 503. A refused router fetches from the sender of a later digest, which
-// is often a router that has fetched a snapshot in the meantime. This keeps the
-// network link of a host from overload when many routers are behind.
-constexpr int kMaxSnapshotsServed = 4;
-// Smaller responses, such as changes of the list, do not count.
-constexpr std::size_t kMaxSmallSnapshotBytes = 16 * 1024;
-// Each entry of the prefix index takes 12 bytes of the snapshot.
-constexpr std::size_t kMaxPrefixesPerSnapshot = 20'000;
 // Limit of a snapshot, several times the size of one of a large fleet.
 constexpr std::size_t kMaxSnapshotBytes = 4 * 1024 * 1024;
 constexpr std::string_view kSnapshotPath = "/snapshot";
@@ -71,42 +59,18 @@
 
 SnapshotExchange::SnapshotExchange(DispatchState& state)
     : state(state),
-      server(state.executor, HttpServerLimits(),
-             [this](HttpExchange& exchange) {
-               return this->ServeSnapshot(exchange);
-             }),
+      server(state),
       client(state.executor, nullptr, {.body_bytes = kMaxSnapshotBytes}) {}
 
 Result<void> SnapshotExchange::Start() {
-  auto bound = this->server.Listen(this->state.options.peer_address);
-  if (bound.has_error()) return bound.error();
+  auto started = this->server.Start();
+  if (started.has_error()) return started.error();
   asio::co_spawn(this->state.executor, this->AskPeersAtStart(), asio::detached);
   return {};
 }
 
-template <typename Message>
-std::uint64_t SnapshotExchange::EraOf(const Message& message) const {
-  return message.has_store_era() ? message.store_era()
-                                 : this->state.engines.InitialEra();
-}
-
-StoreVersion SnapshotExchange::VersionOf(
-    const wire::RouterDigest& digest) const {
-  return {this->EraOf(digest), digest.engines_changed()};
-}
-
-StoreVersion SnapshotExchange::VersionOf(
-    const wire::SnapshotRequest& request) const {
-  return {this->EraOf(request), request.engines_version()};
-}
-
-StoreVersion SnapshotExchange::VersionOf(
-    const wire::BeliefSnapshot& snapshot) const {
-  return {this->EraOf(snapshot), snapshot.engines_version()};
-}
-
 bool SnapshotExchange::UpdateNewestVersions(const wire::RouterDigest& digest) {
-  const StoreVersion engines_changed = this->VersionOf(digest);
+  const StoreVersion engines_changed = EnginesVersionOf(this->state, digest);
   if (engines_changed.number > 0) this->state.OnStoreEra(engines_changed.era);
   this->newest_configuration =
       std::max(this->newest_configuration, digest.configuration_version());
@@ -151,21 +115,14 @@
        {"role", ToString(role)}});
 }
 
-bool SnapshotExchange::HasRows() const {
-  return this->state.engines_known && this->state.routing_table != nullptr;
-}
-
-RowVersions SnapshotExchange::OwnVersions() const {
-  return {this->state.ConfigurationVersion(), this->state.engines.Version()};
-}
-
 void SnapshotExchange::OnDigest(const wire::RouterDigest& digest,
                                 const std::string& sender) {
   const TimePoint now = RuntimeClock::now();
   const bool is_own_zone = !this->state.IsInOtherZone(sender);
   if (this->UpdateNewestVersions(digest)) {
     this->sources.OnNewer(
-        now, sender, {digest.configuration_version(), this->VersionOf(digest)},
+        now, sender,
+        {digest.configuration_version(), EnginesVersionOf(this->state, digest)},
         is_own_zone, this->CrossZoneWait());
   }
   this->ObserveLag(now);
@@ -206,7 +163,7 @@
 
 void SnapshotExchange::FetchFromSources() {
   const TimePoint now = RuntimeClock::now();
-  this->sources.OnVersions(this->OwnVersions());
+  this->sources.OnVersions(OwnVersions(this->state));
   const auto next = this->sources.NextAt();
   if (!next || this->fetching) return;
   const TimePoint at = std::max(*next, this->MayFetchAt(now));
@@ -244,7 +201,7 @@
   request.set_accepts_changes(!this->needs_whole_list &&
                               this->state.engines.AcceptsChanges());
   // Only a peer whose own view is current may stand in for the store.
-  request.set_is_start_up(this->state.IsLargeFleet() && !this->HasRows());
+  request.set_is_start_up(this->state.IsLargeFleet() && !this->state.HasRows());
   return request;
 }
 
@@ -301,7 +258,7 @@
                                                 bool with_prefixes) {
   const TimePoint asked_at = RuntimeClock::now();
   this->fetched_from = peer;
-  this->fetch_progress = {0, asked_at};
+  this->fetch_progress = {};
   auto snapshot = co_await this->Ask(peer, this->MakeRequest(with_prefixes),
                                      this->fetch_progress);
   this->fetching = false;
@@ -335,7 +292,7 @@
   std::shuffle(
       peers.begin(), peers.end(),
       std::minstd_rand(static_cast<std::uint32_t>(this->state.RandomBits())));
-  for (std::size_t n = 0; source.AsksPeers() && !this->HasRows(); ++n) {
+  for (std::size_t n = 0; source.AsksPeers() && !this->state.HasRows(); ++n) {
     if (this->asks_at_start < kMaxAsksAtStart) {
       ++this->asks_at_start;
       asio::co_spawn(this->state.executor,
@@ -358,228 +315,12 @@
       snapshot.error().kind == FaultKind::kUnexpectedStatus;
   if (has_answered) this->state.start_up_source.OnPeerAnswered();
   if (snapshot.has_error()) co_return;
-  const bool had_rows = this->HasRows();
+  const bool had_rows = this->state.HasRows();
   this->ApplySnapshot(snapshot.value(), peer);
-  if (had_rows || !this->HasRows()) co_return;
+  if (had_rows || !this->state.HasRows()) co_return;
   if (!snapshot->has_view_age_ms()) co_return;
   const std::chrono::milliseconds view_age(snapshot->view_age_ms());
   this->state.watcher_election.OnPeerSupplied(asked_at - view_age);
 }
 
-void SnapshotExchange::ApplySnapshot(const wire::BeliefSnapshot& snapshot,
-                                     const std::string& peer) {
-  this->state.metrics.Add("peer_snapshots_total");
-  const bool had_rows = this->HasRows();
-  for (const std::string& router : snapshot.routers()) {
-    if (ParseRemoteEndpoint(router).has_value()) {
-      this->state.peers.insert(router);
-    }
-  }
-  this->state.peers.erase(ToText(this->state.options.peer_address));
-  if (!snapshot.configuration().empty()) {
-    this->state.ApplyConfiguration(snapshot.configuration(), peer);
-  }
-  // Before the engines, which may complete the start of this router.
-  ApplyEvacuation(this->state, snapshot, peer);
-  this->ApplyEngines(snapshot, peer);
-  // Only a peer that states the age of its view has found it to be current.
-  if (!had_rows && this->HasRows() && snapshot.has_view_age_ms()) {
-    Logger::Info("started_from_peer", {{"peer", peer}});
-    this->state.start_up_source.OnPeerSupplied();
-    this->state.start_up_source_changed.NotifyAll();
-  }
-  const TimePoint now = RuntimeClock::now();
-  this->state.OnQuarantineChanges(
-      this->state.quarantine.Apply(now, ToQuarantineUpdate(snapshot, now)),
-      peer);
-  ApplyRateLimits(this->state, snapshot.rate_limits(), peer);
-  ApplyPlacements(this->state, ToSpan(snapshot.placed_parts()),
-                  ToSpan(snapshot.placed_engines()),
-                  PartsForAllZones(snapshot));
-}
-
-void SnapshotExchange::ApplyEngines(const wire::BeliefSnapshot& snapshot,
-                                    const std::string& peer) {
-  const StoreVersion version = this->VersionOf(snapshot);
-  if (version.number == 0 || version <= this->state.engines.Version()) return;
-  if (snapshot.engines_are_changes()) {
-    this->ApplyEngineChanges(snapshot, version, peer);
-    return;
-  }
-  std::vector<EngineRecord> records;
-  for (const wire::EngineEntry& entry : snapshot.engines()) {
-    EngineRecord record = ToRecord(entry);
-    if (!FindInvalidMember(record).empty()) {
-      this->state.metrics.Add("peer_engine_entries_malformed_total");
-      continue;
-    }
-    records.push_back(std::move(record));
-  }
-  this->state.engines_known = true;
-  const auto changes =
-      this->state.engines.OnSnapshot(RuntimeClock::now(), version, records);
-  this->needs_whole_list = false;
-  this->OnEnginesApplied(version, changes, peer);
-}
-
-void SnapshotExchange::ApplyEngineChanges(const wire::BeliefSnapshot& snapshot,
-                                          StoreVersion version,
-                                          const std::string& peer) {
-  std::vector<EngineUpdate> updates;
-  for (const wire::EngineEntry& entry : snapshot.engines()) {
-    EngineRecord record = ToRecord(entry);
-    if (!FindInvalidMember(record).empty()) {
-      this->state.metrics.Add("peer_engine_entries_malformed_total");
-      continue;
-    }
-    updates.push_back({record.id, false, std::move(record)});
-  }
-  for (const std::string& id : snapshot.removed_engines()) {
-    updates.push_back({id, true, {}});
-  }
-  const auto changes = this->state.engines.OnPeerChanges(
-      RuntimeClock::now(), version, updates, snapshot.list_hash());
-  if (!changes) {
-    this->needs_whole_list = true;
-    this->state.metrics.Add("peer_engine_changes_refused_total");
-    Logger::Info("peer_engine_changes_refused",
-                 {{"peer", peer},
-                  {"version", static_cast<std::int64_t>(version.number)}});
-    // The same peer can send its whole list at once.
-    this->sources.OnNewer(RuntimeClock::now(), peer, {0, version},
-                          !this->state.IsInOtherZone(peer), Duration::zero());
-    return;
-  }
-  this->state.metrics.Add("peer_engine_changes_applied_total");
-  this->OnEnginesApplied(version, *changes, peer);
-}
-
-void SnapshotExchange::OnEnginesApplied(
-    StoreVersion version, const std::vector<EngineChange>& changes,
-    const std::string& peer) {
-  this->state.newest_engine_version =
-      std::max(this->state.newest_engine_version, version);
-  this->state.OnEngineChanges(changes, peer);
-}
-
-Awaitable<void> SnapshotExchange::ServeSnapshot(HttpExchange& exchange) {
-  wire::SnapshotRequest snapshot_request;
-  HttpResponse response;
-  if (!snapshot_request.ParseFromString(exchange.Request().body)) {
-    response.status = http_status::kBadRequest;
-    co_await exchange.Respond(std::move(response));
-    co_return;
-  }
-  if (this->Refuses(snapshot_request, RuntimeClock::now())) {
-    co_await this->Refuse(exchange);
-    co_return;
-  }
-  Metrics& metrics = this->state.metrics;
-  wire::BeliefSnapshot snapshot;
-  snapshot.set_configuration_version(this->state.ConfigurationVersion());
-  if (this->state.ConfigurationVersion() >
-      snapshot_request.configuration_version()) {
-    snapshot.set_configuration(this->state.routing_table_text);
-  }
-  const std::size_t configuration_size = snapshot.ByteSizeLong();
-  if (this->state.engines.Version() > this->VersionOf(snapshot_request)) {
-    this->FillEngines(snapshot_request, snapshot);
-  }
-  FillEvacuation(this->state, snapshot);
-  const std::size_t size_with_engines = snapshot.ByteSizeLong();
-  const bool has_prefixes = !snapshot_request.without_placements();
-  const bool has_no_list = snapshot_request.engines_version() == 0;
-  if (has_no_list || has_prefixes) this->FillPeers(snapshot);
-  if (has_prefixes) this->FillPrefixes(snapshot);
-  if (this->CanSupply(RuntimeClock::now())) this->FillViewAge(snapshot);
-  response.body = snapshot.SerializeAsString();
-  const bool is_large = response.body.size() > kMaxSmallSnapshotBytes;
-  if (is_large && this->serving >= kMaxSnapshotsServed) {
-    co_await this->Refuse(exchange);
-    co_return;
-  }
-  response.headers.Add("Content-Type", "application/octet-stream");
-  const PeerZone zone = this->state.ZoneOfHost(exchange.ClientIp());
-  CountSent(metrics, PeerTraffic::kSnapshotConfiguration, zone,
-            configuration_size);
-  CountSent(metrics, PeerTraffic::kSnapshotEngines, zone,
-            size_with_engines - configuration_size);
-  CountSent(metrics, PeerTraffic::kSnapshotPrefixes, zone,
-            response.body.size() - size_with_engines);
-  if (is_large) ++this->serving;
-  co_await exchange.Respond(std::move(response));
-  if (is_large) --this->serving;
-}
-
-Awaitable<void> SnapshotExchange::Refuse(HttpExchange& exchange) {
-  this->state.metrics.Add("peer_snapshots_refused_total");
-  HttpResponse response;
-  response.status = http_status::kServiceUnavailable;
-  co_await exchange.Respond(std::move(response));
-}
-
-bool SnapshotExchange::CanSupply(TimePoint now) const {
-  return this->HasRows() && this->state.IsViewCurrent(now);
-}
-
-bool SnapshotExchange::Refuses(const wire::SnapshotRequest& request,
-                               TimePoint now) const {
-  if (request.is_start_up() && !this->CanSupply(now)) return true;
-  const bool is_small =
-      request.accepts_changes() && request.without_placements();
-  return !is_small && this->serving >= kMaxSnapshotsServed;
-}
-
-void SnapshotExchange::FillEngines(const wire::SnapshotRequest& request,
-                                   wire::BeliefSnapshot& snapshot) const {
-  snapshot.set_engines_version(this->state.engines.Version().number);
-  snapshot.set_store_era(this->state.engines.Version().era);
-  const TimePoint now = RuntimeClock::now();
-  std::optional<std::vector<EngineUpdate>> updates;
-  if (request.accepts_changes()) {
-    updates = this->state.engines.ChangesSince(now, this->VersionOf(request));
-  }
-  if (updates) {
-    snapshot.set_engines_are_changes(true);
-    snapshot.set_list_hash(this->state.engines.ListHash());
-    for (const EngineUpdate& update : *updates) {
-      if (update.removed) {
-        snapshot.add_removed_engines(update.id);
-      } else {
-        FillEntry(update.record, *snapshot.add_engines());
-      }
-    }
-    return;
-  }
-  for (const EngineRecord& record : this->state.engines.Listed(now)) {
-    FillEntry(record, *snapshot.add_engines());
-  }
-}
-
-void SnapshotExchange::FillViewAge(wire::BeliefSnapshot& snapshot) const {
-  const auto age = this->state.watcher_election.ViewAge(RuntimeClock::now());
-  if (!age) return;
-  snapshot.set_view_age_ms(static_cast<std::uint32_t>(ToMilliseconds(*age)));
-}
-
-void SnapshotExchange::FillPeers(wire::BeliefSnapshot& snapshot) const {
-  for (const std::string& peer : this->state.peers) {
-    snapshot.add_routers(peer);
-  }
-  const TimePoint now = RuntimeClock::now();
-  for (const BlockedKeys& blocked : this->state.quarantine.Blocked()) {
-    FillReport(blocked, now, *snapshot.add_quarantines());
-  }
-  for (const auto& [id, engine] : this->state.engines.Engines()) {
-    if (!this->state.RateOf(*engine, now)) continue;
-    FillRateLimit(*engine, now, *snapshot.add_rate_limits());
-  }
-}
-
-void SnapshotExchange::FillPrefixes(wire::BeliefSnapshot& snapshot) const {
-  const TimePoint now = RuntimeClock::now();
-  FillPlacements(this->state.prefixes.Snapshot(now, kMaxPrefixesPerSnapshot),
-                 snapshot);
-}
-
 }  // namespace dandelionscale::internal
--- a/src/dispatch/peers/snapshot_exchange.h
+++ b/src/dispatch/peers/snapshot_exchange.h
@@ -9,7 +9,6 @@
 #include <string>
 
 #include "dandelionscale/core/snapshot_sources.h"
-#include "dandelionscale/core/version_lag.h"
 #include "dandelionscale/transport/http_client.h"
 #include "dispatch/dispatch_state.h"
 #include "dispatch/peers/snapshot_server.h"
@@ -68,11 +67,6 @@
                                               TransferProgress& progress);
   void ApplySnapshot(const wire::BeliefSnapshot& snapshot,
                      const std::string& peer);
-  void ApplyConfiguration(const wire::BeliefSnapshot& snapshot,
-                          const std::string& peer);
-  // Returns the text of a compressed configuration; fault: it is malformed, or
-  // not what its sender has compressed.
-  Result<std::string> Decompress(const wire::BeliefSnapshot& snapshot) const;
   void ApplyEngines(const wire::BeliefSnapshot& snapshot,
                     const std::string& peer);
   void ApplyEngineChanges(const wire::BeliefSnapshot& snapshot,
@@ -92,12 +86,12 @@
   /// The next request does not accept changes, since the last ones did not lead
   /// to the peer's list.
   bool needs_whole_list = false;
-  /// The next request asks for the whole text, since the last one did not lead
-  /// to the peer's configuration.
-  bool needs_whole_configuration = false;
   bool has_prefixes = false;  ///< A snapshot with prefixes was fetched.
   SnapshotSources sources;    ///< Peers that are newer than this router.
-  VersionLag lag;             ///< How long peers have had newer rows.
+  std::uint64_t newest_configuration = 0;  ///< Newest in received digests.
+  StoreVersion newest_engines;             ///< Newest in received digests.
+  /// Since when peers have newer versions; none if they have not.
+  std::optional<TimePoint> behind_since;
   /// Version of which `ObserveLag()` has logged that it is late.
   std::uint64_t logged_late_version = 0;
 };
--- /dev/null
+++ b/src/dispatch/peers/snapshot_server.cc
@@ -0,0 +1,160 @@
+#include "dispatch/peers/snapshot_server.h"
+
+#include "dandelionscale/transport/http_status.h"
+#include "dispatch/peers/peer_messages.h"
+#include "dispatch/peers/peer_reports.h"
+#include "dispatch/peers/snapshot_versions.h"
+#include "dispatch/traffic.h"
+
+namespace dandelionscale::internal {
+
+namespace {
+
+// Smaller responses, such as changes of the list, are sent at any time.
+constexpr std::size_t kMaxSmallSnapshotBytes = 16 * 1024;
+// Each entry of the prefix index takes 12 bytes of the snapshot.
+constexpr std::size_t kMaxPrefixesPerSnapshot = 20'000;
+// Snapshot responses that a router sends at the same time; further requests get
+// status 503. A refused router fetches from the sender of a later digest, which
+// is often a router that has fetched a snapshot in the meantime. This keeps the
+// network link of a host from overload when many routers are behind.
+constexpr int kMaxSnapshotsServed = 4;
+
+}  // namespace
+
+SnapshotServer::SnapshotServer(DispatchState& state)
+    : state(state),
+      server(state.executor, HttpServerLimits(),
+             [this](HttpExchange& exchange) { return this->Serve(exchange); }) {
+}
+
+Result<void> SnapshotServer::Start() {
+  auto bound = this->server.Listen(this->state.options.peer_address);
+  if (bound.has_error()) return bound.error();
+  return {};
+}
+
+Awaitable<void> SnapshotServer::Serve(HttpExchange& exchange) {
+  wire::SnapshotRequest snapshot_request;
+  HttpResponse response;
+  if (!snapshot_request.ParseFromString(exchange.Request().body)) {
+    response.status = http_status::kBadRequest;
+    co_await exchange.Respond(std::move(response));
+    co_return;
+  }
+  if (this->Refuses(snapshot_request, RuntimeClock::now())) {
+    co_await this->Refuse(exchange);
+    co_return;
+  }
+  Metrics& metrics = this->state.metrics;
+  wire::BeliefSnapshot snapshot;
+  snapshot.set_configuration_version(this->state.ConfigurationVersion());
+  if (this->state.ConfigurationVersion() >
+      snapshot_request.configuration_version()) {
+    snapshot.set_configuration(this->state.routing_table_text);
+  }
+  const std::size_t configuration_size = snapshot.ByteSizeLong();
+  if (this->state.engines.Version() >
+      EnginesVersionOf(this->state, snapshot_request)) {
+    this->FillEngines(snapshot_request, snapshot);
+  }
+  FillEvacuation(this->state, snapshot);
+  const std::size_t size_with_engines = snapshot.ByteSizeLong();
+  const bool has_prefixes = !snapshot_request.without_placements();
+  const bool has_no_list = snapshot_request.engines_version() == 0;
+  if (has_no_list || has_prefixes) this->FillPeers(snapshot);
+  if (has_prefixes) this->FillPrefixes(snapshot);
+  if (this->CanSupply(RuntimeClock::now())) this->FillViewAge(snapshot);
+  response.body = snapshot.SerializeAsString();
+  const std::size_t size = response.body.size();
+  const bool is_large = size > kMaxSmallSnapshotBytes;
+  if (is_large && this->serving >= kMaxSnapshotsServed) {
+    co_await this->Refuse(exchange);
+    co_return;
+  }
+  response.headers.Add("Content-Type", "application/octet-stream");
+  const PeerZone zone = this->state.ZoneOfHost(exchange.ClientIp());
+  CountSent(metrics, PeerTraffic::kSnapshotConfiguration, zone,
+            configuration_size);
+  CountSent(metrics, PeerTraffic::kSnapshotEngines, zone,
+            size_with_engines - configuration_size);
+  CountSent(metrics, PeerTraffic::kSnapshotPrefixes, zone,
+            size - size_with_engines);
+  if (is_large) ++this->serving;
+  co_await exchange.Respond(std::move(response));
+  if (is_large) --this->serving;
+}
+
+Awaitable<void> SnapshotServer::Refuse(HttpExchange& exchange) {
+  this->state.metrics.Add("peer_snapshots_refused_total");
+  HttpResponse response;
+  response.status = http_status::kServiceUnavailable;
+  co_await exchange.Respond(std::move(response));
+}
+
+bool SnapshotServer::CanSupply(TimePoint now) const {
+  return this->state.HasRows() && this->state.IsViewCurrent(now);
+}
+
+bool SnapshotServer::Refuses(const wire::SnapshotRequest& request,
+                             TimePoint now) const {
+  if (request.is_start_up() && !this->CanSupply(now)) return true;
+  const bool is_small =
+      request.accepts_changes() && request.without_placements();
+  return !is_small && this->serving >= kMaxSnapshotsServed;
+}
+
+void SnapshotServer::FillEngines(const wire::SnapshotRequest& request,
+                                 wire::BeliefSnapshot& snapshot) const {
+  snapshot.set_engines_version(this->state.engines.Version().number);
+  snapshot.set_store_era(this->state.engines.Version().era);
+  const TimePoint now = RuntimeClock::now();
+  std::optional<std::vector<EngineUpdate>> updates;
+  if (request.accepts_changes()) {
+    updates = this->state.engines.ChangesSince(
+        now, EnginesVersionOf(this->state, request));
+  }
+  if (updates) {
+    snapshot.set_engines_are_changes(true);
+    snapshot.set_list_hash(this->state.engines.ListHash());
+    for (const EngineUpdate& update : *updates) {
+      if (update.removed) {
+        snapshot.add_removed_engines(update.id);
+      } else {
+        FillEntry(update.record, *snapshot.add_engines());
+      }
+    }
+    return;
+  }
+  for (const EngineRecord& record : this->state.engines.Listed(now)) {
+    FillEntry(record, *snapshot.add_engines());
+  }
+}
+
+void SnapshotServer::FillViewAge(wire::BeliefSnapshot& snapshot) const {
+  const auto age = this->state.watcher_election.ViewAge(RuntimeClock::now());
+  if (!age) return;
+  snapshot.set_view_age_ms(static_cast<std::uint32_t>(ToMilliseconds(*age)));
+}
+
+void SnapshotServer::FillPeers(wire::BeliefSnapshot& snapshot) const {
+  for (const std::string& peer : this->state.peers) {
+    snapshot.add_routers(peer);
+  }
+  const TimePoint now = RuntimeClock::now();
+  for (const BlockedKeys& blocked : this->state.quarantine.Blocked()) {
+    FillReport(blocked, now, *snapshot.add_quarantines());
+  }
+  for (const auto& [id, engine] : this->state.engines.Engines()) {
+    if (!this->state.RateOf(*engine, now)) continue;
+    FillRateLimit(*engine, now, *snapshot.add_rate_limits());
+  }
+}
+
+void SnapshotServer::FillPrefixes(wire::BeliefSnapshot& snapshot) const {
+  const TimePoint now = RuntimeClock::now();
+  FillPlacements(this->state.prefixes.Snapshot(now, kMaxPrefixesPerSnapshot),
+                 snapshot);
+}
+
+}  // namespace dandelionscale::internal
--- /dev/null
+++ b/src/dispatch/peers/snapshot_server.h
@@ -0,0 +1,48 @@
+/// \file
+/// \brief Sends states, or changes of the list of engines, to peers that are
+///        behind.
+#ifndef DANDELIONSCALE_SRC_DISPATCH_PEERS_SNAPSHOT_SERVER_H_
+#define DANDELIONSCALE_SRC_DISPATCH_PEERS_SNAPSHOT_SERVER_H_
+
+#include "dandelionscale/transport/http_server.h"
+#include "dispatch/dispatch_state.h"
+
+namespace dandelionscale::wire {
+class SnapshotRequest;
+class BeliefSnapshot;
+}  // namespace dandelionscale::wire
+
+namespace dandelionscale::internal {
+
+/// \brief Serves snapshots over HTTP.
+///
+/// A router sends few large snapshots at a time, and refuses further requests
+/// with status 503.
+class SnapshotServer {
+ public:
+  explicit SnapshotServer(DispatchState& state);
+
+  /// \returns the fault of the HTTP server.
+  Result<void> Start();
+
+ private:
+  Awaitable<void> Serve(HttpExchange& exchange);
+  Awaitable<void> Refuse(HttpExchange& exchange);
+  // Returns true if this router may stand in for the store.
+  bool CanSupply(TimePoint now) const;
+  bool Refuses(const wire::SnapshotRequest& request, TimePoint now) const;
+  // The following fill sections of a snapshot.
+  void FillEngines(const wire::SnapshotRequest& request,
+                   wire::BeliefSnapshot& snapshot) const;
+  void FillViewAge(wire::BeliefSnapshot& snapshot) const;
+  void FillPeers(wire::BeliefSnapshot& snapshot) const;
+  void FillPrefixes(wire::BeliefSnapshot& snapshot) const;
+
+  DispatchState& state;
+  HttpServer server;
+  int serving = 0;  ///< Large snapshot responses that are being sent.
+};
+
+}  // namespace dandelionscale::internal
+
+#endif  // DANDELIONSCALE_SRC_DISPATCH_PEERS_SNAPSHOT_SERVER_H_
