Routers send each other what has changed of a configuration, compressed

A router states the hash of its text; a peer that has that text sends a Zstandard frame whose dictionary is the old text (RFC 8878, RFC 9842; libzstd), one that doesn't a frame without a dictionary, made once for all with the same hash. A frame that is cut, odd, too large, of another base or with another hash is counted and logged, and the whole text is fetched (configuration_transfer_test). Routers of earlier builds neither ask for frames nor send them. A configuration that the store has supplied meanwhile is not decoded.

--- a/scripts/install.sh
+++ b/scripts/install.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 packages="g++ cmake ninja-build ccache clang-format-14 clang-tidy-14 \
 libboost1.81-dev libboost-program-options1.81-dev libnghttp2-dev libfmt-dev \
-libprotobuf-dev protobuf-compiler libxxhash-dev catch2 librapidcheck-dev curl"
+libprotobuf-dev protobuf-compiler libxxhash-dev libzstd-dev catch2 librapidcheck-dev curl"
 missing=0
 for package in $packages; do
   dpkg -s "$package" >/dev/null 2>&1 || missing=1
@@ -13,5 +13,5 @@
   apt-get install -y g++ cmake ninja-build ccache clang-format-14 \
     clang-tidy-14 libboost1.81-dev libboost-program-options1.81-dev \
     libnghttp2-dev libfmt-dev libprotobuf-dev protobuf-compiler \
-    libxxhash-dev catch2 librapidcheck-dev curl
+    libxxhash-dev libzstd-dev catch2 librapidcheck-dev curl
 fi
--- a/src/dispatch/dispatch_state.cc
+++ b/src/dispatch/dispatch_state.cc
@@ -118,7 +118,7 @@
              {"routes", static_cast<std::int64_t>(decoded.routes.size())}});
         this->routing_table =
             std::make_shared<const RoutingTable>(std::move(decoded));
-        this->routing_table_text = text;
+        this->configurations.OnInForce(text);
         this->metrics.Set("configuration_version",
                           static_cast<double>(this->routing_table->version));
         for (RequestDispatch* request : this->requests) {
--- a/src/dispatch/dispatch_state.h
+++ b/src/dispatch/dispatch_state.h
@@ -41,6 +41,7 @@
 #include "dandelionscale/dispatch/dispatch_router.h"
 #include "dandelionscale/runtime/event.h"
 #include "dandelionscale/runtime/metrics.h"
+#include "dispatch/configuration_history.h"
 #include "dispatch/traffic.h"
 #include "dispatch/watchdog.h"
 
@@ -275,8 +276,8 @@
 
   /// Null until one was loaded.
   std::shared_ptr<const RoutingTable> routing_table;
-  /// Encoded form of `routing_table`, as in the store.
-  std::string routing_table_text;
+  /// Encoded forms of `routing_table`, as in the store, and of earlier ones.
+  ConfigurationHistory configurations;
   EngineDirectory engines;
   /// Whether peers have confirmed what this router read when it started.
   StartUpCheck start_up;
--- a/src/dispatch/peers/snapshot_application.cc
+++ b/src/dispatch/peers/snapshot_application.cc
@@ -1,11 +1,13 @@
 // SnapshotExchange: what it does with the snapshots of peers.
 #include "dandelionscale/core/engine_record_check.h"
+#include "dandelionscale/core/hash.h"
 #include "dandelionscale/runtime/logger.h"
 #include "dandelionscale/transport/remote_endpoint.h"
 #include "dispatch/peers/peer_messages.h"
 #include "dispatch/peers/peer_reports.h"
 #include "dispatch/peers/snapshot_exchange.h"
 #include "dispatch/peers/snapshot_versions.h"
+#include "dispatch/peers/text_compression.h"
 
 namespace dandelionscale::internal {
 
@@ -19,9 +21,7 @@
     }
   }
   this->state.peers.erase(ToText(this->state.options.peer_address));
-  if (!snapshot.configuration().empty()) {
-    this->state.ApplyConfiguration(snapshot.configuration(), peer);
-  }
+  this->ApplyConfiguration(snapshot, peer);
   // Before the engines, which may complete the start of this router.
   ApplyEvacuation(this->state, snapshot, peer);
   this->ApplyEngines(snapshot, peer);
@@ -41,6 +41,53 @@
                   PartsForAllZones(snapshot));
 }
 
+void SnapshotExchange::ApplyConfiguration(const wire::BeliefSnapshot& snapshot,
+                                          const std::string& peer) {
+  // The store may have supplied it meanwhile.
+  const std::uint64_t version = snapshot.configuration_version();
+  if (version <= this->state.ConfigurationVersion()) return;
+  if (!snapshot.configuration().empty()) {
+    this->state.ApplyConfiguration(snapshot.configuration(), peer);
+    this->needs_whole_configuration = false;
+    return;
+  }
+  if (snapshot.compressed_configuration().empty()) return;
+  const auto text = this->Decompress(snapshot);
+  if (text.has_value()) {
+    this->state.ApplyConfiguration(text.value(), peer);
+    return;
+  }
+  this->needs_whole_configuration = true;
+  this->state.metrics.Add("peer_configurations_refused_total");
+  Logger::Warning("peer_configuration_refused",
+                  {{"peer", peer},
+                   {"version", static_cast<std::int64_t>(version)},
+                   {"detail", text.error().detail}});
+  // The same peer can send the whole text at once.
+  this->sources.OnNewer(RuntimeClock::now(), peer,
+                        {version, this->state.engines.Version()},
+                        !this->state.IsInOtherZone(peer), Duration::zero());
+}
+
+Result<std::string> SnapshotExchange::Decompress(
+    const wire::BeliefSnapshot& snapshot) const {
+  std::string_view base;
+  if (snapshot.has_base_hash()) {
+    const auto found = this->state.configurations.Find(snapshot.base_hash());
+    if (!found) {
+      return Fault{FaultKind::kMalformedMessage, "the base is not known"};
+    }
+    base = *found;
+  }
+  auto text = DecompressText(snapshot.compressed_configuration(), base,
+                             kMaxConfigurationBytes);
+  if (text.has_error()) return text.error();
+  if (HashText(text.value()) != snapshot.configuration_hash()) {
+    return Fault{FaultKind::kMalformedMessage, "the hash differs"};
+  }
+  return text;
+}
+
 void SnapshotExchange::ApplyEngines(const wire::BeliefSnapshot& snapshot,
                                     const std::string& peer) {
   const StoreVersion version = EnginesVersionOf(this->state, snapshot);
--- a/src/dispatch/peers/snapshot_exchange.cc
+++ b/src/dispatch/peers/snapshot_exchange.cc
@@ -198,6 +198,10 @@
   request.set_engines_version(this->state.engines.Version().number);
   request.set_store_era(this->state.engines.Version().era);
   request.set_without_placements(!with_prefixes);
+  request.set_accepts_compressed(!this->needs_whole_configuration);
+  if (this->state.routing_table != nullptr) {
+    request.set_configuration_hash(this->state.configurations.CurrentHash());
+  }
   request.set_accepts_changes(!this->needs_whole_list &&
                               this->state.engines.AcceptsChanges());
   // Only a peer whose own view is current may stand in for the store.
@@ -242,7 +246,9 @@
     co_return Fault{FaultKind::kMalformedMessage, "no snapshot"};
   }
   const Duration transfer_time = RuntimeClock::now() - asked_at;
-  if (!snapshot.configuration().empty()) {
+  const bool has_configuration = !snapshot.configuration().empty() ||
+                                 !snapshot.compressed_configuration().empty();
+  if (has_configuration) {
     Logger::Info("configuration_received",
                  {{"version",
                    static_cast<std::int64_t>(snapshot.configuration_version())},
--- a/src/dispatch/peers/snapshot_exchange.h
+++ b/src/dispatch/peers/snapshot_exchange.h
@@ -67,6 +67,11 @@
                                               TransferProgress& progress);
   void ApplySnapshot(const wire::BeliefSnapshot& snapshot,
                      const std::string& peer);
+  void ApplyConfiguration(const wire::BeliefSnapshot& snapshot,
+                          const std::string& peer);
+  // Returns the text of a compressed configuration; fault: it is malformed, or
+  // not what its sender has compressed.
+  Result<std::string> Decompress(const wire::BeliefSnapshot& snapshot) const;
   void ApplyEngines(const wire::BeliefSnapshot& snapshot,
                     const std::string& peer);
   void ApplyEngineChanges(const wire::BeliefSnapshot& snapshot,
@@ -86,6 +91,9 @@
   /// The next request does not accept changes, since the last ones did not lead
   /// to the peer's list.
   bool needs_whole_list = false;
+  /// The next request asks for the whole text, since the last one did not lead
+  /// to the peer's configuration.
+  bool needs_whole_configuration = false;
   bool has_prefixes = false;  ///< A snapshot with prefixes was fetched.
   SnapshotSources sources;    ///< Peers that are newer than this router.
   std::uint64_t newest_configuration = 0;  ///< Newest in received digests.
--- a/src/dispatch/peers/snapshot_server.cc
+++ b/src/dispatch/peers/snapshot_server.cc
@@ -51,7 +51,7 @@
   snapshot.set_configuration_version(this->state.ConfigurationVersion());
   if (this->state.ConfigurationVersion() >
       snapshot_request.configuration_version()) {
-    snapshot.set_configuration(this->state.routing_table_text);
+    this->FillConfiguration(snapshot_request, snapshot);
   }
   const std::size_t configuration_size = snapshot.ByteSizeLong();
   if (this->state.engines.Version() >
@@ -104,6 +104,25 @@
   return !is_small && this->serving >= kMaxSnapshotsServed;
 }
 
+void SnapshotServer::FillConfiguration(const wire::SnapshotRequest& request,
+                                       wire::BeliefSnapshot& snapshot) {
+  ConfigurationHistory& history = this->state.configurations;
+  if (request.accepts_compressed()) {
+    const EncodedConfiguration& encoded =
+        history.Encode(request.has_configuration_hash()
+                           ? std::optional(request.configuration_hash())
+                           : std::nullopt);
+    if (!encoded.frame.empty()) {
+      snapshot.set_compressed_configuration(encoded.frame);
+      snapshot.set_configuration_hash(history.CurrentHash());
+      if (encoded.base_hash) snapshot.set_base_hash(*encoded.base_hash);
+      return;
+    }
+  }
+  const std::string_view text = history.Current();
+  snapshot.set_configuration(text.data(), text.size());
+}
+
 void SnapshotServer::FillEngines(const wire::SnapshotRequest& request,
                                  wire::BeliefSnapshot& snapshot) const {
   snapshot.set_engines_version(this->state.engines.Version().number);
--- a/src/dispatch/peers/snapshot_server.h
+++ b/src/dispatch/peers/snapshot_server.h
@@ -32,6 +32,8 @@
   bool CanSupply(TimePoint now) const;
   bool Refuses(const wire::SnapshotRequest& request, TimePoint now) const;
   // The following fill sections of a snapshot.
+  void FillConfiguration(const wire::SnapshotRequest& request,
+                         wire::BeliefSnapshot& snapshot);
   void FillEngines(const wire::SnapshotRequest& request,
                    wire::BeliefSnapshot& snapshot) const;
   void FillViewAge(wire::BeliefSnapshot& snapshot) const;
