A router sends no more at a time than its link carries

Cause: up to four whole configurations at once over one link are all late, and none of their receivers can supply others meanwhile; beside a fixed deadline all four are lost. TransferBudget: large bodies go out together only if they pass within 0.25 s over the link that the settings state (10 Mbit/s if they don't), else one at a time. The socket keeps 64 KB, so that a body counts as long as it is on its way; a receiver that takes nothing is given up after 0.6 s and its size at the least rate, no longer after 30 s. slow_link_configuration_test has routers of an earlier build, which give a whole text 0.6 s: four are served one after the other.

--- a/include/dandelionscale/dispatch/dispatch_router.h
+++ b/include/dandelionscale/dispatch/dispatch_router.h
@@ -46,6 +46,8 @@
   /// Time within which a configuration that the store has acknowledged is to be
   /// in force everywhere; for warnings only.
   Duration configuration_bound = std::chrono::seconds(3);
+  /// Bandwidth of the host's link in Mbit/s; 0 if unknown.
+  std::uint32_t link_mbps = 0;
   /// Memory limit; request bodies may use a fixed share of it.
   std::size_t memory_bytes = 256 * 1024 * 1024;
   std::size_t max_descriptors = 1024;  ///< File descriptors of the process.
--- a/include/dandelionscale/transport/http_server.h
+++ b/include/dandelionscale/transport/http_server.h
@@ -25,8 +25,16 @@
   Duration request_timeout = std::chrono::seconds(10);
   /// Time to wait for the next request on a keep-alive connection.
   Duration idle_timeout = std::chrono::seconds(60);
+  /// What the system keeps of responses that a connection has not taken yet; 0:
+  /// as the system chooses. `HttpExchange::Respond()` returns when the rest has
+  /// been taken.
+  std::size_t send_buffer_bytes = 0;
   /// Time for one write to a slow client.
   Duration write_timeout = std::chrono::seconds(30);
+  /// Slowest mean rate at which a client may take a whole response, in bytes a
+  /// second: `write_timeout` is that much longer for larger ones; 0: it is the
+  /// same for any size.
+  std::size_t min_write_rate = 0;
 };
 
 /// \brief One request and its response, sent either by `Respond()` or by
--- a/src/dispatch/peers/snapshot_server.cc
+++ b/src/dispatch/peers/snapshot_server.cc
@@ -1,5 +1,6 @@
 #include "dispatch/peers/snapshot_server.h"
 
+#include "dandelionscale/transport/http_client.h"
 #include "dandelionscale/transport/http_status.h"
 #include "dispatch/peers/peer_messages.h"
 #include "dispatch/peers/peer_reports.h"
@@ -14,19 +15,22 @@
 constexpr std::size_t kMaxSmallSnapshotBytes = 16 * 1024;
 // Each entry of the prefix index takes 12 bytes of the snapshot.
 constexpr std::size_t kMaxPrefixesPerSnapshot = 20'000;
-// Snapshot responses that a router sends at the same time; further requests get
-// status 503. A refused router fetches from the sender of a later digest, which
-// is often a router that has fetched a snapshot in the meantime. This keeps the
-// network link of a host from overload when many routers are behind.
-constexpr int kMaxSnapshotsServed = 4;
+// What the system keeps of a response that a slow link has not taken yet.
+constexpr std::size_t kSendBufferBytes = 64 * 1024;
+// Time for a response, besides that at the least rate of a transfer. A peer
+// that takes nothing must not keep others from being served.
+constexpr Duration kWriteTimeout = std::chrono::milliseconds(600);
 
 }  // namespace
 
 SnapshotServer::SnapshotServer(DispatchState& state)
     : state(state),
-      server(state.executor, HttpServerLimits(),
-             [this](HttpExchange& exchange) { return this->Serve(exchange); }) {
-}
+      server(state.executor,
+             {.send_buffer_bytes = kSendBufferBytes,
+              .write_timeout = kWriteTimeout,
+              .min_write_rate = kMinTransferRate},
+             [this](HttpExchange& exchange) { return this->Serve(exchange); }),
+      budget(state.options.link_mbps) {}
 
 Result<void> SnapshotServer::Start() {
   auto bound = this->server.Listen(this->state.options.peer_address);
@@ -68,7 +72,7 @@
   response.body = snapshot.SerializeAsString();
   const std::size_t size = response.body.size();
   const bool is_large = size > kMaxSmallSnapshotBytes;
-  if (is_large && this->serving >= kMaxSnapshotsServed) {
+  if (is_large && !this->budget.Admits(size)) {
     co_await this->Refuse(exchange);
     co_return;
   }
@@ -80,9 +84,9 @@
             size_with_engines - configuration_size);
   CountSent(metrics, PeerTraffic::kSnapshotPrefixes, zone,
             size - size_with_engines);
-  if (is_large) ++this->serving;
+  if (is_large) this->budget.OnBegin(size);
   co_await exchange.Respond(std::move(response));
-  if (is_large) --this->serving;
+  if (is_large) this->budget.OnEnd(size);
 }
 
 Awaitable<void> SnapshotServer::Refuse(HttpExchange& exchange) {
@@ -101,7 +105,7 @@
   if (request.is_start_up() && !this->CanSupply(now)) return true;
   const bool is_small =
       request.accepts_changes() && request.without_placements();
-  return !is_small && this->serving >= kMaxSnapshotsServed;
+  return !is_small && !this->budget.Admits(kMaxSmallSnapshotBytes);
 }
 
 void SnapshotServer::FillConfiguration(const wire::SnapshotRequest& request,
--- a/src/dispatch/peers/snapshot_server.h
+++ b/src/dispatch/peers/snapshot_server.h
@@ -4,6 +4,7 @@
 #ifndef DANDELIONSCALE_SRC_DISPATCH_PEERS_SNAPSHOT_SERVER_H_
 #define DANDELIONSCALE_SRC_DISPATCH_PEERS_SNAPSHOT_SERVER_H_
 
+#include "dandelionscale/core/transfer_budget.h"
 #include "dandelionscale/transport/http_server.h"
 #include "dispatch/dispatch_state.h"
 
@@ -16,8 +17,10 @@
 
 /// \brief Serves snapshots over HTTP.
 ///
-/// A router sends few large snapshots at a time, and refuses further requests
-/// with status 503.
+/// A router sends no more large snapshots at a time than its link carries
+/// quickly, and refuses further requests with status 503. A refused router
+/// fetches from the sender of another digest, which is often a router that has
+/// fetched a snapshot in the meantime.
 class SnapshotServer {
  public:
   explicit SnapshotServer(DispatchState& state);
@@ -42,7 +45,7 @@
 
   DispatchState& state;
   HttpServer server;
-  int serving = 0;  ///< Large snapshot responses that are being sent.
+  TransferBudget budget;
 };
 
 }  // namespace dandelionscale::internal
--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -91,8 +91,10 @@
 class BeastExchange : public HttpExchange {
  public:
   BeastExchange(beast::tcp_stream& stream, HttpRequest request,
-                Duration write_timeout)
-      : stream(stream), write_timeout(write_timeout) {
+                const HttpServerLimits& limits)
+      : stream(stream),
+        write_timeout(limits.write_timeout),
+        min_write_rate(limits.min_write_rate) {
     this->request = std::move(request);
   }
   ~BeastExchange() override { this->watch->active = false; }
@@ -110,7 +112,7 @@
     message.body() = std::move(response.body);
     message.prepare_payload();
     error_code error;
-    this->stream.expires_after(this->write_timeout);
+    this->stream.expires_after(this->TimeToWrite(message.body().size()));
     co_await http::async_write(this->stream, message, RedirectError(error));
     this->broken = this->broken || error.failed();
     co_return !this->broken;
@@ -197,8 +199,18 @@
     }
   }
 
+  // Returns the time for a whole response.
+  Duration TimeToWrite(std::size_t bytes) const {
+    if (this->min_write_rate == 0) return this->write_timeout;
+    const std::chrono::duration<double> at_min_rate(
+        static_cast<double>(bytes) / static_cast<double>(this->min_write_rate));
+    return this->write_timeout +
+           std::chrono::duration_cast<Duration>(at_min_rate);
+  }
+
   beast::tcp_stream& stream;
   Duration write_timeout;
+  std::size_t min_write_rate;
   bool broken = false;
   bool streaming = false;
   bool finished = false;
@@ -236,6 +248,11 @@
       continue;
     }
     socket.set_option(asio::ip::tcp::no_delay(true), error);
+    if (this->limits.send_buffer_bytes > 0) {
+      const asio::socket_base::send_buffer_size size(
+          static_cast<int>(this->limits.send_buffer_bytes));
+      socket.set_option(size, error);
+    }
     asio::co_spawn(this->executor, this->Serve(std::move(socket)),
                    asio::detached);
   }
@@ -273,8 +290,7 @@
         break;
       }
       HttpRequest empty_request;
-      BeastExchange exchange(stream, std::move(empty_request),
-                             this->limits.write_timeout);
+      BeastExchange exchange(stream, std::move(empty_request), this->limits);
       exchange.keep_alive = false;
       co_await exchange.Respond(std::move(response));
       break;
@@ -283,8 +299,7 @@
     bool keep_alive = message.keep_alive() && !this->stopping;
     constexpr unsigned kHttp11 = 11;
     const bool needs_host = message.version() >= kHttp11;
-    BeastExchange exchange(stream, ToRequest(message),
-                           this->limits.write_timeout);
+    BeastExchange exchange(stream, ToRequest(message), this->limits);
     exchange.keep_alive = keep_alive;
     stream.expires_never();
     if (HasAmbiguousFraming(exchange.Request().headers) ||
--- a/tests/slow_link_configuration_test.cc
+++ b/tests/slow_link_configuration_test.cc
@@ -7,6 +7,7 @@
 #include <catch2/catch.hpp>
 #include <list>
 
+#include "dandelionscale/transport/http_client.h"
 #include "dispatch/dispatch_state.h"
 #include "dispatch/peers/snapshot_exchange.h"
 #include "dispatch_peer.pb.h"
@@ -149,6 +150,47 @@
   }
 }
 
+// A router of an earlier build takes the whole text only, and gives a transfer
+// 0.6 s; it is served because such transfers come one after the other.
+TEST_CASE("routers of an earlier build get a large configuration in time") {
+  Spread spread(0, ConfigurationText(1, 250), ConfigurationText(2, 1650));
+  constexpr int kRouters = 4;
+  constexpr Duration kFixedTimeout = milliseconds(600);
+  wire::SnapshotRequest request;
+  request.set_configuration_version(1);
+  request.set_engines_version(1);
+  request.set_store_era(1);
+  request.set_without_placements(true);
+  request.set_accepts_changes(true);
+  HttpClient client(spread.loop.get_executor(), nullptr);
+  int served = 0;
+  const auto ask = [&]() -> Awaitable<void> {
+    while (true) {
+      HttpRequest http_request;
+      http_request.method = "POST";
+      http_request.target = "/snapshot";
+      http_request.body = request.SerializeAsString();
+      auto response =
+          co_await client.Fetch(spread.link.Address(), std::move(http_request),
+                                ConnectionUse::kFresh, kFixedTimeout);
+      wire::BeliefSnapshot snapshot;
+      const bool is_served =
+          response.has_value() && response->status == 200 &&
+          snapshot.ParseFromString(response->body) &&
+          snapshot.configuration() == ConfigurationText(2, 1650);
+      if (is_served) break;
+      const Duration pause = kDigestInterval;
+      co_await SleepFor(pause);
+    }
+    ++served;
+  };
+  for (int n = 0; n < kRouters; ++n) {
+    boost::asio::co_spawn(spread.loop, ask, boost::asio::detached);
+  }
+  spread.loop.run_for(kBound);
+  CHECK(served == kRouters);
+}
+
 // Guards against routers that stay behind because each version is replaced
 // before it has arrived.
 TEST_CASE("configurations that change faster than they spread arrive") {
