--- a/include/dandelionscale/core/watcher_election.h
+++ b/include/dandelionscale/core/watcher_election.h
@@ -112,6 +112,8 @@
   bool MayTryAgain(TimePoint now) const;
   bool HasWatcherSince(TimePoint since) const;
   bool IsViewStale(TimePoint now) const;
+  // How much later than others this router becomes a stand-in.
+  Duration StandInStagger() const;
   // Age by which digests should have delivered a newer view.
   Duration MaxViewAge() const;
 
--- a/src/core/watcher_election.cc
+++ b/src/core/watcher_election.cc
@@ -98,7 +98,8 @@
   if (now - *this->started_at < kStartTime) return this->role;
   const bool may_try_again = this->MayTryAgain(now);
   const bool is_lagging =
-      this->lagging_since && now - *this->lagging_since > kCatchUpTimeout;
+      this->lagging_since &&
+      now - *this->lagging_since > kCatchUpTimeout + this->StandInStagger();
   if (this->IsElected(now)) {
     this->role = WatchRole::kWatcher;
   } else if (is_lagging || may_try_again || this->IsViewStale(now)) {
@@ -160,8 +161,11 @@
 bool WatcherElection::IsViewStale(TimePoint now) const {
   const std::optional<Duration> age = this->ViewAge(now);
   if (!age) return true;
-  return *age > this->MaxViewAge() +
-                    kStandInSlotLength * (this->own_key % kStandInSlots);
+  return *age > this->MaxViewAge() + this->StandInStagger();
+}
+
+Duration WatcherElection::StandInStagger() const {
+  return kStandInSlotLength * (this->own_key % kStandInSlots);
 }
 
 Duration WatcherElection::MaxViewAge() const {
--- a/src/dispatch/peers/snapshot_exchange.cc
+++ b/src/dispatch/peers/snapshot_exchange.cc
@@ -27,6 +27,9 @@
 // The same for whole lists and prefix indexes, which a peer has to put
 // together.
 constexpr Duration kLargeFetchTimeout = std::chrono::milliseconds(1500);
+// A router that is behind counts as supplied by its peers for this time at
+// most.
+constexpr Duration kMaxSupplyTime = std::chrono::milliseconds(800);
 // A starting router asks a further peer after each interval, while at most so
 // many have not responded.
 constexpr Duration kAskInterval = std::chrono::milliseconds(50);
@@ -70,43 +73,43 @@
 }
 
 bool SnapshotExchange::UpdateNewestVersions(const wire::RouterDigest& digest) {
-  const StoreVersion engines_changed = EnginesVersionOf(this->state, digest);
-  if (engines_changed.number > 0) this->state.OnStoreEra(engines_changed.era);
-  this->newest_configuration =
-      std::max(this->newest_configuration, digest.configuration_version());
-  this->newest_engines = std::max(this->newest_engines, engines_changed);
-  const bool behind =
-      this->newest_configuration > this->state.ConfigurationVersion() ||
-      this->newest_engines > this->state.engines.Version();
-  this->state.start_up.OnDigest(behind);
-  if (!behind) {
-    this->behind_since.reset();
+  const RowVersions heard{digest.configuration_version(),
+                          EnginesVersionOf(this->state, digest)};
+  if (heard.engines.number > 0) this->state.OnStoreEra(heard.engines.era);
+  const RowVersions own = OwnVersions(this->state);
+  this->lag.OnHeard(RuntimeClock::now(), heard);
+  this->lag.OnOwn(own);
+  const auto behind_since = this->lag.Since();
+  this->state.start_up.OnDigest(behind_since.has_value());
+  if (!behind_since) {
     this->state.watcher_election.OnCaughtUp();
     return false;
   }
-  if (!this->behind_since) this->behind_since = RuntimeClock::now();
-  this->state.watcher_election.OnLagDetected(*this->behind_since);
-  return digest.configuration_version() > this->state.ConfigurationVersion() ||
-         engines_changed > this->state.engines.Version();
+  // A peer that is still sending supplies this router.
+  const TimePoint supplied_at =
+      std::min(this->fetch_progress.last_at, *behind_since + kMaxSupplyTime);
+  this->state.watcher_election.OnLagDetected(
+      std::max(*behind_since, supplied_at));
+  return heard.IsNewerThan(own);
 }
 
 void SnapshotExchange::ObserveLag(TimePoint now) {
   constexpr int kLateDivisor = 2;
   const std::uint64_t version = this->state.ConfigurationVersion();
+  const std::uint64_t newest = this->lag.Newest().configuration;
+  const auto behind_since = this->lag.Since();
   const bool is_late =
-      this->behind_since && this->newest_configuration > version &&
-      now - *this->behind_since >
+      behind_since && newest > version &&
+      now - *behind_since >
           this->state.options.configuration_bound / kLateDivisor;
-  if (!is_late || this->logged_late_version == this->newest_configuration) {
-    return;
-  }
-  this->logged_late_version = this->newest_configuration;
+  if (!is_late || this->logged_late_version == newest) return;
+  this->logged_late_version = newest;
   const WatchRole role = this->state.watcher_election.Role();
   Logger::Warning(
       "configuration_behind",
       {{"version", static_cast<std::int64_t>(version)},
-       {"newest", static_cast<std::int64_t>(this->newest_configuration)},
-       {"behind_ms", ToMilliseconds(now - *this->behind_since)},
+       {"newest", static_cast<std::int64_t>(newest)},
+       {"behind_ms", ToMilliseconds(now - *behind_since)},
        {"waits_for", this->fetching       ? std::string_view("peer")
                      : WatchesStore(role) ? std::string_view("store")
                                           : std::string_view("digest")},
@@ -157,8 +160,9 @@
   const bool waits_for_store = watches &&
                                this->state.routing_table != nullptr &&
                                this->state.unreachable_tables.empty();
-  if (!waits_for_store || !this->behind_since) return now;
-  return std::max(now, *this->behind_since + kWatcherFetchDelay);
+  const auto behind_since = this->lag.Since();
+  if (!waits_for_store || !behind_since) return now;
+  return std::max(now, *behind_since + kWatcherFetchDelay);
 }
 
 void SnapshotExchange::FetchFromSources() {
--- a/src/dispatch/peers/snapshot_exchange.h
+++ b/src/dispatch/peers/snapshot_exchange.h
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "dandelionscale/core/snapshot_sources.h"
+#include "dandelionscale/core/version_lag.h"
 #include "dandelionscale/transport/http_client.h"
 #include "dispatch/dispatch_state.h"
 #include "dispatch/peers/snapshot_server.h"
@@ -96,10 +97,7 @@
   bool needs_whole_configuration = false;
   bool has_prefixes = false;  ///< A snapshot with prefixes was fetched.
   SnapshotSources sources;    ///< Peers that are newer than this router.
-  std::uint64_t newest_configuration = 0;  ///< Newest in received digests.
-  StoreVersion newest_engines;             ///< Newest in received digests.
-  /// Since when peers have newer versions; none if they have not.
-  std::optional<TimePoint> behind_since;
+  VersionLag lag;             ///< How long peers have had newer rows.
   /// Version of which `ObserveLag()` has logged that it is late.
   std::uint64_t logged_late_version = 0;
 };
