Cache lists of engines are judged by their progress, too

The same cause elsewhere: a list may have 2 MB (its limit), which take 1.7 s of a link of 10 Mbit/s, and had 1.5 s as a whole; a list that is cut is asked for again whole, and delays its engine's work.

--- a/src/dispatch/cache_observer.cc
+++ b/src/dispatch/cache_observer.cc
@@ -108,8 +108,9 @@
     std::shared_ptr<Engine> engine, HttpRequest request, Duration timeout) {
   auto endpoint = ParseEndpoint(engine->record.address);
   if (endpoint.has_error()) co_return endpoint.error();
+  const TransferLimits limits{timeout};
   auto response = co_await this->client.Fetch(
-      endpoint.value(), std::move(request), ConnectionUse::kReuse, timeout);
+      endpoint.value(), std::move(request), ConnectionUse::kReuse, limits);
   if (response.has_error()) co_return response.error();
   this->state.OnEngineResponse(
       *engine,
