--- a/tests/configuration_spread_test.cc
+++ b/tests/configuration_spread_test.cc
@@ -159,8 +159,8 @@
         kFleet84.routers * text / kTenth + 6 * text * 4 / 3);
 }
 
-// Ways that were weighed; shown by `-s`. The first is the way of the incident.
-TEST_CASE("each part of the change brings the last router nearer") {
+// Shows that the model is slow enough: the rules of the incident fail in it.
+TEST_CASE("the rules before the incident bring a large change too late") {
   const Fleet fleet = kFleet84;
   const SpreadPolicy before{false, false, false, false};
   const auto longest = [&](SpreadPolicy policy) {
